--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint fmt demo bench capacity clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# -count=1 because the tests start real processes that the test cache cannot see.
+test: build
+	$(GO) test -count=1 -timeout 20m ./...
+
+lint:
+	./scripts/lint
+
+fmt:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go')
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,191 @@
+// Package api holds the JSON types of the HTTP API for callers and operators.
+package api
+
+import (
+	"encoding/json"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+)
+
+// HostAddress is one host that a caller may use.
+type HostAddress struct {
+	Name          ids.Host `json:"name"`
+	Address       string   `json:"address"`
+	FailureDomain string   `json:"failure_domain"`
+}
+
+// HostsAnswer answers GET /v1/hosts: the best host first, then alternates. The caller may keep it for
+// TTLMS milliseconds.
+type HostsAnswer struct {
+	Hosts []HostAddress `json:"hosts"`
+	Epoch uint64        `json:"epoch"`
+	TTLMS int64         `json:"ttl_ms"`
+}
+
+// OpenProgram is the body of POST /v1/programs.
+type OpenProgram struct {
+	Team  string `json:"team" msgpack:"team"`
+	Agent string `json:"agent" msgpack:"agent"`
+	// BudgetTokens is the most that the program may spend, in tokens.
+	BudgetTokens int64 `json:"budget_tokens" msgpack:"budget_tokens"`
+	// DeadlineMS is the time within which the program should end, in milliseconds from now; 0 is none.
+	DeadlineMS int64 `json:"deadline_ms,omitempty" msgpack:"deadline_ms,omitempty"`
+	// Parent makes the program a child that draws on its parent's budget.
+	Parent ids.Program `json:"parent,omitempty" msgpack:"parent,omitempty"`
+}
+
+// ProgramOpened answers POST /v1/programs.
+type ProgramOpened struct {
+	ID   ids.Program `json:"id" msgpack:"id"`
+	Home HostAddress `json:"home" msgpack:"home"`
+}
+
+// CallKind is the kind of a call of a program.
+type CallKind string
+
+const (
+	CallModel   CallKind = "model"
+	CallTool    CallKind = "tool"
+	CallService CallKind = "service"
+	CallAgent   CallKind = "agent"
+)
+
+// Call is the body of POST /v1/programs/{id}/calls. Exactly the field named by Kind is set.
+type Call struct {
+	// Key is chosen by the caller and unique in the program; a repeated key gets the first answer.
+	Key string `json:"key" msgpack:"key"`
+	// Seq is the index of the call in the program, from 1; 0 means arrival order.
+	Seq     int          `json:"seq,omitempty" msgpack:"seq,omitempty"`
+	Kind    CallKind     `json:"kind" msgpack:"kind"`
+	Model   *ModelCall   `json:"model,omitempty" msgpack:"model,omitempty"`
+	Tool    *ToolCall    `json:"tool,omitempty" msgpack:"tool,omitempty"`
+	Service *ServiceCall `json:"service,omitempty" msgpack:"service,omitempty"`
+	Agent   *AgentCall   `json:"agent,omitempty" msgpack:"agent,omitempty"`
+	// Stream asks for server-sent events.
+	Stream bool `json:"stream,omitempty" msgpack:"stream,omitempty"`
+}
+
+// ModelCall asks the agent's model for the next turn. The home adds the program's history.
+type ModelCall struct {
+	Prompt    string `json:"prompt" msgpack:"prompt"`
+	MaxTokens int    `json:"max_tokens,omitempty" msgpack:"max_tokens,omitempty"`
+}
+
+// ToolCall calls a tool service.
+type ToolCall struct {
+	Name string          `json:"name" msgpack:"name"`
+	Args json.RawMessage `json:"args,omitempty" msgpack:"args,omitempty"`
+}
+
+// ServiceCall sends a request to a plain service.
+type ServiceCall struct {
+	Name   string          `json:"name" msgpack:"name"`
+	Method string          `json:"method" msgpack:"method"`
+	Path   string          `json:"path" msgpack:"path"`
+	Body   json.RawMessage `json:"body,omitempty" msgpack:"body,omitempty"`
+}
+
+// AgentCall opens a child program, runs one model call in it, ends it and returns its answer.
+type AgentCall struct {
+	Name         string `json:"name" msgpack:"name"`
+	Prompt       string `json:"prompt" msgpack:"prompt"`
+	BudgetTokens int64  `json:"budget_tokens" msgpack:"budget_tokens"`
+}
+
+// Usage is what one call or one program spent, in tokens.
+type Usage struct {
+	PromptTokens    int64 `json:"prompt_tokens" msgpack:"prompt_tokens"`
+	CachedTokens    int64 `json:"cached_tokens" msgpack:"cached_tokens"`
+	GeneratedTokens int64 `json:"generated_tokens" msgpack:"generated_tokens"`
+	// CostTokens is what the budget was charged.
+	CostTokens int64 `json:"cost_tokens" msgpack:"cost_tokens"`
+}
+
+// CallAnswer is the final answer to a call.
+type CallAnswer struct {
+	Program ids.Program `json:"program" msgpack:"program"`
+	Key     string      `json:"key" msgpack:"key"`
+	Seq     int         `json:"seq" msgpack:"seq"`
+	State   string      `json:"state" msgpack:"state"` // "queued", "running", "done", "failed", "unknown"
+	Text    string      `json:"text,omitempty" msgpack:"text,omitempty"`
+	Usage   Usage       `json:"usage" msgpack:"usage"`
+	// Durable is false while the turn waits for an unavailable store.
+	Durable bool         `json:"durable" msgpack:"durable"`
+	Error   *fault.Error `json:"error,omitempty" msgpack:"error,omitempty"`
+	// Status is the HTTP status of a plain service's answer.
+	Status int `json:"status,omitempty" msgpack:"status,omitempty"`
+	// Worker is the backend server that ran the call.
+	Worker string `json:"worker,omitempty" msgpack:"worker,omitempty"`
+}
+
+// Piece is one server-sent event of a streamed model call: text that begins at token Offset.
+type Piece struct {
+	Offset int    `json:"offset" msgpack:"offset"`
+	Text   string `json:"text" msgpack:"text"`
+}
+
+// Turn is one entry of a program's history.
+type Turn struct {
+	Seq     int          `json:"seq" msgpack:"seq"`
+	Key     string       `json:"key" msgpack:"key"`
+	Kind    CallKind     `json:"kind" msgpack:"kind"`
+	Request string       `json:"request" msgpack:"request"`
+	Answer  string       `json:"answer" msgpack:"answer"`
+	Usage   Usage        `json:"usage" msgpack:"usage"`
+	Error   *fault.Error `json:"error,omitempty" msgpack:"error,omitempty"`
+	Worker  string       `json:"worker,omitempty" msgpack:"worker,omitempty"`
+}
+
+// ProgramStatus answers GET /v1/programs/{id}.
+type ProgramStatus struct {
+	ID           ids.Program `json:"id" msgpack:"id"`
+	Team         string      `json:"team" msgpack:"team"`
+	Agent        string      `json:"agent" msgpack:"agent"`
+	Class        string      `json:"class" msgpack:"class"`
+	State        string      `json:"state" msgpack:"state"` // "open", "ended", "canceled", "failed"
+	Home         ids.Journal `json:"home" msgpack:"home"`
+	Parent       ids.Program `json:"parent,omitempty" msgpack:"parent,omitempty"`
+	Turns        int         `json:"turns" msgpack:"turns"`
+	BudgetTokens int64       `json:"budget_tokens" msgpack:"budget_tokens"`
+	SpentTokens  int64       `json:"spent_tokens" msgpack:"spent_tokens"`
+	Usage        Usage       `json:"usage" msgpack:"usage"`
+	OpenedAtMS   int64       `json:"opened_at_ms" msgpack:"opened_at_ms"`
+	EndedAtMS    int64       `json:"ended_at_ms,omitempty" msgpack:"ended_at_ms,omitempty"`
+}
+
+// History answers GET /v1/programs/{id}/history.
+type History struct {
+	ID    ids.Program `json:"id" msgpack:"id"`
+	Turns []Turn      `json:"turns" msgpack:"turns"`
+}
+
+// ErrorAnswer is the body of every answer with a status of 400 or more.
+type ErrorAnswer struct {
+	Error *fault.Error `json:"error"`
+}
+
+// Member is one host as operators see it.
+type Member struct {
+	Name          ids.Host      `json:"name"`
+	Journal       ids.Journal   `json:"journal"`
+	FailureDomain string        `json:"failure_domain"`
+	Address       string        `json:"address"`
+	PeerAddress   string        `json:"peer_address"`
+	State         string        `json:"state"` // "up", "suspect", "draining" or "gone"
+	Adopted       []ids.Journal `json:"adopted,omitempty"`
+	Ticket        uint64        `json:"ticket"`
+	Programs      int           `json:"programs"`
+}
+
+// Backend is one backend server as operators see it.
+type Backend struct {
+	Name          string `json:"name"`
+	Pool          string `json:"pool"`
+	Kind          string `json:"kind"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	Running       int    `json:"running"`
+	CacheTokens   int64  `json:"cache_tokens"`
+}
--- /dev/null
+++ b/common/objectapi/objectapi.go
@@ -0,0 +1,95 @@
+// Package objectapi is the client of the platform's object API and of its list of backend servers. The
+// protocol is in docs/external-protocols.md.
+package objectapi
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kinds of objects that hyssopreel keeps in the store.
+const (
+	KindLease   = "leases"   // one per host, renewed often
+	KindMember  = "members"  // one per host, changes rarely
+	KindJournal = "journal"  // segments of journals, "<journal>/<seq>"
+	KindConfig  = "config"   // "current"
+	KindOrders  = "orders"   // one lease per pool for the order manager
+	KindStatus  = "status"   // one per pool
+	KindCache   = "kv-cache" // exported KV cache references
+)
+
+// MaxValueBytes is the largest value that the platform's object API holds.
+const MaxValueBytes = 1 << 20
+
+// Version identifies one state of an object; it rises with every change. 0 is "does not exist".
+type Version uint64
+
+// Object is one stored object.
+type Object struct {
+	Kind    string
+	Name    string
+	Version Version
+	Value   []byte
+}
+
+// Change is one change of an object seen by a watch. A deleted object has Deleted set and no value.
+type Change struct {
+	Object
+	Deleted bool
+}
+
+var (
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = errors.New("object does not exist")
+	// ErrConflict means that the object's version is not the expected one; nothing was written.
+	ErrConflict = errors.New("object version conflict")
+	// ErrUnavailable means that the store did not take the call; nothing was written.
+	ErrUnavailable = errors.New("object store unavailable")
+	// ErrOutcomeUnknown means that the answer to a write was lost; it may have taken effect.
+	ErrOutcomeUnknown = errors.New("outcome of the object store write unknown")
+	// ErrTooLarge means that the value is larger than MaxValueBytes.
+	ErrTooLarge = errors.New("object value too large")
+)
+
+// Store is the platform's object API. Each call, and each waiting watch, counts against the
+// platform's rates.
+type Store interface {
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Create writes an object that must not exist yet; ErrConflict if it does.
+	Create(ctx context.Context, kind, name string, value []byte) (Version, error)
+	// Update replaces the object if its version is expected; ErrConflict otherwise.
+	Update(ctx context.Context, kind, name string, value []byte, expected Version) (Version, error)
+	// Delete removes the object if its version is expected; expected 0 removes any version.
+	Delete(ctx context.Context, kind, name string, expected Version) error
+	// List returns the objects whose names begin with prefix, in name order, and the store's revision.
+	List(ctx context.Context, kind, prefix string) ([]Object, Version, error)
+	// Watch waits for changes after the revision and returns them with the new revision; it returns no
+	// changes and no error when the platform's wait limit passes.
+	Watch(ctx context.Context, kind, prefix string, after Version) ([]Change, Version, error)
+}
+
+// BackendState is the state of a backend server in the platform's list.
+type BackendState string
+
+const (
+	BackendLive    BackendState = "live"
+	BackendLeaving BackendState = "leaving"
+)
+
+// Backend is one backend server as the platform's list has it. The list lags behind reality.
+type Backend struct {
+	Name          string       `json:"name" msgpack:"name"`
+	Pool          string       `json:"pool" msgpack:"pool"`
+	Kind          string       `json:"kind" msgpack:"kind"` // "engine", "service" or "tool"
+	Address       string       `json:"address" msgpack:"address"`
+	FailureDomain string       `json:"failure_domain" msgpack:"failure_domain"`
+	State         BackendState `json:"state" msgpack:"state"`
+	// ChecksFencing is true for engines that refuse orders with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing" msgpack:"checks_fencing"`
+}
+
+// BackendLister is the platform's list of live and leaving backend servers.
+type BackendLister interface {
+	Backends(ctx context.Context) ([]Backend, error)
+}
--- /dev/null
+++ b/common/wire/wire.go
@@ -0,0 +1,27 @@
+// Package wire carries messages between the daemons: msgpack bodies in length-prefixed frames over TCP.
+package wire
+
+// Type is the type of a frame.
+type Type uint8
+
+const (
+	TypeHello Type = iota + 1
+	TypeHeartbeat
+	TypeCall        // forwarded request of a caller
+	TypePiece       // piece of a streamed answer
+	TypeAnswer      // last frame of an answer
+	TypeCancel      // the requester no longer waits
+	TypeEnqueue     // home to pool scheduler
+	TypeGrant       // pool scheduler to home
+	TypeFinish      // home to pool scheduler
+	TypeTicket      // new configuration ticket
+	TypeTicketFetch // request for the configuration in force
+	TypeMember      // changed member record
+	TypeHandover    // a draining host asks a peer to adopt its journal
+	TypeRelay       // object API call through a peer
+	TypeLookup      // states of programs, asked of their home
+)
+
+// MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
+// (1 MB) with room for the envelope.
+const MaxFrameBytes = 2 << 20
--- /dev/null
+++ b/core/sched/messages.go
@@ -0,0 +1,204 @@
+// Package sched decides which waiting call runs next on which worker of a group. One host, the group's
+// scheduler, runs it; homes on other hosts exchange these messages with it as peer frames. The
+// state is soft: after the loss of the scheduler, homes enqueue their waiting calls again at its
+// successor and report the calls that they have in flight.
+package sched
+
+import (
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/event"
+)
+
+// Classes of programs, the most urgent first.
+const (
+	ClassUrgent      = "urgent"
+	ClassInteractive = "interactive"
+	ClassBatch       = "batch"
+)
+
+// CallID identifies one attempt of a call at the scheduler.
+type CallID struct {
+	Program ids.Program `msgpack:"p"`
+	Key     string      `msgpack:"k"`
+	// Attempt counts dispatches of the call, from 1.
+	Attempt int `msgpack:"a"`
+}
+
+// Enqueued asks for a worker for a call of a program. All durations are in milliseconds.
+type Enqueued struct {
+	Call  CallID `msgpack:"c"`
+	Group string `msgpack:"g"` // "<pool>/<group number>"
+	// Home is the journal of the program's home host, to which the grant goes.
+	Home  ids.Journal `msgpack:"h"`
+	Agent string      `msgpack:"ag"`
+	Class string      `msgpack:"cl"`
+	// Turn is the number of calls that the program has finished in any pool.
+	Turn int `msgpack:"t"`
+	// AttainedTokens is what the program has spent so far.
+	AttainedTokens int64 `msgpack:"at"`
+	// PromptTokens is the estimated length of the whole prompt with the history; 0 for plain services.
+	PromptTokens int64 `msgpack:"pt"`
+	MaxTokens    int64 `msgpack:"mt"`
+	// AgeMS is the time since the program was opened.
+	AgeMS int64 `msgpack:"age"`
+	// TimeLeftMS is the time until the program's deadline; 0 is no deadline.
+	TimeLeftMS int64 `msgpack:"tl"`
+	// PausedMS is the time since the program's previous call ended; PauseTool is the tool of the pause.
+	PausedMS  int64  `msgpack:"pm"`
+	PauseTool string `msgpack:"ptl"`
+	// Workers that served the program before, the latest last. They may hold its cached prefix.
+	Workers []string `msgpack:"w"`
+	// Running names the worker that already runs the call. It is set when homes report calls in flight to
+	// a new scheduler: the call is accounted for and gets no grant.
+	Running string `msgpack:"r"`
+	// Avoid lists workers that failed this call.
+	Avoid []string `msgpack:"av"`
+}
+
+// Finished reports the end of a granted call.
+type Finished struct {
+	Call            CallID `msgpack:"c"`
+	Group           string `msgpack:"g"`
+	Worker          string `msgpack:"w"`
+	PromptTokens    int64  `msgpack:"pt"`
+	CachedTokens    int64  `msgpack:"ct"`
+	GeneratedTokens int64  `msgpack:"gt"`
+	// NextTool names the tool that the program is likely to wait for now; empty if not known.
+	NextTool string `msgpack:"nt"`
+	Failed   bool   `msgpack:"f"`
+}
+
+// Withdrawn takes back a waiting call (its program was canceled or its caller's deadline passed).
+type Withdrawn struct {
+	Call  CallID `msgpack:"c"`
+	Group string `msgpack:"g"`
+}
+
+// ProgramEnded says that a program needs no cache any more.
+type ProgramEnded struct {
+	Program ids.Program `msgpack:"p"`
+	Group   string      `msgpack:"g"`
+	Agent   string      `msgpack:"a"`
+	Turns   int         `msgpack:"t"`
+}
+
+// Worker is what the scheduler has to know of a backend server.
+type Worker struct {
+	Name string `msgpack:"n"`
+	// Usable is false while the worker is leaving, loading or unreachable: it gets no new calls.
+	Usable      bool  `msgpack:"u"`
+	MaxRunning  int   `msgpack:"m"`
+	CacheTokens int64 `msgpack:"c"`
+}
+
+// GroupChanged gives the whole list of workers of a group, and the policy of the pool.
+type GroupChanged struct {
+	Group   string   `msgpack:"g"`
+	Workers []Worker `msgpack:"w"`
+	Policy  string   `msgpack:"p"`
+}
+
+// LoadReported is a worker's own report; it is AgeMS old.
+type LoadReported struct {
+	Group       string `msgpack:"g"`
+	Worker      string `msgpack:"w"`
+	AgeMS       int64  `msgpack:"a"`
+	Running     int    `msgpack:"r"`
+	Waiting     int    `msgpack:"q"`
+	CacheTokens int64  `msgpack:"c"`
+}
+
+// CacheReported lists the programs that hold cache on a worker, from the worker itself.
+type CacheReported struct {
+	Group    string        `msgpack:"g"`
+	Worker   string        `msgpack:"w"`
+	Programs []HeldProgram `msgpack:"p"`
+}
+
+// HeldProgram is the cache that one program holds on a worker.
+type HeldProgram struct {
+	Program ids.Program `msgpack:"p"`
+	Tokens  int64       `msgpack:"t"`
+}
+
+// GroupReset drops the state of a group: this host no longer schedules it.
+type GroupReset struct {
+	Group string `msgpack:"g"`
+}
+
+// Ticked lets time pass. Adapters publish one per group about every 100 ms.
+type Ticked struct {
+	Group string `msgpack:"g"`
+}
+
+// Grant is the effect that gives a call a worker.
+type Grant struct {
+	Call   CallID      `msgpack:"c"`
+	Group  string      `msgpack:"g"`
+	Home   ids.Journal `msgpack:"h"`
+	Worker string      `msgpack:"w"`
+	// Priority is passed to engines that honour priorities; a lower number runs first.
+	Priority int `msgpack:"p"`
+	// WaitedMS is the time that the call waited at the scheduler.
+	WaitedMS int64 `msgpack:"wm"`
+}
+
+// Refuse is the effect that turns a call away before it ran.
+type Refuse struct {
+	Call         CallID      `msgpack:"c"`
+	Home         ids.Journal `msgpack:"h"`
+	Reason       string      `msgpack:"r"`
+	RetryAfterMS int64       `msgpack:"ra"`
+}
+
+// ReleaseCache is the effect that drops the cache of a program on a worker.
+type ReleaseCache struct {
+	Group   string      `msgpack:"g"`
+	Worker  string      `msgpack:"w"`
+	Program ids.Program `msgpack:"p"`
+}
+
+// Kinds of the messages.
+const (
+	KindEnqueued      event.Kind = "sched.enqueued"
+	KindFinished      event.Kind = "sched.finished"
+	KindWithdrawn     event.Kind = "sched.withdrawn"
+	KindProgramEnded  event.Kind = "sched.program_ended"
+	KindGroupChanged  event.Kind = "sched.group_changed"
+	KindLoadReported  event.Kind = "sched.load_reported"
+	KindCacheReported event.Kind = "sched.cache_reported"
+	KindGroupReset    event.Kind = "sched.group_reset"
+	KindTicked        event.Kind = "sched.ticked"
+	KindGrant         event.Kind = "sched.grant"
+	KindRefuse        event.Kind = "sched.refuse"
+	KindReleaseCache  event.Kind = "sched.release_cache"
+)
+
+func (Enqueued) EventKind() event.Kind      { return KindEnqueued }
+func (Finished) EventKind() event.Kind      { return KindFinished }
+func (Withdrawn) EventKind() event.Kind     { return KindWithdrawn }
+func (ProgramEnded) EventKind() event.Kind  { return KindProgramEnded }
+func (GroupChanged) EventKind() event.Kind  { return KindGroupChanged }
+func (LoadReported) EventKind() event.Kind  { return KindLoadReported }
+func (CacheReported) EventKind() event.Kind { return KindCacheReported }
+func (GroupReset) EventKind() event.Kind    { return KindGroupReset }
+func (Ticked) EventKind() event.Kind        { return KindTicked }
+func (Grant) EffectKind() event.Kind        { return KindGrant }
+func (Refuse) EffectKind() event.Kind       { return KindRefuse }
+func (ReleaseCache) EffectKind() event.Kind { return KindReleaseCache }
+
+func init() {
+	for _, e := range []event.Event{
+		Enqueued{},
+		Finished{},
+		Withdrawn{},
+		ProgramEnded{},
+		GroupChanged{},
+		LoadReported{},
+		CacheReported{},
+		GroupReset{},
+		Ticked{},
+	} {
+		event.Register(e)
+	}
+}
--- /dev/null
+++ b/service/runtime/runtime.go
@@ -0,0 +1,182 @@
+// Package runtime drives the reducer of a host: it queues events, reduces them one at a time and hands
+// the effects to the adapters.
+package runtime
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/event"
+)
+
+const topicEvents = "events"
+
+// Handler carries out one effect. It runs on the reducer's goroutine and must not block: it starts
+// I/O on a goroutine of its own and reports the result with Publish.
+type Handler func(at clock.Millis, eff event.Effect)
+
+// Runtime owns the reducer's state. Publish may be called from any goroutine, including handlers.
+type Runtime struct {
+	clock    clock.Clock
+	state    *core.State
+	log      io.Writer
+	handlers map[event.Kind]Handler
+	bus      *gochannel.GoChannel
+
+	mu     sync.Mutex
+	queue  []event.Envelope
+	wake   chan struct{}
+	closed bool
+	done   chan struct{}
+}
+
+// New returns a runtime. If log is not nil, each event is appended to it as a 4-byte big-endian length
+// and the bytes of event.Encode, before it is reduced.
+func New(c clock.Clock, state *core.State, log io.Writer) *Runtime {
+	return &Runtime{
+		clock:    c,
+		state:    state,
+		log:      log,
+		handlers: map[event.Kind]Handler{},
+		// Publishing waits for the subscriber because a GoChannel otherwise delivers each message on a
+		// goroutine of its own, in no fixed order.
+		bus:  gochannel.NewGoChannel(gochannel.Config{BlockPublishUntilSubscriberAck: true}, watermill.NopLogger{}),
+		wake: make(chan struct{}, 1),
+		done: make(chan struct{}),
+	}
+}
+
+// Handle sets the handler of an effect kind. All handlers are set before Run.
+func (r *Runtime) Handle(k event.Kind, h Handler) { r.handlers[k] = h }
+
+// Clock returns the clock that stamps events.
+func (r *Runtime) Clock() clock.Clock { return r.clock }
+
+// Publish queues an event. Events that one goroutine publishes are reduced in that order. After Run has
+// returned, events are dropped.
+func (r *Runtime) Publish(ev event.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.queue = append(r.queue, event.Envelope{At: r.clock.Now(), Event: ev})
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run reduces events until ctx is done. It returns the first error of the event log or the codec.
+func (r *Runtime) Run(ctx context.Context) error {
+	defer close(r.done)
+	defer r.close()
+	messages, err := r.bus.Subscribe(ctx, topicEvents)
+	if err != nil {
+		return errors.Wrap(err, "subscribe to events")
+	}
+	failed := make(chan error, 1)
+	go func() {
+		for m := range messages {
+			if err := r.reduce(m.Payload); err != nil {
+				select {
+				case failed <- err:
+				default:
+				}
+			}
+			m.Ack()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			return err
+		case <-r.wake:
+			if err := r.drain(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (r *Runtime) drain(ctx context.Context) error {
+	r.mu.Lock()
+	batch := r.queue
+	r.queue = nil
+	r.mu.Unlock()
+	for _, e := range batch {
+		if ctx.Err() != nil {
+			return nil
+		}
+		b, err := event.Encode(e)
+		if err != nil {
+			return err
+		}
+		if err := r.bus.Publish(topicEvents, message.NewMessage("", b)); err != nil {
+			return errors.Wrap(err, "publish event")
+		}
+	}
+	return nil
+}
+
+func (r *Runtime) reduce(payload []byte) error {
+	if r.log != nil {
+		if err := WriteRecord(r.log, payload); err != nil {
+			return err
+		}
+	}
+	e, err := event.Decode(payload)
+	if err != nil {
+		return err
+	}
+	for _, eff := range core.Reduce(r.state, e) {
+		if h, ok := r.handlers[eff.EffectKind()]; ok {
+			h(e.At, eff)
+		}
+	}
+	return nil
+}
+
+func (r *Runtime) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	_ = r.bus.Close()
+}
+
+// Done is closed when Run has returned.
+func (r *Runtime) Done() <-chan struct{} { return r.done }
+
+// WriteRecord appends one record to an event log.
+func WriteRecord(w io.Writer, b []byte) error {
+	var n [4]byte
+	binary.BigEndian.PutUint32(n[:], uint32(len(b)))
+	if _, err := w.Write(append(n[:], b...)); err != nil {
+		return errors.Wrap(err, "write event log")
+	}
+	return nil
+}
+
+// ReadRecord reads one record of an event log; io.EOF at its end.
+func ReadRecord(rd io.Reader) ([]byte, error) {
+	var n [4]byte
+	if _, err := io.ReadFull(rd, n[:]); err != nil {
+		return nil, err
+	}
+	b := make([]byte, binary.BigEndian.Uint32(n[:]))
+	if _, err := io.ReadFull(rd, b); err != nil {
+		return nil, errors.Wrap(err, "event log record is cut off")
+	}
+	return b, nil
+}
