--- a/core/event/event.go
+++ b/core/event/event.go
@@ -39,7 +39,7 @@
 }
 
 type record struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
 	At       clock.Millis
 	Kind     Kind
 	Body     msgpack.RawMessage
