Add the program reducer: order, history, budget, at most once

Cause: a home needs one place that decides what must be durable before what. The reducer applies records when they are written and lets everything that is visible outside wait for the commit. Ruled out: a write for each request (21,000 a second against several hundred), and committing the intent before the worker is granted, which turns every call that waits in a queue into an unknown outcome at a takeover. Before: no programs. After: the package compiles and vets; no daemon uses it yet, so nothing is measured.

--- /dev/null
+++ b/core/program/budget.go
@@ -0,0 +1,133 @@
+package program
+
+import (
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+const (
+	// messageOverheadTokens is what a chat template may add to one message.
+	messageOverheadTokens = 8
+	// chunkTurns is how many worst cases are reserved at once, so that most turns wait for no commit.
+	chunkTurns = 2
+)
+
+// reserve makes sure that the worst case of the call is covered by a durable reservation before it is sent.
+func (r *reduction) reserve(p *program, c *call) {
+	worst, ferr := r.worstCase(p, c)
+	if ferr != nil {
+		r.notRun(p, c, ferr)
+		return
+	}
+	if p.chunk >= worst && !p.reservationPending(r.State) {
+		r.reserved(p, c)
+		return
+	}
+	if r.storeDown {
+		r.notRun(p, c, errStoreDown("reserve budget"))
+		return
+	}
+	c.state = callReserving
+	amount := min(max(chunkTurns*worst-p.chunk, 0), p.left())
+	r.write(pendingCommit{next: stepReserved, program: p.id, key: c.request.Key},
+		Record{Op: OpReserved, Program: p.id, Tokens: amount})
+}
+
+// reservationPending says whether part of the chunk is not durable yet. That happens after a call was
+// refused while its reservation waited for the store.
+func (p *program) reservationPending(s *State) bool {
+	for i := range s.pending {
+		if s.pending[i].program == p.id && s.pending[i].next == stepReserved {
+			return true
+		}
+	}
+	return false
+}
+
+// left is the part of the budget that is neither spent nor reserved.
+func (p *program) left() int64 { return p.header.Budget - p.spent - p.chunk }
+
+// worstCase returns the most tokens that the call can cost. A model call is given as many output
+// tokens as the budget allows; it fails if the prompt alone is over the budget.
+func (r *reduction) worstCase(p *program, c *call) (int64, *fault.Error) {
+	available := p.left() + p.chunk
+	var worst int64
+	switch c.request.Kind {
+	case api.CallModel:
+		prompt := r.promptBound(p, c.request.Model.Prompt)
+		out := int64(r.agent(p).MaxTokens)
+		if m := int64(c.request.Model.MaxTokens); m > 0 && (m < out || out == 0) {
+			out = m
+		}
+		if prompt+out > available {
+			out = available - prompt
+		}
+		c.maxTokens = int(out)
+		if out <= 0 {
+			return 0, errBudget(prompt+1, available)
+		}
+		worst = prompt + out
+	case api.CallTool:
+		worst = r.config.Objects.Tools[c.request.Tool.Name].CostTokens
+	case api.CallService:
+		worst = r.config.Objects.Services[c.request.Service.Name].CostTokens
+	case api.CallAgent:
+		// The child's budget is taken when the child opens; the parent's call costs nothing itself.
+		if b := c.request.Agent.BudgetTokens; b > p.left() {
+			return 0, errBudget(b, p.left())
+		}
+	}
+	if worst > available {
+		return 0, errBudget(worst, available)
+	}
+	return worst, nil
+}
+
+func errBudget(need, have int64) *fault.Error {
+	return fault.New(fault.CodeBudgetExceeded, "reserve budget", "the call may cost %d tokens and the budget has %d left", need, have)
+}
+
+// promptBound is an upper bound of the prompt's length in tokens: what the engine counted for the
+// history, and one token a byte for what is new.
+func (r *reduction) promptBound(p *program, prompt string) int64 {
+	n := p.promptTokens + int64(len(prompt)) + 2*messageOverheadTokens
+	if p.promptTokens == 0 {
+		n += int64(len(r.agent(p).SystemPrompt)) + messageOverheadTokens
+	}
+	for i := len(p.turns) - 1; i >= 0 && p.turns[i].Kind != api.CallModel; i-- {
+		n += int64(len(p.turns[i].Request)+len(p.turns[i].Answer)) + 2*messageOverheadTokens
+	}
+	return n
+}
+
+// retryBudget bounds retries to a share of the calls, so that a slow pool does not get more load.
+type retryBudget struct {
+	calls   int64
+	retries int64
+}
+
+const (
+	retryShare  = 0.1 // retries for each call
+	retryAtOnce = 20  // retries that are allowed before calls have been counted
+)
+
+func (s *State) countCall(pool string) { s.retryOf(pool).calls++ }
+
+func (s *State) retryOf(pool string) *retryBudget {
+	b, ok := s.retries[pool]
+	if !ok {
+		b = &retryBudget{}
+		s.retries[pool] = b
+	}
+	return b
+}
+
+// mayRetry takes one retry from the pool's budget, if there is one.
+func (s *State) mayRetry(pool string) bool {
+	b := s.retryOf(pool)
+	if float64(b.retries) >= retryAtOnce+retryShare*float64(b.calls) {
+		return false
+	}
+	b.retries++
+	return true
+}
--- /dev/null
+++ b/core/program/calls.go
@@ -0,0 +1,351 @@
+package program
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/config"
+)
+
+const (
+	stepSubmit = "submit call"
+	// defaultMaxTurns bounds the calls of a program whose agent sets no limit.
+	defaultMaxTurns = 280
+)
+
+// callHash identifies the body of a call; how the answer is delivered does not count.
+func callHash(c api.Call) uint64 {
+	c.Stream, c.Seq = false, 0
+	b, err := msgpack.Marshal(&c)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
+
+func (r *reduction) callSubmitted(e CallSubmitted) {
+	p, ferr := r.find(e.Program, stepSubmit)
+	if ferr != nil {
+		r.fail(e.Waiter, ferr)
+		return
+	}
+	hash := callHash(e.Call)
+	if c, ok := p.calls[e.Call.Key]; ok {
+		r.join(p, c, hash, e)
+		return
+	}
+	if ferr := r.admit(p, e.Call); ferr != nil {
+		r.fail(e.Waiter, ferr)
+		return
+	}
+	c := &call{request: e.Call, hash: hash, state: callWaiting, since: r.at, trace: e.Trace}
+	p.calls[e.Call.Key] = c
+	p.waiting = append(p.waiting, c)
+	r.queued[p.id] = struct{}{}
+	p.active = r.at
+	r.attach(p, c, e.Waiter, e.Call.Stream)
+	r.startNext(p)
+}
+
+// join answers a repeated key: a finished call again, a live one when it finishes.
+func (r *reduction) join(p *program, c *call, hash uint64, e CallSubmitted) {
+	if c.hash != hash {
+		r.fail(e.Waiter, fault.New(fault.CodeKeyReused, stepSubmit, "key %q was used for another call of this program", e.Call.Key))
+		return
+	}
+	if c.state == callFinished {
+		r.answer(p, c, e.Waiter)
+		return
+	}
+	r.attach(p, c, e.Waiter, e.Call.Stream)
+}
+
+func (r *reduction) attach(p *program, c *call, w WaiterID, stream bool) {
+	if w == 0 {
+		return
+	}
+	c.waiters = append(c.waiters, w)
+	r.callOf[w] = c
+	if stream {
+		r.emit(Attach{Waiter: w, Program: p.id, Key: c.request.Key})
+	}
+}
+
+// admit checks a new call against the program's state and limits.
+func (r *reduction) admit(p *program, c api.Call) *fault.Error {
+	if p.state != StateOpen {
+		return fault.New(fault.CodeProgramEnded, stepSubmit, "program %s is %s", p.id, p.state)
+	}
+	if ferr := r.checkCall(p, c); ferr != nil {
+		return ferr
+	}
+	if n := p.nextSeq(); c.Seq != 0 && c.Seq < n {
+		return fault.New(fault.CodeOutOfOrder, stepSubmit, "seq %d has passed; the next is %d", c.Seq, n)
+	}
+	if len(p.waiting) >= r.limits.MaxQueuedCalls {
+		return fault.New(fault.CodeLimit, stepSubmit, "%d calls of the program wait already", len(p.waiting)).RetryAfter(r.limits.OrderWait)
+	}
+	if max := r.agent(p).MaxTurns; len(p.turns)+len(p.liveCalls()) >= max {
+		return fault.New(fault.CodeTurnLimit, stepSubmit, "the program has reached its limit of %d turns", max)
+	}
+	if r.storeDown && r.unsaved >= r.limits.MaxUnsaved {
+		return errStoreDown(stepSubmit)
+	}
+	if r.storeDown && !r.idempotent(p, c) {
+		return errStoreDown(stepSubmit)
+	}
+	return nil
+}
+
+// checkCall checks the call against the configuration in force.
+func (r *reduction) checkCall(p *program, c api.Call) *fault.Error {
+	agent := r.agent(p)
+	invalid := func(format string, args ...any) *fault.Error {
+		return fault.New(fault.CodeInvalid, stepSubmit, format, args...)
+	}
+	switch c.Kind {
+	case api.CallModel:
+		return nil
+	case api.CallTool:
+		if r.config.Objects.Tools[c.Tool.Name] == nil || !slices.Contains(agent.Tools, c.Tool.Name) {
+			return invalid("agent %q may not call tool %q", p.header.Agent, c.Tool.Name)
+		}
+	case api.CallService:
+		if r.config.Objects.Services[c.Service.Name] == nil || !slices.Contains(agent.Services, c.Service.Name) {
+			return invalid("agent %q may not call service %q", p.header.Agent, c.Service.Name)
+		}
+	case api.CallAgent:
+		if r.config.Objects.Agents[c.Agent.Name] == nil || !slices.Contains(agent.Agents, c.Agent.Name) {
+			return invalid("agent %q may not call agent %q", p.header.Agent, c.Agent.Name)
+		}
+	default:
+		return invalid("kind %q is not one of model, tool, service, agent", c.Kind)
+	}
+	return nil
+}
+
+// agent returns the agent of the program with its defaults; an agent that was deleted since keeps
+// defaults only, so that its programs can still be ended.
+func (r *reduction) agent(p *program) config.Agent {
+	var a config.Agent
+	if found := r.config.Objects.Agents[p.header.Agent]; found != nil {
+		a = *found
+	}
+	if a.MaxTurns == 0 {
+		a.MaxTurns = defaultMaxTurns
+	}
+	return a
+}
+
+func (r *reduction) find(id ids.Program, step string) (*program, *fault.Error) {
+	if p, ok := r.programs[id]; ok {
+		return p, nil
+	}
+	return nil, fault.New(fault.CodeNotFound, step, "program %q does not exist here", id)
+}
+
+// nextSeq is the index of the turn that comes next.
+func (p *program) nextSeq() int { return len(p.turns) + 1 }
+
+// startNext starts the first waiting call whose turn has come.
+func (r *reduction) startNext(p *program) {
+	if p.running != nil || p.state != StateOpen {
+		return
+	}
+	next := p.nextSeq()
+	for i, c := range p.waiting {
+		if c.request.Seq == 0 || c.request.Seq == next {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			p.running = c
+			r.reserve(p, c)
+			return
+		}
+	}
+}
+
+// reserved goes on with a call whose budget is durable.
+func (r *reduction) reserved(p *program, c *call) {
+	switch c.request.Kind {
+	case api.CallModel, api.CallService:
+		r.enqueue(p, c)
+	case api.CallAgent:
+		r.openChild(p, c)
+	default:
+		r.beforeDispatch(p, c)
+	}
+}
+
+func (r *reduction) granted(e Granted) {
+	p, c := r.scheduling(e.Call.Program, e.Call.Key, e.Call.Attempt)
+	if c == nil {
+		r.rejectGrant(e)
+		return
+	}
+	c.worker, c.priority = e.Worker, e.Priority
+	r.beforeDispatch(p, c)
+}
+
+// rejectGrant gives the worker back if the call no longer wants it. A grant that came twice is kept.
+func (r *reduction) rejectGrant(e Granted) {
+	if p, ok := r.programs[e.Call.Program]; ok {
+		if c := p.running; c != nil && p.callID(c) == e.Call && c.worker == e.Worker {
+			return
+		}
+	}
+	r.emit(finishUnused(e))
+}
+
+// scheduling returns the call if it waits for a grant of this attempt.
+func (r *reduction) scheduling(id ids.Program, key string, attempt int) (*program, *call) {
+	p, ok := r.programs[id]
+	if !ok || p.running == nil {
+		return nil, nil
+	}
+	c := p.running
+	if c.request.Key != key || c.attempt != attempt || c.state != callScheduling {
+		return nil, nil
+	}
+	return p, c
+}
+
+func (r *reduction) refused(e Refused) {
+	p, c := r.scheduling(e.Call.Program, e.Call.Key, e.Call.Attempt)
+	if c == nil {
+		return
+	}
+	ferr := fault.New(fault.CodeOverloaded, "schedule", "%s", e.Reason)
+	ferr.RetryAfterMS = e.RetryAfterMS
+	r.notRun(p, c, ferr)
+}
+
+// beforeDispatch commits the intent of a call that may not be repeated; other calls are sent at once.
+func (r *reduction) beforeDispatch(p *program, c *call) {
+	if r.idempotent(p, c.request) || c.intentDone {
+		r.dispatch(p, c)
+		return
+	}
+	if r.storeDown {
+		r.notRun(p, c, errStoreDown("commit intent"))
+		return
+	}
+	c.state = callIntent
+	r.write(pendingCommit{next: stepIntent, program: p.id, key: c.request.Key, attempt: c.attempt},
+		Record{Op: OpIntent, Program: p.id, Key: c.request.Key, Hash: c.hash, Call: &c.request})
+}
+
+// notRun ends a call that has had no effect: its key may be used again and its place in the order is free.
+func (r *reduction) notRun(p *program, c *call, ferr *fault.Error) {
+	if _, ok := p.intents[c.request.Key]; ok {
+		r.write(pendingCommit{}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
+	}
+	r.giveBack(p, c)
+	delete(p.calls, c.request.Key)
+	for _, w := range c.waiters {
+		r.fail(w, ferr)
+	}
+	r.clear(p, c)
+	if p.header.ParentKey != "" && p.state == StateOpen {
+		r.childFailed(p, ferr)
+	}
+}
+
+// clear takes a call out of the queue and starts the next one.
+func (r *reduction) clear(p *program, c *call) {
+	for _, w := range c.waiters {
+		delete(r.callOf, w)
+	}
+	c.waiters = nil
+	p.waiting = slices.DeleteFunc(p.waiting, func(o *call) bool { return o == c })
+	if p.running == c {
+		p.running = nil
+	}
+	for _, o := range p.waiting {
+		o.since = r.at
+	}
+	r.startNext(p)
+}
+
+// complete records the turn of a call. The callers are answered when it is durable, or at once while
+// the store is down.
+func (r *reduction) complete(p *program, c *call, ferr *fault.Error) {
+	c.state = callCommitting
+	c.turn.Seq, c.turn.Key, c.turn.Kind = p.nextSeq(), c.request.Key, c.request.Kind
+	c.turn.Request, c.turn.Error, c.turn.Worker = requestText(c.request), ferr, c.worker
+	turn := c.turn
+	p.active = r.at
+	p.lastTool = ""
+	if c.request.Kind == api.CallTool {
+		p.lastTool = c.request.Tool.Name
+	}
+	r.write(pendingCommit{next: stepTurn, program: p.id, key: c.request.Key},
+		Record{Op: OpTurn, Program: p.id, Key: c.request.Key, Hash: c.hash, Turn: &turn, Status: c.status, Tokens: turn.Usage.CostTokens})
+	if r.storeDown {
+		r.finish(p, c)
+	}
+}
+
+// finish answers the callers of a completed call and starts the program's next call.
+func (r *reduction) finish(p *program, c *call) {
+	c.state = callFinished
+	for _, w := range c.waiters {
+		r.answer(p, c, w)
+	}
+	r.clear(p, c)
+	if p.header.ParentKey != "" && p.running == nil {
+		r.childDone(p, c)
+	}
+}
+
+// answer replies with what is known of a call.
+func (r *reduction) answer(p *program, c *call, w WaiterID) {
+	if w == 0 {
+		return
+	}
+	r.emit(Reply{Waiter: w, Answer: p.callAnswer(c)})
+}
+
+func (p *program) callAnswer(c *call) *api.CallAnswer {
+	a := &api.CallAnswer{
+		Program: p.id, Key: c.request.Key, Seq: c.turn.Seq, Text: c.turn.Answer, Usage: c.turn.Usage,
+		Durable: c.durable, Error: c.turn.Error, Status: c.status, Worker: c.turn.Worker,
+	}
+	switch {
+	case c.state == callWaiting:
+		a.State, a.Seq = AnswerQueued, c.request.Seq
+	case c.state != callFinished:
+		a.State, a.Seq = AnswerRunning, p.nextSeq()
+	case c.turn.Error == nil:
+		a.State = AnswerDone
+	case c.turn.Error.Outcome == fault.Unknown:
+		a.State = AnswerUnknown
+	default:
+		a.State = AnswerFailed
+	}
+	return a
+}
+
+// requestText is what the history shows of a request.
+func requestText(c api.Call) string {
+	switch c.Kind {
+	case api.CallModel:
+		return c.Model.Prompt
+	case api.CallTool:
+		return c.Tool.Name + " " + string(c.Tool.Args)
+	case api.CallService:
+		return c.Service.Method + " " + c.Service.Name + c.Service.Path + " " + string(c.Service.Body)
+	default:
+		return c.Agent.Name + " " + c.Agent.Prompt
+	}
+}
+
+func (r *reduction) waiterGone(e WaiterGone) {
+	if c, ok := r.callOf[e.Waiter]; ok {
+		c.waiters = slices.DeleteFunc(c.waiters, func(w WaiterID) bool { return w == e.Waiter })
+		delete(r.callOf, e.Waiter)
+	}
+}
--- /dev/null
+++ b/core/program/read.go
@@ -0,0 +1,76 @@
+package program
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func (r *reduction) readRequested(e ReadRequested) {
+	switch e.Query {
+	case QueryList:
+		list := make([]api.ProgramStatus, 0, len(r.programs))
+		for _, p := range r.sorted() {
+			list = append(list, r.status(p))
+		}
+		r.emit(Reply{Waiter: e.Waiter, List: list})
+		return
+	case QueryAlive:
+		r.emit(Reply{Waiter: e.Waiter, Alive: r.alive(e.Programs)})
+		return
+	}
+	p, ferr := r.find(e.Program, "read program")
+	if ferr != nil {
+		r.fail(e.Waiter, ferr)
+		return
+	}
+	switch e.Query {
+	case QueryStatus:
+		r.replyStatus(e.Waiter, p.id)
+	case QueryHistory:
+		r.emit(Reply{Waiter: e.Waiter, History: &api.History{ID: p.id, Turns: slices.Clone(p.turns)}})
+	case QueryCall:
+		c, ok := p.calls[e.Key]
+		if !ok {
+			r.fail(e.Waiter, fault.New(fault.CodeNotFound, "read call", "program %s has no call with key %q", p.id, e.Key))
+			return
+		}
+		r.answer(p, c, e.Waiter)
+	}
+}
+
+func (r *reduction) alive(programs []ids.Program) []ids.Program {
+	var out []ids.Program
+	for _, id := range programs {
+		if p, ok := r.programs[id]; ok && p.state == StateOpen {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (r *reduction) replyStatus(w WaiterID, id ids.Program) {
+	if w == 0 {
+		return
+	}
+	p, ferr := r.find(id, "read program")
+	if ferr != nil {
+		r.fail(w, ferr)
+		return
+	}
+	s := r.status(p)
+	r.emit(Reply{Waiter: w, Status: &s})
+}
+
+func (r *reduction) status(p *program) api.ProgramStatus {
+	return api.ProgramStatus{
+		ID: p.id, Team: p.header.Team, Agent: p.header.Agent, Class: p.header.Class, State: p.state, Home: r.self,
+		Parent: p.header.Parent, Turns: len(p.turns), BudgetTokens: p.header.Budget, SpentTokens: p.spent, Usage: p.usage,
+		OpenedAtMS: int64(p.header.OpenedAt), EndedAtMS: int64(p.ended),
+	}
+}
