--- /dev/null
+++ b/common/wire/exchange.go
@@ -0,0 +1,186 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+// Piece is one frame of an answer.
+type Piece struct {
+	// Last is set on the frame that ends the answer.
+	Last  bool
+	value msgpack.RawMessage
+}
+
+// Decode decodes the value of the piece into v.
+func (p Piece) Decode(v any) error {
+	return errors.Wrap(msgpack.Unmarshal(p.value, v), "decode answer")
+}
+
+// Exchange is a request that this node sent and the stream of its answer. One goroutine at a time may call
+// Next.
+type Exchange struct {
+	node  *Node
+	id    uint64
+	step  string
+	addr  string
+	frame *outFrame
+	link  atomic.Pointer[link]
+	ready chan struct{}
+
+	mu       sync.Mutex
+	pieces   []Piece
+	buffered int // bytes in pieces
+	ended    bool
+	err      *fault.Error
+}
+
+// Next returns the next piece of the answer and io.EOF after the last one. Any other error is a
+// *fault.Error that ends the exchange: its outcome is "not run" only if no byte of the request was handed
+// to the connection, or if the peer said so. When ctx ends, the exchange ends too and the peer is told to
+// cancel.
+func (x *Exchange) Next(ctx context.Context) (Piece, error) {
+	for {
+		x.mu.Lock()
+		switch {
+		case len(x.pieces) > 0:
+			p := x.pieces[0]
+			x.pieces = x.pieces[1:]
+			x.buffered -= len(p.value)
+			x.mu.Unlock()
+			return p, nil
+		case x.err != nil:
+			err := x.err
+			x.mu.Unlock()
+			return Piece{}, err
+		case x.ended:
+			x.mu.Unlock()
+			return Piece{}, io.EOF
+		}
+		x.mu.Unlock()
+		select {
+		case <-x.ready:
+		case <-ctx.Done():
+			x.abort(ctx.Err())
+		}
+	}
+}
+
+// Close ends the exchange. If its answer is not complete, the peer is told to cancel the request.
+func (x *Exchange) Close() { x.abort(errors.New("exchange is closed")) }
+
+func (x *Exchange) abort(cause error) {
+	code := codeOf(cause)
+	if code == fault.CodePeerUnreachable {
+		code = fault.CodeCanceled
+	}
+	if x.failSent(code, cause) {
+		x.sendCancel()
+	}
+}
+
+// sendCancel queues a cancel frame behind the request. If the request was dropped from the queue, the peer
+// does not know it.
+func (x *Exchange) sendCancel() {
+	if x.frame.state.Load() == stateDropped {
+		return
+	}
+	b, err := encodeFrame(TypeCancel, x.id, "", nil)
+	if err != nil {
+		return
+	}
+	f := &outFrame{bytes: b, step: TypeCancel.String(), cancels: true}
+	p, err := x.node.peer(x.addr)
+	if err != nil {
+		return
+	}
+	select {
+	case p.queue <- f:
+	default:
+		x.node.start(func() {
+			select {
+			case p.queue <- f:
+			case <-x.node.ctx.Done():
+			}
+		})
+	}
+}
+
+// failSent fails the exchange. The outcome is "not run" if the request can still be taken out of the queue.
+func (x *Exchange) failSent(code fault.Code, cause error) bool {
+	e := fault.New(code, x.step, "%v", cause).At(x.addr)
+	if !x.frame.state.CompareAndSwap(stateQueued, stateDropped) && x.frame.state.Load() != stateDropped {
+		e = e.With(fault.Unknown)
+	}
+	return x.fail(e)
+}
+
+// fail ends the exchange with an error; it reports false if the exchange had ended already.
+func (x *Exchange) fail(e *fault.Error) bool {
+	x.mu.Lock()
+	if x.ended || x.err != nil {
+		x.mu.Unlock()
+		return false
+	}
+	x.err = e
+	x.mu.Unlock()
+	x.release()
+	return true
+}
+
+func (x *Exchange) release() {
+	x.node.forget(x.id)
+	if l := x.link.Load(); l != nil {
+		l.detach(x)
+	}
+	x.wake()
+}
+
+func (x *Exchange) wake() {
+	select {
+	case x.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (x *Exchange) receive(f *frame) {
+	var a answerBody
+	if err := msgpack.Unmarshal(f.Body, &a); err != nil {
+		x.abort(errors.Wrap(err, "decode answer frame"))
+		return
+	}
+	if a.Err != nil {
+		if a.Err.Peer == "" {
+			a.Err = a.Err.At(x.addr)
+		}
+		x.fail(a.Err)
+		return
+	}
+	x.mu.Lock()
+	opts := x.node.opts
+	if len(x.pieces) >= opts.BufferPieces || (len(x.pieces) > 0 && x.buffered+len(a.Value) > opts.BufferBytes) {
+		x.mu.Unlock()
+		e := fault.New(fault.CodeOverloaded, x.step, "answer is read too slowly: %d unread frames", opts.BufferPieces)
+		if x.fail(e.At(x.addr).With(fault.Unknown)) {
+			x.sendCancel()
+		}
+		return
+	}
+	last := f.Type == TypeAnswer
+	x.pieces = append(x.pieces, Piece{Last: last, value: a.Value})
+	x.buffered += len(a.Value)
+	x.ended = x.ended || last
+	x.mu.Unlock()
+	if last {
+		x.release()
+		return
+	}
+	x.wake()
+}
--- /dev/null
+++ b/common/wire/frame.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+var typeNames = map[Type]string{
+	TypeHello:       "hello",
+	TypeHeartbeat:   "heartbeat",
+	TypeCall:        "call",
+	TypePiece:       "stream",
+	TypeAnswer:      "answer",
+	TypeCancel:      "cancel",
+	TypeEnqueue:     "enqueue",
+	TypeGrant:       "grant",
+	TypeFinish:      "finish",
+	TypeTicket:      "ticket",
+	TypeTicketFetch: "ticket_fetch",
+	TypeMember:      "member",
+	TypeHandover:    "handover",
+	TypeRelay:       "relay",
+	TypeLookup:      "lookup",
+}
+
+// String returns the name of the type in docs/design.md, section 9.
+func (t Type) String() string {
+	if n, ok := typeNames[t]; ok {
+		return n
+	}
+	return fmt.Sprintf("type %d", uint8(t))
+}
+
+// ParseType reverses String.
+func ParseType(name string) (Type, error) {
+	for t, n := range typeNames {
+		if n == name {
+			return t, nil
+		}
+	}
+	return 0, errors.Newf("unknown frame type %q", name)
+}
+
+// headerBytes is the size of the big-endian length in front of each frame.
+const headerBytes = 4
+
+var errFrameTooLarge = errors.Newf("frame is larger than %d bytes", MaxFrameBytes)
+
+// frame is one message on a connection. ID is 0 in one-way messages.
+type frame struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
+	Type     Type
+	ID       uint64
+	Trace    string
+	Body     msgpack.RawMessage
+}
+
+// helloBody is the first frame that each side of a connection sends.
+type helloBody struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
+	Version  int
+	Journal  string
+	// Dialled is the address that the dialling side used; empty in the reply.
+	Dialled string
+}
+
+// protocolVersion rises when the envelope of frames changes; sides with different versions do not talk.
+const protocolVersion = 1
+
+// answerBody is the body of TypeAnswer and TypePiece.
+type answerBody struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
+	Err      *fault.Error
+	Value    msgpack.RawMessage
+}
+
+func encodeFrame(t Type, id uint64, trace string, body any) ([]byte, error) {
+	raw, err := msgpack.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode body of %s", t)
+	}
+	var buf bytes.Buffer
+	buf.Grow(headerBytes + len(trace) + len(raw) + 16)
+	buf.Write(make([]byte, headerBytes))
+	if err := msgpack.NewEncoder(&buf).Encode(&frame{Type: t, ID: id, Trace: trace, Body: raw}); err != nil {
+		return nil, errors.Wrapf(err, "encode %s", t)
+	}
+	b := buf.Bytes()
+	if len(b)-headerBytes > MaxFrameBytes {
+		return nil, errFrameTooLarge
+	}
+	binary.BigEndian.PutUint32(b, uint32(len(b)-headerBytes))
+	return b, nil
+}
+
+func readFrame(r *bufio.Reader) (*frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(header[:])
+	if n > MaxFrameBytes {
+		return nil, errFrameTooLarge
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	var f frame
+	if err := msgpack.Unmarshal(b, &f); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
+	return &f, nil
+}
+
+// isNil reports whether a body is the msgpack nil of a link heartbeat.
+func isNil(body msgpack.RawMessage) bool {
+	return len(body) == 0 || (len(body) == 1 && body[0] == 0xc0)
+}
+
+const traceHeader = "traceparent"
+
+func injectTrace(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[traceHeader]
+}
+
+func extractTrace(ctx context.Context, trace string) context.Context {
+	if trace == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceHeader: trace})
+}
--- /dev/null
+++ b/common/wire/link.go
@@ -0,0 +1,428 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+// States of an outgoing frame. A frame leaves stateQueued exactly once, so a sender that gives up knows
+// whether the connection got any byte of it.
+const (
+	stateQueued int32 = iota
+	stateWriting
+	stateDropped
+)
+
+type outFrame struct {
+	bytes    []byte
+	step     string
+	state    atomic.Int32
+	written  chan *fault.Error // one-way messages only; capacity 1
+	exchange *Exchange         // requests only
+	cancels  bool              // a cancel frame is not worth a new connection
+}
+
+func (f *outFrame) fail(e *fault.Error) {
+	if f.written != nil {
+		f.written <- e
+	}
+	if f.exchange != nil {
+		f.exchange.fail(e)
+	}
+}
+
+// abandon gives up on a frame whose sender no longer waits and returns the error of the sender.
+func (f *outFrame) abandon(cause error, step, addr string) *fault.Error {
+	e := fault.New(codeOf(cause), step, "%v", cause).At(addr)
+	if f.state.CompareAndSwap(stateQueued, stateDropped) {
+		return e
+	}
+	return e.With(fault.Unknown)
+}
+
+// peer holds the frames for one address. Frames that are not yet written outlive a broken link and go out
+// on its successor.
+type peer struct {
+	node  *Node
+	addr  string
+	queue chan *outFrame
+	link  *link
+}
+
+func (p *peer) run() {
+	defer p.node.wg.Done()
+	beat := time.NewTicker(p.node.opts.HeartbeatEvery)
+	defer beat.Stop()
+	lastUse := time.Now()
+	for {
+		select {
+		case <-p.node.ctx.Done():
+			return
+		case f := <-p.queue:
+			lastUse = time.Now()
+			p.deliver(f)
+		case <-beat.C:
+			if p.link == nil || p.link.isClosed() {
+				continue
+			}
+			if time.Since(lastUse) > p.node.opts.IdleAfter && !p.link.hasExchanges() {
+				p.link.close(errIdle)
+				continue
+			}
+			p.link.heartbeat()
+		}
+	}
+}
+
+var errIdle = errors.New("link is idle")
+
+func (p *peer) deliver(f *outFrame) {
+	for {
+		if p.link == nil || p.link.isClosed() {
+			if f.cancels || f.state.Load() == stateDropped {
+				return
+			}
+			if err := p.dial(); err != nil {
+				p.failQueue(f, err)
+				return
+			}
+		}
+		if f.exchange == nil || p.link.attach(f.exchange) {
+			break
+		}
+	}
+	if !f.state.CompareAndSwap(stateQueued, stateWriting) {
+		if f.exchange != nil {
+			p.link.detach(f.exchange)
+		}
+		return
+	}
+	n, err := p.link.write(f.bytes)
+	switch {
+	case err == nil:
+		if f.written != nil {
+			f.written <- nil
+		}
+		return
+	case n == 0:
+		if f.exchange != nil {
+			p.link.detach(f.exchange)
+		}
+		f.fail(fault.New(fault.CodePeerUnreachable, f.step, "%v", err).At(p.addr))
+	default:
+		f.fail(fault.New(fault.CodePeerUnreachable, f.step, "%v", err).At(p.addr).With(fault.Unknown))
+	}
+	p.link.close(err)
+}
+
+// failQueue fails f and all frames behind it, so that each does not wait for a dial timeout of its own.
+func (p *peer) failQueue(f *outFrame, err error) {
+	for {
+		if f.state.CompareAndSwap(stateQueued, stateDropped) {
+			f.fail(fault.New(fault.CodePeerUnreachable, f.step, "%v", err).At(p.addr))
+		}
+		select {
+		case f = <-p.queue:
+		default:
+			return
+		}
+	}
+}
+
+func (p *peer) dial() error {
+	ctx, cancel := context.WithTimeout(p.node.ctx, p.node.opts.DialTimeout)
+	defer cancel()
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		p.node.peerDown(p.addr)
+		return errors.Wrap(err, "dial")
+	}
+	l := newLink(p.node, conn)
+	l.peer = p
+	if _, err := l.send(TypeHello, helloBody{Version: protocolVersion, Journal: p.node.opts.Self, Dialled: p.addr}); err != nil {
+		_ = conn.Close()
+		p.node.peerDown(p.addr)
+		return errors.Wrap(err, "send hello")
+	}
+	if !p.node.addLink(l) {
+		_ = conn.Close()
+		return errNodeClosed
+	}
+	p.link = l
+	if !p.node.start(l.readLoop) {
+		l.close(errNodeClosed)
+		return errNodeClosed
+	}
+	return nil
+}
+
+func (n *Node) peerDown(addr string) {
+	if n.opts.OnPeerDown != nil && n.ctx.Err() == nil {
+		go n.opts.OnPeerDown(addr)
+	}
+}
+
+func (n *Node) addLink(l *link) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.links[l] = struct{}{}
+	return true
+}
+
+// link is one TCP connection. A dialled link has a peer and carries exchanges; an accepted link has a queue
+// of its own and carries requests.
+type link struct {
+	node  *Node
+	conn  net.Conn
+	peer  *peer          // dialled links
+	queue chan *outFrame // accepted links
+	done  chan struct{}
+	ctx   context.Context
+	stop  context.CancelFunc
+	wmu   sync.Mutex // one frame is written at a time
+
+	mu        sync.Mutex
+	closed    bool
+	from      string // journal of the peer, from its hello
+	key       acceptedKey
+	exchanges map[uint64]*Exchange
+	requests  map[uint64]*Request
+}
+
+func newLink(n *Node, conn net.Conn) *link {
+	ctx, stop := context.WithCancel(n.ctx)
+	return &link{
+		node: n, conn: conn, done: make(chan struct{}), ctx: ctx, stop: stop,
+		exchanges: map[uint64]*Exchange{}, requests: map[uint64]*Request{},
+	}
+}
+
+// serve runs an accepted connection.
+func (n *Node) serve(conn net.Conn) {
+	l := newLink(n, conn)
+	l.queue = make(chan *outFrame, n.opts.QueueFrames)
+	if !n.addLink(l) || !n.start(l.readLoop) || !n.start(l.writeLoop) {
+		l.close(errNodeClosed)
+	}
+}
+
+func (l *link) write(b []byte) (int, error) {
+	l.wmu.Lock()
+	defer l.wmu.Unlock()
+	if err := l.conn.SetWriteDeadline(time.Now().Add(l.node.opts.SilentAfter)); err != nil {
+		return 0, err
+	}
+	return l.conn.Write(b)
+}
+
+func (l *link) send(t Type, body any) (int, error) {
+	b, err := encodeFrame(t, 0, "", body)
+	if err != nil {
+		return 0, err
+	}
+	return l.write(b)
+}
+
+func (l *link) heartbeat() {
+	if _, err := l.send(TypeHeartbeat, nil); err != nil {
+		l.close(err)
+	}
+}
+
+func (l *link) writeLoop() {
+	beat := time.NewTicker(l.node.opts.HeartbeatEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case f := <-l.queue:
+			if _, err := l.write(f.bytes); err != nil {
+				l.close(err)
+				return
+			}
+		case <-beat.C:
+			l.heartbeat()
+		}
+	}
+}
+
+var errSilent = errors.New("link is silent")
+
+func (l *link) readLoop() {
+	r := bufio.NewReader(l.conn)
+	for first := true; ; first = false {
+		// A link without a frame for SilentAfter is closed even if TCP reports no error: connections can go
+		// permanently silent while new ones work.
+		_ = l.conn.SetReadDeadline(time.Now().Add(l.node.opts.SilentAfter))
+		f, err := readFrame(r)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errors.Wrapf(errSilent, "no frame for %s", l.node.opts.SilentAfter)
+		}
+		if err == nil && first {
+			err = l.greet(f)
+		} else if err == nil {
+			err = l.dispatch(f)
+		}
+		if err != nil {
+			l.close(err)
+			return
+		}
+	}
+}
+
+// greet takes the first frame. A new link of a peer replaces its old one, whose unread frames would
+// otherwise be handled after newer ones.
+func (l *link) greet(f *frame) error {
+	if f.Type != TypeHello {
+		return errors.Newf("first frame is %s, not hello", f.Type)
+	}
+	var h helloBody
+	if err := msgpack.Unmarshal(f.Body, &h); err != nil {
+		return errors.Wrap(err, "decode hello")
+	}
+	if h.Version != protocolVersion {
+		return errors.Newf("peer %s has protocol version %d, not %d", h.Journal, h.Version, protocolVersion)
+	}
+	l.mu.Lock()
+	l.from = h.Journal
+	l.mu.Unlock()
+	if l.peer != nil {
+		return nil
+	}
+	l.mu.Lock()
+	l.key = acceptedKey{journal: h.Journal, dialled: h.Dialled}
+	l.mu.Unlock()
+	n := l.node
+	n.mu.Lock()
+	old := n.accepted[l.key]
+	n.accepted[l.key] = l
+	n.mu.Unlock()
+	if old != nil && h.Journal != "" {
+		old.close(errors.New("replaced by a newer link of the peer"))
+	}
+	_, err := l.send(TypeHello, helloBody{Version: protocolVersion, Journal: n.opts.Self})
+	return err
+}
+
+func (l *link) dispatch(f *frame) error {
+	switch {
+	case f.Type == TypeHello:
+		return errors.New("second hello on one link")
+	case f.Type == TypeHeartbeat && f.ID == 0 && isNil(f.Body):
+		return nil
+	case f.Type == TypeAnswer || f.Type == TypePiece:
+		l.answer(f)
+		return nil
+	case f.Type == TypeCancel:
+		l.mu.Lock()
+		r := l.requests[f.ID]
+		l.mu.Unlock()
+		if r != nil {
+			r.end()
+		}
+		return nil
+	case f.ID == 0:
+		return l.node.deliverOneWay(l, f)
+	}
+	l.request(f)
+	return nil
+}
+
+// answer hands an answer frame to its exchange. An answer without a waiter, or from another peer than the
+// one asked, is dropped.
+func (l *link) answer(f *frame) {
+	l.mu.Lock()
+	x := l.exchanges[f.ID]
+	l.mu.Unlock()
+	if x == nil {
+		l.node.dropped.Add(1)
+		return
+	}
+	x.receive(f)
+}
+
+// attach registers the exchange as waiting on this link; it reports false if the link is closed.
+func (l *link) attach(x *Exchange) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	x.link.Store(l)
+	l.exchanges[x.id] = x
+	return true
+}
+
+func (l *link) detach(x *Exchange) {
+	l.mu.Lock()
+	delete(l.exchanges, x.id)
+	l.mu.Unlock()
+}
+
+func (l *link) hasExchanges() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.exchanges) > 0
+}
+
+func (l *link) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+func (l *link) journal() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.from
+}
+
+// close closes the connection, fails the exchanges that wait on it and cancels its requests.
+func (l *link) close(cause error) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.closed = true
+	exchanges, requests, key := l.exchanges, l.requests, l.key
+	l.exchanges, l.requests = map[uint64]*Exchange{}, map[uint64]*Request{}
+	l.mu.Unlock()
+	close(l.done)
+	l.stop()
+	_ = l.conn.Close()
+	l.node.mu.Lock()
+	delete(l.node.links, l)
+	if l.node.accepted[key] == l {
+		delete(l.node.accepted, key)
+	}
+	l.node.mu.Unlock()
+	for _, r := range requests {
+		r.cancel()
+	}
+	code := fault.CodePeerUnreachable
+	if errors.Is(cause, errNodeClosed) {
+		code = fault.CodeCanceled
+	}
+	for _, x := range exchanges {
+		x.failSent(code, cause)
+	}
+	if l.peer != nil && !errors.Is(cause, errIdle) {
+		l.node.peerDown(l.peer.addr)
+	}
+}
--- /dev/null
+++ b/common/wire/node.go
@@ -0,0 +1,349 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+// Defaults of Options.
+const (
+	DefaultHeartbeatEvery = 500 * time.Millisecond
+	DefaultSilentAfter    = 2 * time.Second
+	DefaultDialTimeout    = time.Second
+	DefaultIdleAfter      = 30 * time.Second
+	DefaultQueueFrames    = 256
+	DefaultBufferPieces   = 1024
+	DefaultBufferBytes    = 4 << 20 // two of the largest frames
+	DefaultInboxFrames    = 4096
+	DefaultMaxRequests    = 4096
+)
+
+// Options configure a Node. Fields that are zero take the defaults above.
+type Options struct {
+	// Self is the journal of this incarnation. It is sent in the hello frame and is unique to the process.
+	Self string
+	// HeartbeatEvery is the interval of link heartbeats on each open link.
+	HeartbeatEvery time.Duration
+	// SilentAfter closes a link on which no frame arrived for that long. It also bounds one write.
+	SilentAfter time.Duration
+	DialTimeout time.Duration
+	// IdleAfter closes a dialled link that has no exchange and on which nothing was sent for that long.
+	IdleAfter time.Duration
+	// QueueFrames bounds the frames that wait to be written to one peer; more make the sender wait.
+	QueueFrames int
+	// BufferPieces and BufferBytes bound the unread answer frames of one exchange; more fail the exchange.
+	BufferPieces int
+	BufferBytes  int
+	// InboxFrames bounds the one-way messages of one peer that wait for their handlers; more close the link.
+	InboxFrames int
+	// MaxRequests bounds the unanswered requests of one link; more are refused.
+	MaxRequests int
+	// OnPeerDown is called when a dialled link breaks or falls silent and when dialling fails. It is not
+	// called for links closed as idle or by Close. It runs on a goroutine of its own.
+	OnPeerDown func(addr string)
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.HeartbeatEvery, DefaultHeartbeatEvery)
+	setDefault(&o.SilentAfter, DefaultSilentAfter)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.IdleAfter, DefaultIdleAfter)
+	setDefault(&o.QueueFrames, DefaultQueueFrames)
+	setDefault(&o.BufferPieces, DefaultBufferPieces)
+	setDefault(&o.BufferBytes, DefaultBufferBytes)
+	setDefault(&o.InboxFrames, DefaultInboxFrames)
+	setDefault(&o.MaxRequests, DefaultMaxRequests)
+	return o
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Handler handles a frame of a peer. Handlers of one-way messages run one at a time per peer, in the order
+// of sending. Each request of an exchange runs on a goroutine of its own; its handler may return before it
+// answers and call Answer or Fail later. ctx carries the peer's trace and ends when the requester cancels,
+// when the link closes, or after the answer.
+type Handler func(ctx context.Context, r *Request)
+
+// Node exchanges frames with other nodes. It dials one connection per peer address, for what it sends itself
+// and for the answers to it. All methods may be called from any goroutine.
+type Node struct {
+	opts   Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	lastID atomic.Uint64
+	wg     sync.WaitGroup
+
+	mu          sync.Mutex
+	closed      bool
+	listeners   []net.Listener
+	peers       map[string]*peer
+	accepted    map[acceptedKey]*link
+	links       map[*link]struct{}
+	waiters     map[uint64]*Exchange
+	inboxes     map[string]*inbox
+	handlers    map[Type]Handler
+	subscribers map[Type][]*subscription
+	dropped     atomic.Uint64
+}
+
+// acceptedKey identifies the link of one peer. A host that is known by two addresses may hold two links.
+type acceptedKey struct{ journal, dialled string }
+
+// NewNode returns a node that does not listen yet.
+func NewNode(opts Options) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{
+		opts:        opts.withDefaults(),
+		ctx:         ctx,
+		cancel:      cancel,
+		peers:       map[string]*peer{},
+		accepted:    map[acceptedKey]*link{},
+		links:       map[*link]struct{}{},
+		waiters:     map[uint64]*Exchange{},
+		inboxes:     map[string]*inbox{},
+		handlers:    map[Type]Handler{},
+		subscribers: map[Type][]*subscription{},
+	}
+}
+
+// Listen accepts connections at addr and returns the address in use, which differs from addr if its port
+// is 0.
+func (n *Node) Listen(addr string) (net.Addr, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for peers at %s", addr)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = l.Close()
+		return nil, errNodeClosed
+	}
+	n.listeners = append(n.listeners, l)
+	n.wg.Add(1)
+	go n.accept(l)
+	return l.Addr(), nil
+}
+
+// acceptRetry is the pause after a failed accept, for example when no file descriptor is free.
+const acceptRetry = 50 * time.Millisecond
+
+func (n *Node) accept(l net.Listener) {
+	defer n.wg.Done()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case n.ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
+			return
+		case err != nil:
+			select {
+			case <-time.After(acceptRetry):
+			case <-n.ctx.Done():
+			}
+		default:
+			n.serve(conn)
+		}
+	}
+}
+
+// Handle sets the handler of a frame type. Types hello, stream, answer and cancel belong to the node. A
+// request without a handler is refused; a one-way message without a handler or subscriber is dropped.
+func (n *Node) Handle(t Type, h Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[t] = h
+}
+
+// DroppedAnswers returns the number of answer frames that arrived without a waiting exchange.
+func (n *Node) DroppedAnswers() uint64 { return n.dropped.Load() }
+
+var errNodeClosed = errors.New("node is closed")
+
+// Close closes all connections, fails waiting exchanges and waits for the node's goroutines, handlers of
+// one-way messages included.
+func (n *Node) Close() error {
+	n.mu.Lock()
+	n.closed = true
+	n.cancel()
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+	links := make([]*link, 0, len(n.links))
+	for l := range n.links {
+		links = append(links, l)
+	}
+	n.mu.Unlock()
+	for _, l := range links {
+		l.close(errNodeClosed)
+	}
+	n.wg.Wait()
+	n.mu.Lock()
+	waiting := make([]*Exchange, 0, len(n.waiters))
+	for _, x := range n.waiters {
+		waiting = append(waiting, x)
+	}
+	n.mu.Unlock()
+	for _, x := range waiting {
+		x.failSent(fault.CodeCanceled, errNodeClosed)
+	}
+	return nil
+}
+
+// start runs f on a goroutine that Close waits for; it reports false if the node is closed.
+func (n *Node) start(f func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+	return true
+}
+
+// Send sends a one-way message and waits until it is written to the connection. Messages to one address
+// arrive in the order of the calls. The message may still be lost with the connection. The error is a
+// *fault.Error.
+func (n *Node) Send(ctx context.Context, addr string, t Type, body any) error {
+	f, err := n.newFrame(ctx, addr, t, 0, body)
+	if err != nil {
+		return err
+	}
+	f.written = make(chan *fault.Error, 1)
+	if err := n.enqueue(ctx, addr, f); err != nil {
+		return err
+	}
+	select {
+	case e := <-f.written:
+		if e != nil {
+			return e
+		}
+		return nil
+	case <-ctx.Done():
+		return f.abandon(ctx.Err(), t.String(), addr)
+	case <-n.ctx.Done():
+		return f.abandon(errNodeClosed, t.String(), addr)
+	}
+}
+
+// Open sends a request and returns the exchange on which its answer arrives. It waits only for room in the
+// peer's queue; a failure to connect is reported by Next. ctx bounds Open alone and supplies the trace.
+func (n *Node) Open(ctx context.Context, addr string, t Type, body any) (*Exchange, error) {
+	id := n.lastID.Add(1)
+	f, err := n.newFrame(ctx, addr, t, id, body)
+	if err != nil {
+		return nil, err
+	}
+	x := &Exchange{node: n, id: id, step: t.String(), addr: addr, frame: f, ready: make(chan struct{}, 1)}
+	f.exchange = x
+	n.mu.Lock()
+	n.waiters[id] = x
+	n.mu.Unlock()
+	if err := n.enqueue(ctx, addr, f); err != nil {
+		n.forget(id)
+		return nil, err
+	}
+	return x, nil
+}
+
+// Call sends a request and decodes its single answer into out, which may be nil. When ctx ends first, the
+// request is cancelled at the peer.
+func (n *Node) Call(ctx context.Context, addr string, t Type, body, out any) error {
+	x, err := n.Open(ctx, addr, t, body)
+	if err != nil {
+		return err
+	}
+	defer x.Close()
+	p, err := x.Next(ctx)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := p.Decode(out); err != nil {
+		return (&fault.Error{Code: fault.CodeInternal, Step: t.String(), Message: err.Error(), Outcome: fault.Unknown}).At(addr)
+	}
+	return nil
+}
+
+func (n *Node) newFrame(ctx context.Context, addr string, t Type, id uint64, body any) (*outFrame, error) {
+	b, err := encodeFrame(t, id, injectTrace(ctx), body)
+	if errors.Is(err, errFrameTooLarge) {
+		return nil, fault.New(fault.CodeTooLarge, t.String(), "%v", err).At(addr)
+	}
+	if err != nil {
+		return nil, fault.New(fault.CodeInternal, t.String(), "%v", err).At(addr)
+	}
+	return &outFrame{bytes: b, step: t.String()}, nil
+}
+
+func (n *Node) enqueue(ctx context.Context, addr string, f *outFrame) error {
+	p, err := n.peer(addr)
+	if err != nil {
+		return fault.New(fault.CodeCanceled, f.step, "%v", err).At(addr)
+	}
+	// A done context must win over free room, so that the outcome does not depend on chance.
+	if ctx.Err() != nil {
+		return fault.New(codeOf(ctx.Err()), f.step, "%v", ctx.Err()).At(addr)
+	}
+	select {
+	case p.queue <- f:
+		return nil
+	case <-ctx.Done():
+		return fault.New(codeOf(ctx.Err()), f.step, "peer's queue is full: %v", ctx.Err()).At(addr)
+	case <-n.ctx.Done():
+		return fault.New(fault.CodeCanceled, f.step, "%v", errNodeClosed).At(addr)
+	}
+}
+
+func (n *Node) peer(addr string) (*peer, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, errNodeClosed
+	}
+	p, ok := n.peers[addr]
+	if !ok {
+		p = &peer{node: n, addr: addr, queue: make(chan *outFrame, n.opts.QueueFrames)}
+		n.peers[addr] = p
+		n.wg.Add(1)
+		go p.run()
+	}
+	return p, nil
+}
+
+func (n *Node) forget(id uint64) {
+	n.mu.Lock()
+	delete(n.waiters, id)
+	n.mu.Unlock()
+}
+
+// codeOf maps the error of a context to a fault code.
+func codeOf(err error) fault.Code {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return fault.CodeTimeout
+	case errors.Is(err, context.Canceled), errors.Is(err, errNodeClosed):
+		return fault.CodeCanceled
+	}
+	return fault.CodePeerUnreachable
+}
--- /dev/null
+++ b/common/wire/request.go
@@ -0,0 +1,190 @@
+package wire
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+// Request is a frame that a peer sent: a one-way message, or a request that expects an answer.
+type Request struct {
+	Type Type
+	// From is the journal of the sender.
+	From string
+
+	id     uint64
+	body   msgpack.RawMessage
+	link   *link
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	answered bool
+}
+
+// Decode decodes the body into v.
+func (r *Request) Decode(v any) error {
+	return errors.Wrapf(msgpack.Unmarshal(r.body, v), "decode body of %s", r.Type)
+}
+
+// OneWay reports whether the sender expects no answer.
+func (r *Request) OneWay() bool { return r.id == 0 }
+
+// Piece sends a piece of the answer; more follow. It waits while the link's queue is full. An error means
+// that the requester is gone or that the piece is too large.
+func (r *Request) Piece(v any) error { return r.reply(TypePiece, nil, v) }
+
+// Answer sends the last piece of the answer. After an error because of its size, Fail may still be called.
+func (r *Request) Answer(v any) error { return r.reply(TypeAnswer, nil, v) }
+
+// Fail ends the request with an error. An error that is no *fault.Error is sent as an internal one with
+// an unknown outcome.
+func (r *Request) Fail(err error) error {
+	return r.reply(TypeAnswer, fault.From(err, r.Type.String()), nil)
+}
+
+var (
+	errOneWay   = errors.New("a one-way message has no answer")
+	errAnswered = errors.New("the request is answered already")
+)
+
+func (r *Request) reply(t Type, e *fault.Error, v any) error {
+	if r.id == 0 {
+		return errOneWay
+	}
+	raw, err := msgpack.Marshal(v)
+	if err != nil {
+		return errors.Wrapf(err, "encode answer to %s", r.Type)
+	}
+	b, err := encodeFrame(t, r.id, injectTrace(r.ctx), &answerBody{Err: e, Value: raw})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered {
+		return errAnswered
+	}
+	if err := r.ctx.Err(); err != nil {
+		return errors.Wrap(err, "requester no longer waits")
+	}
+	select {
+	case r.link.queue <- &outFrame{bytes: b, step: r.Type.String()}:
+	case <-r.ctx.Done():
+		return errors.Wrap(r.ctx.Err(), "requester no longer waits")
+	}
+	if t == TypeAnswer {
+		r.answered = true
+		r.end()
+	}
+	return nil
+}
+
+// end removes the request from its link and ends its context.
+func (r *Request) end() {
+	r.link.mu.Lock()
+	delete(r.link.requests, r.id)
+	r.link.mu.Unlock()
+	r.cancel()
+}
+
+func (l *link) newRequest(parent context.Context, f *frame) *Request {
+	ctx, cancel := context.WithCancel(extractTrace(parent, f.Trace))
+	return &Request{Type: f.Type, From: l.journal(), id: f.ID, body: f.Body, link: l, ctx: ctx, cancel: cancel}
+}
+
+// request starts the handler of a request that expects an answer.
+func (l *link) request(f *frame) {
+	r := l.newRequest(l.ctx, f)
+	if l.queue == nil {
+		r.cancel() // only the dialling side of a link sends requests
+		return
+	}
+	l.node.mu.Lock()
+	h := l.node.handlers[f.Type]
+	l.node.mu.Unlock()
+	l.mu.Lock()
+	full := len(l.requests) >= l.node.opts.MaxRequests
+	l.requests[f.ID] = r
+	closed := l.closed
+	l.mu.Unlock()
+	var refusal *fault.Error
+	switch {
+	case closed:
+		r.cancel()
+		return
+	case h == nil:
+		refusal = fault.New(fault.CodeInvalid, f.Type.String(), "no handler for frames of type %s", f.Type)
+	case full:
+		refusal = fault.New(fault.CodeOverloaded, f.Type.String(), "%d requests are waiting", l.node.opts.MaxRequests)
+	}
+	run := func() { h(r.ctx, r) }
+	if refusal != nil {
+		run = func() { _ = r.Fail(refusal) }
+	}
+	if !l.node.start(run) {
+		r.end()
+	}
+}
+
+// inbox holds the one-way messages of one peer until their handlers have run, in order.
+type inbox struct {
+	queue []*Request
+}
+
+var errInboxFull = errors.New("too many one-way messages wait for their handlers")
+
+// deliverOneWay queues a one-way message. The inbox belongs to the peer rather than to the link, so that
+// messages keep their order over a replaced link. If it is full, the link is closed rather than the message
+// dropped: the sender then learns that messages are lost.
+func (n *Node) deliverOneWay(l *link, f *frame) error {
+	// The handler of a message that has arrived runs to its end even if the link closes.
+	r := l.newRequest(n.ctx, f)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return errNodeClosed
+	}
+	box, running := n.inboxes[r.From]
+	if !running {
+		box = &inbox{}
+		n.inboxes[r.From] = box
+	}
+	if len(box.queue) >= n.opts.InboxFrames {
+		return errInboxFull
+	}
+	box.queue = append(box.queue, r)
+	if !running {
+		n.wg.Add(1)
+		go n.drainInbox(r.From, box)
+	}
+	return nil
+}
+
+func (n *Node) drainInbox(from string, box *inbox) {
+	defer n.wg.Done()
+	for {
+		n.mu.Lock()
+		if len(box.queue) == 0 || n.closed {
+			delete(n.inboxes, from)
+			n.mu.Unlock()
+			return
+		}
+		r := box.queue[0]
+		box.queue = box.queue[1:]
+		h := n.handlers[r.Type]
+		subs := n.subscribers[r.Type]
+		n.mu.Unlock()
+		if h != nil {
+			h(r.ctx, r)
+		}
+		for _, s := range subs {
+			s.deliver(r)
+		}
+		r.cancel()
+	}
+}
--- /dev/null
+++ b/common/wire/wire_test.go
@@ -0,0 +1,472 @@
+package wire_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+)
+
+func TestWire(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wire")
+}
+
+const (
+	testHeartbeat = 50 * time.Millisecond
+	testSilent    = 300 * time.Millisecond
+	testWait      = 5 * time.Second
+)
+
+type text struct{ Text string }
+
+func startNode(opts wire.Options) (*wire.Node, string) {
+	GinkgoHelper()
+	if opts.HeartbeatEvery == 0 {
+		opts.HeartbeatEvery = testHeartbeat
+	}
+	if opts.SilentAfter == 0 {
+		opts.SilentAfter = testSilent
+	}
+	n := wire.NewNode(opts)
+	DeferCleanup(n.Close)
+	a, err := n.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return n, a.String()
+}
+
+// tunnel forwards TCP connections. silence stops the copying of the connections that are open; they stay
+// open, and connections made later work.
+type tunnel struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	silenced []*atomic.Bool
+	accepted atomic.Int32
+}
+
+func startTunnel(target string) *tunnel {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	t := &tunnel{listener: l, target: target}
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.accepted.Add(1)
+			t.forward(c)
+		}
+	}()
+	return t
+}
+
+func (t *tunnel) addr() string { return t.listener.Addr().String() }
+
+func (t *tunnel) forward(c net.Conn) {
+	s, err := net.Dial("tcp", t.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	silent := &atomic.Bool{}
+	t.mu.Lock()
+	t.silenced = append(t.silenced, silent)
+	t.mu.Unlock()
+	pipe := func(dst, src net.Conn) {
+		buf := make([]byte, 64<<10)
+		for {
+			n, err := src.Read(buf)
+			if err != nil {
+				_ = dst.Close()
+				return
+			}
+			if silent.Load() {
+				continue
+			}
+			if _, err := dst.Write(buf[:n]); err != nil {
+				_ = src.Close()
+				return
+			}
+		}
+	}
+	go pipe(s, c)
+	go pipe(c, s)
+}
+
+func (t *tunnel) silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.silenced {
+		s.Store(true)
+	}
+}
+
+func asFault(err error) *fault.Error {
+	GinkgoHelper()
+	Expect(err).To(BeAssignableToTypeOf(&fault.Error{}))
+	return err.(*fault.Error)
+}
+
+var _ = Describe("Node", func() {
+	var ctx context.Context
+
+	BeforeEach(func() {
+		c, cancel := context.WithTimeout(context.Background(), testWait)
+		DeferCleanup(cancel)
+		ctx = c
+	})
+
+	echo := func(_ context.Context, r *wire.Request) {
+		var in text
+		if err := r.Decode(&in); err != nil {
+			_ = r.Fail(err)
+			return
+		}
+		_ = r.Answer(text{in.Text + " from " + r.From})
+	}
+
+	It("answers calls and streams in both directions of a pair", func() {
+		a, addrA := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		a.Handle(wire.TypeLookup, echo)
+		b.Handle(wire.TypeLookup, echo)
+		b.Handle(wire.TypeCall, func(_ context.Context, r *wire.Request) {
+			for i := range 3 {
+				_ = r.Piece(i)
+			}
+			_ = r.Answer(3)
+		})
+		var out text
+		Expect(a.Call(ctx, addrB, wire.TypeLookup, text{"x"}, &out)).To(Succeed())
+		Expect(out.Text).To(Equal("x from a.1"))
+		Expect(b.Call(ctx, addrA, wire.TypeLookup, text{"y"}, &out)).To(Succeed())
+		Expect(out.Text).To(Equal("y from b.1"))
+		x, err := a.Open(ctx, addrB, wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for i := range 4 {
+			p, err := x.Next(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			var v int
+			Expect(p.Decode(&v)).To(Succeed())
+			Expect(v).To(Equal(i))
+			Expect(p.Last).To(Equal(i == 3))
+		}
+		_, err = x.Next(ctx)
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	// Guards against a link that hangs for ever because TCP reports no error.
+	It("replaces a silent link while new ones work, and fails the exchanges on it", func() {
+		down := make(chan string, 16)
+		a, _ := startNode(wire.Options{Self: "a.1", OnPeerDown: func(addr string) { down <- addr }})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeLookup, echo)
+		started, canceled := make(chan struct{}), make(chan struct{})
+		b.Handle(wire.TypeCall, func(ctx context.Context, _ *wire.Request) {
+			close(started)
+			<-ctx.Done()
+			close(canceled)
+		})
+		t := startTunnel(addrB)
+		x, err := a.Open(ctx, t.addr(), wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(started, testWait).Should(BeClosed())
+		t.silence()
+		_, err = x.Next(ctx)
+		e := asFault(err)
+		Expect(e.Outcome).To(Equal(fault.Unknown))
+		Expect(e.Step).To(Equal("call"))
+		Expect(e.Peer).To(Equal(t.addr()))
+		Expect(e.Message).To(ContainSubstring("silent"))
+		Eventually(down, testWait).Should(Receive(Equal(t.addr())))
+		Eventually(canceled, testWait).Should(BeClosed())
+		var out text
+		Expect(a.Call(ctx, t.addr(), wire.TypeLookup, text{"again"}, &out)).To(Succeed())
+		Expect(t.accepted.Load()).To(Equal(int32(2)))
+	})
+
+	// Guards against closing a healthy link because the application sends nothing.
+	It("keeps a quiet link open with heartbeats", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		release := make(chan struct{})
+		b.Handle(wire.TypeCall, func(_ context.Context, r *wire.Request) {
+			<-release
+			_ = r.Answer(1)
+		})
+		t := startTunnel(addrB)
+		x, err := a.Open(ctx, t.addr(), wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(4*testSilent, func() { close(release) })
+		_, err = x.Next(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.accepted.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against "outcome unknown" for a request that was never sent.
+	It("reports not run when the peer cannot be reached", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr := l.Addr().String()
+		Expect(l.Close()).To(Succeed())
+		down := make(chan string, 16)
+		a, _ := startNode(wire.Options{Self: "a.1", OnPeerDown: func(addr string) { down <- addr }})
+		e := asFault(a.Call(ctx, addr, wire.TypeLookup, nil, nil))
+		Expect(e.Outcome).To(Equal(fault.NotRun))
+		Expect(e.Code).To(Equal(fault.CodePeerUnreachable))
+		Expect(asFault(a.Send(ctx, addr, wire.TypeTicket, nil)).Outcome).To(Equal(fault.NotRun))
+		Eventually(down, testWait).Should(Receive(Equal(addr)))
+	})
+
+	// Guards against an answer that reaches the caller of another request.
+	It("drops an answer that comes after its exchange ended", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		got := make(chan *wire.Request, 1)
+		b.Handle(wire.TypeCall, func(_ context.Context, r *wire.Request) { got <- r })
+		t := startTunnel(addrB)
+		x, err := a.Open(ctx, t.addr(), wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		var r *wire.Request
+		Eventually(got, testWait).Should(Receive(&r))
+		// The answer overtakes the cancel frame because b has it ready when a gives up.
+		stop := make(chan struct{})
+		go func() {
+			defer close(stop)
+			for r.Piece(strings.Repeat("x", 1000)) == nil {
+			}
+		}()
+		_, err = x.Next(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		x.Close()
+		Eventually(a.DroppedAnswers, testWait).Should(BeNumerically(">", 0))
+		Eventually(stop, testWait).Should(BeClosed())
+		b.Handle(wire.TypeLookup, echo)
+		var out text
+		Expect(a.Call(ctx, t.addr(), wire.TypeLookup, text{"next"}, &out)).To(Succeed())
+		Expect(out.Text).To(Equal("next from a.1"))
+	})
+
+	// Guards against work that goes on at the peer after its requester left.
+	It("cancels the handler when the exchange is closed or its context ends", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		started, canceled := make(chan struct{}, 2), make(chan struct{}, 2)
+		b.Handle(wire.TypeCall, func(ctx context.Context, _ *wire.Request) {
+			started <- struct{}{}
+			<-ctx.Done()
+			canceled <- struct{}{}
+		})
+		x, err := a.Open(ctx, addrB, wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(started, testWait).Should(Receive())
+		x.Close()
+		Eventually(canceled, testWait).Should(Receive())
+		short, cancel := context.WithTimeout(ctx, testHeartbeat)
+		defer cancel()
+		e := asFault(a.Call(short, addrB, wire.TypeCall, nil, nil))
+		Expect(e.Code).To(Equal(fault.CodeTimeout))
+		Expect(e.Outcome).To(Equal(fault.Unknown))
+		Eventually(canceled, testWait).Should(Receive())
+	})
+
+	// Guards against one slow reader that blocks every exchange of the link or fills the memory.
+	It("fails the exchange of a slow reader and keeps the others going", func() {
+		a, _ := startNode(wire.Options{Self: "a.1", BufferPieces: 8})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeLookup, echo)
+		done := make(chan struct{})
+		b.Handle(wire.TypeCall, func(_ context.Context, r *wire.Request) {
+			defer close(done)
+			for r.Piece("token") == nil {
+			}
+		})
+		slow, err := a.Open(ctx, addrB, wire.TypeCall, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(done, testWait).Should(BeClosed())
+		var out text
+		Expect(a.Call(ctx, addrB, wire.TypeLookup, text{"x"}, &out)).To(Succeed())
+		read := 0
+		for {
+			if _, err = slow.Next(ctx); err != nil {
+				break
+			}
+			read++
+		}
+		Expect(read).To(Equal(8))
+		Expect(asFault(err).Code).To(Equal(fault.CodeOverloaded))
+		Expect(asFault(err).Outcome).To(Equal(fault.Unknown))
+	})
+
+	// Guards against unbounded memory for one frame, on both sides.
+	It("refuses to send a frame that is too large and closes a link that announces one", func() {
+		a, addrA := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		large := strings.Repeat("x", wire.MaxFrameBytes)
+		e := asFault(a.Send(ctx, addrB, wire.TypeTicket, large))
+		Expect(e.Code).To(Equal(fault.CodeTooLarge))
+		Expect(e.Outcome).To(Equal(fault.NotRun))
+		b.Handle(wire.TypeLookup, func(_ context.Context, r *wire.Request) {
+			if r.Answer(large) != nil {
+				_ = r.Fail(fault.New(fault.CodeTooLarge, "lookup", "answer too large"))
+			}
+		})
+		Expect(asFault(a.Call(ctx, addrB, wire.TypeLookup, nil, nil)).Code).To(Equal(fault.CodeTooLarge))
+		c, err := net.Dial("tcp", addrA)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = c.Write([]byte{0xff, 0xff, 0xff, 0xff})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(testSilent / 2))).To(Succeed())
+		_, err = c.Read(make([]byte, 1))
+		Expect(err).To(Equal(io.EOF))
+	})
+
+	// Guards against reordered one-way messages, for example a finish that overtakes its grant.
+	It("handles one-way messages of a peer in order, one at a time", func() {
+		const count = 500
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		var got []int
+		var running atomic.Int32
+		done := make(chan struct{})
+		b.Handle(wire.TypeEnqueue, func(_ context.Context, r *wire.Request) {
+			defer GinkgoRecover()
+			Expect(running.Add(1)).To(Equal(int32(1)))
+			defer running.Add(-1)
+			var v int
+			Expect(r.Decode(&v)).To(Succeed())
+			got = append(got, v)
+			if len(got) == count {
+				close(done)
+			}
+		})
+		for i := range count {
+			Expect(a.Send(ctx, addrB, wire.TypeEnqueue, i)).To(Succeed())
+		}
+		Eventually(done, testWait).Should(BeClosed())
+		for i, v := range got {
+			Expect(v).To(Equal(i))
+		}
+	})
+
+	// Guards against an error that loses its step, peer or outcome on the way.
+	It("hands over the peer's error and refuses types without a handler", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeCall, func(_ context.Context, r *wire.Request) {
+			_ = r.Fail(fault.New(fault.CodeMoved, "dispatch", "home moved").At("c.3").With(fault.Done))
+		})
+		want := &fault.Error{Code: fault.CodeMoved, Step: "dispatch", Message: "home moved", Peer: "c.3", Outcome: fault.Done}
+		Expect(a.Call(ctx, addrB, wire.TypeCall, nil, nil)).To(Equal(want))
+		e := asFault(a.Call(ctx, addrB, wire.TypeLookup, nil, nil))
+		Expect(e.Outcome).To(Equal(fault.NotRun))
+		Expect(e.Peer).To(Equal(addrB))
+	})
+
+	// Guards against a peer that stays unreachable after its process was replaced at the same address.
+	It("dials again after the peer restarts", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeLookup, echo)
+		Expect(a.Call(ctx, addrB, wire.TypeLookup, text{"x"}, nil)).To(Succeed())
+		Expect(b.Close()).To(Succeed())
+		b2 := wire.NewNode(wire.Options{Self: "b.2"})
+		DeferCleanup(b2.Close)
+		b2.Handle(wire.TypeLookup, echo)
+		Eventually(func() error { _, err := b2.Listen(addrB); return err }, testWait).Should(Succeed())
+		Eventually(func() error { return a.Call(ctx, addrB, wire.TypeLookup, text{"x"}, nil) }, testWait).Should(Succeed())
+	})
+
+	// Guards against a home that is not told of the loss of its messages.
+	It("closes the link of a peer whose one-way messages pile up", func() {
+		down := make(chan string, 16)
+		a, _ := startNode(wire.Options{Self: "a.1", OnPeerDown: func(addr string) { down <- addr }})
+		b, addrB := startNode(wire.Options{Self: "b.1", InboxFrames: 4})
+		release := make(chan struct{})
+		b.Handle(wire.TypeEnqueue, func(context.Context, *wire.Request) { <-release })
+		DeferCleanup(func() { close(release) })
+		for range 16 {
+			_ = a.Send(ctx, addrB, wire.TypeEnqueue, 1)
+		}
+		Eventually(down, testWait).Should(Receive(Equal(addrB)))
+	})
+
+	// Guards against traces that end at the first hop.
+	It("carries the trace context", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeLookup, func(ctx context.Context, r *wire.Request) {
+			_ = r.Answer(trace.SpanContextFromContext(ctx).TraceID().String())
+		})
+		tctx, span := sdktrace.NewTracerProvider().Tracer("test").Start(ctx, "call")
+		defer span.End()
+		var got string
+		Expect(a.Call(tctx, addrB, wire.TypeLookup, nil, &got)).To(Succeed())
+		Expect(got).To(Equal(span.SpanContext().TraceID().String()))
+	})
+
+	// Guards against a redelivery that overtakes the next message.
+	It("publishes and subscribes over watermill, redelivering after Nack", func() {
+		a, _ := startNode(wire.Options{Self: "a.1"})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		in, err := b.PubSub().Subscribe(ctx, wire.TypeTicket.String())
+		Expect(err).NotTo(HaveOccurred())
+		for i := range 2 {
+			raw, err := msgpack.Marshal(fmt.Sprint("ticket ", i))
+			Expect(err).NotTo(HaveOccurred())
+			m := message.NewMessage("", raw)
+			m.SetContext(ctx)
+			m.Metadata.Set(wire.MetadataPeer, addrB)
+			Expect(a.PubSub().Publish("ticket", m)).To(Succeed())
+		}
+		for i, want := range []string{"ticket 0", "ticket 0", "ticket 1"} {
+			var m *message.Message
+			Eventually(in, testWait).Should(Receive(&m))
+			var got string
+			Expect(msgpack.Unmarshal(m.Payload, &got)).To(Succeed())
+			Expect(got).To(Equal(want))
+			Expect(m.Metadata.Get(wire.MetadataFrom)).To(Equal("a.1"))
+			if i == 0 {
+				m.Nack()
+			} else {
+				m.Ack()
+			}
+		}
+		Expect(a.PubSub().Publish("ticket", message.NewMessage("", nil))).NotTo(Succeed())
+	})
+
+	// Guards against goroutines and heartbeats for peers that are no longer used.
+	It("closes an idle link without reporting the peer as down", func() {
+		down := make(chan string, 1)
+		a, _ := startNode(wire.Options{Self: "a.1", IdleAfter: testHeartbeat, OnPeerDown: func(addr string) { down <- addr }})
+		b, addrB := startNode(wire.Options{Self: "b.1"})
+		b.Handle(wire.TypeLookup, echo)
+		t := startTunnel(addrB)
+		Expect(a.Call(ctx, t.addr(), wire.TypeLookup, text{"x"}, nil)).To(Succeed())
+		Eventually(func() int32 {
+			_ = a.Send(ctx, t.addr(), wire.TypeMember, nil)
+			return t.accepted.Load()
+		}, testWait, 3*testHeartbeat).Should(BeNumerically(">", 1))
+		Expect(down).NotTo(Receive())
+	})
+})
