Add the scheduling state with the policies baseline and affinity

Cause: the daemon and the bench need one reducer that decides which waiting call runs on which worker of a group.

The state keeps the calls in flight, the waiting queue, an estimate of the prefix cache and what was learned per agent and tool. Policies are plugins behind Filter, Score and Reserve. The imports run from core/sched to plugins to framework, because plugins that imported core/sched would make a cycle.

Messages: HomeLost is new, so that calls in flight of a dead home do not hold places forever. CacheReported has AgeMS, so that a late report does not undo what the scheduler noted since. Withdrawn also answers an unwanted grant.

Before: messages only. Overload control is a first version.

--- /dev/null
+++ b/core/sched/group.go
@@ -0,0 +1,518 @@
+package sched
+
+import (
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/sched/framework"
+	"github.com/hyssopreel/hyssopreel/core/sched/plugins"
+)
+
+// Periods and ages of the group's upkeep, in milliseconds.
+const (
+	// rerankPeriod bounds how old the rank of a waiting call can be.
+	rerankPeriod clock.Millis = 1000
+	// sweepPeriod is how often forgotten programs and calls are looked for.
+	sweepPeriod clock.Millis = 10_000
+	// settledFor is how long the ID of a finished or withdrawn call is remembered, so that a late copy of its
+	// Enqueued gets no second grant. Frames are repeated within seconds of a broken link.
+	settledFor clock.Millis = 60_000
+	// endedFor is how long an ended program is remembered after it ended or last showed up in a cache report.
+	endedFor clock.Millis = 600_000
+	// forgottenAfter removes a program without any message: twice the idle_timeout of programs (30 min).
+	forgottenAfter clock.Millis = 3_600_000
+)
+
+// call is a waiting or running call with what its home has to be told.
+type call struct {
+	framework.Call
+	id   CallID
+	home ids.Journal
+}
+
+// group is the state of one worker group.
+//
+// calls holds every call that waits or runs. The waiting calls are in queue, sorted by class, rank and
+// arrival; the others count in the Running of their worker. A worker that leaves the group while calls run
+// on it stays in workers, unusable, until its last call has ended.
+type group struct {
+	framework.Group
+	name    string
+	policy  framework.Policy
+	workers map[string]*framework.Worker
+
+	calls map[CallID]*call
+	queue []*call
+	seq   uint64
+
+	// settled holds finished and withdrawn calls, refused the refused ones, each until the given time.
+	settled map[CallID]clock.Millis
+	refused map[CallID]clock.Millis
+	// ended holds ended programs and the time of the end or of the last report that showed them.
+	ended map[ids.Program]clock.Millis
+
+	lastRerank, lastSweep clock.Millis
+	overload              overload
+	fairness              fairness
+	effects               []event.Effect
+}
+
+func newGroup(name string, at clock.Millis) *group {
+	g := &group{
+		name:       name,
+		workers:    map[string]*framework.Worker{},
+		calls:      map[CallID]*call{},
+		settled:    map[CallID]clock.Millis{},
+		refused:    map[CallID]clock.Millis{},
+		ended:      map[ids.Program]clock.Millis{},
+		lastRerank: at,
+		lastSweep:  at,
+	}
+	g.Programs = map[ids.Program]*framework.Program{}
+	g.Agents = map[string]*framework.Agent{}
+	g.Tools = map[string]*framework.Tool{}
+	g.policy, _ = plugins.New(plugins.Default)
+	return g
+}
+
+// run applies one event, hands out free places and returns the effects of both.
+func (g *group) run(at clock.Millis, apply func(*group)) []event.Effect {
+	if at > g.Now {
+		g.Now = at
+	}
+	apply(g)
+	g.dispatch()
+	out := g.effects
+	g.effects = nil
+	return out
+}
+
+func (g *group) emit(e event.Effect) { g.effects = append(g.effects, e) }
+
+func (g *group) enqueued(m Enqueued) {
+	if c, ok := g.calls[m.Call]; ok {
+		if m.Running != "" && c.Worker == nil {
+			// A grant of the previous scheduler reached the home after it had enqueued the call here.
+			g.unqueue(c)
+			g.start(c, g.worker(m.Running))
+		}
+		return
+	}
+	if _, ok := g.settled[m.Call]; ok {
+		return
+	}
+	if until, ok := g.refused[m.Call]; ok && m.Running == "" {
+		if g.Now < until {
+			g.emit(Refuse{Call: m.Call, Home: m.Home, Reason: reasonBacklog, RetryAfterMS: int64(until - g.Now)})
+			return
+		}
+		delete(g.refused, m.Call)
+	}
+	p := g.program(m)
+	c := &call{id: m.Call, home: m.Home}
+	c.Call = framework.Call{
+		Program:      p,
+		EnqueuedAt:   g.Now,
+		PromptTokens: m.PromptTokens,
+		MaxTokens:    m.MaxTokens,
+		Avoid:        m.Avoid,
+	}
+	g.seq++
+	c.Seq = g.seq
+	if m.Running != "" {
+		g.calls[c.id] = c
+		g.start(c, g.worker(m.Running))
+		return
+	}
+	if reason, retryAfter := g.refusal(c); reason != "" {
+		g.refuse(c, reason, retryAfter)
+		return
+	}
+	g.calls[c.id] = c
+	p.Waiting++
+	c.Rank = g.policy.Rank(&g.Group, &c.Call)
+	g.enqueue(c)
+}
+
+// program returns the program of an enqueued call, with its state brought up to date from the message.
+func (g *group) program(m Enqueued) *framework.Program {
+	p, ok := g.Programs[m.Call.Program]
+	if !ok {
+		p = &framework.Program{ID: m.Call.Program, OpenedAt: g.Now - clock.Millis(m.AgeMS)}
+		g.Programs[p.ID] = p
+		delete(g.ended, p.ID)
+		for _, name := range m.Workers {
+			// The program ran before this host became the scheduler. The prefix that the last worker holds
+			// is at most the prompt; the next cache report corrects it.
+			if w, ok := g.workers[name]; ok {
+				g.served(p, w)
+				p.Last = w
+			}
+		}
+		if m.Turn > 0 {
+			p.Started = true
+			g.UnderWay++
+			if p.Last != nil {
+				framework.SetCached(p, p.Last, min(m.PromptTokens, p.Last.CacheTokens), g.Now)
+			}
+		}
+	}
+	if p.Agent == nil || p.Agent.Name != m.Agent {
+		p.Agent = g.agent(m.Agent)
+	}
+	p.Class = classOf(m.Class)
+	p.Turn, p.Attained, p.LastSeen = m.Turn, m.AttainedTokens, g.Now
+	p.Deadline = 0
+	if m.TimeLeftMS > 0 {
+		p.Deadline = g.Now + clock.Millis(m.TimeLeftMS)
+	}
+	if m.PauseTool != "" && m.PausedMS > 0 {
+		g.tool(m.PauseTool).PauseMS.Add(float64(m.PausedMS))
+	}
+	if m.Turn > 0 && p.History > 0 && m.PromptTokens > p.History {
+		p.Agent.Prompt.Add(float64(m.PromptTokens - p.History))
+	}
+	if m.Turn == 0 {
+		p.Agent.First.Add(float64(m.PromptTokens))
+	}
+	p.PauseTool = ""
+	return p
+}
+
+func classOf(name string) framework.Class {
+	switch name {
+	case ClassUrgent:
+		return framework.Urgent
+	case ClassBatch:
+		return framework.Batch
+	default:
+		return framework.Interactive
+	}
+}
+
+func (g *group) agent(name string) *framework.Agent {
+	a, ok := g.Agents[name]
+	if !ok {
+		a = &framework.Agent{Name: name}
+		g.Agents[name] = a
+	}
+	return a
+}
+
+func (g *group) tool(name string) *framework.Tool {
+	t, ok := g.Tools[name]
+	if !ok {
+		t = &framework.Tool{Name: name}
+		g.Tools[name] = t
+	}
+	return t
+}
+
+// worker returns a worker by name. A name that the group's list does not have stands for a worker that
+// left: it is kept, unusable, while calls run on it.
+func (g *group) worker(name string) *framework.Worker {
+	w, ok := g.workers[name]
+	if !ok {
+		w = &framework.Worker{Name: name}
+		g.addWorker(w)
+	}
+	return w
+}
+
+func (g *group) addWorker(w *framework.Worker) {
+	g.workers[w.Name] = w
+	i := sort.Search(len(g.Workers), func(i int) bool { return g.Workers[i].Name >= w.Name })
+	g.Workers = slices.Insert(g.Workers, i, w)
+}
+
+func (g *group) served(p *framework.Program, w *framework.Worker) {
+	if !slices.Contains(p.Served, w) {
+		p.Served = append(p.Served, w)
+	}
+}
+
+// start accounts for a call in flight on w.
+func (g *group) start(c *call, w *framework.Worker) {
+	p := c.Program
+	c.Worker, c.GrantedAt = w, g.Now
+	w.Running++
+	p.Running++
+	if !p.Started {
+		p.Started = true
+		g.UnderWay++
+	}
+	p.Last = w
+	g.served(p, w)
+	if w.CacheTokens > 0 {
+		framework.SetCached(p, w, max(c.PromptTokens, p.Cached(w)), g.Now)
+	}
+}
+
+func (g *group) finished(m Finished) {
+	g.settled[m.Call] = g.Now + settledFor
+	c, ok := g.calls[m.Call]
+	if !ok {
+		return
+	}
+	delete(g.calls, m.Call)
+	if c.Worker == nil {
+		// The home ran the call on a grant of the previous scheduler.
+		g.unqueue(c)
+		return
+	}
+	w, p := c.Worker, c.Program
+	g.leave(c)
+	if _, over := g.ended[p.ID]; over && w.CacheTokens > 0 {
+		// The release that followed the end of the program could not free the blocks of a running call.
+		g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: p.ID})
+	}
+	p.LastSeen, p.LastFinished, p.PauseTool = g.Now, g.Now, m.NextTool
+	if m.Failed {
+		return
+	}
+	p.Turn++
+	p.History = m.PromptTokens + m.GeneratedTokens
+	p.Agent.Generated.Add(float64(m.GeneratedTokens))
+	p.Agent.ServiceMS.Add(float64(g.Now - c.GrantedAt))
+	g.overload.served(float64(g.Now - c.GrantedAt))
+	if w.CacheTokens > 0 && g.Programs[p.ID] == p {
+		framework.SetCached(p, w, p.History, g.Now)
+	}
+}
+
+// leave takes a running call off its worker.
+func (g *group) leave(c *call) {
+	w := c.Worker
+	w.Running--
+	c.Program.Running--
+	c.Worker = nil
+	if w.Running == 0 && w.MaxRunning == 0 {
+		g.dropWorker(w)
+	}
+}
+
+func (g *group) withdrawn(m Withdrawn) {
+	g.settled[m.Call] = g.Now + settledFor
+	if c, ok := g.calls[m.Call]; ok {
+		delete(g.calls, m.Call)
+		if c.Worker != nil {
+			g.leave(c)
+		} else {
+			g.unqueue(c)
+		}
+	}
+}
+
+func (g *group) programEnded(m ProgramEnded) {
+	if _, again := g.ended[m.Program]; again {
+		return
+	}
+	g.ended[m.Program] = g.Now
+	p, ok := g.Programs[m.Program]
+	if !ok {
+		return
+	}
+	p.Agent.Turns.Add(m.Turns)
+	g.forget(p)
+	for _, w := range p.Served {
+		if w.CacheTokens > 0 {
+			g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: p.ID})
+		}
+	}
+}
+
+// forget removes a program, its waiting calls and its cache estimate. Calls in flight stay accounted for
+// until their homes report the end.
+func (g *group) forget(p *framework.Program) {
+	if p.Waiting > 0 {
+		for _, c := range slices.Clone(g.queue) {
+			if c.Program == p {
+				delete(g.calls, c.id)
+				g.settled[c.id] = g.Now + settledFor
+				g.unqueue(c)
+			}
+		}
+	}
+	for len(p.Entries()) > 0 {
+		framework.DropCached(p, p.Entries()[0].Worker)
+	}
+	if p.Started {
+		g.UnderWay--
+	}
+	delete(g.Programs, p.ID)
+}
+
+func (g *group) changed(m GroupChanged) {
+	name := m.Policy
+	if name == "" {
+		name = plugins.Default
+	}
+	if name != g.policy.Name() {
+		if p, ok := plugins.New(name); ok {
+			g.policy = p
+			g.rerank()
+		}
+	}
+	listed := map[string]bool{}
+	for _, spec := range m.Workers {
+		listed[spec.Name] = true
+		w := g.worker(spec.Name)
+		w.Usable, w.MaxRunning, w.CacheTokens = spec.Usable, spec.MaxRunning, spec.CacheTokens
+	}
+	for _, w := range slices.Clone(g.Workers) {
+		if !listed[w.Name] {
+			w.Usable, w.MaxRunning, w.CacheTokens = false, 0, 0
+			if w.Running == 0 {
+				g.dropWorker(w)
+			}
+		}
+	}
+}
+
+// dropWorker removes a worker that left the group and has no calls in flight.
+func (g *group) dropWorker(w *framework.Worker) {
+	framework.EachEntry(w, func(e *framework.Entry) { framework.DropCached(e.Program, w) })
+	delete(g.workers, w.Name)
+	g.Workers = slices.DeleteFunc(g.Workers, func(o *framework.Worker) bool { return o == w })
+}
+
+// loadReported does not change any count: the count of calls in flight is exact, and the report is late.
+func (g *group) loadReported(LoadReported) {}
+
+// cacheReported corrects the estimate for one worker and releases again what ended programs still hold.
+func (g *group) cacheReported(m CacheReported) {
+	w, ok := g.workers[m.Worker]
+	if !ok {
+		return
+	}
+	taken := g.Now - clock.Millis(m.AgeMS)
+	seen := make(map[ids.Program]bool, len(m.Programs))
+	for _, h := range m.Programs {
+		seen[h.Program] = true
+		if _, ok := g.ended[h.Program]; ok {
+			g.ended[h.Program] = g.Now
+			if h.Tokens > 0 {
+				g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: h.Program})
+			}
+			continue
+		}
+		p, ok := g.Programs[h.Program]
+		if !ok {
+			continue
+		}
+		g.served(p, w)
+		e := p.Entry(w)
+		switch {
+		case e == nil:
+			if p.LastFinished < taken {
+				framework.SetCached(p, w, h.Tokens, taken)
+			}
+		case e.UsedAt < taken && p.Running == 0:
+			framework.CorrectCached(e, h.Tokens)
+		}
+	}
+	framework.EachEntry(w, func(e *framework.Entry) {
+		if !seen[e.Program.ID] && e.UsedAt < taken && !(e.Program.Running > 0 && e.Program.Last == w) {
+			framework.DropCached(e.Program, w)
+		}
+	})
+}
+
+func (g *group) homeLost(m HomeLost) {
+	var lost []*call
+	for _, c := range g.calls {
+		if c.home == m.Home {
+			lost = append(lost, c)
+		}
+	}
+	for _, c := range lost {
+		delete(g.calls, c.id)
+		if c.Worker != nil {
+			g.leave(c)
+		} else {
+			g.unqueue(c)
+		}
+	}
+}
+
+func (g *group) ticked() {
+	if g.Now-g.lastRerank >= rerankPeriod {
+		g.lastRerank = g.Now
+		g.rerank()
+	}
+	g.refuseOverdue()
+	if g.Now-g.lastSweep >= sweepPeriod {
+		g.lastSweep = g.Now
+		g.sweep()
+	}
+}
+
+// sweep forgets settled calls, refused calls and programs that are too old to matter.
+func (g *group) sweep() {
+	for id, until := range g.settled {
+		if g.Now >= until {
+			delete(g.settled, id)
+		}
+	}
+	for id, until := range g.refused {
+		if g.Now >= until {
+			delete(g.refused, id)
+		}
+	}
+	for id, at := range g.ended {
+		if g.Now-at >= endedFor {
+			delete(g.ended, id)
+		}
+	}
+	for _, p := range g.Programs {
+		if p.Waiting == 0 && p.Running == 0 && g.Now-p.LastSeen >= forgottenAfter {
+			g.forget(p)
+		}
+	}
+}
+
+// compare orders waiting calls by class, rank and arrival.
+func compare(a, b *call) int {
+	switch {
+	case a.Program.Class != b.Program.Class:
+		return int(a.Program.Class - b.Program.Class)
+	case a.Rank < b.Rank:
+		return -1
+	case a.Rank > b.Rank:
+		return 1
+	case a.Seq < b.Seq:
+		return -1
+	case a.Seq > b.Seq:
+		return 1
+	}
+	return strings.Compare(a.id.Key, b.id.Key)
+}
+
+func (g *group) enqueue(c *call) {
+	i, _ := slices.BinarySearchFunc(g.queue, c, compare)
+	g.queue = slices.Insert(g.queue, i, c)
+}
+
+// unqueue removes a waiting call from the queue.
+func (g *group) unqueue(c *call) {
+	i, ok := slices.BinarySearchFunc(g.queue, c, compare)
+	if !ok || g.queue[i] != c {
+		// The class of a program can change between its calls, which leaves older calls out of place.
+		i = slices.Index(g.queue, c)
+	}
+	if i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+		c.Program.Waiting--
+	}
+}
+
+func (g *group) rerank() {
+	for _, c := range g.queue {
+		c.Rank = g.policy.Rank(&g.Group, &c.Call)
+	}
+	slices.SortFunc(g.queue, compare)
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -68,7 +68,8 @@
 	Failed   bool   `msgpack:"f"`
 }
 
-// Withdrawn takes back a waiting call (its program was canceled or its caller's deadline passed).
+// Withdrawn takes back a waiting call (its program was canceled or its caller's deadline passed). A home that
+// receives a grant for a call that it no longer wants also answers with Withdrawn, which frees the place.
 type Withdrawn struct {
 	Call  CallID `msgpack:"c"`
 	Group string `msgpack:"g"`
@@ -113,6 +114,8 @@
 	Group    string        `msgpack:"g"`
 	Worker   string        `msgpack:"w"`
 	Programs []HeldProgram `msgpack:"p"`
+	// AgeMS is the age of the report; what the scheduler noted since then outranks it.
+	AgeMS int64 `msgpack:"a"`
 }
 
 // HeldProgram is the cache that one program holds on a worker.
@@ -126,6 +129,13 @@
 	Group string `msgpack:"g"`
 }
 
+// HomeLost says that the journal of a home was sealed: its waiting calls will not be dispatched and its calls
+// in flight will not be finished. The heir enqueues the calls of adopted programs itself.
+type HomeLost struct {
+	Group string      `msgpack:"g"`
+	Home  ids.Journal `msgpack:"h"`
+}
+
 // Ticked lets time pass. Adapters publish one per group about every 100 ms.
 type Ticked struct {
 	Group string `msgpack:"g"`
@@ -168,6 +178,7 @@
 	KindLoadReported  event.Kind = "sched.load_reported"
 	KindCacheReported event.Kind = "sched.cache_reported"
 	KindGroupReset    event.Kind = "sched.group_reset"
+	KindHomeLost      event.Kind = "sched.home_lost"
 	KindTicked        event.Kind = "sched.ticked"
 	KindGrant         event.Kind = "sched.grant"
 	KindRefuse        event.Kind = "sched.refuse"
@@ -182,6 +193,7 @@
 func (LoadReported) EventKind() event.Kind  { return KindLoadReported }
 func (CacheReported) EventKind() event.Kind { return KindCacheReported }
 func (GroupReset) EventKind() event.Kind    { return KindGroupReset }
+func (HomeLost) EventKind() event.Kind      { return KindHomeLost }
 func (Ticked) EventKind() event.Kind        { return KindTicked }
 func (Grant) EffectKind() event.Kind        { return KindGrant }
 func (Refuse) EffectKind() event.Kind       { return KindRefuse }
@@ -197,6 +209,7 @@
 		LoadReported{},
 		CacheReported{},
 		GroupReset{},
+		HomeLost{},
 		Ticked{},
 	} {
 		event.Register(e)
--- /dev/null
+++ b/core/sched/plugins/baseline.go
@@ -0,0 +1,21 @@
+package plugins
+
+import "github.com/hyssopreel/hyssopreel/core/sched/framework"
+
+// baseline serves calls in the order of arrival, each on the least loaded worker. It knows no programs.
+type baseline struct{}
+
+func (baseline) Name() string { return "baseline" }
+
+func (baseline) Rank(*framework.Group, *framework.Call) float64 { return 0 }
+
+func (baseline) Filter(*framework.Group, *framework.Call, *framework.Worker) bool { return true }
+
+func (baseline) Score(_ *framework.Group, _ *framework.Call, w *framework.Worker) float64 {
+	return -load(w)
+}
+
+func (baseline) Reserve(*framework.Group, *framework.Call, *framework.Worker) int { return 0 }
+
+// load is the share of the worker's places in use.
+func load(w *framework.Worker) float64 { return float64(w.Running) / float64(w.MaxRunning) }
