Add the configuration role: tickets, distribution, cached copy

Cause: design section 8 requires that an accepted ticket is in force everywhere within seconds and never reverts, also when operators race, when the store's answer is lost and when hosts are cut off or restarted.

core/configuration decides by ticket number alone which document is in force. service/configuration accepts tickets, watches config/current from two hosts of each failure domain, pushes tickets to the finger peers and fetches from a peer with a higher number.

A host at another number fetches the whole.

Ruled out: reading back once after a lost answer and reporting "not run" if the version is unchanged, because the write may still be on its way. The same conditional update is repeated instead, of which at most one takes effect.

Documents are encoded as JSON because msgpack does not sort the keys of typed maps and recorded effects are compared byte for byte.

Before: no code.

--- a/common/objectapi/objectapi.go
+++ b/common/objectapi/objectapi.go
@@ -14,6 +14,7 @@
 	KindMember  = "members"  // one per host, changes rarely
 	KindJournal = "journal"  // segments of journals, "<journal>/<seq>"
 	KindConfig  = "config"   // "current"
+	KindTicket  = "tickets"  // bodies of tickets, "<number>-<tag>"
 	KindOrders  = "orders"   // one lease per pool for the order manager
 	KindStatus  = "status"   // one per pool
 	KindCache   = "kv-cache" // exported KV cache references
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -79,7 +79,8 @@
 	Author  string  `json:"author" msgpack:"author"`
 	Comment string  `json:"comment,omitempty" msgpack:"comment,omitempty"`
 	Objects Objects `json:"objects" msgpack:"objects"`
-	// Tag is drawn by the accepting host and tells whether a write whose answer was lost took effect.
+	// Tag tells whether a write whose answer was lost took effect, and makes a repeated ticket idempotent.
+	// The accepting host draws a random tag if the operator's client sent none.
 	Tag string `json:"tag,omitempty" msgpack:"tag,omitempty"`
 }
 
--- /dev/null
+++ b/core/configuration/configuration_test.go
@@ -0,0 +1,174 @@
+package configuration_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/event"
+)
+
+func ticket(n uint64) config.Ticket {
+	return config.Ticket{Number: n, Author: "ann", Tag: fmt.Sprint(n), Objects: config.Objects{
+		Teams: map[string]*config.Team{"t": {MaxBudgetTokens: int64(n), MaxOpenPrograms: 1}},
+	}}
+}
+
+// chain returns the documents 0 to n.
+func chain(n int) []*configuration.Document {
+	docs := []*configuration.Document{{}}
+	for i := 1; i <= n; i++ {
+		docs = append(docs, docs[i-1].Merge(ticket(uint64(i)), 0))
+	}
+	return docs
+}
+
+// Guards against a lower number being applied, in whatever order the store, peers and the cached copy
+// answer, and against a host that misses the highest number that it was offered.
+func TestNumberOnlyRises(t *testing.T) {
+	docs := chain(10)
+	rapid.Check(t, func(t *rapid.T) {
+		s := configuration.NewState()
+		var inForce, offered uint64
+		confirmed := false
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			n := rapid.IntRange(0, 10).Draw(t, "number")
+			var ev event.Event
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				ev = configuration.Offered{Origin: configuration.OriginCache, Document: docs[n]}
+				if !confirmed {
+					offered = max(offered, uint64(n))
+				}
+			case 1:
+				ev, confirmed = configuration.Offered{Origin: configuration.OriginStore, Document: docs[n]}, true
+				offered = max(offered, uint64(n))
+			case 2:
+				n = max(n, 1)
+				ev = configuration.Pushed{From: "p", Base: docs[n].Base, Ticket: docs[n].Last}
+			default:
+				ev = configuration.PeerHeard{From: "p", Number: uint64(n)}
+			}
+			for _, eff := range s.Reduce(0, ev) {
+				switch e := eff.(type) {
+				case configuration.InForce:
+					if e.Document.Number <= inForce {
+						t.Fatalf("number %d in force after %d", e.Document.Number, inForce)
+					}
+					if e.Origin == configuration.OriginCache && confirmed {
+						t.Fatalf("cached copy used after an answer")
+					}
+					inForce = e.Document.Number
+					if got := e.Document.Objects.Teams["t"].MaxBudgetTokens; got != int64(inForce) {
+						t.Fatalf("number %d has the content of %d", inForce, got)
+					}
+				case configuration.Fetch:
+					if e.Number <= inForce {
+						t.Fatalf("fetch of %d with %d in force", e.Number, inForce)
+					}
+				case configuration.Confirmed:
+					confirmed = true
+				}
+			}
+			if inForce < offered {
+				t.Fatalf("%d in force after an offer of %d", inForce, offered)
+			}
+		}
+	})
+}
+
+// Guards against a list of accepted tickets that grows without bound, and against a changed ticket
+// leaking into older documents.
+func TestMerge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	docs := chain(100)
+	last := docs[100]
+	g.Expect(last.Accepted).To(gomega.HaveLen(configuration.MaxAccepted))
+	g.Expect(last.Accepted[0].Number).To(gomega.Equal(uint64(37)))
+	g.Expect(last.Covers(37)).To(gomega.BeTrue())
+	g.Expect(last.Covers(36)).To(gomega.BeFalse())
+	g.Expect(docs[50].Objects.Teams["t"].MaxBudgetTokens).To(gomega.Equal(int64(50)))
+	gone := last.Merge(config.Ticket{Number: 101, Objects: config.Objects{Teams: map[string]*config.Team{"t": nil}}}, 0)
+	g.Expect(gone.Objects.Teams).To(gomega.BeEmpty())
+	g.Expect(last.Objects.Teams).To(gomega.HaveLen(1))
+}
+
+// Guards against an encoding that loses a deletion or differs between two runs.
+func TestEncode(t *testing.T) {
+	g := gomega.NewWithT(t)
+	d := chain(3)[3]
+	teams := map[string]*config.Team{"t": nil}
+	for i := range 20 {
+		teams[fmt.Sprint("team", i)] = &config.Team{MaxBudgetTokens: 1, MaxOpenPrograms: 1}
+	}
+	d = d.Merge(config.Ticket{Number: 4, Author: "ann", Objects: config.Objects{Teams: teams}}, 5)
+	b, err := d.Encode()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	back, err := configuration.Decode(b)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(back).To(gomega.Equal(d))
+	first, err := msgpack.Marshal(configuration.InForce{Document: d})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for range 10 {
+		again, err := msgpack.Marshal(configuration.InForce{Document: back})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(again).To(gomega.Equal(first))
+	}
+	e := event.Envelope{At: 1, Event: configuration.Offered{Origin: configuration.OriginPeer, Document: d}}
+	raw, err := event.Encode(e)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	decoded, err := event.Decode(raw)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded).To(gomega.Equal(e))
+	pushed := configuration.Pushed{From: "p", Ticket: d.Last}
+	raw, err = event.Encode(event.Envelope{Event: pushed})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	decoded, err = event.Decode(raw)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(decoded.Event).To(gomega.Equal(pushed), "a deletion survives")
+}
+
+// Guards against operators who have to repair a ticket one problem at a time.
+func TestValidateReportsEveryProblem(t *testing.T) {
+	g := gomega.NewWithT(t)
+	o := config.Objects{
+		Pools: map[string]*config.Pool{
+			"e": {Kind: "engine", Model: "m", MaxRunning: 1},
+			"s": {Kind: "service", MaxRunning: 1},
+			"x": {Kind: "other"},
+		},
+		Agents: map[string]*config.Agent{
+			"a": {Pool: "s", Class: "slow", Tools: []string{"none", "none"}, Services: []string{"svc"}},
+			"b": {Pool: "none", Class: "batch", MaxTokens: 1, MaxTurns: -1, Agents: []string{"zed"}},
+		},
+		Tools:    map[string]*config.Tool{"t": {Address: "nowhere", CostTokens: -1}},
+		Services: map[string]*config.Service{"svc": {Pool: "e", IdempotentPaths: []string{"x"}, TimeLimitMS: 1}},
+		Teams:    map[string]*config.Team{"t": {}},
+	}
+	g.Expect(configuration.Validate(o)).To(gomega.Equal([]string{
+		`pool "x": kind "other" is neither "engine" nor "service"`,
+		`pool "x": max_running 0 is not between 1 and 4096`,
+		`agent "a": pool "s" is not an engine pool`,
+		`agent "a": class "slow" is not "urgent", "interactive" or "batch"`,
+		`agent "a": max_tokens 0 is not between 1 and 320000`,
+		`agent "a": tool "none" does not exist`,
+		`agent "a": tool "none" does not exist`,
+		`agent "a": tool "none" is listed twice`,
+		`agent "b": pool "none" does not exist`,
+		`agent "b": max_turns -1 is not between 0 and 10000`,
+		`agent "b": agent "zed" does not exist`,
+		`tool "t": address "nowhere" is neither host:port nor an http URL`,
+		`tool "t": cost_tokens is negative`,
+		`tool "t": time_limit_ms 0 is not between 1 and 3600000`,
+		`service "svc": pool "e" is not a service pool`,
+		`service "svc": path "x" does not begin with /`,
+		`team "t": max_budget_tokens must be positive`,
+		`team "t": max_open_programs must be positive`,
+	}))
+	g.Expect(configuration.ValidateTicket(config.Ticket{Objects: config.Objects{Pools: map[string]*config.Pool{"a/b": nil}}})).To(gomega.HaveLen(3))
+}
--- /dev/null
+++ b/service/configuration/cache.go
@@ -0,0 +1,80 @@
+package configuration
+
+import (
+	"context"
+	"io/fs"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+)
+
+// loadCache offers the cached copy to the reducer, which uses it only while neither the store nor a peer
+// has answered. A damaged copy is ignored; zstd's checksum detects it.
+func (s *Service) loadCache() {
+	b, err := os.ReadFile(cachePath(s.opts.DataFolder))
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	var d *configuration.Document
+	if err == nil {
+		d, err = configuration.Decode(b)
+	}
+	if err != nil {
+		s.opts.Report("configuration_cache_unreadable", map[string]any{"error": err.Error()})
+		return
+	}
+	s.run.Publish(configuration.Offered{Origin: configuration.OriginCache, Document: d})
+}
+
+// queueCacheWrite replaces a document that waits to be written by a newer one.
+func (s *Service) queueCacheWrite(d *configuration.Document) {
+	for {
+		select {
+		case s.cacheWrites <- d:
+			return
+		default:
+		}
+		select {
+		case <-s.cacheWrites:
+		default:
+		}
+	}
+}
+
+func (s *Service) writeCache(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-s.cacheWrites:
+			if err := writeFile(cachePath(s.opts.DataFolder), d); err != nil {
+				s.opts.Report("configuration_cache_unwritable", map[string]any{"error": err.Error()})
+			}
+		}
+	}
+}
+
+// writeFile replaces the file by a rename, so that a crash leaves the old copy or the new one.
+func writeFile(path string, d *configuration.Document) error {
+	b, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "write the cached configuration")
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	return errors.Wrap(err, "write the cached configuration")
+}
--- /dev/null
+++ b/service/configuration/configuration_test.go
@@ -0,0 +1,315 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	commonfault "github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/service/configuration"
+)
+
+func TestConfiguration(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "service/configuration")
+}
+
+func hostNamed(name, domain string) configuration.Host {
+	return configuration.Host{Name: ids.Host(name), FailureDomain: domain, PeerAddress: name + ":1"}
+}
+
+func team(budget int64) *config.Team {
+	return &config.Team{MaxBudgetTokens: budget, MaxOpenPrograms: 10}
+}
+
+func teamTicket(number uint64, author string, budget int64) config.Ticket {
+	return config.Ticket{Number: number, Author: author, Objects: config.Objects{Teams: map[string]*config.Team{"t": team(budget)}}}
+}
+
+func faultOf(err error) *commonfault.Error {
+	ginkgo.GinkgoHelper()
+	var f *commonfault.Error
+	gomega.Expect(errors.As(err, &f)).To(gomega.BeTrue(), "error %v", err)
+	return f
+}
+
+var _ = ginkgo.Describe("Apply", func() {
+	ctx := context.Background()
+	var net *network
+	var a, b *host
+
+	ginkgo.BeforeEach(func() {
+		ha, hb := hostNamed("a", "d1"), hostNamed("b", "d2")
+		net = newNetwork(ha, hb)
+		a, b = net.start(ha, ""), net.start(hb, "")
+	})
+
+	// Guards against two operators who both believe that their ticket was accepted.
+	ginkgo.It("accepts one of two tickets with the same number and tells the loser who won", func() {
+		var wg sync.WaitGroup
+		results := make([]error, 2)
+		for i, h := range []*host{a, b} {
+			wg.Go(func() {
+				_, results[i] = h.Apply(ctx, teamTicket(1, fmt.Sprintf("operator-%d", i), int64(100+i)))
+			})
+		}
+		wg.Wait()
+		loser := 0
+		if results[0] == nil {
+			loser = 1
+		}
+		gomega.Expect(results[1-loser]).NotTo(gomega.HaveOccurred())
+		f := faultOf(results[loser])
+		gomega.Expect(f.Code).To(gomega.Equal(commonfault.CodeTicketConflict))
+		gomega.Expect(f.Outcome).To(gomega.Equal(commonfault.NotRun))
+		gomega.Expect(f.Message).To(gomega.ContainSubstring(fmt.Sprintf(`ticket 1 by "operator-%d"`, 1-loser)))
+		gomega.Expect(f.Message).To(gomega.ContainSubstring(fmt.Sprintf(`"max_budget_tokens":%d`, 101-loser)))
+		for _, h := range []*host{a, b} {
+			gomega.Eventually(h.Number).Should(gomega.Equal(uint64(1)))
+			gomega.Expect(h.Current().Objects.Teams["t"].MaxBudgetTokens).To(gomega.Equal(int64(101 - loser)))
+		}
+		gomega.Expect(net.store.names(objectapi.KindTicket)).To(gomega.HaveLen(1), "the loser's body is deleted")
+	})
+
+	// Guards against a ticket that is reported as refused although it is in force.
+	ginkgo.DescribeTable("settles a lost answer of the store",
+		func(performed bool, kind string) {
+			a.client.faults = []fault{{kind: kind, perform: performed, answer: objectapi.ErrOutcomeUnknown}}
+			c, err := a.Apply(ctx, teamTicket(1, "ann", 100))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(c.Number).To(gomega.Equal(uint64(1)))
+			gomega.Expect(a.Accepted()).To(gomega.HaveLen(1))
+			t, err := b.Ticket(ctx, 1)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(t.Author).To(gomega.Equal("ann"))
+		},
+		ginkgo.Entry("the update took effect", true, objectapi.KindConfig),
+		ginkgo.Entry("the update did not take effect", false, objectapi.KindConfig),
+		ginkgo.Entry("the body was written", true, objectapi.KindTicket),
+		ginkgo.Entry("the body was not written", false, objectapi.KindTicket),
+	)
+
+	// Guards against a delayed first attempt and another operator's ticket being mistaken for success.
+	ginkgo.It("reports a conflict when the answer was lost and another ticket won", func() {
+		a.client.faults = []fault{{
+			kind: objectapi.KindConfig, answer: objectapi.ErrOutcomeUnknown,
+			before: func() {
+				_, err := b.Apply(ctx, teamTicket(1, "bob", 200))
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			},
+		}}
+		_, err := a.Apply(ctx, teamTicket(1, "ann", 100))
+		f := faultOf(err)
+		gomega.Expect(f.Code).To(gomega.Equal(commonfault.CodeTicketConflict))
+		gomega.Expect(f.Message).To(gomega.ContainSubstring(`"bob"`))
+	})
+
+	// Guards against the loss of a lower ticket that was accepted between read and update.
+	ginkgo.It("merges again when a lower number is accepted in between", func() {
+		a.client.faults = []fault{{kind: objectapi.KindConfig, perform: true, before: func() {
+			t := teamTicket(1, "bob", 200)
+			t.Objects.Teams = map[string]*config.Team{"other": team(5)}
+			_, err := b.Apply(ctx, t)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}}}
+		c, err := a.Apply(ctx, teamTicket(2, "ann", 100))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(c.Objects.Teams).To(gomega.HaveKey("t"))
+		gomega.Expect(c.Objects.Teams).To(gomega.HaveKey("other"))
+	})
+
+	// Guards against a retried request of an operator being refused by its own first attempt.
+	ginkgo.It("returns the first outcome for a repeated tag", func() {
+		t := teamTicket(1, "ann", 100)
+		t.Tag = "tag-1"
+		_, err := a.Apply(ctx, t)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = b.Apply(ctx, t)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Author = "bob"
+		_, err = b.Apply(ctx, t)
+		gomega.Expect(faultOf(err).Code).To(gomega.Equal(commonfault.CodeKeyReused))
+	})
+
+	// Guards against an error that leaves the operator in doubt during an outage.
+	ginkgo.It("does not run while the store is down", func() {
+		a.client.setDown(true)
+		_, err := a.Apply(ctx, teamTicket(1, "ann", 100))
+		f := faultOf(err)
+		gomega.Expect(f.Code).To(gomega.Equal(commonfault.CodeStoreDown))
+		gomega.Expect(f.Outcome).To(gomega.Equal(commonfault.NotRun))
+		gomega.Expect(f.RetryAfterMS).To(gomega.BeNumerically(">", 0))
+	})
+
+	// Guards against "not run" for a ticket that was accepted before the outage began.
+	ginkgo.It("reports an unknown outcome if the store goes down after a lost answer", func() {
+		a.client.faults = []fault{{kind: objectapi.KindConfig, perform: true, answer: objectapi.ErrOutcomeUnknown, before: func() {
+			a.client.setDown(true)
+		}}}
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		t := teamTicket(1, "ann", 100)
+		t.Tag = "tag-1"
+		_, err := a.Apply(short, t)
+		f := faultOf(err)
+		gomega.Expect(f.Code).To(gomega.Equal(commonfault.CodeOutcomeUnknown))
+		gomega.Expect(f.Outcome).To(gomega.Equal(commonfault.Unknown))
+		a.client.setDown(false)
+		_, err = a.Apply(ctx, t)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred(), "the same tag settles it")
+	})
+
+	// Guards against half of a ticket being in force: an agent without the pool that it names.
+	ginkgo.It("puts a ticket that touches two objects in force at once", func() {
+		var mu sync.Mutex
+		var torn []uint64
+		for _, h := range []*host{a, b} {
+			h.Subscribe(func(c *config.Config) {
+				mu.Lock()
+				defer mu.Unlock()
+				if (c.Objects.Pools["p"] == nil) != (c.Objects.Agents["g"] == nil) {
+					torn = append(torn, c.Number)
+				}
+			})
+		}
+		objects := config.Objects{
+			Pools:  map[string]*config.Pool{"p": {Kind: "engine", Model: "m", MaxRunning: 4}},
+			Agents: map[string]*config.Agent{"g": {Pool: "p", Class: "batch", MaxTokens: 100}},
+		}
+		none := config.Objects{Pools: map[string]*config.Pool{"p": nil}, Agents: map[string]*config.Agent{"g": nil}}
+		for n := uint64(1); n <= 20; n++ {
+			t := config.Ticket{Number: n, Author: "ann", Objects: objects}
+			if n%2 == 0 {
+				t.Objects = none
+			}
+			_, err := a.Apply(ctx, t)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		gomega.Eventually(b.Number).Should(gomega.Equal(uint64(20)))
+		mu.Lock()
+		defer mu.Unlock()
+		gomega.Expect(torn).To(gomega.BeEmpty())
+		t := config.Ticket{Number: 21, Author: "ann", Objects: config.Objects{Agents: objects.Agents}}
+		_, err := a.Apply(ctx, t)
+		gomega.Expect(faultOf(err).Message).To(gomega.ContainSubstring(`pool "p" does not exist`))
+	})
+})
+
+var _ = ginkgo.Describe("distribution", func() {
+	ctx := context.Background()
+
+	// Guards against a host that stays at, or goes back to, an old configuration after a partition.
+	ginkgo.It("brings back a host that was cut off through two tickets", func() {
+		ha, hb, hc := hostNamed("a", "d1"), hostNamed("b", "d1"), hostNamed("c", "d1")
+		net := newNetwork(ha, hb, hc)
+		a, b, c := net.start(ha, ""), net.start(hb, ""), net.start(hc, "")
+		apply := func(n uint64) {
+			_, err := a.Apply(ctx, teamTicket(n, "ann", int64(n)))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		}
+		apply(1)
+		gomega.Eventually(c.Number).Should(gomega.Equal(uint64(1)))
+		net.isolate(c, true)
+		apply(2)
+		apply(3)
+		gomega.Eventually(b.Number).Should(gomega.Equal(uint64(3)))
+		gomega.Consistently(c.Number, "50ms").Should(gomega.Equal(uint64(1)))
+		net.isolate(c, false)
+		net.heartbeat()
+		gomega.Eventually(c.Number).Should(gomega.Equal(uint64(3)))
+		gomega.Expect(c.Current().Objects).To(gomega.Equal(a.Current().Objects))
+		gomega.Expect(c.Accepted()).To(gomega.Equal(a.Accepted()))
+		gomega.Expect(c.seen()).To(gomega.Equal([]uint64{1, 3}))
+	})
+
+	// Guards against one watch per host, which the store's rates do not allow at the target size.
+	ginkgo.It("lets two hosts of each failure domain watch, and reaches the others by peers alone", func() {
+		hosts := []configuration.Host{}
+		for i := range 5 {
+			hosts = append(hosts, hostNamed(fmt.Sprintf("x%d", i), "d1"), hostNamed(fmt.Sprintf("y%d", i), "d2"))
+		}
+		net := newNetwork(hosts...)
+		var started []*host
+		for _, h := range hosts {
+			started = append(started, net.start(h, ""))
+		}
+		watching := func() []string {
+			net.store.mu.Lock()
+			defer net.store.mu.Unlock()
+			var out []string
+			for h, n := range net.store.watches {
+				if n > 0 {
+					out = append(out, string(h))
+				}
+			}
+			return out
+		}
+		gomega.Eventually(watching).Should(gomega.ConsistOf("x0", "x1", "y0", "y1"))
+		for _, h := range started {
+			gomega.Eventually(h.Ready).Should(gomega.BeTrue())
+		}
+		_, err := started[9].Apply(ctx, teamTicket(7, "ann", 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, h := range started {
+			gomega.Eventually(h.Number).Should(gomega.Equal(uint64(7)))
+		}
+		gomega.Expect(watching()).To(gomega.ConsistOf("x0", "x1", "y0", "y1"))
+	})
+})
+
+var _ = ginkgo.Describe("the cached copy", func() {
+	ctx := context.Background()
+	var net *network
+	var ha, hb configuration.Host
+	var a, b *host
+	var folder string
+
+	ginkgo.BeforeEach(func() {
+		ha, hb = hostNamed("a", "d1"), hostNamed("b", "d1")
+		net = newNetwork(ha, hb)
+		folder = ginkgo.GinkgoT().TempDir()
+		a, b = net.start(ha, folder), net.start(hb, "")
+		_, err := a.Apply(ctx, teamTicket(1, "ann", 1))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Eventually(func() bool { return configuration.HasCache(folder) }).Should(gomega.BeTrue())
+		a.stop()
+		net.mu.Lock()
+		delete(net.hosts, ha.PeerAddress)
+		net.mu.Unlock()
+		_, err = b.Apply(ctx, teamTicket(2, "bob", 2))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	})
+
+	// Guards against a host that keeps working with the copy of before its restart.
+	ginkgo.It("gives way to the store", func() {
+		a = net.start(ha, folder)
+		gomega.Eventually(a.Number).Should(gomega.Equal(uint64(2)))
+	})
+
+	// Guards against a host that is ready with an old copy although a peer has the newer ticket.
+	ginkgo.It("gives way to a peer while the store is down", func() {
+		a = net.start(ha, folder, func(c *client) { c.setDown(true) })
+		gomega.Eventually(a.Number).Should(gomega.Equal(uint64(1)))
+		gomega.Eventually(a.Ready).Should(gomega.BeTrue(), "after the grace")
+		net.heartbeat()
+		gomega.Eventually(a.Number).Should(gomega.Equal(uint64(2)))
+		gomega.Expect(a.seen()).To(gomega.Equal([]uint64{1, 2}))
+	})
+
+	// Guards against a host without any configuration that calls itself ready.
+	ginkgo.It("is needed for readiness while neither the store nor a peer answers", func() {
+		c := net.start(ha, "", func(c *client) { c.setDown(true) })
+		gomega.Consistently(c.Ready, "100ms").Should(gomega.BeFalse())
+		c.client.setDown(false)
+		gomega.Eventually(c.Ready).Should(gomega.BeTrue())
+	})
+})
--- /dev/null
+++ b/service/configuration/fakes_test.go
@@ -0,0 +1,340 @@
+package configuration_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	coreconfiguration "github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/service/configuration"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// fakeStore is an object store in memory, shared by all hosts of a test.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision objectapi.Version
+	objects  map[string]objectapi.Object
+	changed  chan struct{}
+	watches  map[ids.Host]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{}), watches: map[ids.Host]int{}}
+}
+
+func (s *fakeStore) write(kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := kind + "/" + name
+	if s.objects[key].Version != expected {
+		return 0, objectapi.ErrConflict
+	}
+	s.revision++
+	s.objects[key] = objectapi.Object{Kind: kind, Name: name, Version: s.revision, Value: value}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision, nil
+}
+
+func (s *fakeStore) names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, o := range s.objects {
+		if o.Kind == kind {
+			out = append(out, o.Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// fault changes one write to the store. It runs before the write and returns what happens instead.
+type fault struct {
+	kind    string
+	before  func()
+	perform bool  // the write takes effect
+	answer  error // what the writer gets; nil is the true answer
+}
+
+// client is one host's connection to the store.
+type client struct {
+	*fakeStore
+	host ids.Host
+
+	mu     sync.Mutex
+	down   bool
+	cut    context.CancelFunc
+	alive  context.Context
+	faults []fault
+}
+
+func newClient(s *fakeStore, host ids.Host) *client {
+	c := &client{fakeStore: s, host: host}
+	c.alive, c.cut = context.WithCancel(context.Background())
+	return c
+}
+
+func (c *client) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+	c.cut()
+	c.alive, c.cut = context.WithCancel(context.Background())
+}
+
+func (c *client) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+func (c *client) put(kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	if c.isDown() {
+		return 0, objectapi.ErrUnavailable
+	}
+	f := fault{perform: true}
+	c.mu.Lock()
+	if i := slices.IndexFunc(c.faults, func(f fault) bool { return f.kind == kind }); i >= 0 {
+		f = c.faults[i]
+		c.faults = slices.Delete(c.faults, i, i+1)
+	}
+	c.mu.Unlock()
+	if f.before != nil {
+		f.before()
+	}
+	var v objectapi.Version
+	var err error
+	if f.perform {
+		v, err = c.write(kind, name, value, expected)
+	}
+	if f.answer != nil {
+		return 0, f.answer
+	}
+	return v, err
+}
+
+func (c *client) Create(_ context.Context, kind, name string, value []byte) (objectapi.Version, error) {
+	return c.put(kind, name, value, 0)
+}
+
+func (c *client) Update(_ context.Context, kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	return c.put(kind, name, value, expected)
+}
+
+func (c *client) Get(_ context.Context, kind, name string) (objectapi.Object, error) {
+	if c.isDown() {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	c.fakeStore.mu.Lock()
+	defer c.fakeStore.mu.Unlock()
+	o, ok := c.objects[kind+"/"+name]
+	if !ok {
+		return o, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+func (c *client) Delete(_ context.Context, kind, name string, _ objectapi.Version) error {
+	if c.isDown() {
+		return objectapi.ErrUnavailable
+	}
+	c.fakeStore.mu.Lock()
+	defer c.fakeStore.mu.Unlock()
+	delete(c.objects, kind+"/"+name)
+	return nil
+}
+
+func (c *client) List(_ context.Context, kind, prefix string) ([]objectapi.Object, objectapi.Version, error) {
+	if c.isDown() {
+		return nil, 0, objectapi.ErrUnavailable
+	}
+	c.fakeStore.mu.Lock()
+	defer c.fakeStore.mu.Unlock()
+	var out []objectapi.Object
+	for _, o := range c.objects {
+		if o.Kind == kind && strings.HasPrefix(o.Name, prefix) {
+			out = append(out, o)
+		}
+	}
+	return out, c.revision, nil
+}
+
+func (c *client) Watch(ctx context.Context, kind, prefix string, after objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
+	c.fakeStore.mu.Lock()
+	c.watches[c.host]++
+	c.fakeStore.mu.Unlock()
+	defer func() {
+		c.fakeStore.mu.Lock()
+		c.watches[c.host]--
+		c.fakeStore.mu.Unlock()
+	}()
+	for {
+		c.mu.Lock()
+		down, alive := c.down, c.alive
+		c.mu.Unlock()
+		if down {
+			return nil, 0, objectapi.ErrUnavailable
+		}
+		c.fakeStore.mu.Lock()
+		changed, revision := c.changed, c.revision
+		var out []objectapi.Change
+		for _, o := range c.objects {
+			if o.Kind == kind && strings.HasPrefix(o.Name, prefix) && o.Version > after {
+				out = append(out, objectapi.Change{Object: o})
+			}
+		}
+		c.fakeStore.mu.Unlock()
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-alive.Done():
+			return nil, 0, objectapi.ErrUnavailable
+		case <-changed:
+		}
+	}
+}
+
+// network carries messages between the hosts of a test.
+type network struct {
+	store *fakeStore
+	mu    sync.Mutex
+	hosts map[string]*host // by peer address
+	cut   map[string]bool
+	all   []configuration.Host
+}
+
+type host struct {
+	*configuration.Service
+	client *client
+	self   configuration.Host
+	net    *network
+	stop   func()
+
+	mu      sync.Mutex
+	numbers []uint64
+}
+
+func newNetwork(hosts ...configuration.Host) *network {
+	return &network{store: newFakeStore(), hosts: map[string]*host{}, cut: map[string]bool{}, all: hosts}
+}
+
+// start starts a host. Its data folder may be empty.
+func (n *network) start(self configuration.Host, folder string, prepare ...func(*client)) *host {
+	h := &host{client: newClient(n.store, self.Name), self: self, net: n}
+	for _, fn := range prepare {
+		fn(h.client)
+	}
+	state := core.NewState(map[string]core.Subsystem{"configuration": coreconfiguration.NewState()})
+	run := runtime.New(clock.System(), state, nil)
+	h.Service = configuration.New(run, h.client, h, h, configuration.Options{
+		DataFolder: folder,
+		CacheGrace: 50 * time.Millisecond, RoleInterval: 5 * time.Millisecond,
+		RetryMin: time.Millisecond, RetryMax: 10 * time.Millisecond,
+		CallTimeout: time.Second, ApplyTimeout: 5 * time.Second,
+	})
+	h.Subscribe(func(c *config.Config) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.numbers = append(h.numbers, c.Number)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = run.Run(ctx) })
+	wg.Go(func() { _ = h.Run(ctx) })
+	h.stop = sync.OnceFunc(func() { cancel(); wg.Wait() })
+	ginkgo.DeferCleanup(h.stop)
+	n.mu.Lock()
+	n.hosts[self.PeerAddress] = h
+	n.mu.Unlock()
+	return h
+}
+
+// isolate cuts a host off from its peers and from the store, or brings it back.
+func (n *network) isolate(h *host, cut bool) {
+	n.mu.Lock()
+	n.cut[h.self.PeerAddress] = cut
+	n.mu.Unlock()
+	h.client.setDown(cut)
+}
+
+// heartbeat brings every host's number to every other host.
+func (n *network) heartbeat() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for a, from := range n.hosts {
+		for b, to := range n.hosts {
+			if a != b && !n.cut[a] && !n.cut[b] {
+				to.PeerNumber(a, from.Number())
+			}
+		}
+	}
+}
+
+func (n *network) reach(from, to string) (*host, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.hosts[to]
+	if !ok || n.cut[from] || n.cut[to] {
+		return nil, errors.Newf("host %s does not answer", to)
+	}
+	return h, nil
+}
+
+// seen returns the numbers that were in force, in order.
+func (h *host) seen() []uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.numbers)
+}
+
+func (h *host) Self() configuration.Host         { return h.self }
+func (h *host) Rank(string) []configuration.Host { return h.net.all }
+
+func (h *host) Send(_ context.Context, addr string, t wire.Type, body any) error {
+	to, err := h.net.reach(h.self.PeerAddress, addr)
+	if err != nil {
+		return err
+	}
+	gomega.Expect(t).To(gomega.Equal(wire.TypeTicket))
+	b, err := msgpack.Marshal(body)
+	if err != nil {
+		return err
+	}
+	var p coreconfiguration.Pushed
+	if err := msgpack.Unmarshal(b, &p); err != nil {
+		return err
+	}
+	to.HandlePush(p)
+	return nil
+}
+
+func (h *host) Call(_ context.Context, addr string, t wire.Type, _, out any) error {
+	to, err := h.net.reach(h.self.PeerAddress, addr)
+	if err != nil {
+		return err
+	}
+	gomega.Expect(t).To(gomega.Equal(wire.TypeTicketFetch))
+	b, err := msgpack.Marshal(to.HandleFetch(configuration.Fetch{}))
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(b, out)
+}
--- /dev/null
+++ b/service/configuration/service.go
@@ -0,0 +1,422 @@
+// Package configuration accepts tickets, watches the configuration in the store, distributes it to the
+// peers and keeps a cached copy of it in the data folder.
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// objectName is the name of the configuration in force in the store, of kind objectapi.KindConfig.
+const objectName = "current"
+
+// watchersPerDomain hosts of each failure domain watch the store, so that the loss of one host delays
+// no ticket, and the number of watches does not grow with the fleet.
+const watchersPerDomain = 2
+
+// Host is a member as far as this package needs it.
+type Host struct {
+	Name          ids.Host
+	FailureDomain string
+	PeerAddress   string
+}
+
+// Membership is the part of the membership's View that this package uses.
+type Membership interface {
+	Self() Host
+	// Rank returns the hosts in state up by rendezvous hash of the key, best first.
+	Rank(key string) []Host
+}
+
+// Peers sends messages to other hosts.
+type Peers interface {
+	// Send sends a one-way message; it may be lost.
+	Send(ctx context.Context, addr string, t wire.Type, body any) error
+	// Call sends a request and decodes the answer into out.
+	Call(ctx context.Context, addr string, t wire.Type, body, out any) error
+}
+
+// Runtime is the part of *runtime.Runtime that this package uses.
+type Runtime interface {
+	Publish(ev event.Event)
+	Handle(k event.Kind, h runtime.Handler)
+	Clock() clock.Clock
+}
+
+// Reporter receives the log events of this package.
+type Reporter func(name string, fields map[string]any)
+
+// Fetch is the body of a wire.TypeTicketFetch frame; the answer is a configuration.Document.
+type Fetch struct {
+	// Number is the number in force at the sender.
+	Number uint64 `msgpack:"n"`
+}
+
+// Options are the settings of a Service. Zero values take the defaults.
+type Options struct {
+	// DataFolder holds the cached copy; empty keeps none.
+	DataFolder string
+	// CacheGrace is how long a restarted host waits for the store or a peer before the cached copy makes
+	// it ready. The default is 2 s, the time within which a live peer's heartbeat arrives.
+	CacheGrace time.Duration
+	// RoleInterval is how often a host checks whether it is one of the watchers. The default is 1 s.
+	RoleInterval time.Duration
+	// RetryMin and RetryMax bound the pause after a failed store call. The defaults are 200 ms and 5 s.
+	RetryMin, RetryMax time.Duration
+	// CallTimeout bounds one store call or peer request. The default is 5 s.
+	CallTimeout time.Duration
+	// WatchTimeout bounds one watch, which the platform answers within 30 s. The default is 35 s.
+	WatchTimeout time.Duration
+	// ApplyTimeout bounds Apply. The default is 30 s.
+	ApplyTimeout time.Duration
+	Report       Reporter
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.CacheGrace, 2*time.Second)
+	setDefault(&o.RoleInterval, time.Second)
+	setDefault(&o.RetryMin, 200*time.Millisecond)
+	setDefault(&o.RetryMax, 5*time.Second)
+	setDefault(&o.CallTimeout, 5*time.Second)
+	setDefault(&o.WatchTimeout, 35*time.Second)
+	setDefault(&o.ApplyTimeout, 30*time.Second)
+	if o.Report == nil {
+		o.Report = func(string, map[string]any) {}
+	}
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// Service is the configuration role of a host. It implements the Source of the design, section 15.
+type Service struct {
+	opts    Options
+	store   objectapi.Store
+	peers   Peers
+	members Membership
+	run     Runtime
+
+	current   atomic.Pointer[configuration.Document]
+	confirmed atomic.Bool // the store or a peer has answered
+	graceOver atomic.Bool // the cached copy counts as ready
+	fetching  atomic.Bool
+
+	mu          sync.Mutex
+	ctx         context.Context // of Run; nil before it
+	subscribers []func(*config.Config)
+	changed     chan struct{} // closed and replaced at each change
+	cacheWrites chan *configuration.Document
+}
+
+// New returns a service and sets the handlers of its effects on the runtime.
+func New(run Runtime, store objectapi.Store, peers Peers, members Membership, opts Options) *Service {
+	opts.setDefaults()
+	s := &Service{
+		opts: opts, store: store, peers: peers, members: members, run: run,
+		changed:     make(chan struct{}),
+		cacheWrites: make(chan *configuration.Document, 1),
+	}
+	s.current.Store(&configuration.Document{})
+	run.Handle(configuration.KindInForce, s.inForce)
+	run.Handle(configuration.KindFetch, s.fetchEffect)
+	run.Handle(configuration.KindConfirmed, s.confirmEffect)
+	return s
+}
+
+// Run loads the cached copy, reads the store and watches it while this host is a watcher, until ctx is
+// done.
+func (s *Service) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if s.opts.DataFolder != "" {
+		s.loadCache()
+		wg.Go(func() { s.writeCache(ctx) })
+	}
+	wg.Go(func() {
+		if sleep(ctx, s.opts.CacheGrace) {
+			s.graceOver.Store(true)
+		}
+	})
+	s.watchLoop(ctx)
+	return nil
+}
+
+// Current returns the configuration in force. It is immutable and never nil.
+func (s *Service) Current() *config.Config { return &s.current.Load().Config }
+
+// Number returns the ticket number in force, for heartbeats.
+func (s *Service) Number() uint64 { return s.current.Load().Number }
+
+// Accepted returns the latest accepted tickets, the oldest first. The slice is shared and immutable.
+func (s *Service) Accepted() []configuration.Accepted { return s.current.Load().Accepted }
+
+// Ready reports whether the configuration may be acted on: the store or a peer has answered, or none
+// did within Options.CacheGrace and there is a cached copy.
+func (s *Service) Ready() bool {
+	return s.confirmed.Load() || (s.graceOver.Load() && s.Number() > 0)
+}
+
+// Subscribe adds a function that is called on each change, in number order. It runs on the reducer's
+// goroutine and must not block.
+func (s *Service) Subscribe(fn func(*config.Config)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subscribers = append(s.subscribers, fn)
+}
+
+// PeerNumber takes the number in force at a peer from its heartbeat.
+func (s *Service) PeerNumber(addr string, number uint64) {
+	if number > s.Number() || !s.confirmed.Load() {
+		s.run.Publish(configuration.PeerHeard{From: addr, Number: number})
+	}
+}
+
+// HandlePush takes the body of a wire.TypeTicket frame.
+func (s *Service) HandlePush(p configuration.Pushed) { s.run.Publish(p) }
+
+// HandleFetch answers a wire.TypeTicketFetch frame.
+func (s *Service) HandleFetch(Fetch) *configuration.Document { return s.current.Load() }
+
+// inForce carries out the effect configuration.InForce.
+func (s *Service) inForce(_ clock.Millis, eff event.Effect) {
+	e := eff.(configuration.InForce)
+	s.current.Store(e.Document)
+	s.mu.Lock()
+	subscribers := slices.Clone(s.subscribers)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	for _, fn := range subscribers {
+		fn(&e.Document.Config)
+	}
+	s.opts.Report("configuration_in_force", map[string]any{"ticket": e.Document.Number, "author": e.Document.Last.Author, "origin": string(e.Origin)})
+	if e.Origin == configuration.OriginCache {
+		return
+	}
+	s.queueCacheWrite(e.Document)
+	s.background(func(ctx context.Context) { s.push(ctx, e.Document) })
+}
+
+func (s *Service) confirmEffect(_ clock.Millis, eff event.Effect) {
+	e := eff.(configuration.Confirmed)
+	s.confirmed.Store(true)
+	s.opts.Report("configuration_confirmed", map[string]any{"ticket": e.Number, "origin": string(e.Origin)})
+}
+
+// background runs fn on a goroutine with the context of Run and reports whether it did. Outside Run it
+// does not; the peers' heartbeats repeat what was missed.
+func (s *Service) background(fn func(context.Context)) bool {
+	s.mu.Lock()
+	ctx := s.ctx
+	s.mu.Unlock()
+	if ctx == nil || ctx.Err() != nil {
+		return false
+	}
+	go fn(ctx)
+	return true
+}
+
+// push sends the last ticket to the finger peers. A push that is lost is made up for by heartbeats.
+func (s *Service) push(ctx context.Context, d *configuration.Document) {
+	body := configuration.Pushed{From: s.members.Self().PeerAddress, Base: d.Base, Ticket: d.Last}
+	if a, ok := d.FindNumber(d.Number); ok {
+		body.At = a.At
+	}
+	for _, h := range fingers(s.members.Self(), s.members.Rank(objectapi.KindConfig)) {
+		go func() {
+			callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+			defer cancel()
+			if err := s.peers.Send(callCtx, h.PeerAddress, wire.TypeTicket, body); err != nil && ctx.Err() == nil {
+				s.opts.Report("ticket_push_failed", map[string]any{"peer": string(h.Name), "ticket": d.Number, "error": err.Error()})
+			}
+		}()
+	}
+}
+
+// fingers returns the hosts at ring distances 1, 2, 4, ... from self, the ring being in name order.
+func fingers(self Host, up []Host) []Host {
+	ring := slices.DeleteFunc(slices.Clone(up), func(h Host) bool { return h.Name == self.Name })
+	ring = append(ring, self)
+	slices.SortFunc(ring, func(a, b Host) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	at := slices.IndexFunc(ring, func(h Host) bool { return h.Name == self.Name })
+	var out []Host
+	for d := 1; d < len(ring); d *= 2 {
+		out = append(out, ring[(at+d)%len(ring)])
+	}
+	return out
+}
+
+// fetchEffect reads the configuration from a peer. One fetch runs at a time; the peer's next heartbeat
+// repeats one that was skipped or failed.
+func (s *Service) fetchEffect(_ clock.Millis, eff event.Effect) {
+	e := eff.(configuration.Fetch)
+	if !s.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	started := s.background(func(ctx context.Context) {
+		defer s.fetching.Store(false)
+		s.fetch(ctx, e)
+	})
+	if !started {
+		s.fetching.Store(false)
+	}
+}
+
+func (s *Service) fetch(ctx context.Context, e configuration.Fetch) {
+	callCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	d := &configuration.Document{}
+	if err := s.peers.Call(callCtx, e.From, wire.TypeTicketFetch, Fetch{Number: s.Number()}, d); err != nil {
+		if ctx.Err() == nil {
+			s.opts.Report("ticket_fetch_failed", map[string]any{"peer": e.From, "ticket": e.Number, "error": err.Error()})
+		}
+		return
+	}
+	s.run.Publish(configuration.Offered{Origin: configuration.OriginPeer, Document: d})
+}
+
+// isWatcher reports whether this host is among the first of its failure domain.
+func (s *Service) isWatcher() bool {
+	self := s.members.Self()
+	n := 0
+	for _, h := range s.members.Rank(objectapi.KindConfig) {
+		if h.FailureDomain != self.FailureDomain {
+			continue
+		}
+		if h.Name == self.Name {
+			return true
+		}
+		if n++; n == watchersPerDomain {
+			return false
+		}
+	}
+	return false
+}
+
+// watchLoop reads the store until the store or a peer has answered, and watches it while this host is a
+// watcher.
+func (s *Service) watchLoop(ctx context.Context) {
+	after := objectapi.Version(0)
+	known := false // after is the version of a configuration that was read
+	pause := s.opts.RetryMin
+	for ctx.Err() == nil {
+		watcher := s.isWatcher()
+		if !watcher {
+			known = false
+			if s.confirmed.Load() {
+				sleep(ctx, s.opts.RoleInterval)
+				continue
+			}
+		}
+		var err error
+		if !known {
+			if after, err = s.readStore(ctx); err == nil {
+				known = true
+			}
+		} else {
+			after, err = s.watch(ctx, after)
+		}
+		if err == nil {
+			pause = s.opts.RetryMin
+			if !watcher {
+				// The answer is reduced soon; this keeps the loop from reading again before that.
+				sleep(ctx, s.opts.RetryMin)
+			}
+			continue
+		}
+		known = false
+		if ctx.Err() == nil {
+			s.opts.Report("configuration_read_failed", map[string]any{"error": err.Error()})
+		}
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, s.opts.RetryMax)
+	}
+}
+
+// readStore offers the stored configuration to the reducer and returns its version.
+func (s *Service) readStore(ctx context.Context) (objectapi.Version, error) {
+	d, v, err := s.readDocument(ctx)
+	if err != nil {
+		return 0, err
+	}
+	s.run.Publish(configuration.Offered{Origin: configuration.OriginStore, Document: d})
+	return v, nil
+}
+
+// readDocument returns the stored configuration; version 0 and an empty document if there is none.
+func (s *Service) readDocument(ctx context.Context) (*configuration.Document, objectapi.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	o, err := s.store.Get(ctx, objectapi.KindConfig, objectName)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return &configuration.Document{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read the configuration from the store")
+	}
+	d, err := configuration.Decode(o.Value)
+	if err != nil {
+		return nil, 0, err
+	}
+	return d, o.Version, nil
+}
+
+func (s *Service) watch(ctx context.Context, after objectapi.Version) (objectapi.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.WatchTimeout)
+	defer cancel()
+	changes, revision, err := s.store.Watch(ctx, objectapi.KindConfig, objectName, after)
+	if err != nil {
+		return after, errors.Wrap(err, "watch the configuration in the store")
+	}
+	for _, c := range changes {
+		if c.Name != objectName || c.Deleted {
+			continue
+		}
+		d, err := configuration.Decode(c.Value)
+		if err != nil {
+			return after, err
+		}
+		s.run.Publish(configuration.Offered{Origin: configuration.OriginStore, Document: d})
+	}
+	return max(after, revision), nil
+}
+
+func cachePath(folder string) string { return filepath.Join(folder, "configuration.json.zst") }
+
+// jitter returns a duration between d/2 and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// sleep waits for d and reports whether ctx is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
