Add stand-ins for the platform, engines, tools, services and weights

Cause: tests and the demo need the other side of docs/external-protocols.md, with faults that real systems show and counters that prove what ran.

Ruled out: answering engine requests at once, because scheduling and cache policies can only be compared when batching, prefill and cache memory cost time; a relay that accepts and resets connections while cut, because a caller must be able to tell a refused connection (not run) from a broken one.

Before: no stand-ins.

Conclusion: the other packages can test against them in-process or as processes.

--- /dev/null
+++ b/cmd/hyssopreel-standin/main.go
@@ -0,0 +1,239 @@
+// Command hyssopreel-standin serves the stand-ins for the systems outside of hyssopreel, for tests and the
+// demo. It prints "listening <address>" on stdout for each address when it is ready, and ends on SIGTERM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopreel/hyssopreel/standin/engine"
+	"github.com/hyssopreel/hyssopreel/standin/linkproxy"
+	"github.com/hyssopreel/hyssopreel/standin/plainservice"
+	"github.com/hyssopreel/hyssopreel/standin/platform"
+	"github.com/hyssopreel/hyssopreel/standin/tool"
+	"github.com/hyssopreel/hyssopreel/standin/weights"
+)
+
+type platformCommand struct {
+	Listen   string  `long:"listen" default:"127.0.0.1:0" description:"address"`
+	Backends string  `long:"backends" description:"JSON file with the list of backend servers"`
+	LagMS    int64   `long:"lag-ms" default:"0" description:"time until a change of the list shows"`
+	Reads    float64 `long:"read-rate" description:"reads per second (0: no limit)"`
+	Writes   float64 `long:"write-rate" description:"writes per second (0: no limit)"`
+}
+
+func (c *platformCommand) Execute([]string) error {
+	cfg := platform.Config{ReadsPerSecond: c.Reads, WritesPerSecond: c.Writes, BackendLag: millis(c.LagMS)}
+	if c.Backends != "" {
+		f, err := os.Open(c.Backends)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if cfg.Backends, err = platform.ParseBackends(f); err != nil {
+			return fmt.Errorf("%s: %w", c.Backends, err)
+		}
+	}
+	return serve(endpoint{c.Listen, platform.New(cfg)})
+}
+
+type engineCommand struct {
+	Listen         []string `long:"listen" description:"address; one engine for each (default 127.0.0.1:0)"`
+	Count          int      `long:"count" description:"number of engines on consecutive ports"`
+	BasePort       int      `long:"base-port" description:"first port of --count (0: any ports)"`
+	Host           string   `long:"host" default:"127.0.0.1" description:"IP address of --count"`
+	Name           string   `long:"name" default:"engine" description:"name; with several engines it gets a number"`
+	Model          string   `long:"model" description:"model that is loaded at the start"`
+	StepMS         float64  `long:"step-ms" default:"5" description:"time of a step with one request"`
+	PrefillUS      float64  `long:"prefill-us" default:"10" description:"time of one uncached prompt token"`
+	MaxRunning     int      `long:"max-running" default:"8" description:"requests in the batch"`
+	CacheTokens    int      `long:"cache-tokens" default:"200000" description:"size of the prefix cache"`
+	EventLagMS     int64    `long:"event-lag-ms" default:"200" description:"delay of cache events"`
+	EventDropEvery int      `long:"event-drop-every" default:"10" description:"every Nth cache event is lost (0: none)"`
+	ReportLagMS    int64    `long:"report-lag-ms" default:"500" description:"age of load reports"`
+	ChecksFencing  bool     `long:"checks-fencing" description:"refuse orders with an old fencing number"`
+	Weights        string   `long:"weights" description:"URL of the weight store"`
+	LoadMS         int64    `long:"load-ms" default:"0" description:"time of loading after the fetch"`
+	TransferUS     float64  `long:"transfer-us" default:"1" description:"time of one token at export and import"`
+}
+
+func (c *engineCommand) Execute([]string) error {
+	listen := c.Listen
+	for i := range c.Count {
+		port := 0
+		if c.BasePort > 0 {
+			port = c.BasePort + i
+		}
+		listen = append(listen, net.JoinHostPort(c.Host, strconv.Itoa(port)))
+	}
+	if len(listen) == 0 {
+		listen = []string{"127.0.0.1:0"}
+	}
+	endpoints := make([]endpoint, len(listen))
+	for i, address := range listen {
+		name := c.Name
+		if len(listen) > 1 {
+			name = fmt.Sprintf("%s-%d", name, i)
+		}
+		e := engine.New(c.config(name))
+		defer e.Close()
+		endpoints[i] = endpoint{address, e}
+	}
+	return serve(endpoints...)
+}
+
+func (c *engineCommand) config(name string) engine.Config {
+	cfg := engine.Config{
+		Name:           name,
+		Model:          c.Model,
+		Step:           time.Duration(c.StepMS * float64(time.Millisecond)),
+		Prefill:        micros(c.PrefillUS),
+		MaxRunning:     c.MaxRunning,
+		CacheTokens:    c.CacheTokens,
+		EventLag:       millis(c.EventLagMS),
+		EventDropEvery: c.EventDropEvery,
+		ReportLag:      millis(c.ReportLagMS),
+		ChecksFencing:  c.ChecksFencing,
+		Weights:        c.Weights,
+		Load:           millis(c.LoadMS),
+		Transfer:       micros(c.TransferUS),
+	}
+	if c.PrefillUS == 0 {
+		cfg.Prefill = -1 // 0 stands for the default
+	}
+	return cfg
+}
+
+type toolCommand struct {
+	Listen string `long:"listen" default:"127.0.0.1:0" description:"address"`
+}
+
+func (c *toolCommand) Execute([]string) error { return serve(endpoint{c.Listen, tool.New()}) }
+
+type serviceCommand struct {
+	Listen []string `long:"listen" default:"127.0.0.1:0" description:"address; one service for each"`
+}
+
+func (c *serviceCommand) Execute([]string) error {
+	endpoints := make([]endpoint, len(c.Listen))
+	for i, address := range c.Listen {
+		endpoints[i] = endpoint{address, plainservice.New()}
+	}
+	return serve(endpoints...)
+}
+
+type weightsCommand struct {
+	Listen     string  `long:"listen" default:"127.0.0.1:0" description:"address"`
+	TransferMS int64   `long:"transfer-ms" default:"200" description:"time of one fetch"`
+	Rate       float64 `long:"rate" description:"fetches per second (0: no limit)"`
+	Burst      int     `long:"burst" default:"1" description:"fetches that may start together"`
+}
+
+func (c *weightsCommand) Execute([]string) error {
+	return serve(endpoint{c.Listen, weights.New(weights.Config{
+		Transfer: millis(c.TransferMS), FetchesPerSecond: c.Rate, Burst: c.Burst,
+	})})
+}
+
+type linkCommand struct {
+	Listen  string `long:"listen" default:"127.0.0.1:0" description:"address of the relay"`
+	To      string `long:"to" required:"true" description:"address of the target"`
+	Control string `long:"control" default:"127.0.0.1:0" description:"address of the control calls"`
+}
+
+// Execute prints "control <address>" before the line for the relay.
+func (c *linkCommand) Execute([]string) error {
+	p, err := linkproxy.Listen(c.Listen, c.To)
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	return serveAs(func(address net.Addr) {
+		fmt.Println("control", address)
+		fmt.Println("listening", p.Addr())
+	}, endpoint{c.Control, p.Handler()})
+}
+
+func millis(ms int64) time.Duration   { return time.Duration(ms) * time.Millisecond }
+func micros(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
+
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
+func serve(endpoints ...endpoint) error {
+	return serveAs(func(address net.Addr) { fmt.Println("listening", address) }, endpoints...)
+}
+
+// serveAs listens on all addresses before it announces the first, and serves until SIGTERM or SIGINT. Open
+// connections are closed then, because watches and streams may wait for long.
+func serveAs(announce func(net.Addr), endpoints ...endpoint) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	listeners := make([]net.Listener, len(endpoints))
+	for i, e := range endpoints {
+		l, err := net.Listen("tcp", e.address)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		listeners[i] = l
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for i, e := range endpoints {
+		server := &http.Server{Handler: e.handler}
+		group.Go(func() error {
+			if err := server.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			return server.Close()
+		})
+		announce(listeners[i].Addr())
+	}
+	return group.Wait()
+}
+
+func main() {
+	log.SetHandler(text.New(os.Stderr))
+	log.SetLevel(log.ErrorLevel)
+	parser := flags.NewParser(nil, flags.Default)
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"platform", "object API and list of backend servers", &platformCommand{}},
+		{"engine", "model engines", &engineCommand{}},
+		{"tool", "tool services", &toolCommand{}},
+		{"service", "plain services", &serviceCommand{}},
+		{"weights", "weight store", &weightsCommand{}},
+		{"link", "TCP relay that can be cut or silenced", &linkCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, c.short, c.data); err != nil {
+			log.WithError(err).WithField("command", c.name).Fatal("declare command")
+		}
+	}
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1) // the parser has printed the error
+	}
+}
--- /dev/null
+++ b/cmd/hyssopreel-standin/main_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const runMain = "HYSSOPREEL_STANDIN_RUN_MAIN"
+
+// TestMain runs the command itself when the tests start this binary again.
+func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestCommand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second) // machines may be busy
+	RunSpecs(t, "Stand-in command")
+}
+
+// start runs the command and returns the words of its first n lines.
+func start(n int, args ...string) (*exec.Cmd, [][]string) {
+	GinkgoHelper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), runMain+"=1")
+	cmd.Stderr = GinkgoWriter
+	out, err := cmd.StdoutPipe()
+	Expect(err).NotTo(HaveOccurred())
+	Expect(cmd.Start()).To(Succeed())
+	DeferCleanup(func() { _ = cmd.Process.Kill() }) // it has ended already if the spec passed
+	lines, scanner := [][]string{}, bufio.NewScanner(out)
+	for len(lines) < n && scanner.Scan() {
+		lines = append(lines, strings.Fields(scanner.Text()))
+	}
+	Expect(lines).To(HaveLen(n))
+	return cmd, lines
+}
+
+func stop(cmd *exec.Cmd) {
+	GinkgoHelper()
+	Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	Expect(cmd.Wait()).To(Succeed())
+}
+
+func get(url string) string {
+	GinkgoHelper()
+	resp, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(200))
+	return string(b)
+}
+
+var _ = Describe("hyssopreel-standin", func() {
+	// Guards against a command that announces an address that does not answer, or ignores SIGTERM.
+	DescribeTable("serves until SIGTERM", func(servers int, args ...string) {
+		cmd, lines := start(servers, args...)
+		for _, words := range lines {
+			Expect(words).To(HaveLen(2))
+			Expect(words[0]).To(Equal("listening"))
+			Expect(get("http://" + words[1] + "/control/counters")).To(HavePrefix("{"))
+		}
+		stop(cmd)
+	},
+		Entry("platform", 1, "platform", "--listen", "127.0.0.1:0"),
+		Entry("engine", 1, "engine", "--checks-fencing", "--step-ms", "2"),
+		Entry("several engines", 3, "engine", "--count", "3"),
+		Entry("tool", 1, "tool"),
+		Entry("services", 2, "service", "--listen", "127.0.0.1:0", "--listen", "127.0.0.1:0"),
+		Entry("weights", 1, "weights", "--rate", "2"),
+	)
+
+	// Guards against a relay without its control calls.
+	It("relays and cuts", func() {
+		target, lines := start(1, "tool")
+		link, addresses := start(2, "link", "--to", lines[0][1])
+		control, relay := "http://"+addresses[0][1], "http://"+addresses[1][1]
+		Expect(get(relay + "/control/counters")).To(ContainSubstring("executions"))
+		resp, err := http.Post(control+"/control/cut", "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		resp.Body.Close()
+		_, err = http.Get(relay + "/control/counters")
+		Expect(err).To(HaveOccurred())
+		stop(link)
+		stop(target)
+	})
+
+	// Guards against a list file that is not shown.
+	It("loads the list of backend servers", func() {
+		file := GinkgoT().TempDir() + "/backends.json"
+		Expect(os.WriteFile(file, []byte(`{"backends": [{"name": "w1", "state": "live"}]}`), 0o600)).To(Succeed())
+		cmd, lines := start(1, "platform", "--backends", file, "--lag-ms", "5000")
+		Expect(get("http://" + lines[0][1] + "/v1/backends")).To(ContainSubstring(`"w1"`))
+		stop(cmd)
+	})
+})
--- /dev/null
+++ b/standin/internal/execution/execution.go
@@ -0,0 +1,185 @@
+// Package execution is the common part of the stand-ins for tools and plain services: it counts
+// executions by idempotency key, follows the directives in request bodies and applies faults.
+package execution
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssopreel/hyssopreel/standin/internal/control"
+)
+
+// Points at which the fault "break" closes the connection.
+const (
+	BreakBeforeRead = "before_read" // after the headers, before the body is read; the request does not run
+	BreakAfterRead  = "after_read"  // after the body is read; the request does not run
+	BreakAfterRun   = "after_run"   // the request runs, its answer is lost
+)
+
+// Faults are set by POST /control/faults. They do not touch the control calls.
+type Faults struct {
+	// Break closes the connections of the next BreakCount requests (0 means 1) at one of the points
+	// "before_read", "after_read" and "after_run".
+	Break      string `json:"break"`
+	BreakCount int    `json:"break_count"`
+	// SlowMS delays every request before it runs. It runs even if its caller goes away.
+	SlowMS int64 `json:"slow_ms"`
+	// Refuse answers the next N requests with RefuseStatus (0 means 503) and Request-Not-Run.
+	Refuse       int `json:"refuse"`
+	RefuseStatus int `json:"refuse_status"`
+	// Leaving refuses every request with 503 and Request-Not-Run, and counts them in leaving_accepted.
+	Leaving bool `json:"leaving"`
+}
+
+// Directives are the fields of a JSON request body that steer its execution.
+type Directives struct {
+	SleepMS int64 `json:"sleep_ms"` // the execution takes this long
+	Hang    bool  `json:"hang"`     // the request runs, but is never answered
+	// Fail is "before" (503, not run) or "after" (runs, then the connection closes without an answer).
+	Fail string `json:"fail"`
+}
+
+// Counters is the answer of GET /control/counters.
+type Counters struct {
+	// Executions counts by idempotency key; requests without a key are under "".
+	Executions map[string]int64 `json:"executions"`
+	// Requests counts all arrived requests, refused and broken ones included.
+	Requests int64 `json:"requests"`
+	// LeavingAccepted counts requests that arrived while the fault "leaving" was set.
+	LeavingAccepted int64 `json:"leaving_accepted"`
+}
+
+// Runner counts and executes requests. It never filters duplicate keys.
+type Runner struct {
+	faults *control.Faults[Faults]
+
+	mu       sync.Mutex
+	counters Counters
+}
+
+// New returns a runner without faults.
+func New() *Runner {
+	return &Runner{
+		faults:   control.NewFaults[Faults](),
+		counters: Counters{Executions: map[string]int64{}},
+	}
+}
+
+// Mount adds the control calls.
+func (e *Runner) Mount(r chi.Router) {
+	e.faults.Mount(r)
+	r.Get("/control/counters", func(w http.ResponseWriter, _ *http.Request) {
+		control.JSON(w, http.StatusOK, e.Counters())
+	})
+}
+
+// SetFaults replaces all faults.
+func (e *Runner) SetFaults(f Faults) { e.faults.Set(f) }
+
+// Counters returns a copy of the counters.
+func (e *Runner) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.counters
+	out.Executions = maps.Clone(e.counters.Executions)
+	return out
+}
+
+// Run handles one request. The answer is the given fields with "key", "execution" (how often this key has
+// run, this time included) and "body", the request's body if that is JSON.
+func (e *Runner) Run(w http.ResponseWriter, r *http.Request, answer map[string]any) {
+	f := e.arrive()
+	if f.Leaving {
+		control.NotRun(w, http.StatusServiceUnavailable, "leaving")
+		return
+	}
+	if status := e.takeRefusal(); status != 0 {
+		control.NotRun(w, status, http.StatusText(status))
+		return
+	}
+	broken := e.takeBreak()
+	if broken == BreakBeforeRead {
+		control.CloseConnection()
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || broken == BreakAfterRead {
+		control.CloseConnection()
+	}
+	var d Directives
+	_ = json.Unmarshal(body, &d) // a body that is not a JSON object has no directives
+	if d.Fail == "before" {
+		control.NotRun(w, http.StatusServiceUnavailable, "directive fail")
+		return
+	}
+	time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+	key := r.Header.Get("Idempotency-Key")
+	n := e.execute(key)
+	if d.Hang {
+		<-r.Context().Done()
+		return
+	}
+	control.Sleep(r.Context(), time.Duration(d.SleepMS)*time.Millisecond)
+	if d.Fail == "after" || broken == BreakAfterRun {
+		control.CloseConnection()
+	}
+	answer["key"], answer["execution"] = key, n
+	if json.Valid(body) {
+		answer["body"] = json.RawMessage(body)
+	}
+	control.JSON(w, http.StatusOK, answer)
+}
+
+func (e *Runner) arrive() Faults {
+	f := e.faults.Get()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counters.Requests++
+	if f.Leaving {
+		e.counters.LeavingAccepted++
+	}
+	return f
+}
+
+// execute counts the execution when it starts, so that one whose caller goes away is counted as well.
+func (e *Runner) execute(key string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counters.Executions[key]++
+	return e.counters.Executions[key]
+}
+
+func (e *Runner) takeRefusal() int {
+	status := 0
+	e.faults.Update(func(f *Faults) bool {
+		if f.Refuse <= 0 {
+			return false
+		}
+		f.Refuse--
+		if status = f.RefuseStatus; status == 0 {
+			status = http.StatusServiceUnavailable
+		}
+		return true
+	})
+	return status
+}
+
+func (e *Runner) takeBreak() string {
+	point := ""
+	e.faults.Update(func(f *Faults) bool {
+		if f.Break == "" {
+			return false
+		}
+		point = f.Break
+		if f.BreakCount--; f.BreakCount <= 0 {
+			f.Break, f.BreakCount = "", 0
+		}
+		return true
+	})
+	return point
+}
--- /dev/null
+++ b/standin/plainservice/plainservice.go
@@ -0,0 +1,37 @@
+// Package plainservice is a stand-in for a plain service. It answers any method and path outside of
+// /control, counts executions by idempotency key and never filters duplicates. The protocol and the
+// directives in JSON bodies are in docs/external-protocols.md.
+package plainservice
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssopreel/hyssopreel/standin/internal/execution"
+)
+
+// Faults of the service, set by POST /control/faults.
+type Faults = execution.Faults
+
+// Counters is the answer of GET /control/counters.
+type Counters = execution.Counters
+
+// Service is the stand-in; it is an http.Handler.
+type Service struct {
+	*execution.Runner
+	router *chi.Mux
+}
+
+// New returns a service without faults.
+func New() *Service {
+	s := &Service{Runner: execution.New(), router: chi.NewRouter()}
+	s.Mount(s.router)
+	s.router.HandleFunc("/*", func(w http.ResponseWriter, r *http.Request) {
+		s.Run(w, r, map[string]any{"method": r.Method, "path": r.URL.Path})
+	})
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
--- /dev/null
+++ b/standin/weights/weights.go
@@ -0,0 +1,131 @@
+// Package weights is a stand-in for the weight store, from which engines load models and adapters. The
+// protocol is in docs/external-protocols.md.
+package weights
+
+import (
+	"maps"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"github.com/hyssopreel/hyssopreel/standin/internal/control"
+)
+
+// Config of the stand-in.
+type Config struct {
+	// Transfer is the time that one fetch takes.
+	Transfer time.Duration
+	// FetchesPerSecond limits the rate; 0 is no limit.
+	FetchesPerSecond float64
+	// Burst is the number of fetches that may start together; 0 means 1.
+	Burst int
+}
+
+// Faults of the weight store, set by POST /control/faults.
+type Faults struct {
+	// Outage answers every fetch with 503.
+	Outage bool `json:"outage"`
+	// SlowMS is added to the transfer time.
+	SlowMS int64 `json:"slow_ms"`
+}
+
+// Counters is the answer of GET /control/counters.
+type Counters struct {
+	// Fetches counts finished fetches by "<model>@<version>".
+	Fetches map[string]int64 `json:"fetches"`
+	Refused int64            `json:"refused"` // answers 429
+	// Active and MaxActive count fetches in transfer, now and at most.
+	Active    int64 `json:"active"`
+	MaxActive int64 `json:"max_active"`
+}
+
+// Store is the stand-in; it is an http.Handler.
+type Store struct {
+	cfg    Config
+	router *chi.Mux
+	faults *control.Faults[Faults]
+	limit  *rate.Limiter
+
+	mu       sync.Mutex
+	counters Counters
+}
+
+// New returns a weight store that has every model.
+func New(cfg Config) *Store {
+	s := &Store{
+		cfg:      cfg,
+		router:   chi.NewRouter(),
+		faults:   control.NewFaults[Faults](),
+		limit:    rate.NewLimiter(rate.Inf, 0),
+		counters: Counters{Fetches: map[string]int64{}},
+	}
+	if cfg.FetchesPerSecond > 0 {
+		s.limit = rate.NewLimiter(rate.Limit(cfg.FetchesPerSecond), max(1, cfg.Burst))
+	}
+	s.faults.Mount(s.router)
+	s.router.Post("/v1/fetch", s.fetch)
+	s.router.Get("/control/counters", func(w http.ResponseWriter, _ *http.Request) {
+		control.JSON(w, http.StatusOK, s.Counters())
+	})
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// SetFaults replaces all faults.
+func (s *Store) SetFaults(f Faults) { s.faults.Set(f) }
+
+// Counters returns a copy of the counters.
+func (s *Store) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.counters
+	out.Fetches = maps.Clone(s.counters.Fetches)
+	return out
+}
+
+func (s *Store) fetch(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Model   string `json:"model"`
+		Version string `json:"version"`
+	}
+	if !control.Decode(w, r, &body) {
+		return
+	}
+	f := s.faults.Get()
+	if f.Outage {
+		control.Error(w, http.StatusServiceUnavailable, "outage")
+		return
+	}
+	if !s.limit.Allow() {
+		s.update(func(c *Counters) { c.Refused++ })
+		// Retry-After has whole seconds.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(1/s.cfg.FetchesPerSecond))))
+		control.Error(w, http.StatusTooManyRequests, "over the rate")
+		return
+	}
+	s.update(func(c *Counters) {
+		c.Active++
+		c.MaxActive = max(c.MaxActive, c.Active)
+	})
+	done := control.Sleep(r.Context(), s.cfg.Transfer+time.Duration(f.SlowMS)*time.Millisecond)
+	s.update(func(c *Counters) {
+		c.Active--
+		if done {
+			c.Fetches[body.Model+"@"+body.Version]++
+		}
+	})
+	control.JSON(w, http.StatusOK, body)
+}
+
+func (s *Store) update(fn func(*Counters)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(&s.counters)
+}
