Test the program reducer with random histories

Cause: the order of commits, dispatches and answers is where a crash can double a side effect or lose a turn. 400 histories of up to 120 steps with crashes between any two steps, a store that comes and goes, refusing and breaking servers. Two findings were faults of the test, not of the reducer: it counted executions of a repeatable call from before a crash against a later refusal, and took the parent's text in a child's prompt for a mix-up; both checks stay for the calls that may not be repeated and for programs without a parent relation.

--- /dev/null
+++ b/core/program/random_test.go
@@ -0,0 +1,435 @@
+package program_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+// TestMain fixes the seed and the number of histories, so that the verdict is the same on each run. Flags on
+// the command line override them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "120", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const (
+	budget    = 3000
+	maxTokens = 50
+)
+
+var testConfig = config.Config{Number: 1, Objects: config.Objects{
+	Pools: map[string]*config.Pool{"lm": {Kind: "engine", Model: "m"}, "app": {Kind: "service"}},
+	Agents: map[string]*config.Agent{
+		"judge":  {Pool: "lm", Class: "interactive", MaxTokens: maxTokens, Tools: []string{"pay", "look"}, Services: []string{"bench"}, Agents: []string{"helper"}},
+		"helper": {Pool: "lm", Class: "interactive", MaxTokens: maxTokens},
+	},
+	Tools:    map[string]*config.Tool{"pay": {CostTokens: 5}, "look": {Idempotent: true, CostTokens: 5}},
+	Services: map[string]*config.Service{"bench": {Pool: "app", CostTokens: 3}},
+	Teams:    map[string]*config.Team{"t": {MaxBudgetTokens: budget, MaxOpenPrograms: 100}},
+}}
+
+// world is everything around the reducer: the journal, the scheduler, the servers and the callers. It
+// counts what really ran.
+type world struct {
+	t     *rapid.T
+	now   clock.Millis
+	home  int
+	state *program.State
+
+	durable  []program.Record
+	pending  []program.Commit
+	enqueued []sched.Enqueued
+	inFlight []program.Dispatch
+
+	waiter    program.WaiterID
+	submitted map[program.WaiterID]submission
+	programs  []ids.Program
+	calls     map[string]api.Call // by program and key
+
+	executions map[string]int // by program and key
+	billed     map[ids.Program]int64
+	acked      map[ids.Program][]api.CallAnswer // durable answers in the order of their replies
+	storeDown  bool
+
+	executionsHere map[string]int // since the last restart
+}
+
+type submission struct {
+	program ids.Program
+	key     string
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: 1000, submitted: map[program.WaiterID]submission{}, calls: map[string]api.Call{},
+		executions: map[string]int{}, billed: map[ids.Program]int64{}, acked: map[ids.Program][]api.CallAnswer{},
+	}
+	w.restart()
+	return w
+}
+
+func (w *world) self() ids.Journal { return ids.NewJournal("h", uint64(w.home)) }
+
+// restart begins a new home from what the journal of the former one has.
+func (w *world) restart() {
+	w.home++
+	w.state = program.New(w.self(), program.Limits{
+		MaxQueuedCalls: 4, OrderWait: 2 * time.Second, IdleTimeout: time.Hour, Retention: time.Hour, MaxUnsaved: 1 << 20,
+	})
+	records := w.durable
+	w.durable, w.pending, w.enqueued, w.inFlight = nil, nil, nil, nil
+	w.submitted = map[program.WaiterID]submission{}
+	w.storeDown = false
+	w.executionsHere = map[string]int{}
+	w.send(program.ConfigChanged{Config: testConfig})
+	if w.home > 1 {
+		w.send(program.JournalRead{Journal: ids.NewJournal("h", uint64(w.home-1)), Records: records})
+		w.commit(len(w.pending))
+	}
+}
+
+func (w *world) send(e event.Event) {
+	for _, eff := range w.state.Reduce(w.now, e) {
+		switch f := eff.(type) {
+		case program.Commit:
+			w.pending = append(w.pending, f)
+		case program.Enqueue:
+			w.enqueued = append(w.enqueued, f.Request)
+		case program.Withdraw:
+			w.enqueued = slices.DeleteFunc(w.enqueued, func(q sched.Enqueued) bool { return q.Call == f.Request.Call })
+		case program.Dispatch:
+			w.dispatched(f)
+		case program.Reply:
+			w.replied(f)
+		}
+	}
+}
+
+// dispatched checks that a call that may not be repeated has a durable intent before it is sent.
+func (w *world) dispatched(d program.Dispatch) {
+	w.inFlight = append(w.inFlight, d)
+	for _, o := range w.inFlight[:len(w.inFlight)-1] {
+		if o.Call.Program == d.Call.Program && o.Call.Key != d.Call.Key {
+			w.t.Fatalf("calls %q and %q of program %s run at once", o.Call.Key, d.Call.Key, d.Call.Program)
+		}
+	}
+	for _, m := range d.Messages {
+		for _, other := range w.programs {
+			if other != d.Call.Program && strings.Contains(m.Content, "<"+string(other)+">") {
+				w.t.Fatalf("prompt of %s has text of %s", d.Call.Program, other)
+			}
+		}
+	}
+	if d.Idempotent {
+		return
+	}
+	for _, rec := range w.durable {
+		if rec.Op == program.OpIntent && rec.Program == d.Call.Program && rec.Key == d.Call.Key {
+			return
+		}
+	}
+	w.t.Fatalf("call %v was sent before its intent was durable", d.Call)
+}
+
+func name(id ids.Program, key string) string { return string(id) + "/" + key }
+
+func (w *world) replied(r program.Reply) {
+	s, ok := w.submitted[r.Waiter]
+	if !ok {
+		if r.Opened != "" {
+			w.programs = append(w.programs, r.Opened)
+		}
+		return
+	}
+	delete(w.submitted, r.Waiter)
+	if r.Error != nil && r.Error.Outcome == fault.NotRun && r.Error.Code != fault.CodeKeyReused && r.Error.Code != fault.CodeOutOfOrder {
+		if n := w.ran(s.program, s.key); n != 0 {
+			w.t.Fatalf("call %s of %s was refused as not run and ran %d times: %v", s.key, s.program, n, r.Error)
+		}
+	}
+	if r.Answer == nil {
+		return
+	}
+	if r.Answer.Program != s.program || r.Answer.Key != s.key {
+		w.t.Fatalf("answer of %s/%s went to the caller of %s/%s", r.Answer.Program, r.Answer.Key, s.program, s.key)
+	}
+	if r.Answer.Durable && r.Answer.State == program.AnswerDone {
+		w.acked[s.program] = append(w.acked[s.program], *r.Answer)
+	}
+}
+
+// ran counts the executions that a refusal as "not run" must not follow. A call that may be repeated is
+// another request after its home has failed; one that may not be repeated never is.
+func (w *world) ran(id ids.Program, key string) int {
+	c := w.calls[name(id, key)]
+	if c.Kind == api.CallModel || (c.Kind == api.CallTool && c.Tool.Name == "look") {
+		return w.executionsHere[name(id, key)]
+	}
+	return w.executions[name(id, key)]
+}
+
+// commit makes the first n pending commits durable.
+func (w *world) commit(n int) {
+	for range n {
+		c := w.pending[0]
+		w.pending = w.pending[1:]
+		w.durable = append(w.durable, c.Records...)
+		w.send(program.Committed{UpTo: c.Token})
+	}
+}
+
+func (w *world) open() {
+	w.waiter++
+	w.send(program.OpenRequested{Waiter: w.waiter, Request: api.OpenProgram{Team: "t", Agent: "judge", BudgetTokens: budget}})
+}
+
+func (w *world) submit() {
+	if len(w.programs) == 0 {
+		w.open()
+		return
+	}
+	id := rapid.SampledFrom(w.programs).Draw(w.t, "program")
+	key := fmt.Sprintf("k%d", rapid.IntRange(0, 6).Draw(w.t, "key"))
+	c, ok := w.calls[name(id, key)]
+	if !ok {
+		c = w.newCall(id, key)
+		w.calls[name(id, key)] = c
+	}
+	w.waiter++
+	w.submitted[w.waiter] = submission{program: id, key: key}
+	w.send(program.CallSubmitted{Waiter: w.waiter, Program: id, Call: c})
+}
+
+func (w *world) newCall(id ids.Program, key string) api.Call {
+	text := "<" + string(id) + "> " + key
+	c := api.Call{Key: key, Kind: rapid.SampledFrom([]api.CallKind{api.CallModel, api.CallModel, api.CallTool, api.CallService, api.CallAgent}).Draw(w.t, "kind")}
+	switch c.Kind {
+	case api.CallModel:
+		c.Model = &api.ModelCall{Prompt: text}
+	case api.CallTool:
+		c.Tool = &api.ToolCall{Name: rapid.SampledFrom([]string{"pay", "look"}).Draw(w.t, "tool"), Args: []byte(`"` + text + `"`)}
+	case api.CallService:
+		c.Service = &api.ServiceCall{Name: "bench", Method: "POST", Path: "/entries", Body: []byte(`"` + text + `"`)}
+	case api.CallAgent:
+		// A child is given its parent's text on purpose, so the text does not name the parent.
+		c.Agent = &api.AgentCall{Name: "helper", Prompt: key, BudgetTokens: 400}
+	}
+	return c
+}
+
+func (w *world) grant() {
+	if len(w.enqueued) == 0 {
+		return
+	}
+	q := w.enqueued[0]
+	w.enqueued = w.enqueued[1:]
+	w.send(program.Granted{Call: q.Call, Group: q.Group, Worker: rapid.SampledFrom([]string{"w1", "w2"}).Draw(w.t, "worker")})
+}
+
+// end lets one dispatch end: done, refused, or broken before or after it ran.
+func (w *world) end() {
+	if len(w.inFlight) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.inFlight)-1).Draw(w.t, "dispatch")
+	d := w.inFlight[i]
+	w.inFlight = slices.Delete(w.inFlight, i, i+1)
+	e := program.DispatchEnded{Call: d.Call, Result: rapid.SampledFrom([]program.Result{
+		program.ResultDone, program.ResultDone, program.ResultDone, program.ResultNotRun, program.ResultBroken,
+	}).Draw(w.t, "result")}
+	ran := e.Result == program.ResultDone || (e.Result == program.ResultBroken && rapid.Bool().Draw(w.t, "ran"))
+	e.Text = d.ResumeText
+	if ran {
+		e.Usage = w.execute(d)
+		if e.Result == program.ResultDone {
+			e.Text += "answer to " + name(d.Call.Program, d.Call.Key)
+		} else {
+			e.Usage = api.Usage{} // a broken dispatch does not tell what it cost
+		}
+	}
+	w.send(e)
+}
+
+// execute counts what a server did and returns its usage.
+func (w *world) execute(d program.Dispatch) api.Usage {
+	w.executions[name(d.Call.Program, d.Call.Key)]++
+	w.executionsHere[name(d.Call.Program, d.Call.Key)]++
+	if n := w.executions[name(d.Call.Program, d.Call.Key)]; n > 1 && !d.Idempotent {
+		w.t.Fatalf("call %v, which may not be repeated, ran %d times", d.Call, n)
+	}
+	u := api.Usage{}
+	switch d.Kind {
+	case api.CallModel:
+		for _, m := range d.Messages {
+			u.PromptTokens += int64(len(strings.Fields(m.Content)))
+		}
+		u.GeneratedTokens = int64(rapid.IntRange(1, d.MaxTokens).Draw(w.t, "tokens"))
+		u.CostTokens = u.PromptTokens + u.GeneratedTokens
+	case api.CallTool:
+		w.billed[d.Call.Program] += 5
+	case api.CallService:
+		w.billed[d.Call.Program] += 3
+	}
+	w.billed[d.Call.Program] += u.CostTokens
+	return u
+}
+
+// crash ends the home at a point where some of its last commits took effect, and dispatches that were
+// under way may still run.
+func (w *world) crash() {
+	for _, c := range w.pending[:rapid.IntRange(0, len(w.pending)).Draw(w.t, "durable")] {
+		w.durable = append(w.durable, c.Records...)
+	}
+	for _, d := range w.inFlight {
+		if rapid.Bool().Draw(w.t, "ran at crash") {
+			w.execute(d)
+		}
+	}
+	w.restart()
+}
+
+func (w *world) check() {
+	for _, id := range w.programs {
+		w.waiter++
+		status, history := w.read(id)
+		if status == nil {
+			w.t.Fatalf("program %s is lost", id)
+		}
+		if status.SpentTokens > budget {
+			w.t.Fatalf("program %s spent %d of %d", id, status.SpentTokens, budget)
+		}
+		if w.billed[id] > budget {
+			w.t.Fatalf("program %s was billed %d of %d", id, w.billed[id], budget)
+		}
+		w.checkHistory(id, history)
+	}
+}
+
+func (w *world) read(id ids.Program) (*api.ProgramStatus, []api.Turn) {
+	var status *api.ProgramStatus
+	var turns []api.Turn
+	for _, q := range []program.Query{program.QueryStatus, program.QueryHistory} {
+		for _, eff := range w.state.Reduce(w.now, program.ReadRequested{Waiter: w.waiter, Query: q, Program: id}) {
+			r := eff.(program.Reply)
+			if r.Status != nil {
+				status = r.Status
+			}
+			if r.History != nil {
+				turns = r.History.Turns
+			}
+		}
+	}
+	return status, turns
+}
+
+// checkHistory checks that each acknowledged answer stands in the history, in the order of its
+// acknowledgement, and that nothing of another program does.
+func (w *world) checkHistory(id ids.Program, turns []api.Turn) {
+	next := 0
+	for i, t := range turns {
+		if t.Seq != i+1 {
+			w.t.Fatalf("turn %d of %s has seq %d", i+1, id, t.Seq)
+		}
+		for _, other := range w.programs {
+			if other != id && strings.Contains(t.Request, "<"+string(other)+">") {
+				w.t.Fatalf("history of %s has text of %s", id, other)
+			}
+		}
+		if next < len(w.acked[id]) && w.acked[id][next].Key == t.Key && w.acked[id][next].Text == t.Answer {
+			next++
+		}
+	}
+	acked := slices.CompactFunc(slices.Clone(w.acked[id]), func(a, b api.CallAnswer) bool { return a.Key == b.Key })
+	seen := map[string]bool{}
+	missing := slices.DeleteFunc(acked, func(a api.CallAnswer) bool {
+		again := seen[a.Key]
+		seen[a.Key] = true
+		return again || slices.ContainsFunc(turns, func(t api.Turn) bool { return t.Key == a.Key && t.Answer == a.Text })
+	})
+	if len(missing) > 0 {
+		w.t.Fatalf("acknowledged answer %q of %s is not in its history", missing[0].Key, id)
+	}
+}
+
+// Guards against a lost or mixed history, a call that ran twice, a refused call that ran, an answer at the
+// wrong caller and an overspent budget, under crashes between any two steps, a store that comes and goes,
+// servers that refuse or break, and repeated requests.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"open":   func(t *rapid.T) { w.t = t; w.open() },
+			"submit": func(t *rapid.T) { w.t = t; w.submit() },
+			"commit": func(t *rapid.T) { w.t = t; w.commit(min(1, len(w.pending))) },
+			"grant":  func(t *rapid.T) { w.t = t; w.grant() },
+			"end":    func(t *rapid.T) { w.t = t; w.end() },
+			"crash":  func(t *rapid.T) { w.t = t; w.crash() },
+			"store": func(t *rapid.T) {
+				w.t = t
+				w.storeDown = !w.storeDown
+				w.send(program.StoreChanged{Down: w.storeDown})
+			},
+			"tick": func(t *rapid.T) {
+				w.t = t
+				w.now += clock.Millis(rapid.IntRange(1, 1500).Draw(t, "ms"))
+				w.send(program.Ticked{})
+			},
+			"scheduler": func(t *rapid.T) {
+				w.t = t
+				w.enqueued = nil
+				w.send(program.SchedulerChanged{Group: "lm/0"})
+				w.send(program.SchedulerChanged{Group: "app/0"})
+				w.enqueued = slices.DeleteFunc(w.enqueued, func(q sched.Enqueued) bool { return q.Running != "" })
+			},
+			"": func(t *rapid.T) { w.t = t; w.check() },
+		})
+	})
+}
+
+// Guards against map order or a clock in the reducer: the same events must give the same effects.
+func TestReplayGivesTheSameEffects(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "programs")
+		run := func() []event.Effect {
+			s := program.New("h.1", program.Limits{MaxQueuedCalls: 4})
+			var out []event.Effect
+			out = append(out, s.Reduce(1, program.ConfigChanged{Config: testConfig})...)
+			for i := range n {
+				out = append(out, s.Reduce(2, program.OpenRequested{Waiter: program.WaiterID(i + 1), Request: api.OpenProgram{Team: "t", Agent: "judge", BudgetTokens: budget}})...)
+				out = append(out, s.Reduce(3, program.CallSubmitted{Waiter: 100, Program: ids.NewProgram("h.1", uint64(i+1)), Call: api.Call{Key: "a", Kind: api.CallModel, Model: &api.ModelCall{Prompt: "p"}}})...)
+			}
+			out = append(out, s.Reduce(4, program.Committed{UpTo: program.Token(2 * n)})...)
+			out = append(out, s.Reduce(5, program.SchedulerChanged{Group: "lm/0"})...)
+			return append(out, s.Reduce(6, program.Deposed{Reason: "test"})...)
+		}
+		a, b := run(), run()
+		x, errX := msgpack.Marshal(a)
+		y, errY := msgpack.Marshal(b)
+		if errX != nil || errY != nil || !bytes.Equal(x, y) {
+			t.Fatalf("two runs of the same events differ")
+		}
+	})
+}
