Add the membership reducer and its adapters

core/membership decides; service/membership runs its effects over the object API and the peer links. - Heartbeats carry the version of the sender's last renewal. An heir counts them as observations of the lease, so the wait for the lease starts at the last heartbeat and not at the suspicion. - Watchers flood a suspicion over the finger links, so that ranks and heirs agree at hosts that do not watch the dead one. Heirs that finish them keep the holder's tag. - The own member record is written before the members are listed.

Ruled out: listing before writing (two hosts that started together never met in the service test); a fixed 500 ms renewal retry (it did not scale with short renewal periods).

Before: no membership.

--- /dev/null
+++ b/core/membership/sim_test.go
@@ -0,0 +1,322 @@
+package membership_test
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/membership"
+)
+
+const step = 100 * time.Millisecond
+
+// node is one process of a host in the simulation.
+type node struct {
+	r      *membership.Reducer
+	self   membership.Member
+	inbox  []event.Event // delivered at the next step; kept while frozen
+	dead   bool
+	frozen bool
+	// cut nodes reach no peer; stuck nodes never finish an adoption.
+	cut, stuck bool
+
+	view       membership.ViewChanged
+	validUntil clock.Millis
+	deposed    string
+	handedOver bool
+	adopted    []ids.Journal
+	asked      int
+}
+
+func (n *node) running() bool { return !n.dead && !n.frozen }
+
+type claim struct {
+	journal, heir ids.Journal
+	at            clock.Millis
+}
+
+// sim runs the reducers of several hosts against one store in memory, with a fake clock.
+type sim struct {
+	now     clock.Millis
+	leases  map[ids.Host]membership.LeaseObject
+	members map[ids.Host]membership.Member
+	rev     objectapi.Version
+	down    bool
+	// lose makes the answer of a write get lost after it took effect.
+	lose   func(ids.Host) bool
+	nodes  map[ids.Host]*node
+	claims []claim
+	tags   int
+	draw   uint32
+	faults []string
+}
+
+func newSim(hosts int) *sim {
+	s := &sim{
+		now: 1000, leases: map[ids.Host]membership.LeaseObject{}, members: map[ids.Host]membership.Member{},
+		nodes: map[ids.Host]*node{}, lose: func(ids.Host) bool { return false },
+	}
+	for i := range hosts {
+		s.start(ids.Host(fmt.Sprintf("h%d", i)))
+	}
+	return s
+}
+
+// start starts the next incarnation of a host, as service/membership does.
+func (s *sim) start(h ids.Host) *node {
+	s.tags++
+	prefix := fmt.Sprintf("p%d", s.tags)
+	var prev *membership.Lease
+	var inherited []ids.Journal
+	if o, ok := s.leases[h]; ok {
+		prev = &o.Lease
+		if m := s.members[h]; m.Incarnation == prev.Incarnation {
+			inherited = m.Adopted
+		}
+	}
+	next := membership.NextLease(h, prev, inherited, prefix+"-s")
+	if prev != nil {
+		// One write claims all of them. The previous journal is recorded before those that it had claimed.
+		for _, c := range slices.Backward(next.Earlier) {
+			if c.Heir == next.Journal() {
+				s.claimed(c.Journal, c.Heir)
+			}
+		}
+	}
+	s.write(next)
+	n := &node{r: membership.New(), self: membership.Member{
+		Name: h, Journal: next.Journal(), Incarnation: next.Incarnation, PeerAddress: "addr-" + string(h),
+		State: membership.StateUp, Version: 1,
+	}}
+	s.nodes[h] = n
+	ev := membership.Started{Self: n.self, Lease: next, Version: s.rev, SentAt: s.now, TagPrefix: prefix}
+	for _, name := range s.names(s.members) {
+		if name != h {
+			ev.Members = append(ev.Members, s.members[name])
+		}
+	}
+	s.feed(n, ev)
+	return n
+}
+
+func (s *sim) names(m map[ids.Host]membership.Member) []ids.Host {
+	var out []ids.Host
+	for h := range m {
+		out = append(out, h)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// write stores a lease and checks that the incarnation does not go back.
+func (s *sim) write(l membership.Lease) {
+	if old := s.leases[l.Host]; l.Incarnation < old.Lease.Incarnation {
+		s.faults = append(s.faults, fmt.Sprintf("incarnation of %s goes back from %d to %d", l.Host, old.Lease.Incarnation, l.Incarnation))
+	}
+	s.rev++
+	s.leases[l.Host] = membership.LeaseObject{Host: l.Host, Lease: l, Version: s.rev}
+}
+
+// claimed records a claim and checks that a claim is replaced only after its heir's journal was claimed.
+func (s *sim) claimed(j, heir ids.Journal) {
+	var last ids.Journal
+	lost := map[ids.Journal]bool{}
+	for _, c := range s.claims {
+		if c.journal == j {
+			last = c.heir
+		}
+		lost[c.journal] = true
+	}
+	if last != "" && last != heir && !lost[last] {
+		s.faults = append(s.faults, fmt.Sprintf("journal %s claimed by %s while %s holds the claim", j, heir, last))
+	}
+	s.claims = append(s.claims, claim{j, heir, s.now})
+}
+
+func (s *sim) node(h string) *node { return s.nodes[ids.Host(h)] }
+
+// heirs returns the heirs that claimed a journal, in order.
+func (s *sim) heirs(j string) []ids.Journal {
+	var out []ids.Journal
+	for _, c := range s.claims {
+		if string(c.journal) == j {
+			out = append(out, c.heir)
+		}
+	}
+	return out
+}
+
+// run lets time pass until done is true or the limit has passed; it reports whether done became true.
+func (s *sim) run(limit time.Duration, done func() bool) bool {
+	for end := s.now.Add(limit); s.now < end; {
+		if done != nil && done() {
+			return true
+		}
+		s.step()
+	}
+	return done != nil && done()
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(step)
+	var hosts []ids.Host
+	for h := range s.nodes {
+		hosts = append(hosts, h)
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i] < hosts[j] })
+	for _, h := range hosts {
+		n := s.nodes[h]
+		if !n.running() {
+			continue
+		}
+		events := n.inbox
+		n.inbox = nil
+		for _, ev := range events {
+			s.feed(n, ev)
+		}
+		s.draw += 7919
+		s.feed(n, membership.Ticked{Draw: s.draw})
+	}
+}
+
+// feed reduces one event, through the codec so that its encoding is tested too.
+func (s *sim) feed(n *node, ev event.Event) {
+	b, err := event.Encode(event.Envelope{At: s.now, Event: ev})
+	if err != nil {
+		panic(err)
+	}
+	e, err := event.Decode(b)
+	if err != nil {
+		panic(err)
+	}
+	for _, eff := range n.r.Reduce(e.At, e.Event) {
+		s.perform(n, eff)
+	}
+}
+
+func (s *sim) at(addr string) *node {
+	for h, n := range s.nodes {
+		if "addr-"+string(h) == addr && !n.dead && !n.cut {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *sim) perform(n *node, eff event.Effect) {
+	reply := func(ev event.Event) { n.inbox = append(n.inbox, ev) }
+	send := func(addr string, ev event.Event) {
+		if to := s.at(addr); to != nil && !n.cut {
+			to.inbox = append(to.inbox, ev)
+		}
+	}
+	switch e := eff.(type) {
+	case membership.SendHeartbeat:
+		s.heartbeat(n, e)
+	case membership.ExchangeRecords:
+		if to := s.at(e.Address); to != nil && to.running() && !n.cut {
+			to.inbox = append(to.inbox, membership.RecordsReceived{Records: n.view.Members})
+			reply(membership.RecordsReceived{Records: to.view.Members})
+		}
+	case membership.SendRecords:
+		send(e.Address, membership.RecordsReceived{Records: e.Records})
+	case membership.SendSuspicion:
+		send(e.Address, membership.SuspicionReceived{Suspicion: e.Suspicion})
+	case membership.AskHeir:
+		n.asked++
+		send(e.Address, membership.HandoverAsked{Host: n.self.Name})
+	case membership.WriteMember:
+		if !s.down && e.Member.Newer(s.members[e.Member.Name]) {
+			s.members[e.Member.Name] = e.Member
+		}
+	case membership.ViewChanged:
+		n.view = e
+	case membership.LeaseChanged:
+		n.validUntil = e.ValidUntil
+	case membership.HandedOver:
+		n.handedOver = true
+	case membership.Depose:
+		n.deposed = e.Reason
+	case membership.AdoptJournal:
+		if !n.stuck {
+			n.adopted = append(n.adopted, e.Journal)
+			reply(membership.JournalAdopted{Journal: e.Journal})
+		}
+	default:
+		s.storeCall(n, eff, reply)
+	}
+}
+
+func (s *sim) heartbeat(n *node, e membership.SendHeartbeat) {
+	to := s.at(e.Address)
+	if to == nil || n.cut {
+		return
+	}
+	to.inbox = append(to.inbox, membership.Heard{Beat: e.Beat})
+	if !to.running() {
+		return
+	}
+	n.inbox = append(n.inbox, membership.Heard{Beat: membership.Heartbeat{
+		Host: to.self.Name, Incarnation: to.self.Incarnation, LeaseVersion: 0,
+		Members: membership.Digest(to.view.Members), Suspected: slices.Contains(to.view.Suspected, n.self.Name),
+	}})
+}
+
+func (s *sim) storeCall(n *node, eff event.Effect, reply func(event.Event)) {
+	switch e := eff.(type) {
+	case membership.RenewLease:
+		found := s.leases[n.self.Name]
+		switch {
+		case s.down:
+			reply(membership.LeaseWriteFailed{})
+		case found.Version != e.Expected:
+			reply(membership.LeaseConflicted{Found: found})
+		default:
+			s.write(e.Lease)
+			if s.lose(n.self.Name) {
+				reply(membership.LeaseWriteFailed{})
+			} else {
+				reply(membership.LeaseWritten{Lease: e.Lease, Version: s.rev, SentAt: s.now})
+			}
+		}
+	case membership.ReadLease:
+		o := s.leases[e.Host]
+		o.Host = e.Host
+		reply(membership.LeaseRead{Object: o, SentAt: s.now, Failed: s.down})
+	case membership.ListLeases:
+		ev := membership.LeasesListed{SentAt: s.now, Failed: s.down}
+		for _, o := range s.leases {
+			ev.Objects = append(ev.Objects, o)
+		}
+		sort.Slice(ev.Objects, func(i, j int) bool { return ev.Objects[i].Host < ev.Objects[j].Host })
+		reply(ev)
+	case membership.ClaimLease:
+		won := !s.down && s.leases[e.Host].Version == e.Expected
+		ev := membership.ClaimFinished{Host: e.Host, Journal: e.Journal, Won: won}
+		if won {
+			s.write(e.Lease)
+			s.claimed(e.Journal, n.self.Journal)
+			if m := s.members[e.Host]; m.Journal == e.Journal {
+				ev.Inherited = m.Adopted
+			}
+		}
+		reply(ev)
+	case membership.MarkAdopted:
+		if s.down {
+			// The adapter repeats the call; the simulation lets it go through after the outage.
+			reply(membership.JournalAdopted{Journal: e.Journal})
+			return
+		}
+		s.members[n.self.Name] = e.Self
+		next, inherited, ok := s.leases[e.Host].Lease.Finished(e.Journal, e.Heir)
+		if ok {
+			s.write(next)
+		}
+		reply(membership.AdoptionMarked{Journal: e.Journal, Inherited: inherited})
+	}
+}
--- /dev/null
+++ b/service/membership/peers.go
@@ -0,0 +1,251 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	core "github.com/hyssopreel/hyssopreel/core/membership"
+)
+
+// RecordKey names one state of a member record.
+type RecordKey struct {
+	Name        ids.Host         `msgpack:"n"`
+	Incarnation uint64           `msgpack:"i"`
+	Version     uint64           `msgpack:"v"`
+	State       core.MemberState `msgpack:"s"`
+}
+
+// MemberMessage is the body of a member frame and of its answer.
+type MemberMessage struct {
+	// Compare asks for the records that are newer than those in Known.
+	Compare bool        `msgpack:"c"`
+	Known   []RecordKey `msgpack:"k"`
+	Records []Member    `msgpack:"r"`
+	// Wanted lists, in an answer, the records of which the asker has a newer state.
+	Wanted     []ids.Host       `msgpack:"w"`
+	Suspicions []core.Suspicion `msgpack:"s"`
+}
+
+// HandoverMessage asks a peer to adopt the journal of a host.
+type HandoverMessage struct {
+	Host ids.Host `msgpack:"h"`
+}
+
+// HandleHeartbeat takes a heartbeat and returns the answer.
+func (s *Service) HandleHeartbeat(_ context.Context, b core.Heartbeat) core.Heartbeat {
+	s.heard(b)
+	v := s.view.Load()
+	return s.dress(core.Heartbeat{
+		Host:         v.self.Name,
+		Incarnation:  v.self.Incarnation,
+		LeaseVersion: objectapi.Version(s.version.Load()),
+		Members:      v.digest,
+		Suspected:    v.suspected[b.Host],
+	})
+}
+
+// HandleMember takes a member frame and returns the answer. The answer of a frame without Compare is empty.
+func (s *Service) HandleMember(_ context.Context, m MemberMessage) MemberMessage {
+	if len(m.Records) > 0 {
+		s.o.Queue.Publish(core.RecordsReceived{Records: m.Records})
+	}
+	for _, x := range m.Suspicions {
+		s.o.Queue.Publish(core.SuspicionReceived{Suspicion: x})
+	}
+	if !m.Compare {
+		return MemberMessage{}
+	}
+	return compare(m.Known, s.view.Load().members)
+}
+
+// HandleHandover takes a request to adopt the journal of a host.
+func (s *Service) HandleHandover(_ context.Context, m HandoverMessage) {
+	s.o.Queue.Publish(core.HandoverAsked{Host: m.Host})
+}
+
+// FrameFrom says that a frame of any type arrived from a host.
+func (s *Service) FrameFrom(h ids.Host) { s.o.Queue.Publish(core.FrameHeard{Host: h}) }
+
+// PeerDown says that the link to an address was lost; the host there is suspected at once.
+func (s *Service) PeerDown(addr string) { s.o.Queue.Publish(core.PeerDown{Address: addr}) }
+
+// compare returns the records that the asker lacks and the names of those that it has newer.
+func compare(known []RecordKey, members []Member) MemberMessage {
+	var out MemberMessage
+	theirs := map[ids.Host]Member{}
+	for _, k := range known {
+		theirs[k.Name] = Member{Name: k.Name, Incarnation: k.Incarnation, Version: k.Version, State: k.State}
+	}
+	for _, m := range members {
+		t, ok := theirs[m.Name]
+		delete(theirs, m.Name)
+		switch {
+		case !ok || m.Newer(t):
+			out.Records = append(out.Records, m)
+		case t.Newer(m):
+			out.Wanted = append(out.Wanted, m.Name)
+		}
+	}
+	for _, k := range known {
+		if _, ok := theirs[k.Name]; ok {
+			out.Wanted = append(out.Wanted, k.Name)
+		}
+	}
+	return out
+}
+
+// dress adds what other packages contribute to heartbeats.
+func (s *Service) dress(b core.Heartbeat) core.Heartbeat {
+	if s.o.Hooks.Ticket != nil {
+		b.Ticket = s.o.Hooks.Ticket()
+	}
+	if s.o.Hooks.LeavingDigest != nil {
+		b.Leaving = s.o.Hooks.LeavingDigest()
+	}
+	return b
+}
+
+func (s *Service) heard(b core.Heartbeat) {
+	s.o.Queue.Publish(core.Heard{Beat: b})
+	for _, m := range s.view.Load().members {
+		if m.Name != b.Host {
+			continue
+		}
+		if s.o.Hooks.TicketHeard != nil {
+			s.o.Hooks.TicketHeard(m, b.Ticket)
+		}
+		if s.o.Hooks.LeavingHeard != nil {
+			s.o.Hooks.LeavingHeard(m, b.Leaving)
+		}
+		return
+	}
+}
+
+// handlers registers the effect handlers. They run on the reducer's goroutine and start I/O on others.
+func (s *Service) handlers() {
+	on := func(k event.Kind, f func(event.Effect)) {
+		s.o.Queue.Handle(k, func(_ clock.Millis, e event.Effect) { f(e) })
+	}
+	async := func(k event.Kind, f func(event.Effect)) {
+		on(k, func(e event.Effect) { s.spawn(func() { f(e) }) })
+	}
+	async(core.KindSendHeartbeat, func(e event.Effect) { s.sendHeartbeat(e.(core.SendHeartbeat)) })
+	async(core.KindExchangeRecords, func(e event.Effect) { s.exchange(e.(core.ExchangeRecords).Address) })
+	async(core.KindSendRecords, func(e event.Effect) {
+		x := e.(core.SendRecords)
+		s.send(x.Address, wire.TypeMember, MemberMessage{Records: x.Records})
+	})
+	async(core.KindSendSuspicion, func(e event.Effect) {
+		x := e.(core.SendSuspicion)
+		s.send(x.Address, wire.TypeMember, MemberMessage{Suspicions: []core.Suspicion{x.Suspicion}})
+	})
+	async(core.KindAskHeir, func(e event.Effect) {
+		s.send(e.(core.AskHeir).Address, wire.TypeHandover, HandoverMessage{Host: s.o.Self.Name})
+	})
+	async(core.KindRenewLease, func(e event.Effect) { s.renew(e.(core.RenewLease)) })
+	async(core.KindReadLease, func(e event.Effect) { s.read(e.(core.ReadLease).Host) })
+	async(core.KindListLeases, func(event.Effect) { s.list() })
+	async(core.KindClaimLease, func(e event.Effect) { s.claim(e.(core.ClaimLease)) })
+	async(core.KindAdoptJournal, func(e event.Effect) { s.adopt(e.(core.AdoptJournal).Journal) })
+	async(core.KindMarkAdopted, func(e event.Effect) { s.markAdopted(e.(core.MarkAdopted)) })
+	on(core.KindWriteMember, func(e event.Effect) { s.writer.add(e.(core.WriteMember).Member) })
+	on(core.KindViewChanged, func(e event.Effect) { s.viewChanged(e.(core.ViewChanged)) })
+	on(core.KindLeaseChanged, func(e event.Effect) {
+		x := e.(core.LeaseChanged)
+		s.validUntil.Store(int64(x.ValidUntil))
+		s.version.Store(uint64(x.Version))
+	})
+	on(core.KindStoreChanged, func(e event.Effect) {
+		up := e.(core.StoreChanged).Reachable
+		s.storeUp.Store(up)
+		s.log("store_changed", map[string]any{"reachable": up})
+	})
+	on(core.KindHandedOver, func(e event.Effect) {
+		closeOnce(s.handedOver)
+		s.log("handed_over", map[string]any{"heir": e.(core.HandedOver).Heir})
+	})
+	on(core.KindDepose, func(e event.Effect) { s.depose(e.(core.Depose).Reason) })
+}
+
+// closeOnce closes a channel that only the reducer's goroutine closes.
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+func (s *Service) depose(reason string) {
+	closeOnce(s.deposed)
+	s.log("deposed", map[string]any{"reason": reason})
+	if s.o.Adopter != nil {
+		s.spawn(func() { s.o.Adopter.Deposed(reason) })
+	}
+}
+
+func (s *Service) viewChanged(e core.ViewChanged) {
+	old := s.view.Load()
+	s.setView(old.self, e.Members, e.Suspected)
+	now := s.view.Load()
+	for _, m := range now.members {
+		if now.suspected[m.Name] != old.suspected[m.Name] {
+			s.log("suspicion_changed", map[string]any{"host": m.Name, "suspected": now.suspected[m.Name]})
+		}
+	}
+}
+
+func (s *Service) send(addr string, t wire.Type, body any) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Settings.SuspectAfter)
+	defer cancel()
+	// A lost message is made good by the next heartbeat, whose digest differs.
+	_ = s.o.Transport.Send(ctx, addr, t, body)
+}
+
+func (s *Service) sendHeartbeat(e core.SendHeartbeat) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Settings.SuspectAfter)
+	defer cancel()
+	var answer core.Heartbeat
+	if err := s.o.Transport.Call(ctx, e.Address, wire.TypeHeartbeat, s.dress(e.Beat), &answer); err != nil {
+		return // silence is judged by the reducer
+	}
+	if answer.Host == e.Host {
+		s.heard(answer)
+	}
+}
+
+// exchange compares the member lists with a peer. Only keys are sent first: the whole list of 370 records
+// is about 55 KB.
+func (s *Service) exchange(addr string) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Settings.SuspectAfter)
+	defer cancel()
+	members := s.view.Load().members
+	ask := MemberMessage{Compare: true}
+	for _, m := range members {
+		ask.Known = append(ask.Known, RecordKey{Name: m.Name, Incarnation: m.Incarnation, Version: m.Version, State: m.State})
+	}
+	var answer MemberMessage
+	if err := s.o.Transport.Call(ctx, addr, wire.TypeMember, ask, &answer); err != nil {
+		return // the next heartbeat starts another exchange
+	}
+	if len(answer.Records) > 0 {
+		s.o.Queue.Publish(core.RecordsReceived{Records: answer.Records})
+	}
+	wanted := map[ids.Host]bool{}
+	for _, h := range answer.Wanted {
+		wanted[h] = true
+	}
+	var records []Member
+	for _, m := range members {
+		if wanted[m.Name] {
+			records = append(records, m)
+		}
+	}
+	if len(records) > 0 {
+		s.send(addr, wire.TypeMember, MemberMessage{Records: records})
+	}
+}
--- /dev/null
+++ b/service/membership/store.go
@@ -0,0 +1,314 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	core "github.com/hyssopreel/hyssopreel/core/membership"
+)
+
+// call1 and call2 run one store call under the store timeout.
+func call1[T any](s *Service, ctx context.Context, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.o.StoreTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+func call2[T, U any](s *Service, ctx context.Context, f func(context.Context) (T, U, error)) (T, U, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.o.StoreTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+// readLease returns the lease of a host, with version 0 if it does not exist.
+func (s *Service) readLease(ctx context.Context, h ids.Host) (core.LeaseObject, error) {
+	o, err := s.get(ctx, objectapi.KindLease, string(h))
+	if err != nil {
+		return core.LeaseObject{}, err
+	}
+	return decodeLease(h, o)
+}
+
+func decodeLease(h ids.Host, o objectapi.Object) (core.LeaseObject, error) {
+	out := core.LeaseObject{Host: h, Version: o.Version}
+	if o.Version == 0 {
+		return out, nil
+	}
+	if err := json.Unmarshal(o.Value, &out.Lease); err != nil {
+		return out, errors.Wrapf(err, "decode lease of host %q", h)
+	}
+	return out, nil
+}
+
+// get returns an object, with version 0 if it does not exist.
+func (s *Service) get(ctx context.Context, kind, name string) (objectapi.Object, error) {
+	o, err := call1(s, ctx, func(ctx context.Context) (objectapi.Object, error) { return s.o.Store.Get(ctx, kind, name) })
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Object{}, nil
+	}
+	return o, errors.Wrapf(err, "read %s/%s", kind, name)
+}
+
+func decodeMember(o objectapi.Object) (Member, error) {
+	var m Member
+	if o.Version == 0 {
+		return m, nil
+	}
+	if err := json.Unmarshal(o.Value, &m); err != nil {
+		return m, errors.Wrapf(err, "decode member record %q", o.Name)
+	}
+	return m, nil
+}
+
+// readMember returns the member record of a host, the zero Member if it does not exist.
+func (s *Service) readMember(ctx context.Context, h ids.Host) (Member, error) {
+	o, err := s.get(ctx, objectapi.KindMember, string(h))
+	if err != nil {
+		return Member{}, err
+	}
+	return decodeMember(o)
+}
+
+func (s *Service) put(ctx context.Context, kind, name string, value any, expected objectapi.Version) (objectapi.Version, error) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return 0, errors.Wrapf(err, "encode %s/%s", kind, name)
+	}
+	return call1(s, ctx, func(ctx context.Context) (objectapi.Version, error) {
+		if expected == 0 {
+			return s.o.Store.Create(ctx, kind, name, b)
+		}
+		return s.o.Store.Update(ctx, kind, name, b, expected)
+	})
+}
+
+func (s *Service) putLease(ctx context.Context, l core.Lease, expected objectapi.Version) (objectapi.Version, error) {
+	return s.put(ctx, objectapi.KindLease, string(l.Host), l, expected)
+}
+
+func (s *Service) renew(e core.RenewLease) {
+	sentAt := s.o.Clock.Now()
+	v, err := s.putLease(s.ctx, e.Lease, e.Expected)
+	switch {
+	case err == nil:
+		s.o.Queue.Publish(core.LeaseWritten{Lease: e.Lease, Version: v, SentAt: sentAt})
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
+		found, err := s.readLease(s.ctx, e.Lease.Host)
+		if err != nil {
+			s.o.Queue.Publish(core.LeaseWriteFailed{})
+			return
+		}
+		s.o.Queue.Publish(core.LeaseConflicted{Found: found})
+	default:
+		s.o.Queue.Publish(core.LeaseWriteFailed{})
+	}
+}
+
+func (s *Service) read(h ids.Host) {
+	sentAt := s.o.Clock.Now()
+	o, err := s.readLease(s.ctx, h)
+	o.Host = h
+	s.o.Queue.Publish(core.LeaseRead{Object: o, SentAt: sentAt, Failed: err != nil})
+}
+
+func (s *Service) list() {
+	e := core.LeasesListed{SentAt: s.o.Clock.Now()}
+	objects, _, err := call2(s, s.ctx, func(ctx context.Context) ([]objectapi.Object, objectapi.Version, error) {
+		return s.o.Store.List(ctx, objectapi.KindLease, "")
+	})
+	e.Failed = err != nil
+	for _, o := range objects {
+		l, err := decodeLease(ids.Host(o.Name), o)
+		if err != nil {
+			s.log("lease_invalid", map[string]any{"host": o.Name, "error": err.Error()})
+			continue
+		}
+		e.Objects = append(e.Objects, l)
+	}
+	s.o.Queue.Publish(e)
+}
+
+// claim writes a claim. Unless the store gave a plain answer, the lease is read back until it is known
+// whether the claim is in it.
+func (s *Service) claim(e core.ClaimLease) {
+	heir := s.Self().Journal
+	done := core.ClaimFinished{Host: e.Host, Journal: e.Journal}
+	_, err := s.putLease(s.ctx, e.Lease, e.Expected)
+	done.Won = err == nil
+	if err != nil && !errors.Is(err, objectapi.ErrUnavailable) && !errors.Is(err, objectapi.ErrConflict) {
+		found, ok := s.readUntil(e.Host)
+		if !ok {
+			return
+		}
+		for _, c := range found.Lease.Pending() {
+			done.Won = done.Won || c.Journal == e.Journal && c.Heir == heir
+		}
+	}
+	s.log("claim", map[string]any{"journal": e.Journal, "won": done.Won})
+	if done.Won {
+		var ok bool
+		if done.Inherited, ok = s.inherited(e.Host, e.Journal); !ok {
+			return
+		}
+	}
+	s.o.Queue.Publish(done)
+}
+
+// inherited returns the journals that a dead incarnation had adopted, from its last record in the store.
+func (s *Service) inherited(h ids.Host, j ids.Journal) ([]ids.Journal, bool) {
+	for {
+		m, err := s.readMember(s.ctx, h)
+		if err == nil {
+			if m.Journal != j {
+				return nil, true
+			}
+			return m.Adopted, true
+		}
+		if !s.pause(s.ctx) {
+			return nil, false
+		}
+	}
+}
+
+// readUntil reads a lease until the store answers; false if the service ends before.
+func (s *Service) readUntil(h ids.Host) (core.LeaseObject, bool) {
+	for {
+		found, err := s.readLease(s.ctx, h)
+		if err == nil {
+			return found, true
+		}
+		if !s.pause(s.ctx) {
+			return core.LeaseObject{}, false
+		}
+	}
+}
+
+func (s *Service) adopt(j ids.Journal) {
+	var err error
+	if s.o.Adopter != nil {
+		err = s.o.Adopter.Adopt(s.ctx, j)
+	}
+	fields := map[string]any{"journal": j}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	s.log("adoption", fields)
+	s.o.Queue.Publish(core.JournalAdopted{Journal: j, Failed: err != nil})
+}
+
+// markAdopted publishes the adoption in the own record and then finishes the claim: a lease that says
+// "adopted" implies that the record of the heir names the journal.
+func (s *Service) markAdopted(e core.MarkAdopted) {
+	for s.writeMember(s.ctx, e.Self) != nil {
+		if !s.pause(s.ctx) {
+			return
+		}
+	}
+	for {
+		found, ok := s.readUntil(e.Host)
+		if !ok {
+			return
+		}
+		if claimedByOther(found.Lease, e.Journal, e.Heir) {
+			// This host counted as dead meanwhile. The other heir still reads the journal.
+			s.o.Queue.Publish(core.AdoptionMarked{Journal: e.Journal})
+			return
+		}
+		next, inherited, held := found.Lease.Finished(e.Journal, e.Heir)
+		if held {
+			if _, err := s.putLease(s.ctx, next, found.Version); err != nil {
+				if !s.pause(s.ctx) {
+					return
+				}
+				continue
+			}
+		}
+		s.o.Queue.Publish(core.AdoptionMarked{Journal: e.Journal, Inherited: inherited})
+		s.deleteJournal(e.Journal)
+		return
+	}
+}
+
+func claimedByOther(l core.Lease, j, heir ids.Journal) bool {
+	for _, c := range l.Pending() {
+		if c.Journal == j && c.Heir != heir {
+			return true
+		}
+	}
+	return false
+}
+
+// deleteJournal is step 9 of a takeover. A failure leaves the objects to the next start of their host.
+func (s *Service) deleteJournal(j ids.Journal) {
+	if s.o.Hooks.DeleteJournal == nil {
+		return
+	}
+	if err := s.o.Hooks.DeleteJournal(s.ctx, j); err != nil {
+		s.log("journal_delete_failed", map[string]any{"journal": j, "error": err.Error()})
+	}
+}
+
+// memberWriter holds the newest record of each host that is to be written.
+type memberWriter struct {
+	mu      sync.Mutex
+	pending map[ids.Host]Member
+	wake    chan struct{}
+}
+
+func (w *memberWriter) add(m Member) {
+	w.mu.Lock()
+	w.pending[m.Name] = m
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *memberWriter) take() map[ids.Host]Member {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := w.pending
+	w.pending = map[ids.Host]Member{}
+	return out
+}
+
+// writeMembers writes records until each is in the store.
+func (s *Service) writeMembers() {
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.writer.wake:
+		}
+		for _, m := range s.writer.take() {
+			for s.writeMember(s.ctx, m) != nil {
+				if !s.pause(s.ctx) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// writeMember writes a record unless the store has the same or a newer one.
+func (s *Service) writeMember(ctx context.Context, m Member) error {
+	o, err := s.get(ctx, objectapi.KindMember, string(m.Name))
+	if err != nil {
+		return err
+	}
+	stored, err := decodeMember(o)
+	if err != nil {
+		return err
+	}
+	if o.Version != 0 && !m.Newer(stored) {
+		return nil
+	}
+	_, err = s.put(ctx, objectapi.KindMember, string(m.Name), m, o.Version)
+	return err
+}
