--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -18,6 +18,12 @@
 
 // Events.
 
+// Started is the first event: it names the journal of this incarnation.
+type Started struct {
+	Journal ids.Journal `msgpack:"j"`
+	Limits  Limits      `msgpack:"l"`
+}
+
 // OpenRequested asks for a new program.
 type OpenRequested struct {
 	Waiter  WaiterID        `msgpack:"w"`
@@ -251,6 +257,7 @@
 
 // Kinds of the messages.
 const (
+	KindStarted           event.Kind = "program.started"
 	KindOpenRequested     event.Kind = "program.open_requested"
 	KindCallSubmitted     event.Kind = "program.call_submitted"
 	KindEndRequested      event.Kind = "program.end_requested"
@@ -283,6 +290,7 @@
 	KindReleaseCache   event.Kind = "program.release_cache"
 )
 
+func (Started) EventKind() event.Kind           { return KindStarted }
 func (OpenRequested) EventKind() event.Kind     { return KindOpenRequested }
 func (CallSubmitted) EventKind() event.Kind     { return KindCallSubmitted }
 func (EndRequested) EventKind() event.Kind      { return KindEndRequested }
@@ -316,6 +324,7 @@
 
 func init() {
 	for _, e := range []event.Event{
+		Started{},
 		OpenRequested{},
 		CallSubmitted{},
 		EndRequested{},
--- a/core/program/random_test.go
+++ b/core/program/random_test.go
@@ -96,14 +96,15 @@
 // restart begins a new home from what the journal of the former one has.
 func (w *world) restart() {
 	w.home++
-	w.state = program.New(w.self(), program.Limits{
-		MaxQueuedCalls: 4, OrderWait: 2 * time.Second, IdleTimeout: time.Hour, Retention: time.Hour, MaxUnsaved: 1 << 20,
-	})
+	w.state = program.New()
 	records := w.durable
 	w.durable, w.pending, w.enqueued, w.inFlight = nil, nil, nil, nil
 	w.submitted = map[program.WaiterID]submission{}
 	w.storeDown = false
 	w.executionsHere = map[string]int{}
+	w.send(program.Started{Journal: w.self(), Limits: program.Limits{
+		MaxQueuedCalls: 4, OrderWait: 2 * time.Second, IdleTimeout: time.Hour, Retention: time.Hour, MaxUnsaved: 1 << 20,
+	}})
 	w.send(program.ConfigChanged{Config: testConfig})
 	if w.home > 1 {
 		w.send(program.JournalRead{Journal: ids.NewJournal("h", uint64(w.home-1)), Records: records})
@@ -414,8 +415,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 20).Draw(t, "programs")
 		run := func() []event.Effect {
-			s := program.New("h.1", program.Limits{MaxQueuedCalls: 4})
-			var out []event.Effect
+			s := program.New()
+			out := s.Reduce(1, program.Started{Journal: "h.1", Limits: program.Limits{MaxQueuedCalls: 4}})
 			out = append(out, s.Reduce(1, program.ConfigChanged{Config: testConfig})...)
 			for i := range n {
 				out = append(out, s.Reduce(2, program.OpenRequested{Waiter: program.WaiterID(i + 1), Request: api.OpenProgram{Team: "t", Agent: "judge", BudgetTokens: budget}})...)
--- a/core/program/records.go
+++ b/core/program/records.go
@@ -174,7 +174,8 @@
 // restore rebuilds programs from the records of a journal. Programs whose import was cut off are left
 // out: the journal that they come from still has them.
 func restore(self ids.Journal, records []Record) *State {
-	s := New(self, Limits{})
+	s := New()
+	s.self = self
 	for i := range records {
 		s.apply(&records[i])
 	}
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -36,11 +36,11 @@
 
 // Limits are the host's limits for programs.
 type Limits struct {
-	MaxQueuedCalls int           // calls of one program that wait
-	OrderWait      time.Duration // how long a call waits for the calls before it
-	IdleTimeout    time.Duration // a program without calls for this long is ended
-	Retention      time.Duration // how long an ended program can be read
-	MaxUnsaved     int           // bytes of records that wait for the store
+	MaxQueuedCalls int           `msgpack:"q"` // calls of one program that wait
+	OrderWait      time.Duration `msgpack:"o"` // how long a call waits for the calls before it
+	IdleTimeout    time.Duration `msgpack:"i"` // a program without calls for this long is ended
+	Retention      time.Duration `msgpack:"r"` // how long an ended program can be read
+	MaxUnsaved     int           `msgpack:"u"` // bytes of records that wait for the store
 }
 
 // State is the state of all programs at this home. Programs that are children stand beside their
@@ -156,11 +156,9 @@
 	durable bool
 }
 
-// New returns the state of a home without programs.
-func New(self ids.Journal, limits Limits) *State {
+// New returns the state of a home without programs. Started tells it its journal.
+func New() *State {
 	return &State{
-		self:     self,
-		limits:   limits,
 		programs: map[ids.Program]*program{},
 		open:     map[string]int{},
 		groups:   map[string]int{},
@@ -184,6 +182,8 @@
 func (s *State) Reduce(at clock.Millis, ev event.Event) []event.Effect {
 	r := &reduction{State: s, at: at}
 	switch e := ev.(type) {
+	case Started:
+		s.self, s.limits = e.Journal, e.Limits
 	case OpenRequested:
 		r.openRequested(e)
 	case CallSubmitted:
--- /dev/null
+++ b/service/entry/ops.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+)
+
+// op names what a request asks of a program's home.
+type op string
+
+const (
+	opOpen    op = "open"
+	opCall    op = "call"
+	opOutcome op = "outcome"
+	opStatus  op = "status"
+	opHistory op = "history"
+	opEnd     op = "end"
+	opCancel  op = "cancel"
+	opList    op = "list"
+)
+
+// request is what the entry asks of a home, in this process or in a call frame.
+type request struct {
+	Op      op               `msgpack:"o"`
+	Program ids.Program      `msgpack:"p,omitempty"`
+	Key     string           `msgpack:"k,omitempty"`
+	Open    *api.OpenProgram `msgpack:"op,omitempty"`
+	Call    *api.Call        `msgpack:"c,omitempty"`
+}
+
+// result is the answer of a home. A frame with a piece is followed by more; the last one has the rest.
+type result struct {
+	Piece   *api.Piece          `msgpack:"pi,omitempty"`
+	Opened  *api.ProgramOpened  `msgpack:"op,omitempty"`
+	Answer  *api.CallAnswer     `msgpack:"a,omitempty"`
+	Status  *api.ProgramStatus  `msgpack:"s,omitempty"`
+	History *api.History        `msgpack:"h,omitempty"`
+	List    []api.ProgramStatus `msgpack:"l,omitempty"`
+}
+
+// route finds the home of the request: the journal in the program ID names it, or the host that adopted
+// that journal. A new program lives at this host, or at its parent's home.
+func (s *Server) route(q request) (membership.Member, *fault.Error) {
+	id := q.Program
+	if q.Op == opOpen {
+		if id = q.Open.Parent; id == "" {
+			return s.newHome(), nil
+		}
+	}
+	journal, _, err := id.Parse()
+	if err != nil {
+		return membership.Member{}, fault.New(fault.CodeInvalid, "find home", "%v", err)
+	}
+	m, ok := s.opts.View.HomeOf(journal)
+	if !ok {
+		return m, fault.New(fault.CodePeerUnreachable, "find home", "the home of program %s is not known or is being taken over", id).RetryAfter(takeoverRetry)
+	}
+	return m, nil
+}
+
+// do carries the request out at its home, at most one hop away. emit hears the pieces of a stream.
+func (s *Server) do(ctx context.Context, q request, emit func(api.Piece)) (*result, error) {
+	for {
+		home, ferr := s.route(q)
+		if ferr != nil {
+			return nil, ferr
+		}
+		if home.Journal != s.opts.View.Self().Journal {
+			return s.forward(ctx, home, q, emit)
+		}
+		if s.gate.enter() {
+			defer s.gate.leave()
+			return s.local(ctx, q, emit)
+		}
+		if err := s.gate.wait(ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// newHome is the home of a new program: this host, or another one while this one shuts down.
+func (s *Server) newHome() membership.Member {
+	if ranked := s.opts.View.Rank(randomKey()); s.draining.Load() && len(ranked) > 0 {
+		return ranked[0]
+	}
+	return s.opts.View.Self()
+}
+
+func randomKey() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+func (s *Server) forward(ctx context.Context, home membership.Member, q request, emit func(api.Piece)) (*result, error) {
+	ctx, span := s.tracer.Start(ctx, "forward "+string(q.Op))
+	defer span.End()
+	x, err := s.opts.Node.Open(ctx, home.PeerAddress, wire.TypeCall, q)
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	for {
+		p, err := x.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return nil, fault.New(fault.CodeInternal, "forward", "the answer has no end").At(string(home.Name)).With(fault.Unknown)
+		}
+		if err != nil {
+			return nil, err
+		}
+		var r result
+		if err := p.Decode(&r); err != nil {
+			return nil, fault.New(fault.CodeInternal, "forward", "%v", err).At(string(home.Name)).With(fault.Unknown)
+		}
+		if p.Last {
+			return &r, nil
+		}
+		if r.Piece != nil && emit != nil {
+			emit(*r.Piece)
+		}
+	}
+}
+
+// handleCall serves a request that another entry forwarded. It is not forwarded again.
+func (s *Server) handleCall(ctx context.Context, r *wire.Request) {
+	var q request
+	if err := r.Decode(&q); err != nil {
+		_ = r.Fail(fault.New(fault.CodeInvalid, "decode request", "%v", err))
+		return
+	}
+	ctx, span := s.tracer.Start(ctx, "home "+string(q.Op))
+	defer span.End()
+	if home, ferr := s.route(q); ferr != nil || home.Journal != s.opts.View.Self().Journal {
+		_ = r.Fail(fault.New(fault.CodeMoved, "home", "program %s does not live here", q.Program).At(string(s.opts.View.Self().Name)))
+		return
+	}
+	// During a handover the request waits here, and do then passes it on to the heir.
+	res, err := s.do(ctx, q, func(p api.Piece) { _ = r.Piece(result{Piece: &p}) })
+	if err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	_ = r.Answer(res)
+}
+
+// local carries the request out at this host.
+func (s *Server) local(ctx context.Context, q request, emit func(api.Piece)) (*result, error) {
+	h := s.opts.Home
+	switch q.Op {
+	case opOpen:
+		id, err := h.Open(ctx, *q.Open)
+		if err != nil {
+			return nil, err
+		}
+		return &result{Opened: &api.ProgramOpened{ID: id, Home: address(s.opts.View.Self())}}, nil
+	case opCall:
+		return s.localCall(ctx, q, emit)
+	case opEnd, opCancel:
+		st, err := h.End(ctx, q.Program, q.Op == opCancel)
+		return &result{Status: st}, err
+	}
+	queries := map[op]program.Query{
+		opOutcome: program.QueryCall, opStatus: program.QueryStatus, opHistory: program.QueryHistory, opList: program.QueryList,
+	}
+	query, ok := queries[q.Op]
+	if !ok {
+		return nil, fault.New(fault.CodeInvalid, "home", "unknown operation %q", string(q.Op))
+	}
+	r, err := h.Read(ctx, query, q.Program, q.Key)
+	if err != nil {
+		return nil, err
+	}
+	return &result{Answer: r.Answer, Status: r.Status, History: r.History, List: r.List}, nil
+}
+
+func (s *Server) localCall(ctx context.Context, q request, emit func(api.Piece)) (*result, error) {
+	w := s.opts.Home.Call(ctx, q.Program, *q.Call)
+	for {
+		piece, reply, err := w.Next(ctx)
+		switch {
+		case err != nil:
+			return nil, err
+		case piece != nil:
+			if emit != nil {
+				emit(*piece)
+			}
+		case reply.Error != nil:
+			return nil, reply.Error
+		default:
+			return &result{Answer: reply.Answer}, nil
+		}
+	}
+}
--- /dev/null
+++ b/service/entry/server.go
@@ -0,0 +1,360 @@
+// Package entry is the HTTP API of a host for callers and operators. Any host accepts any request and
+// forwards it to the program's home, at most one hop away.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/service/home"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+)
+
+const (
+	// HostsTTL is how long a caller may keep the answer to "which host"; a host that leaves waits for so long
+	// before it closes its listener.
+	HostsTTL = 5 * time.Second
+	// takeoverRetry is when a caller should ask again while a program is being taken over.
+	takeoverRetry = time.Second
+	// answeredHosts is the best host and two alternates.
+	answeredHosts = 3
+	// maxKeyBytes bounds a request key.
+	maxKeyBytes = 128
+)
+
+// Options are what a Server needs.
+type Options struct {
+	View         membership.View
+	Node         *wire.Node
+	Home         *home.Home
+	MaxBodyBytes int64
+	// RequestTimeout bounds a request, streams included.
+	RequestTimeout time.Duration
+	// Mount adds the operators' routes.
+	Mount func(r chi.Router)
+	// Ready says whether the host can serve, and if not, why.
+	Ready func() error
+	// Metrics serves GET /metrics.
+	Metrics http.Handler
+	// Observe is called with each finished request; it may be nil.
+	Observe func(route string, status int, d time.Duration)
+}
+
+// Server is the HTTP API of one host.
+type Server struct {
+	opts     Options
+	tracer   trace.Tracer
+	draining atomic.Bool
+	active   atomic.Int64
+	gate     gate
+}
+
+// New returns a server and registers its handler for forwarded requests.
+func New(o Options) *Server {
+	s := &Server{opts: o, tracer: otel.Tracer("hyssopreel/entry"), gate: gate{open: make(chan struct{})}}
+	close(s.gate.open)
+	o.Node.Handle(wire.TypeCall, s.handleCall)
+	return s
+}
+
+// StartDrain makes the host send new programs elsewhere.
+func (s *Server) StartDrain() { s.draining.Store(true) }
+
+// Active returns the number of HTTP requests being served.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.Get("/readyz", s.ready)
+	if s.opts.Metrics != nil {
+		r.Method(http.MethodGet, "/metrics", s.opts.Metrics)
+	}
+	r.Group(func(r chi.Router) {
+		r.Use(s.observe)
+		r.Get("/v1/hosts", s.hosts)
+		r.Post("/v1/programs", s.openProgram)
+		r.Get("/v1/programs", s.listPrograms)
+		r.Get("/v1/programs/{id}", s.simple(opStatus, func(r *result) any { return r.Status }))
+		r.Delete("/v1/programs/{id}", s.simple(opCancel, func(r *result) any { return r.Status }))
+		r.Post("/v1/programs/{id}/end", s.simple(opEnd, func(r *result) any { return r.Status }))
+		r.Get("/v1/programs/{id}/history", s.simple(opHistory, func(r *result) any { return r.History }))
+		r.Post("/v1/programs/{id}/calls", s.submitCall)
+		r.Get("/v1/programs/{id}/calls/{key}", s.simple(opOutcome, func(r *result) any { return r.Answer }))
+		if s.opts.Mount != nil {
+			s.opts.Mount(r)
+		}
+	})
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		WriteError(w, fault.New(fault.CodeNotFound, "route request", "no such path: %s", r.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, http.StatusMethodNotAllowed, api.ErrorAnswer{
+			Error: fault.New(fault.CodeInvalid, "route request", "method %s is not allowed for %s", r.Method, r.URL.Path),
+		})
+	})
+	return r
+}
+
+// statusWriter notes the status for metrics; it passes Flush on for streams.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(code int) {
+	w.status = code
+	w.ResponseWriter.WriteHeader(code)
+}
+
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (s *Server) observe(next http.Handler) http.Handler {
+	propagator := propagation.TraceContext{}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.active.Add(1)
+		defer s.active.Add(-1)
+		start := time.Now()
+		ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := s.tracer.Start(ctx, "entry "+r.Method, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		ctx, cancel := context.WithTimeout(ctx, s.opts.RequestTimeout)
+		defer cancel()
+		r.Body = http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
+		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(sw, r.WithContext(ctx))
+		span.SetName("entry " + r.Method + " " + chi.RouteContext(r.Context()).RoutePattern())
+		if s.opts.Observe != nil {
+			s.opts.Observe(r.Method+" "+chi.RouteContext(r.Context()).RoutePattern(), sw.status, time.Since(start))
+		}
+	})
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		WriteError(w, fault.New(fault.CodeDraining, "readiness", "the host is shutting down"))
+		return
+	}
+	if err := s.opts.Ready(); err != nil {
+		WriteError(w, fault.New(fault.CodeDraining, "readiness", "%v", err))
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// hosts answers which host to use: the home of a program first, or the hosts in an order drawn at random so
+// that callers who come in the same minute are spread.
+func (s *Server) hosts(w http.ResponseWriter, r *http.Request) {
+	a := api.HostsAnswer{Epoch: s.opts.View.Epoch(), TTLMS: HostsTTL.Milliseconds()}
+	key := randomKey()
+	if id := ids.Program(r.URL.Query().Get("program")); id != "" {
+		home, ferr := s.route(request{Op: opStatus, Program: id})
+		if ferr != nil && ferr.Code == fault.CodeInvalid {
+			WriteError(w, ferr)
+			return
+		}
+		if ferr == nil {
+			a.Hosts = append(a.Hosts, address(home))
+		}
+		key = string(id)
+	}
+	for _, m := range s.opts.View.Rank(key) {
+		if len(a.Hosts) == answeredHosts {
+			break
+		}
+		if len(a.Hosts) == 0 || a.Hosts[0].Name != m.Name {
+			a.Hosts = append(a.Hosts, address(m))
+		}
+	}
+	writeJSON(w, http.StatusOK, a)
+}
+
+func address(m membership.Member) api.HostAddress {
+	return api.HostAddress{Name: m.Name, Address: m.HTTPAddress, FailureDomain: m.FailureDomain}
+}
+
+func (s *Server) openProgram(w http.ResponseWriter, r *http.Request) {
+	var q api.OpenProgram
+	if ferr := decode(r, &q); ferr != nil {
+		WriteError(w, ferr)
+		return
+	}
+	res, err := s.do(r.Context(), request{Op: opOpen, Open: &q}, nil)
+	if err != nil {
+		WriteError(w, fault.From(err, "open program"))
+		return
+	}
+	writeJSON(w, http.StatusCreated, res.Opened)
+}
+
+// listPrograms lists the programs whose home is this host.
+func (s *Server) listPrograms(w http.ResponseWriter, r *http.Request) {
+	res, err := s.local(r.Context(), request{Op: opList}, nil)
+	if err != nil {
+		WriteError(w, fault.From(err, "list programs"))
+		return
+	}
+	writeJSON(w, http.StatusOK, res.List)
+}
+
+// simple serves a request that has no body and one answer.
+func (s *Server) simple(o op, pick func(*result) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		q := request{Op: o, Program: ids.Program(chi.URLParam(r, "id")), Key: chi.URLParam(r, "key")}
+		res, err := s.do(r.Context(), q, nil)
+		if err != nil {
+			WriteError(w, fault.From(err, string(o)))
+			return
+		}
+		writeJSON(w, http.StatusOK, pick(res))
+	}
+}
+
+func (s *Server) submitCall(w http.ResponseWriter, r *http.Request) {
+	var c api.Call
+	if ferr := decode(r, &c); ferr != nil {
+		WriteError(w, ferr)
+		return
+	}
+	if ferr := checkCall(c); ferr != nil {
+		WriteError(w, ferr)
+		return
+	}
+	q := request{Op: opCall, Program: ids.Program(chi.URLParam(r, "id")), Call: &c}
+	if c.Stream {
+		s.streamCall(w, r, q)
+		return
+	}
+	res, err := s.do(r.Context(), q, nil)
+	if err != nil {
+		WriteError(w, fault.From(err, "call"))
+		return
+	}
+	status := http.StatusOK
+	if res.Answer.Error != nil {
+		status = res.Answer.Error.HTTPStatus()
+	}
+	writeJSON(w, status, res.Answer)
+}
+
+// streamCall answers with server-sent events. An error before the first piece is a plain error answer, so
+// that a refusal has its status code.
+func (s *Server) streamCall(w http.ResponseWriter, r *http.Request, q request) {
+	started := false
+	rc := http.NewResponseController(w)
+	send := func(event string, v any) {
+		if !started {
+			started = true
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusOK)
+		}
+		b, err := json.Marshal(v)
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", event, b)
+		_ = rc.Flush()
+	}
+	res, err := s.do(r.Context(), q, func(p api.Piece) { send("piece", p) })
+	switch {
+	case err != nil && !started:
+		WriteError(w, fault.From(err, "call"))
+	case err != nil:
+		send("error", api.ErrorAnswer{Error: fault.From(err, "call")})
+	default:
+		send("answer", res.Answer)
+	}
+}
+
+// checkCall checks what can be checked without the program.
+func checkCall(c api.Call) *fault.Error {
+	invalid := func(format string, args ...any) *fault.Error {
+		return fault.New(fault.CodeInvalid, "check call", format, args...)
+	}
+	if c.Key == "" || len(c.Key) > maxKeyBytes {
+		return invalid("key has %d bytes; 1 to %d are allowed", len(c.Key), maxKeyBytes)
+	}
+	if c.Seq < 0 {
+		return invalid("seq is %d; it counts from 1", c.Seq)
+	}
+	set := map[api.CallKind]bool{
+		api.CallModel: c.Model != nil, api.CallTool: c.Tool != nil, api.CallService: c.Service != nil, api.CallAgent: c.Agent != nil,
+	}
+	n := 0
+	for _, v := range set {
+		if v {
+			n++
+		}
+	}
+	if !set[c.Kind] || n != 1 {
+		return invalid("a call of kind %q has exactly the field %q", c.Kind, c.Kind)
+	}
+	return checkFields(c, invalid)
+}
+
+func checkFields(c api.Call, invalid func(string, ...any) *fault.Error) *fault.Error {
+	switch {
+	case c.Model != nil && (c.Model.Prompt == "" || c.Model.MaxTokens < 0):
+		return invalid("model.prompt must not be empty and model.max_tokens must not be negative")
+	case c.Service != nil && (c.Service.Path == "" || c.Service.Path[0] != '/'):
+		return invalid("service.path %q does not begin with /", c.Service.Path)
+	case c.Service != nil && !allowedMethods[c.Service.Method]:
+		return invalid("service.method %q is not one of GET, POST, PUT, PATCH, DELETE", c.Service.Method)
+	case c.Agent != nil && (c.Agent.Prompt == "" || c.Agent.BudgetTokens <= 0):
+		return invalid("agent.prompt must not be empty and agent.budget_tokens must be positive")
+	}
+	return nil
+}
+
+var allowedMethods = map[string]bool{
+	http.MethodGet: true, http.MethodPost: true, http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
+}
+
+// decode reads a JSON body strictly: unknown fields and trailing data are errors.
+func decode(r *http.Request, v any) *fault.Error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err == nil && d.More() {
+		err = errors.New("data after the JSON value")
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.CodeTooLarge, "read request", "the body is larger than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return fault.New(fault.CodeInvalid, "read request", "%v", err)
+	}
+	return nil
+}
+
+// WriteError answers with an error.
+func WriteError(w http.ResponseWriter, e *fault.Error) {
+	if e.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
+	}
+	writeJSON(w, e.HTTPStatus(), api.ErrorAnswer{Error: e})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/service/home/dispatcher.go
@@ -0,0 +1,357 @@
+package home
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// firstTokenTimeout and tokenTimeout bound the silence of an engine before and between tokens. The target
+	// is 1.8 s and 49 ms for 95 in 100, so a much longer silence means a dead connection.
+	firstTokenTimeout = 30 * time.Second
+	tokenTimeout      = 5 * time.Second
+	// defaultTimeLimit bounds tool and service calls whose configuration sets no limit.
+	defaultTimeLimit = time.Minute
+	// maxAnswerBytes bounds the answer of a tool or service.
+	maxAnswerBytes = 256 << 10
+
+	headerNotRun         = "Request-Not-Run"
+	headerIdempotencyKey = "Idempotency-Key"
+)
+
+// Resolver finds backend servers.
+type Resolver interface {
+	// Address returns the host:port of a backend server in the platform's list.
+	Address(worker string) (string, bool)
+	// Listed says whether the platform's list has been read, so that a server that is not in it is gone.
+	Listed() bool
+}
+
+// dispatcher carries out Dispatch effects over HTTP.
+type dispatcher struct {
+	resolver   Resolver
+	leaseValid func() bool
+	publish    func(program.DispatchEnded)
+	hub        *hub
+	tracer     trace.Tracer
+	propagator propagation.TextMapPropagator
+
+	client *http.Client
+	// onceClient sends requests that may not be repeated, each on a connection of its own: net/http repeats
+	// a request with an Idempotency-Key header by itself when a reused connection breaks.
+	onceClient *http.Client
+
+	mu     sync.Mutex
+	active map[sched.CallID]context.CancelFunc
+}
+
+func newDispatcher(resolver Resolver, leaseValid func() bool, h *hub, publish func(program.DispatchEnded)) *dispatcher {
+	transport := func(keepAlive bool) *http.Transport {
+		t := http.DefaultTransport.(*http.Transport).Clone()
+		t.Proxy = nil
+		t.DisableKeepAlives = !keepAlive
+		t.MaxIdleConnsPerHost = 64
+		t.DialContext = dialer.DialContext
+		return t
+	}
+	return &dispatcher{
+		resolver: resolver, leaseValid: leaseValid, publish: publish, hub: h,
+		tracer: otel.Tracer("hyssopreel/home"), propagator: propagation.TraceContext{},
+		client:     &http.Client{Transport: transport(true)},
+		onceClient: &http.Client{Transport: transport(false)},
+		active:     map[sched.CallID]context.CancelFunc{},
+	}
+}
+
+// start begins a dispatch on a goroutine of its own.
+func (d *dispatcher) start(e program.Dispatch) {
+	ctx := d.propagator.Extract(context.Background(), propagation.MapCarrier{"traceparent": e.Trace})
+	ctx, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	d.active[e.Call] = cancel
+	d.mu.Unlock()
+	go func() {
+		defer cancel()
+		ctx, span := d.tracer.Start(ctx, "dispatch "+string(e.Kind), trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+			attribute.String("program", string(e.Call.Program)), attribute.String("worker", e.Worker), attribute.Int("attempt", e.Call.Attempt)))
+		defer span.End()
+		ended := d.run(ctx, e)
+		ended.Call = e.Call
+		span.SetAttributes(attribute.String("result", string(ended.Result)))
+		d.mu.Lock()
+		delete(d.active, e.Call)
+		d.mu.Unlock()
+		if ended.Result == program.ResultDone {
+			d.hub.drop(streamKey{e.Call.Program, e.Call.Key})
+		}
+		d.publish(ended)
+	}()
+}
+
+// running returns the number of dispatches under way.
+func (d *dispatcher) running() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.active)
+}
+
+func (d *dispatcher) cancel(e program.CancelDispatch) {
+	d.mu.Lock()
+	cancel, ok := d.active[e.Call]
+	d.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+func (d *dispatcher) run(ctx context.Context, e program.Dispatch) program.DispatchEnded {
+	address := e.Address
+	if e.Kind != api.CallTool {
+		var ok bool
+		if address, ok = d.resolver.Address(e.Worker); !ok {
+			return notRun(fault.New(fault.CodeBackendUnreachable, "dispatch", "backend server is not in the platform's list").At(e.Worker))
+		}
+	}
+	// A home that was frozen for longer than its lease may have lost its programs to an heir, which reports
+	// this call as unknown. Not sending it now is the better end.
+	if !e.Idempotent && !d.leaseValid() {
+		return notRun(fault.New(fault.CodeMoved, "dispatch", "the home's lease has lapsed"))
+	}
+	if e.Kind == api.CallModel {
+		return d.model(ctx, e, address)
+	}
+	return d.plain(ctx, e, address)
+}
+
+func notRun(err *fault.Error) program.DispatchEnded {
+	return program.DispatchEnded{Result: program.ResultNotRun, Error: err}
+}
+
+func broken(err *fault.Error) program.DispatchEnded {
+	return program.DispatchEnded{Result: program.ResultBroken, Error: err.With(fault.Unknown)}
+}
+
+// do sends a request and classifies a failure by whether a connection was in hand when it happened: before
+// that, no byte can have been sent.
+func (d *dispatcher) do(c *http.Client, req *http.Request, peer string) (*http.Response, *program.DispatchEnded) {
+	var connected atomic.Bool
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	d.propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := c.Do(req.WithContext(ctx))
+	if err != nil {
+		code := fault.CodeBackendUnreachable
+		if errors.Is(err, context.DeadlineExceeded) {
+			code = fault.CodeTimeout
+		}
+		ferr := fault.New(code, "dispatch", "%v", err).At(peer)
+		if !connected.Load() {
+			e := notRun(ferr)
+			return nil, &e
+		}
+		e := broken(ferr)
+		return nil, &e
+	}
+	if resp.Header.Get(headerNotRun) == "true" {
+		_ = resp.Body.Close()
+		e := notRun(fault.New(fault.CodeBackendUnreachable, "dispatch", "the backend server refused: %s", resp.Status).At(peer))
+		return nil, &e
+	}
+	return resp, nil
+}
+
+// plain calls a tool or a plain service.
+func (d *dispatcher) plain(ctx context.Context, e program.Dispatch, address string) program.DispatchEnded {
+	limit := time.Duration(e.TimeLimitMS) * time.Millisecond
+	if limit <= 0 {
+		limit = defaultTimeLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	method, url := e.Method, "http://"+address+e.Path
+	if e.Kind == api.CallTool {
+		method, url = http.MethodPost, "http://"+address+"/v1/tools/"+e.Name
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(e.Body))
+	if err != nil {
+		return notRun(fault.New(fault.CodeInvalid, "dispatch", "%v", err))
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerIdempotencyKey, string(e.Call.Program)+"/"+e.Call.Key)
+	client := d.client
+	if !e.Idempotent {
+		client = d.onceClient
+	}
+	peer := e.Name + "@" + address
+	resp, failed := d.do(client, req, peer)
+	if failed != nil {
+		return *failed
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return broken(fault.New(fault.CodeBackendFailed, "read answer", "%v", err).At(peer))
+	}
+	ended := program.DispatchEnded{Result: program.ResultDone, Text: string(body), Status: resp.StatusCode}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		ended.Error = fault.New(fault.CodeBackendFailed, "dispatch", "the backend server answered %s", resp.Status).At(peer).With(fault.Unknown)
+	}
+	return ended
+}
+
+// Chat completions, as far as they are used here. Source: docs/external-protocols.md.
+type (
+	chatRequest struct {
+		Model         string        `json:"model"`
+		Messages      []chatMessage `json:"messages"`
+		MaxTokens     int           `json:"max_tokens"`
+		Stream        bool          `json:"stream"`
+		StreamOptions streamOptions `json:"stream_options"`
+		User          ids.Program   `json:"user"`
+		Priority      int           `json:"priority"`
+		RequestID     string        `json:"request_id"`
+		ResumeText    string        `json:"resume_text,omitempty"`
+	}
+	chatMessage struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+	streamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	chatChunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+		Usage *struct {
+			PromptTokens     int64 `json:"prompt_tokens"`
+			CompletionTokens int64 `json:"completion_tokens"`
+			Details          struct {
+				CachedTokens int64 `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+)
+
+// model streams a model call from an engine.
+func (d *dispatcher) model(ctx context.Context, e program.Dispatch, address string) program.DispatchEnded {
+	q := chatRequest{
+		Model: e.Model, MaxTokens: e.MaxTokens, Stream: true, StreamOptions: streamOptions{IncludeUsage: true},
+		User: e.Call.Program, Priority: e.Priority, ResumeText: e.ResumeText,
+		RequestID: string(e.Call.Program) + "/" + e.Call.Key,
+	}
+	for _, m := range e.Messages {
+		q.Messages = append(q.Messages, chatMessage{Role: m.Role, Content: m.Content})
+	}
+	body, err := json.Marshal(&q)
+	if err != nil {
+		return notRun(fault.New(fault.CodeInternal, "dispatch", "%v", err))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(firstTokenTimeout, func() { cancel(errors.New("the engine went silent")) })
+	defer silence.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return notRun(fault.New(fault.CodeInternal, "dispatch", "%v", err))
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, failed := d.do(d.client, req, e.Worker)
+	if failed != nil {
+		failed.Text = e.ResumeText
+		return *failed
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return d.engineError(resp, e)
+	}
+	return d.readStream(resp.Body, e, silence)
+}
+
+func (d *dispatcher) engineError(resp *http.Response, e program.Dispatch) program.DispatchEnded {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+	ferr := fault.New(fault.CodeBackendFailed, "dispatch", "the engine answered %s: %s", resp.Status, strings.TrimSpace(string(text))).At(e.Worker)
+	ended := broken(ferr)
+	ended.Text = e.ResumeText
+	return ended
+}
+
+// readStream passes the pieces of an SSE stream on and returns the whole text. A stream that ends without
+// [DONE] is broken.
+func (d *dispatcher) readStream(body io.Reader, e program.Dispatch, silence *time.Timer) program.DispatchEnded {
+	key := streamKey{e.Call.Program, e.Call.Key}
+	var text strings.Builder
+	text.WriteString(e.ResumeText)
+	offset := len(strings.Fields(e.ResumeText))
+	ended := program.DispatchEnded{Result: program.ResultBroken}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxAnswerBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		silence.Reset(tokenTimeout)
+		if data == "[DONE]" {
+			ended.Result = program.ResultDone
+			break
+		}
+		var chunk chatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			break
+		}
+		if u := chunk.Usage; u != nil {
+			ended.Usage = api.Usage{
+				PromptTokens: u.PromptTokens, CachedTokens: u.Details.CachedTokens, GeneratedTokens: u.CompletionTokens,
+				CostTokens: u.PromptTokens - u.Details.CachedTokens + u.CompletionTokens,
+			}
+		}
+		for _, c := range chunk.Choices {
+			if c.Delta.Content == "" {
+				continue
+			}
+			text.WriteString(c.Delta.Content)
+			n := len(strings.Fields(c.Delta.Content))
+			d.hub.piece(key, api.Piece{Offset: offset, Text: c.Delta.Content}, n)
+			offset += n
+		}
+	}
+	ended.Text = text.String()
+	if ended.Result == program.ResultBroken {
+		why := "the stream ended early"
+		if err := lines.Err(); err != nil {
+			why = err.Error()
+		}
+		ended.Usage = api.Usage{GeneratedTokens: int64(offset - len(strings.Fields(e.ResumeText)))}
+		ended.Error = fault.New(fault.CodeBackendFailed, "read stream", "%s", why).At(e.Worker).With(fault.Unknown)
+	}
+	return ended
+}
+
+var dialer = &net.Dialer{Timeout: dialTimeout}
--- /dev/null
+++ b/service/home/home.go
@@ -0,0 +1,222 @@
+// Package home runs the programs that live at this host: it connects the program reducer with the
+// journal, the group schedulers, the backend servers and the callers that wait.
+package home
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+const (
+	// tickEvery lets time pass in the reducer; it bounds how late a call that waits for its turn is refused.
+	tickEvery = 250 * time.Millisecond
+	// maxSegments is the length of a journal at which its home writes a snapshot.
+	maxSegments = 256
+)
+
+// Options are what a Home needs.
+type Options struct {
+	Store         objectapi.Store
+	View          membership.View
+	Node          *wire.Node
+	Runtime       *runtime.Runtime
+	Resolver      Resolver
+	BatchInterval time.Duration
+	// Deposed is called once when this incarnation has lost its journal.
+	Deposed func(reason string)
+	Limits  program.Limits
+}
+
+// Home runs the programs of one host incarnation.
+type Home struct {
+	opts       Options
+	rt         *runtime.Runtime
+	id         ids.Journal
+	hub        *hub
+	journal    *Journal
+	dispatcher *dispatcher
+	link       *schedLink
+	propagator propagation.TextMapPropagator
+	releaser   *releaser
+}
+
+// New registers the home's effect handlers at the runtime. It is called before the runtime runs.
+func New(o Options) *Home {
+	h := &Home{opts: o, rt: o.Runtime, propagator: propagation.TraceContext{}}
+	h.hub = newHub(func(e program.WaiterGone) { h.rt.Publish(e) })
+	h.dispatcher = newDispatcher(o.Resolver, o.View.LeaseValid, h.hub, func(e program.DispatchEnded) { h.rt.Publish(e) })
+	h.releaser = newReleaser(o.Resolver, func(e program.CacheReleased) { h.rt.Publish(e) })
+	h.link = newSchedLink(o.View, o.Node, o.Runtime)
+	h.handle()
+	return h
+}
+
+// Start begins the journal of this incarnation. It is called once, when the lease is held and before any
+// request.
+func (h *Home) Start(id ids.Journal) error {
+	j, err := NewJournal(id, h.opts.Store, h.opts.BatchInterval, JournalEvents{
+		Committed:    func(t program.Token) { h.rt.Publish(program.Committed{UpTo: t}) },
+		StoreChanged: func(down bool) { h.rt.Publish(program.StoreChanged{Down: down}) },
+		Deposed:      h.Deposed,
+	})
+	if err != nil {
+		return err
+	}
+	h.id, h.journal = id, j
+	h.rt.Publish(program.Started{Journal: id, Limits: h.opts.Limits})
+	return nil
+}
+
+func (h *Home) handle() {
+	h.rt.Handle(program.KindCommit, func(_ clock.Millis, e event.Effect) { h.journal.Append(e.(program.Commit)) })
+	h.rt.Handle(program.KindReply, func(_ clock.Millis, e event.Effect) { h.hub.reply(e.(program.Reply)) })
+	h.rt.Handle(program.KindAttach, func(_ clock.Millis, e event.Effect) { h.hub.attach(e.(program.Attach)) })
+	h.rt.Handle(program.KindDispatch, func(_ clock.Millis, e event.Effect) { h.dispatcher.start(e.(program.Dispatch)) })
+	h.rt.Handle(program.KindCancelDispatch, func(_ clock.Millis, e event.Effect) { h.dispatcher.cancel(e.(program.CancelDispatch)) })
+	h.rt.Handle(program.KindReleaseCache, func(_ clock.Millis, e event.Effect) { h.releaser.start(e.(program.ReleaseCache)) })
+}
+
+// Run writes the journal and lets time pass until ctx is done.
+func (h *Home) Run(ctx context.Context) {
+	go h.journal.Run(ctx)
+	go h.releaser.run(ctx)
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var snapshotAt uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			h.rt.Publish(program.Ticked{})
+			h.link.tick()
+			h.hub.sweep()
+			// The next snapshot is not asked for before this one has cut the journal.
+			if n := h.journal.Segments(); n < maxSegments {
+				snapshotAt = 0
+			} else if snapshotAt == 0 {
+				snapshotAt = n
+				h.rt.Publish(program.SnapshotRequested{})
+			}
+		}
+	}
+}
+
+// Deposed gives up all programs of this incarnation.
+func (h *Home) Deposed(reason string) {
+	h.rt.Publish(program.Deposed{Reason: reason})
+	h.opts.Deposed(reason)
+}
+
+// Adopt takes over the programs of a dead incarnation. It returns when they are durable in this host's
+// journal, and can be repeated.
+func (h *Home) Adopt(ctx context.Context, dead ids.Journal) error {
+	records, err := Seal(ctx, h.opts.Store, dead, h.id)
+	if err != nil {
+		return err
+	}
+	_, err = h.ask(ctx, func(w program.WaiterID) event.Event {
+		return program.JournalRead{Waiter: w, Journal: dead, Records: records}
+	})
+	return err
+}
+
+// ask publishes an event with a waiter and returns its reply.
+func (h *Home) ask(ctx context.Context, make func(w program.WaiterID) event.Event) (*program.Reply, error) {
+	w := h.hub.newWaiter()
+	h.rt.Publish(make(w.id))
+	for {
+		_, reply, err := w.Next(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if reply == nil {
+			continue
+		}
+		if reply.Error != nil {
+			return nil, reply.Error
+		}
+		return reply, nil
+	}
+}
+
+// Open opens a program and returns when it is durable.
+func (h *Home) Open(ctx context.Context, q api.OpenProgram) (ids.Program, error) {
+	r, err := h.ask(ctx, func(w program.WaiterID) event.Event { return program.OpenRequested{Waiter: w, Request: q} })
+	if err != nil {
+		return "", err
+	}
+	return r.Opened, nil
+}
+
+// Call submits a call; the waiter hears its pieces, if the call asks for a stream, and its answer.
+func (h *Home) Call(ctx context.Context, id ids.Program, c api.Call) *Waiter {
+	w := h.hub.newWaiter()
+	carrier := propagation.MapCarrier{}
+	h.propagator.Inject(ctx, carrier)
+	h.rt.Publish(program.CallSubmitted{Waiter: w.id, Program: id, Call: c, Trace: carrier["traceparent"]})
+	return w
+}
+
+// End ends or cancels a program and returns when that is durable.
+func (h *Home) End(ctx context.Context, id ids.Program, cancel bool) (*api.ProgramStatus, error) {
+	r, err := h.ask(ctx, func(w program.WaiterID) event.Event {
+		return program.EndRequested{Waiter: w, Program: id, Cancel: cancel}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.Status, nil
+}
+
+// Read answers a query about one program, or about all of them.
+func (h *Home) Read(ctx context.Context, q program.Query, id ids.Program, key string) (*program.Reply, error) {
+	return h.ask(ctx, func(w program.WaiterID) event.Event {
+		return program.ReadRequested{Waiter: w, Query: q, Program: id, Key: key}
+	})
+}
+
+// Alive returns which of the programs are open here.
+func (h *Home) Alive(ctx context.Context, programs []ids.Program) ([]ids.Program, error) {
+	r, err := h.ask(ctx, func(w program.WaiterID) event.Event {
+		return program.ReadRequested{Waiter: w, Query: program.QueryAlive, Programs: programs}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.Alive, nil
+}
+
+// StartDrain refuses new programs.
+func (h *Home) StartDrain() { h.rt.Publish(program.DrainStarted{}) }
+
+// Idle says whether no request waits and nothing is dispatched.
+func (h *Home) Idle() bool { return h.hub.waiting() == 0 && h.dispatcher.running() == 0 }
+
+// Saved says whether everything is durable.
+func (h *Home) Saved() bool { return h.journal.Empty() }
+
+// Unsaved returns the bytes of records that are not durable yet.
+func (h *Home) Unsaved() int { return h.journal.Unsaved() }
+
+// httpClient returns a client for short requests to engines.
+func httpClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.Proxy = nil
+	t.DialContext = dialer.DialContext
+	const requestTimeout = 5 * time.Second
+	return &http.Client{Transport: t, Timeout: requestTimeout}
+}
--- /dev/null
+++ b/service/home/hub.go
@@ -0,0 +1,196 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+// Waiter is one request that waits at this host. It hears the pieces of the stream that it is attached to
+// and then its one reply.
+type Waiter struct {
+	id  program.WaiterID
+	hub *hub
+
+	mu     sync.Mutex
+	pieces []api.Piece
+	reply  *program.Reply
+	ready  chan struct{}
+}
+
+// Next returns the next piece, or the reply when there are no more pieces. After the reply, or when ctx has
+// ended, the waiter is closed.
+func (w *Waiter) Next(ctx context.Context) (*api.Piece, *program.Reply, error) {
+	for {
+		w.mu.Lock()
+		if len(w.pieces) > 0 {
+			p := w.pieces[0]
+			w.pieces = w.pieces[1:]
+			w.mu.Unlock()
+			return &p, nil, nil
+		}
+		if r := w.reply; r != nil {
+			w.mu.Unlock()
+			return nil, r, nil
+		}
+		w.mu.Unlock()
+		select {
+		case <-w.ready:
+		case <-ctx.Done():
+			w.hub.abandon(w)
+			return nil, nil, fault.New(fault.CodeCanceled, "wait for answer", "%v", ctx.Err()).With(fault.Unknown)
+		}
+	}
+}
+
+func (w *Waiter) signal() {
+	select {
+	case w.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Waiter) addPiece(p api.Piece) {
+	w.mu.Lock()
+	w.pieces = append(w.pieces, p)
+	w.mu.Unlock()
+	w.signal()
+}
+
+func (w *Waiter) setReply(r program.Reply) {
+	w.mu.Lock()
+	w.reply = &r
+	w.mu.Unlock()
+	w.signal()
+}
+
+type streamKey struct {
+	program ids.Program
+	key     string
+}
+
+// stream has the pieces of one call so far, so that a caller who joins late hears it from the beginning.
+type stream struct {
+	pieces  []api.Piece
+	next    int // offset of the next piece
+	waiters []*Waiter
+	touched time.Time
+}
+
+// streamIdle is how long a stream without waiters is kept.
+const streamIdle = time.Minute
+
+// hub connects replies and stream pieces with the requests that wait for them.
+type hub struct {
+	lastID  atomic.Uint64
+	publish func(program.WaiterGone)
+
+	mu      sync.Mutex
+	waiters map[program.WaiterID]*Waiter
+	streams map[streamKey]*stream
+}
+
+func newHub(publish func(program.WaiterGone)) *hub {
+	return &hub{publish: publish, waiters: map[program.WaiterID]*Waiter{}, streams: map[streamKey]*stream{}}
+}
+
+func (h *hub) newWaiter() *Waiter {
+	w := &Waiter{id: program.WaiterID(h.lastID.Add(1)), hub: h, ready: make(chan struct{}, 1)}
+	h.mu.Lock()
+	h.waiters[w.id] = w
+	h.mu.Unlock()
+	return w
+}
+
+func (h *hub) abandon(w *Waiter) {
+	h.mu.Lock()
+	_, live := h.waiters[w.id]
+	delete(h.waiters, w.id)
+	h.mu.Unlock()
+	if live {
+		h.publish(program.WaiterGone{Waiter: w.id})
+	}
+}
+
+// waiting returns the number of requests that wait.
+func (h *hub) waiting() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.waiters)
+}
+
+// reply ends a waiter. A reply without a waiter is dropped.
+func (h *hub) reply(r program.Reply) {
+	h.mu.Lock()
+	w, ok := h.waiters[r.Waiter]
+	delete(h.waiters, r.Waiter)
+	h.mu.Unlock()
+	if ok {
+		w.setReply(r)
+	}
+}
+
+// attach lets the waiter hear the stream of a call from its beginning.
+func (h *hub) attach(e program.Attach) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w, ok := h.waiters[e.Waiter]
+	if !ok {
+		return
+	}
+	s := h.stream(streamKey{e.Program, e.Key})
+	for _, p := range s.pieces {
+		w.addPiece(p)
+	}
+	s.waiters = append(s.waiters, w)
+}
+
+func (h *hub) stream(k streamKey) *stream {
+	s, ok := h.streams[k]
+	if !ok {
+		s = &stream{}
+		h.streams[k] = s
+	}
+	s.touched = time.Now()
+	return s
+}
+
+// piece adds to the stream of a call. A piece that does not follow the previous one is dropped: it comes from an
+// earlier dispatch of the call.
+func (h *hub) piece(k streamKey, p api.Piece, tokens int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.stream(k)
+	if p.Offset != s.next {
+		return
+	}
+	s.next += tokens
+	s.pieces = append(s.pieces, p)
+	for _, w := range s.waiters {
+		w.addPiece(p)
+	}
+}
+
+// drop forgets the stream of a call that has ended.
+func (h *hub) drop(k streamKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.streams, k)
+}
+
+// sweep forgets streams of calls that ended without a dispatch.
+func (h *hub) sweep() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, s := range h.streams {
+		if time.Since(s.touched) > streamIdle {
+			delete(h.streams, k)
+		}
+	}
+}
--- /dev/null
+++ b/service/home/journal.go
@@ -0,0 +1,434 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+const (
+	// maxBatchBytes closes a batch before compression, so that a segment stays below the 1 MB that the
+	// store holds in a value even if nothing compresses.
+	maxBatchBytes = 768 << 10
+	// storeWait is how long a commit may wait before programs go on without it.
+	storeWait = time.Second
+	// minRetry and maxRetry bound the pause between two tries of one write.
+	minRetry = 50 * time.Millisecond
+	maxRetry = time.Second
+)
+
+// segment is one object of a journal. Writer is drawn for each write, so that a home whose answer was
+// lost can tell its own segment from the seal of an heir.
+type segment struct {
+	Journal ids.Journal      `msgpack:"j"`
+	Writer  uint64           `msgpack:"w"`
+	Records []program.Record `msgpack:"r"`
+}
+
+func segmentName(j ids.Journal, seq uint64) string { return fmt.Sprintf("%s/%010d", j, seq) }
+
+func segmentSeq(name string) (uint64, error) {
+	_, n, _ := strings.Cut(name, "/")
+	seq, err := strconv.ParseUint(n, 10, 64)
+	return seq, errors.Wrapf(err, "segment name %q", name)
+}
+
+// codec compresses segments; its encoder and decoder are safe for concurrent EncodeAll and DecodeAll.
+type codec struct {
+	enc *zstd.Encoder
+	dec *zstd.Decoder
+}
+
+func newCodec() (*codec, error) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, errors.Wrap(err, "create zstd encoder")
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1))
+	if err != nil {
+		return nil, errors.Wrap(err, "create zstd decoder")
+	}
+	return &codec{enc: enc, dec: dec}, nil
+}
+
+func (c *codec) encode(s *segment) ([]byte, error) {
+	b, err := msgpack.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode segment")
+	}
+	return c.enc.EncodeAll(b, nil), nil
+}
+
+func (c *codec) decode(b []byte) (*segment, error) {
+	raw, err := c.dec.DecodeAll(b, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress segment")
+	}
+	var s segment
+	if err := msgpack.Unmarshal(raw, &s); err != nil {
+		return nil, errors.Wrap(err, "decode segment")
+	}
+	return &s, nil
+}
+
+// commit is one Commit effect with its encoded size.
+type commit struct {
+	token    program.Token
+	records  []program.Record
+	bytes    int
+	snapshot bool
+}
+
+// JournalEvents is what a Journal reports.
+type JournalEvents struct {
+	Committed    func(upTo program.Token)
+	StoreChanged func(down bool)
+	Deposed      func(reason string)
+}
+
+// Journal writes the journal of this incarnation: batches in order, one write at a time, each as a new
+// object that must not exist yet. An object that somebody else created is an heir's seal, after which
+// nothing can be written.
+type Journal struct {
+	id       ids.Journal
+	store    objectapi.Store
+	codec    *codec
+	interval time.Duration
+	events   JournalEvents
+
+	mu      sync.Mutex
+	queue   []commit
+	wake    chan struct{}
+	down    bool
+	unsaved int
+	next    uint64 // seq of the next segment
+	// firstSegment is the first segment that no snapshot covers.
+	firstSegment uint64
+	// snapshotStart is the first segment of the snapshot that is being written, or 0.
+	snapshotStart uint64
+}
+
+// NewJournal returns the writer of a journal that has no segments yet. It waits interval for more records
+// before it writes a batch.
+func NewJournal(id ids.Journal, store objectapi.Store, interval time.Duration, ev JournalEvents) (*Journal, error) {
+	c, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &Journal{
+		id: id, store: store, codec: c, interval: interval, events: ev,
+		wake: make(chan struct{}, 1), next: 1, firstSegment: 1,
+	}, nil
+}
+
+// Append queues the records of one commit. Tokens must rise.
+func (j *Journal) Append(e program.Commit) {
+	size := 0
+	for i := range e.Records {
+		b, _ := msgpack.Marshal(&e.Records[i])
+		size += len(b)
+	}
+	j.mu.Lock()
+	j.queue = append(j.queue, commit{token: e.Token, records: e.Records, bytes: size, snapshot: e.Snapshot})
+	j.unsaved += size
+	j.mu.Unlock()
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Empty says whether everything is durable.
+func (j *Journal) Empty() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.queue) == 0
+}
+
+// Unsaved returns the bytes of records that are not durable yet.
+func (j *Journal) Unsaved() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.unsaved
+}
+
+// Segments returns the number of segments that a reader of the journal has to read.
+func (j *Journal) Segments() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.next - j.firstSegment
+}
+
+// Run writes batches until ctx is done or the journal is sealed.
+func (j *Journal) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-j.wake:
+		}
+		if !sleep(ctx, j.interval) {
+			return
+		}
+		for !j.Empty() {
+			if !j.writeBatch(ctx) {
+				return
+			}
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// writeBatch writes the oldest commits as one segment, and repeats the write until its outcome is known. A
+// commit larger than a segment is split; its token counts as committed with its last part.
+func (j *Journal) writeBatch(ctx context.Context) bool {
+	batch, last, taken := j.takeBatch()
+	seg := &segment{Journal: j.id, Writer: rand.Uint64(), Records: batch}
+	value, err := j.codec.encode(seg)
+	if err != nil {
+		j.events.Deposed(err.Error())
+		return false
+	}
+	slow := time.AfterFunc(storeWait, func() { j.setDown(true) })
+	defer slow.Stop()
+	for pause := minRetry; ; pause = min(2*pause, maxRetry) {
+		done, err := j.tryWrite(ctx, value)
+		if err != nil {
+			j.events.Deposed(err.Error())
+			return false
+		}
+		if done {
+			break
+		}
+		if !sleep(ctx, pause) {
+			return false
+		}
+	}
+	slow.Stop()
+	snapshot := j.drop(taken)
+	j.setDown(false)
+	if snapshot {
+		j.cut(ctx)
+	}
+	if last != 0 {
+		j.events.Committed(last)
+	}
+	return true
+}
+
+// takeBatch returns the records of the next segment, the last token that is complete with it, and what
+// drop takes off the queue.
+func (j *Journal) takeBatch() (records []program.Record, last program.Token, taken int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	size := 0
+	for i := range j.queue {
+		c := &j.queue[i]
+		if taken > 0 && (c.snapshot || size+c.bytes > maxBatchBytes) {
+			break
+		}
+		if c.snapshot && j.snapshotStart == 0 {
+			j.snapshotStart = j.next
+		}
+		if c.bytes > maxBatchBytes {
+			return j.splitFirst()
+		}
+		records = append(records, c.records...)
+		size += c.bytes
+		last = c.token
+		taken++
+		if c.snapshot {
+			break
+		}
+	}
+	return records, last, taken
+}
+
+// splitFirst takes the first part of a commit that is larger than a segment. The rest stays in the queue under
+// the same token.
+func (j *Journal) splitFirst() ([]program.Record, program.Token, int) {
+	c := &j.queue[0]
+	size, n := 0, 0
+	for n < len(c.records) {
+		b, _ := msgpack.Marshal(&c.records[n])
+		if n > 0 && size+len(b) > maxBatchBytes {
+			break
+		}
+		size += len(b)
+		n++
+	}
+	part := c.records[:n]
+	if n == len(c.records) {
+		return part, c.token, 1
+	}
+	c.records = c.records[n:]
+	c.bytes -= size
+	j.unsaved -= size
+	return part, 0, 0
+}
+
+// drop takes durable commits off the queue and says whether the last of them was a snapshot.
+func (j *Journal) drop(n int) (snapshot bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, c := range j.queue[:n] {
+		j.unsaved -= c.bytes
+		snapshot = c.snapshot
+	}
+	j.queue = j.queue[n:]
+	return snapshot
+}
+
+// cut deletes the segments before a durable snapshot. A failure is harmless: readers skip what precedes a
+// snapshot, and the next cut tries again.
+func (j *Journal) cut(ctx context.Context) {
+	j.mu.Lock()
+	first, start := j.firstSegment, j.snapshotStart
+	j.snapshotStart = 0
+	j.mu.Unlock()
+	for ; first < start; first++ {
+		err := j.store.Delete(ctx, objectapi.KindJournal, segmentName(j.id, first), 0)
+		if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+			break
+		}
+	}
+	j.mu.Lock()
+	j.firstSegment = first
+	j.mu.Unlock()
+}
+
+// tryWrite writes the segment once. It returns an error if the journal was sealed.
+func (j *Journal) tryWrite(ctx context.Context, value []byte) (bool, error) {
+	j.mu.Lock()
+	seq := j.next
+	j.mu.Unlock()
+	name := segmentName(j.id, seq)
+	_, err := j.store.Create(ctx, objectapi.KindJournal, name, value)
+	if errors.Is(err, objectapi.ErrConflict) {
+		// Either an earlier try took effect and its answer was lost, or an heir sealed the journal.
+		found, getErr := j.store.Get(ctx, objectapi.KindJournal, name)
+		if getErr != nil {
+			return false, nil
+		}
+		if !bytes.Equal(found.Value, value) {
+			return false, errors.Newf("journal %s is sealed at segment %d", j.id, seq)
+		}
+		err = nil
+	}
+	if err != nil {
+		return false, nil
+	}
+	j.mu.Lock()
+	j.next++
+	j.mu.Unlock()
+	return true, nil
+}
+
+func (j *Journal) setDown(down bool) {
+	j.mu.Lock()
+	changed := j.down != down
+	j.down = down
+	j.mu.Unlock()
+	if changed {
+		j.events.StoreChanged(down)
+	}
+}
+
+// Seal closes another incarnation's journal on behalf of the heir and returns its records. After it has
+// returned without error, the former home can commit nothing more. It can be repeated.
+func Seal(ctx context.Context, store objectapi.Store, dead, heir ids.Journal) ([]program.Record, error) {
+	c, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	seal, err := c.encode(&segment{
+		Journal: dead, Writer: rand.Uint64(),
+		Records: []program.Record{{Op: program.OpSeal, Heir: heir}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	for {
+		records, next, sealed, err := read(ctx, store, c, dead)
+		if err != nil || sealed {
+			return records, err
+		}
+		_, err = store.Create(ctx, objectapi.KindJournal, segmentName(dead, next), seal)
+		if err != nil && !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrOutcomeUnknown) {
+			return nil, errors.Wrapf(err, "seal journal %s", dead)
+		}
+		// Read again: a batch of the former home may have come first, and then the seal goes after it.
+	}
+}
+
+// read returns all records of a journal, the seq after its last segment, and whether it is sealed.
+func read(ctx context.Context, store objectapi.Store, c *codec, id ids.Journal) (records []program.Record, next uint64, sealed bool, err error) {
+	objects, _, err := store.List(ctx, objectapi.KindJournal, string(id)+"/")
+	if err != nil {
+		return nil, 0, false, errors.Wrapf(err, "list journal %s", id)
+	}
+	next = 1
+	snapshot := 0
+	for _, o := range objects {
+		seq, err := segmentSeq(o.Name)
+		if err != nil {
+			return nil, 0, false, err
+		}
+		s, err := c.decode(o.Value)
+		if err != nil {
+			return nil, 0, false, errors.Wrapf(err, "journal segment %s", o.Name)
+		}
+		next = seq + 1
+		for _, rec := range s.Records {
+			switch rec.Op {
+			case program.OpSeal:
+				return records, next, true, nil
+			case program.OpSnapshotStart:
+				snapshot = len(records)
+			case program.OpSnapshotEnd:
+				records = records[snapshot:]
+				snapshot = 0
+			default:
+				records = append(records, rec)
+			}
+		}
+	}
+	return records, next, false, nil
+}
+
+// Delete removes the segments of a journal whose programs have been adopted.
+func Delete(ctx context.Context, store objectapi.Store, id ids.Journal) error {
+	objects, _, err := store.List(ctx, objectapi.KindJournal, string(id)+"/")
+	if err != nil {
+		return errors.Wrapf(err, "list journal %s", id)
+	}
+	for _, o := range objects {
+		if err := store.Delete(ctx, objectapi.KindJournal, o.Name, 0); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+			return errors.Wrapf(err, "delete segment %s", o.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/service/home/schedlink.go
@@ -0,0 +1,187 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+const (
+	// sendTimeout bounds a one-way message to a peer.
+	sendTimeout = time.Second
+	// refreshEvery repeats what this home waits for and has in flight, in case a message was lost.
+	refreshEvery = 3 * time.Second
+)
+
+// toScheduler is the body of an enqueue frame. Exactly one field is set.
+type toScheduler struct {
+	Enqueued  *sched.Enqueued     `msgpack:"e,omitempty"`
+	Withdrawn *sched.Withdrawn    `msgpack:"w,omitempty"`
+	Finished  *sched.Finished     `msgpack:"f,omitempty"`
+	Ended     *sched.ProgramEnded `msgpack:"n,omitempty"`
+}
+
+// toHome is the body of a grant frame. Exactly one field is set.
+type toHome struct {
+	Grant  *sched.Grant  `msgpack:"g,omitempty"`
+	Refuse *sched.Refuse `msgpack:"r,omitempty"`
+}
+
+// schedLink carries messages between homes and the schedulers of worker groups. Messages between a home and
+// a scheduler on the same host do not leave the process.
+type schedLink struct {
+	view membership.View
+	node *wire.Node
+	rt   *runtime.Runtime
+
+	mu sync.Mutex
+	// schedulers is the scheduler last used for each group.
+	schedulers map[string]ids.Journal
+	refreshed  time.Time
+}
+
+func newSchedLink(view membership.View, node *wire.Node, rt *runtime.Runtime) *schedLink {
+	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}}
+	node.Handle(wire.TypeEnqueue, l.handleEnqueue)
+	node.Handle(wire.TypeGrant, l.handleGrant)
+	rt.Handle(program.KindEnqueue, func(_ clock.Millis, e event.Effect) {
+		q := e.(program.Enqueue).Request
+		l.toScheduler(q.Group, toScheduler{Enqueued: &q})
+	})
+	rt.Handle(program.KindWithdraw, func(_ clock.Millis, e event.Effect) {
+		q := e.(program.Withdraw).Request
+		l.toScheduler(q.Group, toScheduler{Withdrawn: &q})
+	})
+	rt.Handle(program.KindFinish, func(_ clock.Millis, e event.Effect) {
+		q := e.(program.Finish).Request
+		l.toScheduler(q.Group, toScheduler{Finished: &q})
+	})
+	rt.Handle(program.KindNotifyEnded, func(_ clock.Millis, e event.Effect) {
+		q := e.(program.NotifyEnded).Request
+		l.toScheduler(q.Group, toScheduler{Ended: &q})
+	})
+	rt.Handle(sched.KindGrant, func(_ clock.Millis, e event.Effect) {
+		g := e.(sched.Grant)
+		l.toHome(g.Home, toHome{Grant: &g})
+	})
+	rt.Handle(sched.KindRefuse, func(_ clock.Millis, e event.Effect) {
+		q := e.(sched.Refuse)
+		l.toHome(q.Home, toHome{Refuse: &q})
+	})
+	return l
+}
+
+// scheduler returns the host that schedules the group.
+func (l *schedLink) scheduler(group string) (membership.Member, bool) {
+	ranked := l.view.Rank("group:" + group)
+	if len(ranked) == 0 {
+		return membership.Member{}, false
+	}
+	return ranked[0], true
+}
+
+func (l *schedLink) toScheduler(group string, m toScheduler) {
+	host, ok := l.scheduler(group)
+	if !ok {
+		return // tick enqueues again when a scheduler is known
+	}
+	l.mu.Lock()
+	l.schedulers[group] = host.Journal
+	l.mu.Unlock()
+	if host.Journal == l.view.Self().Journal {
+		l.deliver(m)
+		return
+	}
+	l.send(host.PeerAddress, wire.TypeEnqueue, m)
+}
+
+func (l *schedLink) send(address string, t wire.Type, body any) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		_ = l.node.Send(ctx, address, t, body) // a lost message is repeated by tick
+	}()
+}
+
+func (l *schedLink) deliver(m toScheduler) {
+	switch {
+	case m.Enqueued != nil:
+		l.rt.Publish(*m.Enqueued)
+	case m.Withdrawn != nil:
+		l.rt.Publish(*m.Withdrawn)
+	case m.Finished != nil:
+		l.rt.Publish(*m.Finished)
+	case m.Ended != nil:
+		l.rt.Publish(*m.Ended)
+	}
+}
+
+func (l *schedLink) handleEnqueue(_ context.Context, r *wire.Request) {
+	var m toScheduler
+	if r.Decode(&m) == nil {
+		l.deliver(m)
+	}
+}
+
+func (l *schedLink) toHome(home ids.Journal, m toHome) {
+	if home == l.view.Self().Journal {
+		l.deliverHome(m)
+		return
+	}
+	host, ok := l.view.HomeOf(home)
+	if !ok || host.Journal != home {
+		// The home is gone. Its heir enqueues what is left of its calls, so the worker is free again.
+		if g := m.Grant; g != nil {
+			l.rt.Publish(sched.Finished{Call: g.Call, Group: g.Group, Worker: g.Worker, Failed: true})
+		}
+		return
+	}
+	l.send(host.PeerAddress, wire.TypeGrant, m)
+}
+
+func (l *schedLink) deliverHome(m toHome) {
+	if g := m.Grant; g != nil {
+		l.rt.Publish(program.Granted{Call: g.Call, Group: g.Group, Worker: g.Worker, Priority: g.Priority})
+	}
+	if q := m.Refuse; q != nil {
+		l.rt.Publish(program.Refused{Call: q.Call, Reason: q.Reason, RetryAfterMS: q.RetryAfterMS})
+	}
+}
+
+func (l *schedLink) handleGrant(_ context.Context, r *wire.Request) {
+	var m toHome
+	if r.Decode(&m) == nil {
+		l.deliverHome(m)
+	}
+}
+
+// tick turns to the new scheduler of a group when the old one is gone, and repeats everything from time to
+// time because messages can be lost.
+func (l *schedLink) tick() {
+	l.mu.Lock()
+	refresh := time.Since(l.refreshed) >= refreshEvery
+	if refresh {
+		l.refreshed = time.Now()
+	}
+	var changed []string
+	for group, old := range l.schedulers {
+		host, ok := l.scheduler(group)
+		if ok && (refresh || host.Journal != old) {
+			l.schedulers[group] = host.Journal
+			changed = append(changed, group)
+		}
+	}
+	l.mu.Unlock()
+	for _, group := range changed {
+		l.rt.Publish(program.SchedulerChanged{Group: group})
+	}
+}
