Refuse unknown break points, name engines in counters, fix an engine test

Cause: a misspelled "break" fault was accepted and did nothing, and the counters of several engines in one process did not tell which engine they belong to. The engine test "frees the slot of ended requests and keeps their cache" failed in 1 of 3 runs: it canceled as soon as the request was in the batch, so sometimes before the first step, when nothing is computed that the cache could keep.

Ruled out: eviction and a lost cache. The assertion on the cache is unchanged.

Also: new tests for requests that wait for cache memory and for watches of a client that is cut off; a request that ends before its first step leaves no empty cache entry and publishes no event.

Conclusion: the failure was in the test's wait, not in the engine.

--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -92,6 +92,10 @@
 	if e.running == 0 && len(e.words) > c.limit {
 		e.words = slices.Clone(e.words[:c.limit])
 	}
+	if e.size() == 0 && e.running == 0 { // the request ended before its first step did
+		delete(c.entries, program)
+		return
+	}
 	c.events.add(program, "stored", len(e.words))
 }
 
@@ -146,7 +150,7 @@
 	}
 	c.reserve(program, 0, true)
 	c.finish(program, 0, words)
-	return len(c.entries[program].words)
+	return min(len(words), c.limit)
 }
 
 type programTokens struct {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -77,6 +77,7 @@
 
 // Counters is the answer of GET /control/counters.
 type Counters struct {
+	Name string `json:"name"` // of the engine
 	// Executions counts, by request_id, how often the request entered the batch.
 	Executions map[string]int64 `json:"executions"`
 	// Order has the request IDs of each program in the order in which they entered the batch.
@@ -136,6 +137,7 @@
 		cache:  newCache(cfg.CacheTokens, cacheEvents{lag: cfg.EventLag, dropEvery: uint64(max(0, cfg.EventDropEvery))}),
 		orders: orderState{Model: cfg.Model, Adapters: []string{}},
 		counters: Counters{
+			Name:       cfg.Name,
 			Executions: map[string]int64{},
 			Order:      map[string][]string{},
 			Orders:     []OrderRecord{},
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -236,7 +236,9 @@
 		e, c := start(engine.Config{MaxRunning: 1})
 		gone, cancel := context.WithCancel(ctx)
 		go c.complete(gone, "p", "gone", []string{"a b [[tokens=100000]]"}, nil)
-		Eventually(func() int { return e.Counters().Running }).Should(Equal(1))
+		// Before the first step ends, nothing is computed that the cache could keep.
+		Eventually(func() int64 { return e.Counters().GeneratedTokens }).Should(BeNumerically(">=", 1))
+		Expect(e.Counters().Running).To(Equal(1))
 		cancel()
 		Eventually(func() int { return e.Counters().Running }).Should(BeZero())
 		Expect(e.Counters().Cache["p"]).To(BeNumerically(">=", 3))
@@ -288,6 +290,19 @@
 		Expect(early.Events).To(BeEmpty())
 	})
 
+	// Guards against a batch whose requests need more cache than the engine has.
+	It("keeps requests waiting while the running ones fill the cache", func() {
+		e, c := start(engine.Config{CacheTokens: 250})
+		results := make(chan result, 3)
+		for _, id := range []string{"a", "b", "c"} {
+			go func() { results <- c.complete(ctx, id, id, []string{words(id, 70) + " [[tokens=30]]"}, nil) }()
+		}
+		for range 3 {
+			Eventually(results).Should(Receive(HaveField("Got", 30)))
+		}
+		Expect(e.Counters().MaxRunning).To(Equal(2))
+	})
+
 	// Guards against cache that is lost or changed on the way to another engine.
 	It("exports cache to another engine", func() {
 		_, c := start(engine.Config{})
--- a/standin/internal/execution/execution.go
+++ b/standin/internal/execution/execution.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -15,19 +16,31 @@
 	"github.com/hyssopreel/hyssopreel/standin/internal/control"
 )
 
-// Points at which the fault "break" closes the connection.
+// BreakPoint is where the fault "break" closes the connection; empty is off.
+type BreakPoint string
+
 const (
-	BreakBeforeRead = "before_read" // after the headers, before the body is read; the request does not run
-	BreakAfterRead  = "after_read"  // after the body is read; the request does not run
-	BreakAfterRun   = "after_run"   // the request runs, its answer is lost
+	BreakBeforeRead BreakPoint = "before_read" // after the headers, before the body is read; the request does not run
+	BreakAfterRead  BreakPoint = "after_read"  // after the body is read; the request does not run
+	BreakAfterRun   BreakPoint = "after_run"   // the request runs, its answer is lost
 )
 
+// UnmarshalText refuses unknown points, so that a misspelled one is noticed.
+func (b *BreakPoint) UnmarshalText(text []byte) error {
+	switch p := BreakPoint(text); p {
+	case "", BreakBeforeRead, BreakAfterRead, BreakAfterRun:
+		*b = p
+		return nil
+	}
+	return fmt.Errorf("unknown break point %q", text)
+}
+
 // Faults are set by POST /control/faults. They do not touch the control calls.
 type Faults struct {
 	// Break closes the connections of the next BreakCount requests (0 means 1) at one of the points
 	// "before_read", "after_read" and "after_run".
-	Break      string `json:"break"`
-	BreakCount int    `json:"break_count"`
+	Break      BreakPoint `json:"break"`
+	BreakCount int        `json:"break_count"`
 	// SlowMS delays every request before it runs. It runs even if its caller goes away.
 	SlowMS int64 `json:"slow_ms"`
 	// Refuse answers the next N requests with RefuseStatus (0 means 503) and Request-Not-Run.
@@ -169,8 +182,8 @@
 	return status
 }
 
-func (e *Runner) takeBreak() string {
-	point := ""
+func (e *Runner) takeBreak() BreakPoint {
+	point := BreakPoint("")
 	e.faults.Update(func(f *Faults) bool {
 		if f.Break == "" {
 			return false
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -177,6 +177,18 @@
 		Eventually(done).Should(Receive(Equal(503)))
 	})
 
+	// Guards against a watch that still reports to a client that is cut off.
+	It("closes waiting watches of a client that is cut off", func() {
+		done := make(chan error, 1)
+		go func() {
+			_, _, _, err := c.call("GET", "/v1/watch/members?after=0&wait_ms=10000", "")
+			done <- err
+		}()
+		Eventually(func() int64 { return p.Counters().Waiting }).Should(BeEquivalentTo(1))
+		p.SetFaults(platform.Faults{DenyClients: []string{"host-a"}})
+		Eventually(done).Should(Receive(HaveOccurred()))
+	})
+
 	// Guards against a rate limit that writes through.
 	It("limits writes and not reads", func() {
 		limited := newClient(platform.New(platform.Config{WritesPerSecond: 0.1}))
--- a/standin/tool/tool_test.go
+++ b/standin/tool/tool_test.go
@@ -82,8 +82,15 @@
 
 	// Guards against break points that run a request, or that fire more than once.
 	It("breaks connections at the set point", func() {
+		setBreak := func(point string) int {
+			resp, err := client.Post(url+"/control/faults", "", strings.NewReader(`{"break": "`+point+`"}`))
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		Expect(setBreak("after_walk")).To(Equal(400))
 		for _, point := range []string{"before_read", "after_read", "after_run"} {
-			t.SetFaults(tool.Faults{Break: point})
+			Expect(setBreak(point)).To(Equal(200))
 			_, _, err := call(point, `{}`)
 			Expect(err).To(HaveOccurred(), point)
 		}
