Print the relay's listening line before its control line

Cause: callers of hyssopreel-standin read the first line as the address that serves; the link command printed its control address first.

Ruled out: one line with both addresses, which such callers could not parse.

Before: "control", "listening".

--- a/cmd/hyssopreel-standin/main.go
+++ b/cmd/hyssopreel-standin/main.go
@@ -154,7 +154,7 @@
 	Control string `long:"control" default:"127.0.0.1:0" description:"address of the control calls"`
 }
 
-// Execute prints "control <address>" before the line for the relay.
+// Execute prints "control <address>" after the line for the relay.
 func (c *linkCommand) Execute([]string) error {
 	p, err := linkproxy.Listen(c.Listen, c.To)
 	if err != nil {
@@ -162,8 +162,8 @@
 	}
 	defer p.Close()
 	return serveAs(func(address net.Addr) {
-		fmt.Println("control", address)
 		fmt.Println("listening", p.Addr())
+		fmt.Println("control", address)
 	}, endpoint{c.Control, p.Handler()})
 }
 
--- a/cmd/hyssopreel-standin/main_test.go
+++ b/cmd/hyssopreel-standin/main_test.go
@@ -90,7 +90,8 @@
 	It("relays and cuts", func() {
 		target, lines := start(1, "tool")
 		link, addresses := start(2, "link", "--to", lines[0][1])
-		control, relay := "http://"+addresses[0][1], "http://"+addresses[1][1]
+		Expect(addresses[0][0] + " " + addresses[1][0]).To(Equal("listening control"))
+		relay, control := "http://"+addresses[0][1], "http://"+addresses[1][1]
 		Expect(get(relay + "/control/counters")).To(ContainSubstring("executions"))
 		resp, err := http.Post(control+"/control/cut", "", nil)
 		Expect(err).NotTo(HaveOccurred())
