--- /dev/null
+++ b/common/logging/events_configuration.go
@@ -0,0 +1,15 @@
+package logging
+
+// Events of the configuration, 1400 to 1499.
+var (
+	_ = named("configuration_in_force", 1400, Info, "configuration in force", "ticket", "author", "origin")
+	_ = named("configuration_confirmed", 1401, Info, "configuration confirmed by the store or a peer", "ticket", "origin")
+	_ = named("ticket_accepted", 1402, Info, "ticket accepted", "ticket", "author", "tag")
+	_ = named("ticket_refused", 1403, Warn, "ticket refused", "ticket", "author", "code")
+	_ = named("ticket_push_failed", 1404, Debug, "ticket not sent to a peer; its heartbeat fetches it", "peer", "ticket", "error")
+	_ = named("ticket_fetch_failed", 1405, Warn, "configuration not fetched from a peer", "peer", "ticket", "error")
+	_ = named("configuration_read_failed", 1406, Warn, "configuration not read from the store", "error")
+	_ = named("ticket_body_left", 1407, Warn, "body of a refused ticket could not be deleted", "ticket", "tag", "error")
+	_ = named("configuration_cache_unreadable", 1408, Warn, "cached configuration is not used", "error")
+	_ = named("configuration_cache_unwritable", 1409, Warn, "configuration not cached", "error")
+)
--- /dev/null
+++ b/common/logging/events_membership.go
@@ -0,0 +1,16 @@
+package logging
+
+// Events of the membership, 1300 to 1399.
+var (
+	_ = named("lease_acquired", 1300, Info, "lease acquired", "journal")
+	_ = named("start_wait", 1301, Warn, "start waits for the store", "error")
+	_ = named("store_changed", 1302, Warn, "access to the store changed", "reachable")
+	_ = named("suspicion_changed", 1303, Warn, "suspicion of a host changed", "host", "suspected")
+	_ = named("claim", 1304, Info, "claimed the journal of a dead host", "journal", "won")
+	_ = named("adoption", 1305, Info, "adoption of a journal ended", "journal", "error")
+	_ = named("deposed", 1306, Warn, "lost the lease", "reason")
+	_ = named("draining", 1307, Info, "peers are told of the drain")
+	_ = named("handed_over", 1308, Info, "an heir has adopted the journal", "heir")
+	_ = named("lease_invalid", 1309, Warn, "a lease object cannot be read", "host", "error")
+	_ = named("journal_delete_failed", 1310, Warn, "segments of an adopted journal could not be deleted", "journal", "error")
+)
