Add the settings and the daemon's command

Cause: the daemon needs checked settings that report every fault at once, and backend servers are found through one service. The home's own releaser is removed, because service/backends repeats releases already; two loops would send each release twice. Before: no daemon command.

--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -1,4 +1,98 @@
-// Command hyssopreeld is the daemon that runs on every entry host.
+// Command hyssopreeld is the daemon that runs on every host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/common/tracing"
+	"github.com/hyssopreel/hyssopreel/service/daemon"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings      string `long:"settings" description:"INI file of this host" value-name:"FILE"`
+	CheckSettings string `long:"check-settings" description:"report every fault of a settings file and exit" value-name:"FILE"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	parser := flags.NewParser(&o, flags.Default)
+	parser.LongDescription = "Example: hyssopreeld --settings /etc/hyssopreel/almaty-a-1.ini"
+	if _, err := parser.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return exitUsage
+	}
+	path := o.Settings
+	if o.CheckSettings != "" {
+		path = o.CheckSettings
+	}
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "one of --settings and --check-settings is required")
+		return exitUsage
+	}
+	s, problems := settings.Load(path)
+	for _, p := range problems {
+		fmt.Fprintln(os.Stderr, p)
+	}
+	switch {
+	case len(problems) > 0:
+		return exitUsage
+	case o.CheckSettings != "":
+		fmt.Println("no problems")
+		return 0
+	}
+	return serve(s)
+}
+
+// serve runs incarnations until a signal ends the last one.
+func serve(s *settings.Settings) int {
+	if err := logging.Setup(os.Stderr, s.Log.Level, s.Log.Format); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	flush, err := tracing.Setup(ctx, tracing.Options{
+		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, File: s.Tracing.File, Endpoint: s.Tracing.OTLPEndpoint,
+	})
+	if err != nil {
+		logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
+		return exitFailed
+	}
+	defer func() {
+		const flushTimeout = 5 * time.Second
+		flushCtx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+		defer cancel()
+		_ = flush(flushCtx)
+	}()
+	for ctx.Err() == nil {
+		err := daemon.Run(ctx, s)
+		if errors.Is(err, daemon.ErrDeposed) {
+			continue
+		}
+		if err != nil {
+			logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
+			return exitFailed
+		}
+	}
+	return 0
+}
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -31,6 +31,8 @@
 	TypeHandover:    "handover",
 	TypeRelay:       "relay",
 	TypeLookup:      "lookup",
+	TypeLeaving:     "leaving",
+	TypeDrain:       "drain",
 }
 
 // String returns the name of the type in docs/design.md, section 9.
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -20,6 +20,8 @@
 	TypeHandover    // a draining host asks a peer to adopt its journal
 	TypeRelay       // object API call through a peer
 	TypeLookup      // states of programs, asked of their home
+	TypeLeaving     // backend servers that are leaving
+	TypeDrain       // an operator drains the host
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -23,6 +23,7 @@
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/program"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
@@ -42,17 +43,18 @@
 	headerIdempotencyKey = "Idempotency-Key"
 )
 
-// Resolver finds backend servers.
-type Resolver interface {
-	// Address returns the host:port of a backend server in the platform's list.
-	Address(worker string) (string, bool)
-	// Listed says whether the platform's list has been read, so that a server that is not in it is gone.
-	Listed() bool
+// Backends finds backend servers and releases their cache.
+type Backends interface {
+	// Backend returns a backend server of the platform's list.
+	Backend(name string) (objectapi.Backend, bool)
+	// Release drops the cache of a program on a worker, repeats that until the worker confirms it or is gone,
+	// and then calls done.
+	Release(worker string, p ids.Program, done func())
 }
 
 // dispatcher carries out Dispatch effects over HTTP.
 type dispatcher struct {
-	resolver   Resolver
+	backends   Backends
 	leaseValid func() bool
 	publish    func(program.DispatchEnded)
 	hub        *hub
@@ -68,7 +70,7 @@
 	active map[sched.CallID]context.CancelFunc
 }
 
-func newDispatcher(resolver Resolver, leaseValid func() bool, h *hub, publish func(program.DispatchEnded)) *dispatcher {
+func newDispatcher(backends Backends, leaseValid func() bool, h *hub, publish func(program.DispatchEnded)) *dispatcher {
 	transport := func(keepAlive bool) *http.Transport {
 		t := http.DefaultTransport.(*http.Transport).Clone()
 		t.Proxy = nil
@@ -78,7 +80,7 @@
 		return t
 	}
 	return &dispatcher{
-		resolver: resolver, leaseValid: leaseValid, publish: publish, hub: h,
+		backends: backends, leaseValid: leaseValid, publish: publish, hub: h,
 		tracer: otel.Tracer("hyssopreel/home"), propagator: propagation.TraceContext{},
 		client:     &http.Client{Transport: transport(true)},
 		onceClient: &http.Client{Transport: transport(false)},
@@ -130,10 +132,11 @@
 func (d *dispatcher) run(ctx context.Context, e program.Dispatch) program.DispatchEnded {
 	address := e.Address
 	if e.Kind != api.CallTool {
-		var ok bool
-		if address, ok = d.resolver.Address(e.Worker); !ok {
+		b, ok := d.backends.Backend(e.Worker)
+		if !ok {
 			return notRun(fault.New(fault.CodeBackendUnreachable, "dispatch", "backend server is not in the platform's list").At(e.Worker))
 		}
+		address = b.Address
 	}
 	// A home that was frozen for longer than its lease may have lost its programs to an heir, which reports
 	// this call as unknown. Not sending it now is the better end.
--- a/service/home/home.go
+++ b/service/home/home.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -33,7 +32,7 @@
 	View          membership.View
 	Node          *wire.Node
 	Runtime       *runtime.Runtime
-	Resolver      Resolver
+	Backends      Backends
 	BatchInterval time.Duration
 	// Deposed is called once when this incarnation has lost its journal.
 	Deposed func(reason string)
@@ -50,15 +49,13 @@
 	dispatcher *dispatcher
 	link       *schedLink
 	propagator propagation.TextMapPropagator
-	releaser   *releaser
 }
 
 // New registers the home's effect handlers at the runtime. It is called before the runtime runs.
 func New(o Options) *Home {
 	h := &Home{opts: o, rt: o.Runtime, propagator: propagation.TraceContext{}}
 	h.hub = newHub(func(e program.WaiterGone) { h.rt.Publish(e) })
-	h.dispatcher = newDispatcher(o.Resolver, o.View.LeaseValid, h.hub, func(e program.DispatchEnded) { h.rt.Publish(e) })
-	h.releaser = newReleaser(o.Resolver, func(e program.CacheReleased) { h.rt.Publish(e) })
+	h.dispatcher = newDispatcher(o.Backends, o.View.LeaseValid, h.hub, func(e program.DispatchEnded) { h.rt.Publish(e) })
 	h.link = newSchedLink(o.View, o.Node, o.Runtime)
 	h.handle()
 	return h
@@ -86,13 +83,12 @@
 	h.rt.Handle(program.KindAttach, func(_ clock.Millis, e event.Effect) { h.hub.attach(e.(program.Attach)) })
 	h.rt.Handle(program.KindDispatch, func(_ clock.Millis, e event.Effect) { h.dispatcher.start(e.(program.Dispatch)) })
 	h.rt.Handle(program.KindCancelDispatch, func(_ clock.Millis, e event.Effect) { h.dispatcher.cancel(e.(program.CancelDispatch)) })
-	h.rt.Handle(program.KindReleaseCache, func(_ clock.Millis, e event.Effect) { h.releaser.start(e.(program.ReleaseCache)) })
+	h.rt.Handle(program.KindReleaseCache, func(_ clock.Millis, e event.Effect) { h.release(e.(program.ReleaseCache)) })
 }
 
 // Run writes the journal and lets time pass until ctx is done.
 func (h *Home) Run(ctx context.Context) {
 	go h.journal.Run(ctx)
-	go h.releaser.run(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	var snapshotAt uint64
@@ -212,11 +208,9 @@
 // Unsaved returns the bytes of records that are not durable yet.
 func (h *Home) Unsaved() int { return h.journal.Unsaved() }
 
-// httpClient returns a client for short requests to engines.
-func httpClient() *http.Client {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.Proxy = nil
-	t.DialContext = dialer.DialContext
-	const requestTimeout = 5 * time.Second
-	return &http.Client{Transport: t, Timeout: requestTimeout}
+// release drops the cache of an ended program; the record that it is released lets a later home forget it.
+func (h *Home) release(e program.ReleaseCache) {
+	h.opts.Backends.Release(e.Worker, e.Program, func() {
+		h.rt.Publish(program.CacheReleased{Program: e.Program, Worker: e.Worker})
+	})
 }
