--- /dev/null
+++ b/common/objectapi/relay.go
@@ -0,0 +1,186 @@
+package objectapi
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Operations of a relayed call.
+const (
+	RelayGet    = "get"
+	RelayCreate = "create"
+	RelayUpdate = "update"
+	RelayDelete = "delete"
+	RelayList   = "list"
+)
+
+// RelayRequest is the body of a wire.TypeRelay frame: a store call that a peer makes for this host.
+type RelayRequest struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
+	Op       string
+	Kind     string
+	// Name is the object's name, or the prefix of a list.
+	Name     string
+	Value    []byte
+	Expected Version
+}
+
+// RelayAnswer is the answer to a RelayRequest.
+type RelayAnswer struct {
+	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
+	// Error is the name of a typed error of this package, "other", or "" for success.
+	Error   string
+	Message string
+	// Version is the version of a written object or the revision of a list.
+	Version Version
+	Objects []Object
+}
+
+const relayOther = "other"
+
+var relayErrors = map[string]error{
+	"not_found":       ErrNotFound,
+	"conflict":        ErrConflict,
+	"unavailable":     ErrUnavailable,
+	"outcome_unknown": ErrOutcomeUnknown,
+	"too_large":       ErrTooLarge,
+}
+
+// Err returns the answer's error as one of the typed errors of this package.
+func (a RelayAnswer) Err() error {
+	if a.Error == "" {
+		return nil
+	}
+	if t, ok := relayErrors[a.Error]; ok {
+		return typed(errors.Newf("relayed call: %s", a.Message), t)
+	}
+	return errors.Newf("relayed call: %s", a.Message)
+}
+
+// ServeRelay makes the call of a peer at s. Callers pass the host's own store, not its Relay, so that a call
+// is relayed at most once.
+func ServeRelay(ctx context.Context, s Store, r RelayRequest) RelayAnswer {
+	var a RelayAnswer
+	var err error
+	switch r.Op {
+	case RelayGet:
+		var o Object
+		if o, err = s.Get(ctx, r.Kind, r.Name); err == nil {
+			a.Objects = []Object{o}
+		}
+	case RelayCreate:
+		a.Version, err = s.Create(ctx, r.Kind, r.Name, r.Value)
+	case RelayUpdate:
+		a.Version, err = s.Update(ctx, r.Kind, r.Name, r.Value, r.Expected)
+	case RelayDelete:
+		err = s.Delete(ctx, r.Kind, r.Name, r.Expected)
+	case RelayList:
+		a.Objects, a.Version, err = s.List(ctx, r.Kind, r.Name)
+	default:
+		err = errors.Newf("unknown operation %q", r.Op)
+	}
+	if err != nil {
+		a.Message, a.Error = err.Error(), relayOther
+		for name, t := range relayErrors {
+			if errors.Is(err, t) {
+				a.Error = name
+			}
+		}
+	}
+	return a
+}
+
+// Peers makes a store call through a peer that has access to the store. Its error is about the exchange with
+// the peer: ErrUnavailable if the call certainly did not run there, anything else if it may have run.
+type Peers func(ctx context.Context, r RelayRequest) (RelayAnswer, error)
+
+// Relay is a Store that tries the local store first and, only if that is unavailable, sends the call
+// through a peer. Watches are not relayed: a host without the store reads with Get and List.
+type Relay struct {
+	Local Store
+	// Peers may be nil; then nothing is relayed.
+	Peers Peers
+}
+
+var _ Store = (*Relay)(nil)
+
+// relayed reports whether a call with this local result goes to a peer. A write with an unknown outcome does
+// not: the peer's attempt would meet the first one as a conflict.
+func (s *Relay) relayed(ctx context.Context, err error) bool {
+	return errors.Is(err, ErrUnavailable) && s.Peers != nil && ctx.Err() == nil
+}
+
+func (s *Relay) send(ctx context.Context, r RelayRequest, write bool) (RelayAnswer, error) {
+	a, err := s.Peers(ctx, r)
+	if err == nil {
+		return a, a.Err()
+	}
+	mapped := ErrUnavailable
+	if write && !errors.Is(err, ErrUnavailable) {
+		mapped = ErrOutcomeUnknown
+	}
+	return a, typed(errors.Wrapf(err, "relay %s of %s/%s", r.Op, r.Kind, r.Name), mapped)
+}
+
+// Get implements Store.
+func (s *Relay) Get(ctx context.Context, kind, name string) (Object, error) {
+	o, err := s.Local.Get(ctx, kind, name)
+	if !s.relayed(ctx, err) {
+		return o, err
+	}
+	a, err := s.send(ctx, RelayRequest{Op: RelayGet, Kind: kind, Name: name}, false)
+	if err != nil {
+		return Object{}, err
+	}
+	if len(a.Objects) != 1 {
+		return Object{}, typed(errors.Newf("relayed get returned %d objects", len(a.Objects)), ErrUnavailable)
+	}
+	return a.Objects[0], nil
+}
+
+// Create implements Store.
+func (s *Relay) Create(ctx context.Context, kind, name string, value []byte) (Version, error) {
+	v, err := s.Local.Create(ctx, kind, name, value)
+	if !s.relayed(ctx, err) {
+		return v, err
+	}
+	a, err := s.send(ctx, RelayRequest{Op: RelayCreate, Kind: kind, Name: name, Value: value}, true)
+	return a.Version, err
+}
+
+// Update implements Store.
+func (s *Relay) Update(ctx context.Context, kind, name string, value []byte, expected Version) (Version, error) {
+	v, err := s.Local.Update(ctx, kind, name, value, expected)
+	if !s.relayed(ctx, err) {
+		return v, err
+	}
+	r := RelayRequest{Op: RelayUpdate, Kind: kind, Name: name, Value: value, Expected: expected}
+	a, err := s.send(ctx, r, true)
+	return a.Version, err
+}
+
+// Delete implements Store.
+func (s *Relay) Delete(ctx context.Context, kind, name string, expected Version) error {
+	err := s.Local.Delete(ctx, kind, name, expected)
+	if !s.relayed(ctx, err) {
+		return err
+	}
+	_, err = s.send(ctx, RelayRequest{Op: RelayDelete, Kind: kind, Name: name, Expected: expected}, true)
+	return err
+}
+
+// List implements Store. A relayed list must fit into one frame.
+func (s *Relay) List(ctx context.Context, kind, prefix string) ([]Object, Version, error) {
+	o, v, err := s.Local.List(ctx, kind, prefix)
+	if !s.relayed(ctx, err) {
+		return o, v, err
+	}
+	a, err := s.send(ctx, RelayRequest{Op: RelayList, Kind: kind, Name: prefix}, false)
+	return a.Objects, a.Version, err
+}
+
+// Watch implements Store at the local store only.
+func (s *Relay) Watch(ctx context.Context, kind, prefix string, after Version) ([]Change, Version, error) {
+	return s.Local.Watch(ctx, kind, prefix, after)
+}
