Keep late pushes out of the tests of the cached copy

Two tests restart a host while the push of a ticket by the other host may still be on its way to the same address. The service was right to apply it; the tests expected it not to have arrived. Ruled out: the cached copy overriding a higher number, since the failures showed the newer number.

The tests now cut the host off from its peers until the state under test has been seen.

--- a/service/configuration/configuration_test.go
+++ b/service/configuration/configuration_test.go
@@ -297,9 +297,12 @@
 
 	// Guards against a host that is ready with an old copy although a peer has the newer ticket.
 	ginkgo.It("gives way to a peer while the store is down", func() {
+		// The push of ticket 2 may still be on its way; it must not arrive before the copy is seen.
+		net.cutOff(ha, true)
 		a = net.start(ha, folder, func(c *client) { c.setDown(true) })
 		gomega.Eventually(a.Number).Should(gomega.Equal(uint64(1)))
 		gomega.Eventually(a.Ready).Should(gomega.BeTrue(), "after the grace")
+		net.cutOff(ha, false)
 		net.heartbeat()
 		gomega.Eventually(a.Number).Should(gomega.Equal(uint64(2)))
 		gomega.Expect(a.seen()).To(gomega.Equal([]uint64{1, 2}))
@@ -307,6 +310,7 @@
 
 	// Guards against a host without any configuration that calls itself ready.
 	ginkgo.It("is needed for readiness while neither the store nor a peer answers", func() {
+		net.cutOff(ha, true)
 		c := net.start(ha, "", func(c *client) { c.setDown(true) })
 		gomega.Consistently(c.Ready, "100ms").Should(gomega.BeFalse())
 		c.client.setDown(false)
--- a/service/configuration/fakes_test.go
+++ b/service/configuration/fakes_test.go
@@ -269,12 +269,17 @@
 
 // isolate cuts a host off from its peers and from the store, or brings it back.
 func (n *network) isolate(h *host, cut bool) {
-	n.mu.Lock()
-	n.cut[h.self.PeerAddress] = cut
-	n.mu.Unlock()
+	n.cutOff(h.self, cut)
 	h.client.setDown(cut)
 }
 
+// cutOff cuts a host off from its peers, or brings it back.
+func (n *network) cutOff(h configuration.Host, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[h.PeerAddress] = cut
+}
+
 // heartbeat brings every host's number to every other host.
 func (n *network) heartbeat() {
 	n.mu.Lock()
