Add the client package and hyssopreelctl

Cause: operators, tests and the demo need typed access to the HTTP API of design section 13, with errors that say whether a request ran.

hyssopreelctl replay prints effects as JSON lines and compares them byte for byte; encoding/json sorts map keys, msgpack does not for typed maps.

Ruled out: exit code 1 for positional arguments that do not parse, which go-flags reports with a plain error; a test found it, and it is 2 now.

--- a/api/api.go
+++ b/api/api.go
@@ -189,3 +189,81 @@
 	Running       int    `json:"running"`
 	CacheTokens   int64  `json:"cache_tokens"`
 }
+
+// Programs answers GET /v1/programs.
+type Programs struct {
+	Programs []ProgramStatus `json:"programs"`
+}
+
+// Members answers GET /v1/members.
+type Members struct {
+	Members []Member `json:"members"`
+}
+
+// Backends answers GET /v1/backends.
+type Backends struct {
+	Backends []Backend `json:"backends"`
+}
+
+// TicketAccepted answers POST /v1/tickets, whose body is a config.Ticket.
+type TicketAccepted struct {
+	// Number is the ticket number in force after the ticket was accepted.
+	Number uint64 `json:"number"`
+}
+
+// TicketSummary is an accepted ticket without its content; GET /v1/tickets/{n} answers with the whole
+// config.Ticket.
+type TicketSummary struct {
+	Number       uint64 `json:"number"`
+	Author       string `json:"author"`
+	Comment      string `json:"comment,omitempty"`
+	Tag          string `json:"tag"`
+	AcceptedAtMS int64  `json:"accepted_at_ms"`
+}
+
+// Tickets answers GET /v1/tickets: the latest accepted tickets, the oldest first.
+type Tickets struct {
+	InForce uint64          `json:"in_force"`
+	Tickets []TicketSummary `json:"tickets"`
+}
+
+// Pools answers GET /v1/pools.
+type Pools struct {
+	Pools []Pool `json:"pools"`
+}
+
+// Pool is a pool as configured, with the state of its workers.
+type Pool struct {
+	Name     string   `json:"name"`
+	Kind     string   `json:"kind"` // "engine" or "service"
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// Manager is the host that sends orders to the workers, under the fencing number Fence.
+	Manager ids.Host     `json:"manager,omitempty"`
+	Fence   uint64       `json:"fence,omitempty"`
+	Workers []PoolWorker `json:"workers,omitempty"`
+}
+
+// PoolWorker is what one worker of a pool has.
+type PoolWorker struct {
+	Name     string   `json:"name"`
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// State is "ready", "loading", "waiting" (for the others), "failed" or "unreachable".
+	State string `json:"state"`
+	// Order is the order under way, for example "load_model m v2".
+	Order string `json:"order,omitempty"`
+	Error string `json:"error,omitempty"`
+}
+
+// Events of a streamed call: EventPiece with a Piece, then EventAnswer with a CallAnswer or EventError
+// with an ErrorAnswer.
+const (
+	EventPiece  = "piece"
+	EventAnswer = "answer"
+	EventError  = "error"
+)
--- /dev/null
+++ b/cmd/hyssopreelctl/main.go
@@ -0,0 +1,216 @@
+// Command hyssopreelctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hyssopreel/hyssopreel/client"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+)
+
+// Exit codes. They are stable; scripts depend on them.
+const (
+	exitOK       = 0
+	exitNotRun   = 1 // the request failed and did not run
+	exitUsage    = 2
+	exitUnknown  = 3 // the request may have run
+	exitConflict = 4 // another ticket was accepted, or the tag belongs to another ticket
+	exitDone     = 5 // the request ran, and an error was reported all the same
+	exitDiffers  = 6 // a replay gave other effects than expected
+)
+
+const description = `hyssopreelctl shows and changes a hyssopreel deployment. It talks to any of its hosts.
+
+Exit codes:
+  0  done
+  1  the request failed and did not run
+  2  wrong usage
+  3  the outcome is unknown: the request may have run
+  4  conflict: another ticket was accepted with this number or a higher one
+  5  the request ran, and an error was reported all the same
+  6  a replay gave other effects than expected
+
+Example:
+  hyssopreelctl --host 10.0.0.1:7070 --host 10.0.0.2:7070 ticket list`
+
+// globals are the options of every command.
+type globals struct {
+	Hosts   []string      `long:"host" env:"HYSSOPREEL_HOST" env-delim:"," default:"127.0.0.1:7070" value-name:"ADDRESS:PORT" description:"a host to ask; may be repeated, others are tried when one cannot be reached"`
+	Output  string        `long:"output" short:"o" choice:"table" choice:"json" default:"table" description:"output format"`
+	Timeout time.Duration `long:"timeout" default:"60s" description:"time limit of the command"`
+}
+
+// app is what a command works with.
+type app struct {
+	globals
+	ctx    context.Context
+	client *client.Client
+	stdin  io.Reader
+	stdout io.Writer
+}
+
+// action is one command. Its fields are its options and arguments.
+type action interface {
+	run(a *app) error
+}
+
+// command adapts an action to go-flags, which finds options in exported fields and calls Execute.
+type command struct {
+	app *app
+	action
+}
+
+func (c *command) Execute([]string) error { return c.run(c.app) }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	a := &app{stdin: stdin, stdout: stdout}
+	parser := flags.NewNamedParser("hyssopreelctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if _, err := parser.AddGroup("Options", "", &a.globals); err != nil {
+		return report(stderr, "table", err)
+	}
+	if err := addCommands(parser, a); err != nil {
+		return report(stderr, "table", err)
+	}
+	executed := false
+	parser.CommandHandler = func(cmd flags.Commander, rest []string) error {
+		if cmd == nil {
+			return nil
+		}
+		if len(rest) > 0 {
+			return usagef("unexpected argument %q", rest[0])
+		}
+		executed = true
+		var cancel context.CancelFunc
+		a.ctx, cancel = context.WithTimeout(ctx, a.Timeout)
+		defer cancel()
+		a.client = client.New(a.Hosts, nil)
+		return cmd.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(stdout, fe.Message)
+		return exitOK
+	}
+	if err != nil && !executed && !errors.As(err, &fe) {
+		// go-flags passes on the conversion errors of positional arguments as they are.
+		err = usagef("%s", err)
+	}
+	return report(stderr, a.Output, err)
+}
+
+// errDiffers is the result of a replay with other effects than expected.
+type errDiffers struct{ message string }
+
+func (e *errDiffers) Error() string { return e.message }
+
+func usagef(format string, args ...any) error {
+	return &flags.Error{Type: flags.ErrInvalidChoice, Message: fmt.Sprintf(format, args...)}
+}
+
+// report prints the error and returns the exit code.
+func report(stderr io.Writer, output string, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var usage *flags.Error
+	var differs *errDiffers
+	var f *fault.Error
+	switch {
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintf(stderr, "%s\nTry hyssopreelctl --help.\n", usage.Message)
+		return exitUsage
+	case errors.As(err, &differs):
+		_, _ = fmt.Fprintln(stderr, differs.message)
+		return exitDiffers
+	case !errors.As(err, &f):
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitNotRun
+	}
+	if output == "json" {
+		_ = json.NewEncoder(stderr).Encode(map[string]any{"error": f})
+	} else {
+		_, _ = fmt.Fprintln(stderr, f)
+		if f.RetryAfterMS > 0 {
+			_, _ = fmt.Fprintf(stderr, "Retry after %s.\n", time.Duration(f.RetryAfterMS)*time.Millisecond)
+		}
+	}
+	switch {
+	case f.Outcome == fault.Unknown:
+		return exitUnknown
+	case f.Code == fault.CodeTicketConflict || f.Code == fault.CodeKeyReused:
+		return exitConflict
+	case f.Outcome == fault.Done:
+		return exitDone
+	}
+	return exitNotRun
+}
+
+// adder adds commands and keeps the first error.
+type adder struct {
+	app *app
+	err error
+}
+
+// group adds a command that has only subcommands.
+func (d *adder) group(parent *flags.Command, name, short string) *flags.Command {
+	cmd, err := parent.AddCommand(name, short, short+".", &struct{}{})
+	if err != nil && d.err == nil {
+		d.err = err
+	}
+	return cmd
+}
+
+// add adds a command with an example to its help.
+func (d *adder) add(parent *flags.Command, name, short, long, example string, act action) {
+	cmd, err := parent.AddCommand(name, short, short+". "+long+"\n\nExample:\n  hyssopreelctl "+example, &command{app: d.app, action: act})
+	if err == nil {
+		_, err = cmd.AddGroup("Command options", "", act)
+	}
+	if err != nil && d.err == nil {
+		d.err = err
+	}
+}
+
+func addCommands(p *flags.Parser, a *app) error {
+	d := &adder{app: a}
+	ticket := d.group(p.Command, "ticket", "Change the configuration and show its tickets")
+	d.add(ticket, "apply", "Apply a ticket from a JSON file",
+		"A ticket holds the whole new state of each object that it touches; null deletes one. It is accepted or refused as a whole.",
+		"ticket apply --number 12 --author ann pools.json", &ticketApply{})
+	d.add(ticket, "show", "Show a ticket as JSON", "Without a number, the ticket in force is shown.", "ticket show 12", &ticketShow{})
+	d.add(ticket, "list", "List the latest accepted tickets", "", "ticket list --output json", &ticketList{})
+	program := d.group(p.Command, "program", "Show and cancel programs")
+	d.add(program, "list", "List programs", "", "program list --team bench", &programList{})
+	d.add(program, "show", "Show the status of a program", "", "program show almaty-a-1.7-42", &programShow{})
+	d.add(program, "history", "Show the history of a program", "", "program history almaty-a-1.7-42 --output json", &programHistory{})
+	d.add(program, "cancel", "Cancel a program and its running call", "", "program cancel almaty-a-1.7-42", &programCancel{})
+	host := d.group(p.Command, "host", "Show and drain hosts")
+	d.add(host, "list", "List the hosts", "", "host list", &hostList{})
+	d.add(host, "drain", "Shut a host down gracefully", "It refuses new programs, finishes its calls and hands its programs over.", "host drain almaty-a-1", &hostDrain{})
+	backend := d.group(p.Command, "backend", "Show backend servers")
+	d.add(backend, "list", "List the backend servers", "", "backend list --pool reel-lm", &backendList{})
+	pool := d.group(p.Command, "pool", "Show pools")
+	d.add(pool, "list", "List the pools and their workers", "", "pool list", &poolList{})
+	d.add(p.Command, "replay", "Run an event log through the reducer and show its effects",
+		"The log is the one that a daemon writes with the setting event_log. With --expect, the effects are compared byte for byte with a file written by --output json.",
+		"replay events.log --expect effects.json", &replay{})
+	return d.err
+}
--- /dev/null
+++ b/cmd/hyssopreelctl/main_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+func TestCLI(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "hyssopreelctl")
+}
+
+type result struct {
+	code        int
+	out, errOut string
+}
+
+var _ = ginkgo.Describe("hyssopreelctl", func() {
+	var mux *http.ServeMux
+	var url string
+
+	ginkgo.BeforeEach(func() {
+		mux = http.NewServeMux()
+		s := httptest.NewServer(mux)
+		ginkgo.DeferCleanup(s.Close)
+		url = s.URL
+	})
+
+	ctl := func(stdin string, args ...string) result {
+		var out, errOut bytes.Buffer
+		code := run(context.Background(), append([]string{"--host", url}, args...), strings.NewReader(stdin), &out, &errOut)
+		return result{code, out.String(), errOut.String()}
+	}
+	serve := func(pattern string, v any) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) })
+	}
+	file := func(name, content string) string {
+		path := filepath.Join(ginkgo.GinkgoT().TempDir(), name)
+		gomega.Expect(os.WriteFile(path, []byte(content), 0o600)).To(gomega.Succeed())
+		return path
+	}
+
+	// Guards against scripts that act on a wrong exit code.
+	ginkgo.DescribeTable("exit codes of a refused ticket", func(f *fault.Error, code int) {
+		mux.HandleFunc("POST /v1/tickets", func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(f.HTTPStatus())
+			_ = json.NewEncoder(w).Encode(api.ErrorAnswer{Error: f})
+		})
+		r := ctl(`{"number": 1}`, "ticket", "apply", "-")
+		gomega.Expect(r.code).To(gomega.Equal(code))
+		gomega.Expect(r.errOut).To(gomega.ContainSubstring(f.Message))
+		gomega.Expect(r.out).To(gomega.BeEmpty())
+	},
+		ginkgo.Entry("not run", fault.New(fault.CodeStoreDown, "s", "store is down"), exitNotRun),
+		ginkgo.Entry("unknown", fault.New(fault.CodeOutcomeUnknown, "s", "lost").With(fault.Unknown), exitUnknown),
+		ginkgo.Entry("conflict", fault.New(fault.CodeTicketConflict, "s", "ticket 1 by bob"), exitConflict),
+		ginkgo.Entry("done", fault.New(fault.CodeInternal, "s", "ran").With(fault.Done), exitDone),
+	)
+
+	ginkgo.DescribeTable("wrong usage", func(args ...string) {
+		gomega.Expect(ctl("", args...).code).To(gomega.Equal(exitUsage))
+	},
+		ginkgo.Entry("no command"),
+		ginkgo.Entry("unknown command", "tickets"),
+		ginkgo.Entry("missing file", "ticket", "apply"),
+		ginkgo.Entry("unknown option", "host", "list", "--all"),
+		ginkgo.Entry("extra argument", "host", "list", "x"),
+		ginkgo.Entry("bad number", "ticket", "show", "x"),
+	)
+
+	// Guards against a command whose help lacks the example or the exit codes.
+	ginkgo.It("has an example in the help of each command", func() {
+		for _, c := range []string{
+			"ticket apply", "ticket show", "ticket list", "program list", "program show", "program history",
+			"program cancel", "host list", "host drain", "backend list", "pool list", "replay",
+		} {
+			r := ctl("", append(strings.Fields(c), "--help")...)
+			gomega.Expect(r.code).To(gomega.Equal(exitOK), c)
+			gomega.Expect(r.out).To(gomega.ContainSubstring("hyssopreelctl "+c), c)
+		}
+		gomega.Expect(ctl("", "--help").out).To(gomega.ContainSubstring("Exit codes:"))
+	})
+
+	// Guards against a ticket whose number, author or deletions do not reach the host.
+	ginkgo.It("applies a ticket", func() {
+		var got config.Ticket
+		mux.HandleFunc("POST /v1/tickets", func(w http.ResponseWriter, r *http.Request) {
+			gomega.Expect(json.NewDecoder(r.Body).Decode(&got)).To(gomega.Succeed())
+			_ = json.NewEncoder(w).Encode(api.TicketAccepted{Number: got.Number})
+		})
+		path := file("t.json", `{"objects": {"teams": {"a": {"max_budget_tokens": 5, "max_open_programs": 1}, "b": null}}}`)
+		r := ctl("", "ticket", "apply", "--number", "9", "--author", "ann", path)
+		gomega.Expect(r.code).To(gomega.Equal(exitOK), r.errOut)
+		gomega.Expect(got.Number).To(gomega.Equal(uint64(9)))
+		gomega.Expect(got.Author).To(gomega.Equal("ann"))
+		gomega.Expect(got.Objects.Teams).To(gomega.HaveKeyWithValue("b", (*config.Team)(nil)))
+		gomega.Expect(got.Objects.Teams["a"].MaxBudgetTokens).To(gomega.Equal(int64(5)))
+	})
+
+	// Guards against a misspelt field that is silently ignored.
+	ginkgo.It("refuses a ticket with an unknown field", func() {
+		r := ctl(`{"number": 1, "objects": {"team": {}}}`, "ticket", "apply", "-")
+		gomega.Expect(r.code).To(gomega.Equal(exitNotRun))
+		gomega.Expect(r.errOut).To(gomega.ContainSubstring(`unknown field "team"`))
+	})
+
+	// Guards against tables that lose a row, and JSON that differs from the API's.
+	ginkgo.It("lists as a table and as JSON", func() {
+		pools := api.Pools{Pools: []api.Pool{{Name: "reel-lm", Kind: "engine", Model: "m", Workers: []api.PoolWorker{
+			{Name: "w1", Model: "m", State: "ready"}, {Name: "w2", State: "loading", Order: "load_model m v2"},
+		}}}}
+		serve("GET /v1/pools", pools)
+		serve("GET /v1/members", api.Members{Members: []api.Member{{Name: "a-1", State: "up", Ticket: 7}}})
+		serve("GET /v1/backends", api.Backends{Backends: []api.Backend{{Name: "w1", Pool: "p"}, {Name: "w2", Pool: "q"}}})
+		serve("GET /v1/tickets", api.Tickets{InForce: 2, Tickets: []api.TicketSummary{{Number: 2, Author: "ann"}}})
+		serve("GET /v1/tickets/2", config.Ticket{Number: 2, Author: "ann"})
+		serve("GET /v1/programs", api.Programs{Programs: []api.ProgramStatus{{ID: "a.1-1", Team: "x"}, {ID: "a.1-2", Team: "y"}}})
+		gomega.Expect(ctl("", "pool", "list").out).To(gomega.MatchRegexp(`(?m)^reel-lm  w2 .*loading  load_model m v2  -$`))
+		gomega.Expect(ctl("", "host", "list").out).To(gomega.MatchRegexp(`(?m)^a-1 .* up     7 `))
+		gomega.Expect(ctl("", "backend", "list", "--pool", "q").out).To(gomega.And(gomega.ContainSubstring("w2"), gomega.Not(gomega.ContainSubstring("w1"))))
+		gomega.Expect(ctl("", "ticket", "list").out).To(gomega.ContainSubstring("ann"))
+		gomega.Expect(ctl("", "ticket", "show").out).To(gomega.ContainSubstring(`"number": 2`))
+		gomega.Expect(ctl("", "program", "list", "--team", "y").out).To(gomega.And(gomega.ContainSubstring("a.1-2"), gomega.Not(gomega.ContainSubstring("a.1-1"))))
+		var back api.Pools
+		gomega.Expect(json.Unmarshal([]byte(ctl("", "pool", "list", "-o", "json").out), &back)).To(gomega.Succeed())
+		gomega.Expect(back).To(gomega.Equal(pools))
+	})
+
+	// Guards against a cancel that is sent to a host that is not the program's home.
+	ginkgo.It("cancels a program and drains a host", func() {
+		var requests []string
+		serve("GET /v1/hosts", api.HostsAnswer{Hosts: []api.HostAddress{{Address: url}}})
+		for _, p := range []string{"DELETE /v1/programs/{id}", "POST /v1/members/{host}/drain"} {
+			mux.HandleFunc(p, func(w http.ResponseWriter, r *http.Request) {
+				requests = append(requests, r.Method+" "+r.URL.Path)
+				w.WriteHeader(http.StatusNoContent)
+			})
+		}
+		gomega.Expect(ctl("", "program", "cancel", "a.1-1").code).To(gomega.Equal(exitOK))
+		gomega.Expect(ctl("", "host", "drain", "a").code).To(gomega.Equal(exitOK))
+		gomega.Expect(requests).To(gomega.Equal([]string{"DELETE /v1/programs/a.1-1", "POST /v1/members/a/drain"}))
+	})
+
+	ginkgo.Describe("replay", func() {
+		var log string
+
+		ginkgo.BeforeEach(func() {
+			var b bytes.Buffer
+			for n := uint64(1); n <= 3; n++ {
+				ev := configuration.Pushed{From: "p", Base: n - 1, Ticket: config.Ticket{Number: n, Author: "ann"}}
+				raw, err := event.Encode(event.Envelope{At: clock.Millis(n), Event: ev})
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				gomega.Expect(runtime.WriteRecord(&b, raw)).To(gomega.Succeed())
+			}
+			log = file("events.log", b.String())
+		})
+
+		// Guards against a replay that misses a change of the decisions.
+		ginkgo.It("compares the effects byte for byte", func() {
+			effects := ctl("", "replay", log, "--output", "json")
+			gomega.Expect(effects.code).To(gomega.Equal(exitOK), effects.errOut)
+			gomega.Expect(strings.Count(effects.out, "\n")).To(gomega.Equal(4), "three changes and one confirmation")
+			gomega.Expect(ctl("", "replay", log, "--expect", file("same", effects.out)).code).To(gomega.Equal(exitOK))
+			changed := strings.Replace(effects.out, `"at_ms":2`, `"at_ms":5`, 1)
+			r := ctl("", "replay", log, "--expect", file("changed", changed))
+			gomega.Expect(r.code).To(gomega.Equal(exitDiffers))
+			gomega.Expect(r.errOut).To(gomega.ContainSubstring("effect 3 differs"))
+			gomega.Expect(ctl("", "replay", log, "--expect", file("more", effects.out+"{}\n")).code).To(gomega.Equal(exitDiffers))
+			gomega.Expect(ctl("", "replay", log).out).To(gomega.ContainSubstring("configuration.in_force"))
+		})
+
+		// Guards against a log that was cut off by a crash being taken for a whole one.
+		ginkgo.It("reports a log that is cut off", func() {
+			b, err := os.ReadFile(log)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			r := ctl("", "replay", file("cut.log", string(b[:len(b)-3])), "-o", "json")
+			gomega.Expect(r.code).To(gomega.Equal(exitNotRun))
+			gomega.Expect(r.errOut).To(gomega.ContainSubstring("event 3"))
+			gomega.Expect(strings.Count(r.out, "\n")).To(gomega.Equal(3))
+		})
+	})
+})
