Put the daemon together

Cause: the roles exist and no process runs them. One incarnation runs until a signal, a drain or a deposition; a shutdown holds new requests at the entry while those under way finish and turns become durable, and passes the held ones to the heir. Ruled out: refusing requests during the handover, which cuts callers off for its duration. Before: no daemon.

--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -93,6 +93,7 @@
 			logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
 			return exitFailed
 		}
+		return 0
 	}
 	return 0
 }
--- a/common/objectapi/objectapi_test.go
+++ b/common/objectapi/objectapi_test.go
@@ -320,4 +320,3 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(msgpack.Unmarshal(b, out)).To(Succeed())
 }
-
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -32,7 +32,7 @@
 	TypeRelay:       "relay",
 	TypeLookup:      "lookup",
 	TypeLeaving:     "leaving",
-	TypeDrain:       "drain",
+	TypeOperate:     "operate",
 }
 
 // String returns the name of the type in docs/design.md, section 9.
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -21,7 +21,7 @@
 	TypeRelay       // object API call through a peer
 	TypeLookup      // states of programs, asked of their home
 	TypeLeaving     // backend servers that are leaving
-	TypeDrain       // an operator drains the host
+	TypeOperate     // status of a host, and its drain
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- /dev/null
+++ b/service/daemon/daemon.go
@@ -0,0 +1,254 @@
+// Package daemon puts the roles of a host together and runs them from start to shutdown.
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/metrics"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	coreconfiguration "github.com/hyssopreel/hyssopreel/core/configuration"
+	coremembership "github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+	"github.com/hyssopreel/hyssopreel/service/backends"
+	"github.com/hyssopreel/hyssopreel/service/configuration"
+	"github.com/hyssopreel/hyssopreel/service/entry"
+	"github.com/hyssopreel/hyssopreel/service/home"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// ErrDeposed ends an incarnation whose programs were taken over. The process starts a new one.
+var ErrDeposed = errors.New("this incarnation was deposed")
+
+const (
+	// handoverTimeout bounds the wait for an heir at shutdown; after it the lease lapses and the programs are
+	// taken over like those of a dead host.
+	handoverTimeout = 30 * time.Second
+	// quietPoll is how often a shutdown looks for requests that are still under way.
+	quietPoll = 20 * time.Millisecond
+	// retention is how long ended programs can be read.
+	retention = time.Hour
+)
+
+// NewState returns the reducer's state of a host; the replay of an event log starts from the same.
+func NewState() *core.State {
+	return core.NewState(map[string]core.Subsystem{
+		"program":       program.New(),
+		"sched":         sched.NewState(),
+		"membership":    coremembership.New(),
+		"configuration": coreconfiguration.NewState(),
+	})
+}
+
+// Daemon is one incarnation of a host.
+type Daemon struct {
+	settings *settings.Settings
+	log      io.WriteCloser
+
+	clock         clock.Clock
+	local         *objectapi.HTTPStore // the platform as this host reaches it
+	store         objectapi.Store      // the same, through a peer where this host alone lost it
+	node          *wire.Node
+	rt            *runtime.Runtime
+	members       *membership.Service
+	configuration *configuration.Service
+	backends      *backends.Service
+	home          *home.Home
+	entry         *entry.Server
+	http          *http.Server
+	deposed       chan string
+	drain         chan struct{}
+}
+
+// Run runs one incarnation until ctx is done or an operator drains the host, and then shuts it down without cutting off a request. It returns
+// ErrDeposed when the programs of this incarnation were taken over.
+func Run(ctx context.Context, s *settings.Settings) error {
+	d, err := build(s)
+	if err != nil {
+		return err
+	}
+	defer d.close()
+	// The parts outlive ctx, because the shutdown needs them.
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	if err := d.start(ctx, work, g); err != nil {
+		stop()
+		_ = g.Wait()
+		if ctx.Err() != nil {
+			return nil // stopped while it waited for the store
+		}
+		return err
+	}
+	logging.Emit(logging.DaemonStarted, logging.Fields{"host": string(s.Host.Name), "journal": string(d.members.Self().Journal)})
+	err = d.wait(ctx, work)
+	if err == nil {
+		err = d.shutdown(work)
+	}
+	stop()
+	if waitErr := g.Wait(); err == nil && waitErr != nil && !errors.Is(waitErr, context.Canceled) {
+		err = waitErr
+	}
+	return err
+}
+
+func build(s *settings.Settings) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock.System(), deposed: make(chan string, 1), drain: make(chan struct{}, 1)}
+	if s.EventLog.Path != "" {
+		f, err := os.OpenFile(s.EventLog.Path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open event log")
+		}
+		d.log = f
+	}
+	d.store = d.newStore()
+	d.node = wire.NewNode(wire.Options{
+		Self: processName(ids.Host(s.Host.Name)), HeartbeatEvery: s.Membership.Heartbeat, SilentAfter: s.Membership.SuspectAfter,
+		OnPeerDown: func(addr string) {
+			if d.members != nil {
+				d.members.PeerDown(addr)
+			}
+		},
+	})
+	var log io.Writer
+	if d.log != nil {
+		log = d.log
+	}
+	d.rt = runtime.New(d.clock, NewState(), log)
+	d.buildMembership()
+	d.buildConfiguration()
+	d.buildBackends()
+	d.buildHome()
+	d.buildEntry()
+	return d, nil
+}
+
+func (d *Daemon) buildHome() {
+	s := d.settings
+	d.home = home.New(home.Options{
+		Store: d.store, View: d.members, Node: d.node, Runtime: d.rt, Backends: d.backends,
+		BatchInterval: s.Journal.BatchInterval,
+		Limits: program.Limits{
+			MaxQueuedCalls: s.Limits.MaxQueuedCalls, OrderWait: s.Limits.OrderWait, IdleTimeout: s.Limits.IdleTimeout,
+			Retention: retention, MaxUnsaved: int(s.Journal.MaxUnsaved),
+		},
+		Deposed: func(reason string) {
+			select {
+			case d.deposed <- reason:
+			default:
+			}
+		},
+	})
+	d.members.SetAdopter(d.home)
+}
+
+func (d *Daemon) buildEntry() {
+	s := d.settings
+	d.entry = entry.New(entry.Options{
+		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: int64(s.Limits.MaxBody), RequestTimeout: s.Limits.RequestTimeout,
+		Mount: d.mountOperators, Ready: d.ready, Metrics: metrics.Handler(), Observe: observeRequest,
+	})
+	const readHeaderTimeout = 5 * time.Second
+	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(s.Limits.MaxHeader)}
+}
+
+func (d *Daemon) ready() error {
+	switch {
+	case !d.members.Ready():
+		return errors.New("the host has no lease yet")
+	case !d.configuration.Ready():
+		return errors.New("the configuration has not been read")
+	}
+	return nil
+}
+
+// start brings the parts up in the order in which they need each other. Requests are served last.
+func (d *Daemon) start(ctx, work context.Context, g *errgroup.Group) error {
+	s := d.settings
+	httpListener, err := net.Listen("tcp", s.Listen.HTTP)
+	if err != nil {
+		return errors.Wrapf(err, "listen for callers at %s", s.Listen.HTTP)
+	}
+	g.Go(func() error { return d.rt.Run(work) })
+	// The peer port opens before the lease is taken, so that a peer that reads the new record can connect.
+	if _, err := d.node.Listen(s.Listen.Peer); err != nil {
+		_ = httpListener.Close()
+		return err
+	}
+	if err := d.members.Start(ctx); err != nil {
+		_ = httpListener.Close()
+		return err
+	}
+	if err := d.home.Start(d.members.Self().Journal); err != nil {
+		_ = httpListener.Close()
+		return err
+	}
+	d.configuration.Subscribe(func(c *config.Config) { d.rt.Publish(program.ConfigChanged{Config: *c}) })
+	g.Go(func() error { d.home.Run(work); return nil })
+	g.Go(func() error { return d.configuration.Run(work) })
+	d.backends.Start()
+	g.Go(func() error { d.followGroups(work); return nil })
+	g.Go(func() error {
+		if err := d.http.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	return nil
+}
+
+// wait returns when the host is to shut down, or with an error when it can't go on.
+func (d *Daemon) wait(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.drain:
+		return nil
+	case reason := <-d.deposed:
+		logging.Emit(logging.DaemonDeposed, logging.Fields{"host": string(d.settings.Host.Name), "reason": reason})
+		return ErrDeposed
+	case <-work.Done():
+		return errors.New("a part of the daemon failed")
+	}
+}
+
+func (d *Daemon) close() {
+	_ = d.http.Close()
+	d.backends.Stop()
+	d.members.Stop()
+	_ = d.node.Close()
+	if d.log != nil {
+		_ = d.log.Close()
+	}
+}
+
+func (d *Daemon) selfMember() membership.Member {
+	s := d.settings
+	return membership.Member{
+		Name: ids.Host(s.Host.Name), FailureDomain: s.Host.FailureDomain, Region: s.Host.Region,
+		HTTPAddress: s.Listen.AdvertiseHTTP, PeerAddress: s.Listen.AdvertisePeer,
+	}
+}
+
+func observeRequest(route string, status int, took time.Duration) {
+	scope := metrics.Root().Tagged(map[string]string{"route": route, "status": strconv.Itoa(status)})
+	scope.Counter("requests").Inc(1)
+	scope.Timer("request_duration").Record(took)
+}
--- /dev/null
+++ b/service/daemon/operators.go
@@ -0,0 +1,210 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/service/entry"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+)
+
+// askTimeout bounds a question to one host for a list of all hosts.
+const askTimeout = time.Second
+
+// operation is the body of an operate frame.
+type operation struct {
+	Drain bool `msgpack:"d"`
+}
+
+// hostStatus is the answer to an operate frame.
+type hostStatus struct {
+	Ticket   uint64              `msgpack:"t"`
+	Programs []api.ProgramStatus `msgpack:"p"`
+}
+
+func (d *Daemon) mountOperators(r chi.Router) {
+	r.Get("/v1/programs", d.listPrograms)
+	r.Post("/v1/tickets", d.applyTicket)
+	r.Get("/v1/tickets", d.listTickets)
+	r.Get("/v1/tickets/{number}", d.showTicket)
+	r.Get("/v1/members", d.listMembers)
+	r.Post("/v1/members/{host}/drain", d.drainMember)
+	r.Get("/v1/backends", func(w http.ResponseWriter, _ *http.Request) {
+		entry.WriteJSON(w, http.StatusOK, api.Backends{Backends: d.backends.Backends()})
+	})
+	r.Get("/v1/pools", d.listPools)
+	d.node.Handle(wire.TypeOperate, d.handleOperate)
+}
+
+func (d *Daemon) handleOperate(ctx context.Context, r *wire.Request) {
+	var q operation
+	if r.Decode(&q) != nil {
+		return
+	}
+	if q.Drain {
+		d.requestDrain()
+	}
+	_ = r.Answer(d.status(ctx))
+}
+
+// requestDrain shuts the host down as a signal does.
+func (d *Daemon) requestDrain() {
+	select {
+	case d.drain <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) status(ctx context.Context) hostStatus {
+	s := hostStatus{Ticket: d.configuration.Number()}
+	if r, err := d.home.Read(ctx, program.QueryList, "", ""); err == nil {
+		s.Programs = r.List
+	}
+	return s
+}
+
+// statuses asks all hosts at once. Hosts that do not answer in time are missing.
+func (d *Daemon) statuses(ctx context.Context) map[ids.Host]hostStatus {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	out := map[ids.Host]hostStatus{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, m := range d.members.Members() {
+		if m.State == membership.StateGone {
+			continue
+		}
+		wg.Go(func() {
+			s := hostStatus{}
+			if m.Journal == d.members.Self().Journal {
+				s = d.status(ctx)
+			} else if err := d.node.Call(ctx, m.PeerAddress, wire.TypeOperate, operation{}, &s); err != nil {
+				return
+			}
+			mu.Lock()
+			out[m.Name] = s
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// listPrograms lists the programs of all hosts that answer.
+func (d *Daemon) listPrograms(w http.ResponseWriter, r *http.Request) {
+	list := api.Programs{Programs: []api.ProgramStatus{}}
+	for _, s := range d.statuses(r.Context()) {
+		list.Programs = append(list.Programs, s.Programs...)
+	}
+	slices.SortFunc(list.Programs, func(a, b api.ProgramStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	entry.WriteJSON(w, http.StatusOK, list)
+}
+
+func (d *Daemon) applyTicket(w http.ResponseWriter, r *http.Request) {
+	var t config.Ticket
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&t); err != nil {
+		entry.WriteError(w, fault.New(fault.CodeInvalid, "read ticket", "%v", err))
+		return
+	}
+	c, err := d.configuration.Apply(r.Context(), t)
+	if err != nil {
+		entry.WriteError(w, fault.From(err, "apply ticket"))
+		return
+	}
+	entry.WriteJSON(w, http.StatusOK, api.TicketAccepted{Number: c.Number})
+}
+
+func (d *Daemon) listTickets(w http.ResponseWriter, _ *http.Request) {
+	a := api.Tickets{InForce: d.configuration.Number(), Tickets: []api.TicketSummary{}}
+	for _, t := range d.configuration.Accepted() {
+		a.Tickets = append(a.Tickets, api.TicketSummary{Number: t.Number, Author: t.Author, Comment: t.Comment, Tag: t.Tag, AcceptedAtMS: int64(t.At)})
+	}
+	entry.WriteJSON(w, http.StatusOK, a)
+}
+
+func (d *Daemon) showTicket(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.ParseUint(chi.URLParam(r, "number"), 10, 64)
+	if err != nil {
+		entry.WriteError(w, fault.New(fault.CodeInvalid, "show ticket", "%q is not a ticket number", chi.URLParam(r, "number")))
+		return
+	}
+	t, err := d.configuration.Ticket(r.Context(), n)
+	if err != nil {
+		entry.WriteError(w, fault.From(err, "show ticket"))
+		return
+	}
+	entry.WriteJSON(w, http.StatusOK, t)
+}
+
+func (d *Daemon) listMembers(w http.ResponseWriter, r *http.Request) {
+	statuses := d.statuses(r.Context())
+	a := api.Members{Members: []api.Member{}}
+	for _, m := range d.members.Members() {
+		state := string(m.State)
+		if m.State == membership.StateUp && d.members.Suspected(m.Name) {
+			state = "suspect"
+		}
+		s := statuses[m.Name]
+		a.Members = append(a.Members, api.Member{
+			Name: m.Name, Journal: m.Journal, FailureDomain: m.FailureDomain, Address: m.HTTPAddress, PeerAddress: m.PeerAddress,
+			State: state, Adopted: m.Adopted, Ticket: s.Ticket, Programs: len(s.Programs),
+		})
+	}
+	entry.WriteJSON(w, http.StatusOK, a)
+}
+
+func (d *Daemon) drainMember(w http.ResponseWriter, r *http.Request) {
+	host := ids.Host(chi.URLParam(r, "host"))
+	if err := d.drainHost(r.Context(), host); err != nil {
+		entry.WriteError(w, fault.From(err, "drain host"))
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (d *Daemon) drainHost(ctx context.Context, host ids.Host) error {
+	for _, m := range d.members.Members() {
+		switch {
+		case m.Name != host:
+		case m.Journal == d.members.Self().Journal:
+			d.requestDrain()
+			return nil
+		default:
+			return errors.WithStack(d.node.Call(ctx, m.PeerAddress, wire.TypeOperate, operation{Drain: true}, nil))
+		}
+	}
+	return fault.New(fault.CodeNotFound, "drain host", "host %q does not exist", host)
+}
+
+func (d *Daemon) listPools(w http.ResponseWriter, _ *http.Request) {
+	a := api.Pools{Pools: []api.Pool{}}
+	pools := d.configuration.Current().Objects.Pools
+	for name, p := range pools {
+		pool := api.Pool{Name: name, Kind: p.Kind, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role}
+		for _, b := range d.backends.Backends() {
+			if b.Pool == name {
+				pool.Workers = append(pool.Workers, api.PoolWorker{Name: b.Name, State: b.State})
+			}
+		}
+		a.Pools = append(a.Pools, pool)
+	}
+	slices.SortFunc(a.Pools, func(a, b api.Pool) int { return strings.Compare(a.Name, b.Name) })
+	entry.WriteJSON(w, http.StatusOK, a)
+}
--- /dev/null
+++ b/service/daemon/shutdown.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/service/entry"
+)
+
+// shutdown ends the incarnation without cutting off a request:
+//
+//  1. the host is draining: callers are sent elsewhere and new programs are refused;
+//  2. requests for the programs that live here wait at the entry, and those that were under way finish;
+//  3. when every turn is durable, an heir adopts the journal, and the waiting requests go to the heir;
+//  4. the listener stays open until the answers to "which host" that name this host have run out.
+//
+// The wait for requests is bounded by drain_limit. The wait for turns to become durable is not: while the
+// store is down, the host stays.
+func (d *Daemon) shutdown(work context.Context) error {
+	started := time.Now()
+	logging.Emit(logging.DaemonDraining, logging.Fields{"host": string(d.settings.Host.Name)})
+	d.entry.StartDrain()
+	d.home.StartDrain()
+	drainCtx, cancel := context.WithTimeout(work, handoverTimeout)
+	defer cancel()
+	if err := d.members.Drain(drainCtx); err != nil {
+		logging.Emit(logging.DaemonDrainFailed, logging.Fields{"error": err.Error()})
+	}
+	d.entry.HoldPrograms()
+	d.waitUntil(work, started.Add(d.settings.Limits.DrainLimit), func() bool { return d.entry.ActiveLocal() == 0 && d.home.Idle() })
+	d.waitUntil(work, time.Time{}, d.home.Saved)
+	d.handover(work)
+	d.entry.ReleasePrograms()
+	d.waitUntil(work, started.Add(entry.HostsTTL), func() bool { return false })
+	d.waitUntil(work, started.Add(d.settings.Limits.DrainLimit), func() bool { return d.entry.Active() == 0 })
+	closeCtx, cancelClose := context.WithTimeout(work, handoverTimeout)
+	defer cancelClose()
+	err := d.http.Shutdown(closeCtx)
+	logging.Emit(logging.DaemonStopped, logging.Fields{"host": string(d.settings.Host.Name), "ms": time.Since(started).Milliseconds()})
+	return err
+}
+
+// handover gives the programs to an heir. If there is none, the lease lapses after the exit and the programs
+// are taken over then.
+func (d *Daemon) handover(work context.Context) {
+	ctx, cancel := context.WithTimeout(work, handoverTimeout)
+	defer cancel()
+	if err := d.members.Handover(ctx); err != nil {
+		logging.Emit(logging.DaemonHandoverFailed, logging.Fields{"error": err.Error()})
+	}
+}
+
+// waitUntil polls done until it is true, the deadline has passed (zero is no deadline), or the host was deposed.
+func (d *Daemon) waitUntil(work context.Context, deadline time.Time, done func() bool) {
+	t := time.NewTicker(quietPoll)
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-work.Done():
+			return
+		case <-d.deposed:
+			return
+		case now := <-t.C:
+			if !deadline.IsZero() && now.After(deadline) {
+				return
+			}
+		}
+	}
+}
--- a/service/entry/ops.go
+++ b/service/entry/ops.go
@@ -27,7 +27,6 @@
 	opHistory op = "history"
 	opEnd     op = "end"
 	opCancel  op = "cancel"
-	opList    op = "list"
 )
 
 // request is what the entry asks of a home, in this process or in a call frame.
@@ -41,12 +40,11 @@
 
 // result is the answer of a home. A frame with a piece is followed by more; the last one has the rest.
 type result struct {
-	Piece   *api.Piece          `msgpack:"pi,omitempty"`
-	Opened  *api.ProgramOpened  `msgpack:"op,omitempty"`
-	Answer  *api.CallAnswer     `msgpack:"a,omitempty"`
-	Status  *api.ProgramStatus  `msgpack:"s,omitempty"`
-	History *api.History        `msgpack:"h,omitempty"`
-	List    []api.ProgramStatus `msgpack:"l,omitempty"`
+	Piece   *api.Piece         `msgpack:"pi,omitempty"`
+	Opened  *api.ProgramOpened `msgpack:"op,omitempty"`
+	Answer  *api.CallAnswer    `msgpack:"a,omitempty"`
+	Status  *api.ProgramStatus `msgpack:"s,omitempty"`
+	History *api.History       `msgpack:"h,omitempty"`
 }
 
 // route finds the home of the request: the journal in the program ID names it, or the host that adopted
@@ -167,7 +165,7 @@
 		return &result{Status: st}, err
 	}
 	queries := map[op]program.Query{
-		opOutcome: program.QueryCall, opStatus: program.QueryStatus, opHistory: program.QueryHistory, opList: program.QueryList,
+		opOutcome: program.QueryCall, opStatus: program.QueryStatus, opHistory: program.QueryHistory,
 	}
 	query, ok := queries[q.Op]
 	if !ok {
@@ -177,7 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &result{Answer: r.Answer, Status: r.Status, History: r.History, List: r.List}, nil
+	return &result{Answer: r.Answer, Status: r.Status, History: r.History}, nil
 }
 
 func (s *Server) localCall(ctx context.Context, q request, emit func(api.Piece)) (*result, error) {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -91,7 +91,6 @@
 		r.Use(s.observe)
 		r.Get("/v1/hosts", s.hosts)
 		r.Post("/v1/programs", s.openProgram)
-		r.Get("/v1/programs", s.listPrograms)
 		r.Get("/v1/programs/{id}", s.simple(opStatus, func(r *result) any { return r.Status }))
 		r.Delete("/v1/programs/{id}", s.simple(opCancel, func(r *result) any { return r.Status }))
 		r.Post("/v1/programs/{id}/end", s.simple(opEnd, func(r *result) any { return r.Status }))
@@ -106,7 +105,7 @@
 		WriteError(w, fault.New(fault.CodeNotFound, "route request", "no such path: %s", r.URL.Path))
 	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
-		writeJSON(w, http.StatusMethodNotAllowed, api.ErrorAnswer{
+		WriteJSON(w, http.StatusMethodNotAllowed, api.ErrorAnswer{
 			Error: fault.New(fault.CodeInvalid, "route request", "method %s is not allowed for %s", r.Method, r.URL.Path),
 		})
 	})
@@ -183,7 +182,7 @@
 			a.Hosts = append(a.Hosts, address(m))
 		}
 	}
-	writeJSON(w, http.StatusOK, a)
+	WriteJSON(w, http.StatusOK, a)
 }
 
 func address(m membership.Member) api.HostAddress {
@@ -201,17 +200,7 @@
 		WriteError(w, fault.From(err, "open program"))
 		return
 	}
-	writeJSON(w, http.StatusCreated, res.Opened)
-}
-
-// listPrograms lists the programs whose home is this host.
-func (s *Server) listPrograms(w http.ResponseWriter, r *http.Request) {
-	res, err := s.local(r.Context(), request{Op: opList}, nil)
-	if err != nil {
-		WriteError(w, fault.From(err, "list programs"))
-		return
-	}
-	writeJSON(w, http.StatusOK, res.List)
+	WriteJSON(w, http.StatusCreated, res.Opened)
 }
 
 // simple serves a request that has no body and one answer.
@@ -223,7 +212,7 @@
 			WriteError(w, fault.From(err, string(o)))
 			return
 		}
-		writeJSON(w, http.StatusOK, pick(res))
+		WriteJSON(w, http.StatusOK, pick(res))
 	}
 }
 
@@ -251,7 +240,7 @@
 	if res.Answer.Error != nil {
 		status = res.Answer.Error.HTTPStatus()
 	}
-	writeJSON(w, status, res.Answer)
+	WriteJSON(w, status, res.Answer)
 }
 
 // streamCall answers with server-sent events. An error before the first piece is a plain error answer, so
@@ -350,10 +339,11 @@
 	if e.RetryAfterMS > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
 	}
-	writeJSON(w, e.HTTPStatus(), api.ErrorAnswer{Error: e})
+	WriteJSON(w, e.HTTPStatus(), api.ErrorAnswer{Error: e})
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
