--- /dev/null
+++ b/service/backends/engines.go
@@ -0,0 +1,268 @@
+package backends
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+const (
+	// maxFailures is the number of failed load polls in a row after which a worker gets no calls.
+	maxFailures = 3
+	// maxUnknown is the number of cache reports in a row after which the cache of a program without a home is
+	// released. A takeover takes fewer; a home that is found later recomputes the prefix.
+	maxUnknown = 6
+	// maxReleases bounds the releases in flight at one time.
+	maxReleases = 32
+	// maxReleaseBackoff bounds the pause between attempts, in multiples of the first one.
+	maxReleaseBackoff = 20
+	// maxAnswerBytes bounds an engine's answer: 100,000 programs with cache are about 5 MB.
+	maxAnswerBytes = 8 << 20
+)
+
+// poll starts the polls of an engine that are due. It is called with s.mu held.
+func (s *Service) poll(b objectapi.Backend, group string) {
+	now := s.o.Clock.Now()
+	w := s.workers[b.Name]
+	if w == nil || w.group != group {
+		w = &worker{group: group, nextLoad: now, nextCache: now.Add(jitter(s.o.Settings.ReconcileEvery))}
+		s.workers[b.Name] = w
+	}
+	if !w.loading && now >= w.nextLoad {
+		w.loading = true
+		w.nextLoad = now.Add(s.o.Settings.LoadEvery)
+		s.spawnLocked(func() { s.pollLoad(b, w) })
+	}
+	if !w.reporting && now >= w.nextCache {
+		w.reporting = true
+		w.nextCache = now.Add(s.o.Settings.ReconcileEvery)
+		s.spawnLocked(func() { s.pollCache(b, w) })
+	}
+}
+
+func (s *Service) pollLoad(b objectapi.Backend, w *worker) {
+	var load struct {
+		AgeMS       int64 `json:"age_ms"`
+		Running     int   `json:"running"`
+		Waiting     int   `json:"waiting"`
+		CacheTokens int64 `json:"cache_tokens"`
+	}
+	sentAt := s.o.Clock.Now()
+	err := s.request(http.MethodGet, b.Address, "/v1/load", nil, &load)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.loading = false
+	if err != nil {
+		if w.failures++; w.failures == maxFailures {
+			s.log("worker_unreachable", map[string]any{"worker": b.Name, "error": err.Error()})
+		}
+		return
+	}
+	if w.failures >= maxFailures {
+		s.log("worker_reachable", map[string]any{"worker": b.Name})
+	}
+	w.failures, w.running, w.cacheTokens = 0, load.Running, load.CacheTokens
+	if s.workers[b.Name] != w {
+		return // this host has ceased to schedule the group
+	}
+	s.o.Queue.Publish(sched.LoadReported{
+		Group: w.group, Worker: b.Name, AgeMS: load.AgeMS + s.o.Clock.Now().Sub(sentAt).Milliseconds(),
+		Running: load.Running, Waiting: load.Waiting, CacheTokens: load.CacheTokens,
+	})
+}
+
+// pollCache asks an engine which programs hold cache, reports them and releases those that have ended.
+func (s *Service) pollCache(b objectapi.Backend, w *worker) {
+	var answer struct {
+		Programs []struct {
+			Program ids.Program `json:"program"`
+			Tokens  int64       `json:"tokens"`
+		} `json:"programs"`
+	}
+	err := s.request(http.MethodGet, b.Address, "/v1/cache/programs", nil, &answer)
+	report := sched.CacheReported{Group: w.group, Worker: b.Name}
+	programs := make([]ids.Program, 0, len(answer.Programs))
+	for _, p := range answer.Programs {
+		report.Programs = append(report.Programs, sched.HeldProgram{Program: p.Program, Tokens: p.Tokens})
+		programs = append(programs, p.Program)
+	}
+	s.mu.Lock()
+	current := err == nil && s.workers[b.Name] == w
+	if current {
+		s.o.Queue.Publish(report)
+	}
+	s.mu.Unlock()
+	if current {
+		s.reconcile(b.Name, w, programs)
+	}
+	s.mu.Lock()
+	w.reporting = false
+	s.mu.Unlock()
+}
+
+// reconcile releases the cache of programs that their homes do not know or know as ended.
+func (s *Service) reconcile(workerName string, w *worker, programs []ids.Program) {
+	type batch struct {
+		home     membership.Member
+		programs []ids.Program
+	}
+	homes := map[ids.Host]*batch{}
+	unknown := map[ids.Program]int{}
+	for _, p := range programs {
+		j, _, err := p.Parse()
+		if err != nil {
+			continue // not a program of hyssopreel
+		}
+		home, ok := s.o.View.HomeOf(j)
+		if !ok {
+			unknown[p] = w.unknown[p] + 1
+			continue
+		}
+		if homes[home.Name] == nil {
+			homes[home.Name] = &batch{home: home}
+		}
+		homes[home.Name].programs = append(homes[home.Name].programs, p)
+	}
+	w.unknown = unknown // only this goroutine uses it: one report per worker is in flight
+	for p, n := range unknown {
+		if n >= maxUnknown {
+			s.Release(workerName, p, nil)
+		}
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Settings.RequestTimeout)
+	defer cancel()
+	for _, b := range homes {
+		states := s.o.Hooks.ProgramStates(ctx, b.home, b.programs)
+		for _, p := range b.programs {
+			if alive, known := states[p]; known && !alive {
+				s.Release(workerName, p, nil)
+			}
+		}
+	}
+}
+
+type releaseKey struct {
+	worker  string
+	program ids.Program
+}
+
+// Release drops the cache of a program on a worker. It is repeated until the worker confirms it or is gone
+// from the list; then done is called, if it is not nil. A release that is already running is joined.
+func (s *Service) Release(workerName string, p ids.Program, done func()) {
+	if done == nil {
+		done = func() {}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := releaseKey{workerName, p}
+	running := s.releases[key]
+	s.releases[key] = append(running, done)
+	if len(running) == 0 {
+		s.spawnLocked(func() { s.release(key) })
+	}
+}
+
+// Releases returns the number of releases that are not confirmed.
+func (s *Service) Releases() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.releases)
+}
+
+func (s *Service) release(key releaseKey) {
+	wait := s.o.Settings.ReleaseRetry
+	for !s.tryRelease(key) {
+		if !s.pause(jitter(wait)) {
+			return
+		}
+		wait = min(2*wait, maxReleaseBackoff*s.o.Settings.ReleaseRetry)
+	}
+	s.mu.Lock()
+	waiting := s.releases[key]
+	delete(s.releases, key)
+	s.mu.Unlock()
+	for _, done := range waiting {
+		done()
+	}
+}
+
+// tryRelease reports whether the release needs no further attempt.
+func (s *Service) tryRelease(key releaseKey) bool {
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-s.ctx.Done():
+		return false
+	}
+	b, gone := s.lookUp(key.worker)
+	if gone {
+		return true
+	}
+	if b.Name == "" {
+		return false
+	}
+	body := struct {
+		Program ids.Program `json:"program"`
+	}{key.program}
+	return s.request(http.MethodPost, b.Address, "/v1/cache/release", body, nil) == nil
+}
+
+// lookUp returns a worker of the list. gone is true if a list without the worker was read; before the first
+// list no worker counts as gone. Both are read under one lock, because a list that arrives in between would
+// make a listed worker look gone.
+func (s *Service) lookUp(name string) (b objectapi.Backend, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.list[name]
+	return b, !ok && s.listedAt != 0
+}
+
+// request sends a request to an engine and decodes the answer of status 200 into out, if it is not nil.
+func (s *Service) request(method, address, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(s.ctx, s.o.Settings.RequestTimeout)
+	defer cancel()
+	var payload io.Reader
+	if body != nil {
+		b, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrapf(err, "encode %s", path)
+		}
+		payload = bytes.NewReader(b)
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, method, address+path, payload)
+	if err != nil {
+		return errors.Wrapf(err, "request %s at %s", path, address)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := s.o.Client.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "%s at %s", path, address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrapf(err, "read the answer of %s at %s", path, address)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s at %s answered with status %d", path, address, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(b, out), "decode the answer of %s at %s", path, address)
+}
--- a/service/membership/membership.go
+++ b/service/membership/membership.go
@@ -41,7 +41,8 @@
 	Epoch() uint64
 	// HomeOf returns the owner of a journal after adoptions; false while nobody owns it.
 	HomeOf(j ids.Journal) (Member, bool)
-	// Rank returns the hosts in state up that are not suspected by rendezvous hash, best first.
+	// Rank returns the hosts in state up that are not suspected by rendezvous hash, best first. The result is
+	// shared and not to be changed.
 	Rank(key string) []Member
 	// LeaseValid compares the lease with the clock at the moment of the call. It is checked right before
 	// each effect on a backend server.
@@ -135,6 +136,29 @@
 	ranked    []Member // in state up and not suspected
 	digest    uint64
 	epoch     uint64
+
+	mu    sync.Mutex
+	ranks map[string][]Member
+}
+
+// maxRanks bounds the ranks that are kept for one state of the view. The schedulers ask for the rank of
+// each group ten times a second; hashing and sorting 370 hosts for 94 groups each time would exceed the
+// control overhead of a host.
+const maxRanks = 1024
+
+// rank returns the rank of a key.
+func (v *snapshot) rank(key string) []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if r, ok := v.ranks[key]; ok {
+		return r
+	}
+	r := core.Rank(key, v.ranked)
+	r = r[:len(r):len(r)]
+	if len(v.ranks) < maxRanks {
+		v.ranks[key] = r
+	}
+	return r
 }
 
 var _ View = (*Service)(nil)
@@ -323,7 +347,7 @@
 // View.
 
 func (s *Service) setView(self Member, members []Member, suspected []ids.Host) {
-	v := &snapshot{self: self, members: members, suspected: map[ids.Host]bool{}}
+	v := &snapshot{self: self, members: members, suspected: map[ids.Host]bool{}, ranks: map[string][]Member{}}
 	for _, h := range suspected {
 		v.suspected[h] = true
 	}
@@ -358,8 +382,8 @@
 // HomeOf implements View.
 func (s *Service) HomeOf(j ids.Journal) (Member, bool) { return core.Home(j, s.view.Load().members) }
 
-// Rank implements View.
-func (s *Service) Rank(key string) []Member { return core.Rank(key, s.view.Load().ranked) }
+// Rank implements View. The caller does not change the result.
+func (s *Service) Rank(key string) []Member { return s.view.Load().rank(key) }
 
 // LeaseValid implements View.
 func (s *Service) LeaseValid() bool { return int64(s.o.Clock.Now()) < s.validUntil.Load() }
