End a handover at once when no host is left to take over

Cause: the demo shuts all three daemons down together; each waited 30 s for an heir that is draining too. Ruled out: a shorter timeout, which would also cut a slow adoption.

--- a/service/daemon/shutdown.go
+++ b/service/daemon/shutdown.go
@@ -41,16 +41,23 @@
 	return err
 }
 
-// handover gives the programs to an heir. If there is none, the lease lapses after the exit and the programs
-// are taken over then.
+// handover gives the programs to an heir. If there is none, for example because all hosts shut down, the
+// journal waits in the store for the next host that starts.
 func (d *Daemon) handover(work context.Context) {
 	ctx, cancel := context.WithTimeout(work, handoverTimeout)
 	defer cancel()
+	go func() {
+		d.waitUntil(ctx, time.Time{}, func() bool { return len(d.members.Rank(heirKey)) == 0 })
+		cancel()
+	}()
 	if err := d.members.Handover(ctx); err != nil {
 		logging.Emit(logging.DaemonHandoverFailed, logging.Fields{"error": err.Error()})
 	}
 }
 
+// heirKey ranks the hosts that could be heirs; only their number matters.
+const heirKey = "heir"
+
 // waitUntil polls done until it is true, the deadline has passed (zero is no deadline), or the host was deposed.
 func (d *Daemon) waitUntil(work context.Context, deadline time.Time, done func() bool) {
 	t := time.NewTicker(quietPoll)
