--- /dev/null
+++ b/common/settings/settings.go
@@ -0,0 +1,160 @@
+// Package settings reads the daemon's INI file. Load reports every wrong setting at once.
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Settings are the settings of one daemon. Sizes are in bytes.
+type Settings struct {
+	Host struct {
+		Name          string
+		FailureDomain string
+		Region        string
+		DataFolder    string // "" on a host that persists nothing
+	}
+	Listen struct {
+		HTTP          string
+		Peer          string
+		AdvertiseHTTP string // HTTP if not set
+		AdvertisePeer string // Peer if not set
+	}
+	Platform struct {
+		Address string
+		Timeout time.Duration
+	}
+	Lease struct {
+		Duration time.Duration
+		Renew    time.Duration
+	}
+	Membership struct {
+		Heartbeat    time.Duration
+		SuspectAfter time.Duration
+	}
+	Journal struct {
+		BatchInterval time.Duration
+		MaxUnsaved    int64
+	}
+	Limits struct {
+		MaxBody        int64
+		MaxHeader      int64
+		MaxQueuedCalls int // per program
+		OrderWait      time.Duration
+		IdleTimeout    time.Duration
+		ReconcileEvery time.Duration
+		DrainLimit     time.Duration
+		RequestTimeout time.Duration
+	}
+	EventLog struct{ Path string }
+	Tracing  struct {
+		File         string
+		OTLPEndpoint string
+	}
+	Log struct {
+		Level  string
+		Format string
+	}
+	Seeds struct{ Peers []string }
+}
+
+// Problem is one wrong setting.
+type Problem struct {
+	File    string
+	Section string
+	Key     string
+	Value   string
+	Allowed string // what is allowed instead
+}
+
+// String returns the problem as one line for the operator.
+func (p Problem) String() string {
+	switch {
+	case p.Section == "":
+		return fmt.Sprintf("%s: %s: allowed: %s", p.File, p.Value, p.Allowed)
+	case p.Key == "":
+		return fmt.Sprintf("%s: [%s]: allowed: %s", p.File, p.Section, p.Allowed)
+	}
+	return fmt.Sprintf("%s: [%s] %s = %q: allowed: %s", p.File, p.Section, p.Key, p.Value, p.Allowed)
+}
+
+// Limits of the settings.
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+	// maxBodyBytes is the design's limit of a request, which must fit into a journal batch.
+	maxBodyBytes  = 256 * kilobyte
+	maxQueueCalls = 1 << 16
+	maxDuration   = 24 * time.Hour
+)
+
+// Load reads the settings file. The settings are complete and valid only if there are no problems.
+func Load(path string) (*Settings, []Problem) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
+	if err != nil {
+		return &Settings{}, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
+	}
+	r := &reader{path: path, file: file, known: map[string]map[string]bool{}}
+	s := &Settings{}
+	r.readAll(s)
+	r.checkAcross(s)
+	r.reportUnknown()
+	return s, r.problems
+}
+
+func (r *reader) readAll(s *Settings) {
+	s.Host.Name = r.hostName("host", "name")
+	s.Host.FailureDomain = r.hostName("host", "failure_domain")
+	s.Host.Region = r.hostName("host", "region")
+	s.Host.DataFolder = r.text("host", "data_folder")
+
+	s.Listen.HTTP = r.address("listen", "http", required, "")
+	s.Listen.Peer = r.address("listen", "peer", required, "")
+	s.Listen.AdvertiseHTTP = r.address("listen", "advertise_http", optional, s.Listen.HTTP)
+	s.Listen.AdvertisePeer = r.address("listen", "advertise_peer", optional, s.Listen.Peer)
+
+	s.Platform.Address = r.address("platform", "address", required, "")
+	s.Platform.Timeout = r.duration("platform", "timeout", 2*time.Second)
+
+	s.Lease.Duration = r.duration("lease", "duration", 6*time.Second)
+	s.Lease.Renew = r.duration("lease", "renew", 2*time.Second)
+
+	s.Membership.Heartbeat = r.duration("membership", "heartbeat", 500*time.Millisecond)
+	s.Membership.SuspectAfter = r.duration("membership", "suspect_after", 2*time.Second)
+
+	s.Journal.BatchInterval = r.duration("journal", "batch_interval", 5*time.Millisecond)
+	s.Journal.MaxUnsaved = r.size("journal", "max_unsaved", 16*megabyte, 1<<40)
+
+	s.Limits.MaxBody = r.size("limits", "max_body", 256*kilobyte, maxBodyBytes)
+	s.Limits.MaxHeader = r.size("limits", "max_header", 32*kilobyte, megabyte)
+	s.Limits.MaxQueuedCalls = r.count("limits", "max_queued_calls", 16, maxQueueCalls)
+	s.Limits.OrderWait = r.duration("limits", "order_wait", 2*time.Second)
+	s.Limits.IdleTimeout = r.duration("limits", "idle_timeout", 30*time.Minute)
+	s.Limits.ReconcileEvery = r.duration("limits", "reconcile_every", 10*time.Second)
+	s.Limits.DrainLimit = r.duration("limits", "drain_limit", 10*time.Minute)
+	s.Limits.RequestTimeout = r.duration("limits", "request_timeout", 5*time.Minute)
+
+	s.EventLog.Path = r.text("event_log", "path")
+	s.Tracing.File = r.text("tracing", "file")
+	s.Tracing.OTLPEndpoint = r.address("tracing", "otlp_endpoint", optional, "")
+	s.Log.Level = r.oneOf("log", "level", "info", "debug", "info", "warn", "error")
+	s.Log.Format = r.oneOf("log", "format", "json", "json", "text")
+	s.Seeds.Peers = r.addresses("seeds", "peers")
+}
+
+// checkAcross compares settings with each other. A setting that is wrong by itself is 0 here and skipped.
+func (r *reader) checkAcross(s *Settings) {
+	if s.Lease.Renew > 0 && s.Lease.Duration > 0 && s.Lease.Renew >= s.Lease.Duration/2 {
+		// A holder then gets a second attempt before its lease expires.
+		r.problem("lease", "renew", s.Lease.Renew.String(), fmt.Sprintf("less than half of the lease duration (%s)", s.Lease.Duration))
+	}
+	if s.Membership.SuspectAfter > 0 && s.Membership.Heartbeat > 0 && s.Membership.SuspectAfter <= 2*s.Membership.Heartbeat {
+		// One lost heartbeat must not make a host suspect.
+		r.problem("membership", "suspect_after", s.Membership.SuspectAfter.String(),
+			fmt.Sprintf("more than two heartbeats (%s each)", s.Membership.Heartbeat))
+	}
+	r.checkAdvertised("advertise_http", "http", s.Listen.AdvertiseHTTP)
+	r.checkAdvertised("advertise_peer", "peer", s.Listen.AdvertisePeer)
+}
