--- a/common/objectapi/http.go
+++ b/common/objectapi/http.go
@@ -10,10 +10,13 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 const (
@@ -34,6 +37,9 @@
 	name    string
 	timeout time.Duration
 	client  *http.Client
+
+	mu   sync.Mutex
+	down time.Time // start of the outage; zero while the store is available
 }
 
 var (
@@ -70,8 +76,35 @@
 	wait         time.Duration // added to the timeout
 }
 
-// do runs the call and maps its failures. On success it returns the status, header and body of the answer.
+// do runs the call and logs the start and the end of an outage.
 func (s *HTTPStore) do(ctx context.Context, c call) (int, http.Header, []byte, error) {
+	status, h, b, err := s.attempt(ctx, c)
+	if ctx.Err() == nil {
+		s.observe(err)
+	}
+	return status, h, b, err
+}
+
+func (s *HTTPStore) observe(err error) {
+	if errors.Is(err, ErrOutcomeUnknown) {
+		logging.Emit(logging.WriteUnknown, logging.Fields{"store": s.base, "error": err})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unavailable := errors.Is(err, ErrUnavailable)
+	switch {
+	case unavailable && s.down.IsZero():
+		s.down = time.Now()
+		logging.Emit(logging.StoreUnavailable, logging.Fields{"store": s.base, "error": err})
+	case !unavailable && !s.down.IsZero():
+		logging.Emit(logging.StoreAvailable, logging.Fields{"store": s.base, "unavailable_for": time.Since(s.down)})
+		s.down = time.Time{}
+	}
+}
+
+// attempt runs the call and maps its failures. On success it returns the status, header and body of the answer.
+func (s *HTTPStore) attempt(ctx context.Context, c call) (int, http.Header, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout+c.wait)
 	defer cancel()
 	target := s.base + c.path
--- a/common/objectapi/relay.go
+++ b/common/objectapi/relay.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // Operations of a relayed call.
@@ -113,6 +115,11 @@
 
 func (s *Relay) send(ctx context.Context, r RelayRequest, write bool) (RelayAnswer, error) {
 	a, err := s.Peers(ctx, r)
+	fields := logging.Fields{"operation": r.Op, "object": r.Kind + "/" + r.Name}
+	if err != nil {
+		fields["error"] = err
+	}
+	logging.Emit(logging.CallRelayed, fields)
 	if err == nil {
 		return a, a.Err()
 	}
--- a/common/wire/exchange.go
+++ b/common/wire/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // Piece is one frame of an answer.
@@ -169,6 +170,7 @@
 		x.mu.Unlock()
 		e := fault.New(fault.CodeOverloaded, x.step, "answer is read too slowly: %d unread frames", opts.BufferPieces)
 		if x.fail(e.At(x.addr).With(fault.Unknown)) {
+			logging.Emit(logging.SlowReader, logging.Fields{"peer": x.addr, "step": x.step})
 			x.sendCancel()
 		}
 		return
--- a/common/wire/link.go
+++ b/common/wire/link.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // States of an outgoing frame. A frame leaves stateQueued exactly once, so a sender that gives up knows
@@ -57,6 +58,7 @@
 	addr  string
 	queue chan *outFrame
 	link  *link
+	down  bool // the last attempt to dial failed; logged once
 }
 
 func (p *peer) run() {
@@ -145,21 +147,22 @@
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
-		p.node.peerDown(p.addr)
+		p.unreachable(err)
 		return errors.Wrap(err, "dial")
 	}
 	l := newLink(p.node, conn)
 	l.peer = p
 	if _, err := l.send(TypeHello, helloBody{Version: protocolVersion, Journal: p.node.opts.Self, Dialled: p.addr}); err != nil {
 		_ = conn.Close()
-		p.node.peerDown(p.addr)
+		p.unreachable(err)
 		return errors.Wrap(err, "send hello")
 	}
 	if !p.node.addLink(l) {
 		_ = conn.Close()
 		return errNodeClosed
 	}
-	p.link = l
+	p.link, p.down = l, false
+	logging.Emit(logging.LinkOpened, logging.Fields{"peer": p.addr})
 	if !p.node.start(l.readLoop) {
 		l.close(errNodeClosed)
 		return errNodeClosed
@@ -167,6 +170,14 @@
 	return nil
 }
 
+func (p *peer) unreachable(err error) {
+	if !p.down && p.node.ctx.Err() == nil {
+		logging.Emit(logging.PeerUnreachable, logging.Fields{"peer": p.addr, "error": err})
+	}
+	p.down = true
+	p.node.peerDown(p.addr)
+}
+
 func (n *Node) peerDown(addr string) {
 	if n.opts.OnPeerDown != nil && n.ctx.Err() == nil {
 		go n.opts.OnPeerDown(addr)
@@ -351,6 +362,7 @@
 	l.mu.Unlock()
 	if x == nil {
 		l.node.dropped.Add(1)
+		logging.Emit(logging.AnswerDropped, logging.Fields{"from": l.journal(), "type": f.Type, "request": f.ID})
 		return
 	}
 	x.receive(f)
@@ -422,7 +434,18 @@
 	for _, x := range exchanges {
 		x.failSent(code, cause)
 	}
-	if l.peer != nil && !errors.Is(cause, errIdle) {
+	l.report(cause, len(exchanges))
+}
+
+// report logs the end of the link and calls OnPeerDown if a dialled link broke.
+func (l *link) report(cause error, exchanges int) {
+	switch {
+	case errors.Is(cause, errNodeClosed) || errors.Is(cause, errIdle):
+	case l.peer == nil:
+		fields := logging.Fields{"remote": l.conn.RemoteAddr(), "from": l.journal(), "error": cause}
+		logging.Emit(logging.LinkClosed, fields)
+	default:
+		logging.Emit(logging.LinkBroken, logging.Fields{"peer": l.peer.addr, "error": cause, "exchanges": exchanges})
 		l.node.peerDown(l.peer.addr)
 	}
 }
--- a/common/wire/node.go
+++ b/common/wire/node.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // Defaults of Options.
@@ -151,6 +152,7 @@
 			}
 			return
 		case err != nil:
+			logging.Emit(logging.AcceptFailed, logging.Fields{"error": err})
 			select {
 			case <-time.After(acceptRetry):
 			case <-n.ctx.Done():
--- a/common/wire/request.go
+++ b/common/wire/request.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // Request is a frame that a peer sent: a one-way message, or a request that expects an answer.
@@ -179,8 +180,11 @@
 		h := n.handlers[r.Type]
 		subs := n.subscribers[r.Type]
 		n.mu.Unlock()
-		if h != nil {
+		switch {
+		case h != nil:
 			h(r.ctx, r)
+		case len(subs) == 0:
+			logging.Emit(logging.MessageDropped, logging.Fields{"from": from, "type": r.Type})
 		}
 		for _, s := range subs {
 			s.deliver(r)
