--- /dev/null
+++ b/common/metrics/metrics.go
@@ -0,0 +1,65 @@
+// Package metrics holds the root of the daemon's metrics and serves them to Prometheus.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	promreporter "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+)
+
+const (
+	prefix = "hyssopreel"
+	// reportEvery is the longest time by which /metrics lags behind.
+	reportEvery = time.Second
+)
+
+// Metrics is the root of a process's metrics.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter promreporter.Reporter
+}
+
+// New returns metrics that carry the host and its failure domain as tags. Each Metrics has a registry of its
+// own, so that several hosts can run in one test process.
+func New(host, failureDomain string) *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		// The reporter's default panics, which must not take a host down.
+		OnRegisterError: func(err error) { logging.Emit(logging.MetricRejected, logging.Fields{"error": err}) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Tags:                   map[string]string{"host": host, "failure_domain": failureDomain},
+		CachedReporter:         reporter,
+		Separator:              promreporter.DefaultSeparator,
+		SanitizeOptions:        sanitizeOptions(),
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return &Metrics{scope: scope, closer: closer, reporter: reporter}
+}
+
+// sanitizeOptions keeps all printable ASCII characters in tag values. The reporter's default replaces hyphens,
+// so that the host names "a-1" and "a_1" could not be told apart.
+func sanitizeOptions() *tally.SanitizeOptions {
+	o := promreporter.DefaultSanitizerOpts
+	o.ValueCharacters = tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}}
+	return &o
+}
+
+// Scope returns the root scope.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close reports the last values and stops the reporter; Handler still serves them.
+func (m *Metrics) Close() error { return m.closer.Close() }
