--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -63,6 +63,7 @@
 	log      io.WriteCloser
 
 	clock         clock.Clock
+	metrics       *metrics.Metrics
 	local         *objectapi.HTTPStore // the platform as this host reaches it
 	store         objectapi.Store      // the same, through a peer where this host alone lost it
 	node          *wire.Node
@@ -111,6 +112,7 @@
 
 func build(s *settings.Settings) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock.System(), deposed: make(chan string, 1), drain: make(chan struct{}, 1)}
+	d.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	if s.EventLog.Path != "" {
 		f, err := os.OpenFile(s.EventLog.Path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
@@ -162,8 +164,8 @@
 func (d *Daemon) buildEntry() {
 	s := d.settings
 	d.entry = entry.New(entry.Options{
-		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: int64(s.Limits.MaxBody), RequestTimeout: s.Limits.RequestTimeout,
-		Mount: d.mountOperators, Ready: d.ready, Metrics: metrics.Handler(), Observe: observeRequest,
+		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, RequestTimeout: s.Limits.RequestTimeout,
+		Mount: d.mountOperators, Ready: d.ready, Metrics: d.metrics.Handler(), Observe: d.observeRequest,
 	})
 	const readHeaderTimeout = 5 * time.Second
 	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(s.Limits.MaxHeader)}
@@ -234,6 +236,7 @@
 	d.backends.Stop()
 	d.members.Stop()
 	_ = d.node.Close()
+	_ = d.metrics.Close()
 	if d.log != nil {
 		_ = d.log.Close()
 	}
@@ -247,8 +250,8 @@
 	}
 }
 
-func observeRequest(route string, status int, took time.Duration) {
-	scope := metrics.Root().Tagged(map[string]string{"route": route, "status": strconv.Itoa(status)})
+func (d *Daemon) observeRequest(route string, status int, took time.Duration) {
+	scope := d.metrics.Scope().Tagged(map[string]string{"route": route, "status": strconv.Itoa(status)})
 	scope.Counter("requests").Inc(1)
 	scope.Timer("request_duration").Record(took)
 }
