Compose the reducer in one place for the daemon and the replay

Cause: hyssopreelctl replay ran only the configuration reducer, so a recorded log of a host gave almost no effects. Before: two compositions, one incomplete.

--- a/cmd/hyssopreelctl/replay.go
+++ b/cmd/hyssopreelctl/replay.go
@@ -11,18 +11,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/core"
-	"github.com/hyssopreel/hyssopreel/core/configuration"
 	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/host"
 	"github.com/hyssopreel/hyssopreel/service/runtime"
 )
 
-// newReducer returns the state of a host that has just started. It has the same subsystems as the
-// daemon's.
-var newReducer = func() *core.State {
-	return core.NewState(map[string]core.Subsystem{
-		"configuration": configuration.NewState(),
-	})
-}
+// newReducer returns the state in which a daemon starts.
+var newReducer = host.NewState
 
 type replay struct {
 	Expect string `long:"expect" value-name:"EFFECTS" description:"file of expected effects, written by --output json"`
--- /dev/null
+++ b/core/host/host.go
@@ -0,0 +1,21 @@
+// Package host composes the reducer of a host from its subsystems. The daemon and the replay of an event log
+// start from the same state.
+package host
+
+import (
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+// NewState returns the state of a host that has just started.
+func NewState() *core.State {
+	return core.NewState(map[string]core.Subsystem{
+		"program":       program.New(),
+		"sched":         sched.NewState(),
+		"membership":    membership.New(),
+		"configuration": configuration.NewState(),
+	})
+}
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -20,12 +20,9 @@
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/settings"
 	"github.com/hyssopreel/hyssopreel/common/wire"
-	"github.com/hyssopreel/hyssopreel/core"
 	"github.com/hyssopreel/hyssopreel/core/config"
-	coreconfiguration "github.com/hyssopreel/hyssopreel/core/configuration"
-	coremembership "github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/host"
 	"github.com/hyssopreel/hyssopreel/core/program"
-	"github.com/hyssopreel/hyssopreel/core/sched"
 	"github.com/hyssopreel/hyssopreel/service/backends"
 	"github.com/hyssopreel/hyssopreel/service/configuration"
 	"github.com/hyssopreel/hyssopreel/service/entry"
@@ -47,16 +44,6 @@
 	retention = time.Hour
 )
 
-// NewState returns the reducer's state of a host; the replay of an event log starts from the same.
-func NewState() *core.State {
-	return core.NewState(map[string]core.Subsystem{
-		"program":       program.New(),
-		"sched":         sched.NewState(),
-		"membership":    coremembership.New(),
-		"configuration": coreconfiguration.NewState(),
-	})
-}
-
 // Daemon is one incarnation of a host.
 type Daemon struct {
 	settings *settings.Settings
@@ -133,7 +120,7 @@
 	if d.log != nil {
 		log = d.log
 	}
-	d.rt = runtime.New(d.clock, NewState(), log)
+	d.rt = runtime.New(d.clock, host.NewState(), log)
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildBackends()
