Report lost homes to groups, and answer undispatched calls as not run when deposed

Cause: calls of a dead home counted as running on their workers for ever, and a deposed home answered every waiter with an unknown outcome, although a call that was not dispatched never runs. Requests that the host only passes on now finish before it closes its listener. Before: read from the code.

--- a/core/program/state.go
+++ b/core/program/state.go
@@ -355,18 +355,23 @@
 	return fault.New(fault.CodeStoreDown, step, "the platform's store does not take writes").RetryAfter(retryAfter)
 }
 
-// deposedFrom answers every waiter with "moved" and drops all programs: the heir has them now.
+// deposedFrom answers every waiter with "moved" and drops all programs: the heir has them now. A call that
+// was not dispatched never will be.
 func (r *reduction) deposedFrom(e Deposed) {
 	r.deposed = true
-	moved := fault.New(fault.CodeMoved, "home", "the program moved to another host: %s", e.Reason).With(fault.Unknown)
+	moved := fault.New(fault.CodeMoved, "home", "the program moved to another host: %s", e.Reason)
 	for _, p := range r.pending {
-		r.fail(p.waiter, moved)
+		r.fail(p.waiter, moved.With(fault.Unknown))
 	}
 	r.pending = nil
 	for _, p := range r.sorted() {
 		for _, c := range p.liveCalls() {
+			ferr := moved
+			if c.attempted() {
+				ferr = moved.With(fault.Unknown)
+			}
 			for _, w := range c.waiters {
-				r.fail(w, moved)
+				r.fail(w, ferr)
 			}
 			if c.state == callDispatched && c.request.Kind == api.CallModel {
 				r.emit(CancelDispatch{Call: p.callID(c), Worker: c.worker})
@@ -380,6 +385,17 @@
 	r.queued = map[ids.Program]struct{}{}
 }
 
+// attempted says whether the call may have run.
+func (c *call) attempted() bool {
+	switch c.state {
+	case callWaiting, callReserving:
+		return false
+	case callScheduling, callIntent:
+		return c.failures > 0
+	}
+	return true
+}
+
 func (p *program) callID(c *call) sched.CallID {
 	return sched.CallID{Program: p.id, Key: c.request.Key, Attempt: c.attempt}
 }
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -212,6 +212,7 @@
 		return nil
 	case reason := <-d.deposed:
 		logging.Emit(logging.DaemonDeposed, logging.Fields{"host": string(d.settings.Host.Name), "reason": reason})
+		d.finishForwarded(work)
 		return ErrDeposed
 	case <-work.Done():
 		return errors.New("a part of the daemon failed")
--- a/service/daemon/shutdown.go
+++ b/service/daemon/shutdown.go
@@ -41,6 +41,14 @@
 	return err
 }
 
+// finishForwarded lets the requests that this host passes on to other homes finish before a deposed
+// incarnation closes its listener.
+func (d *Daemon) finishForwarded(work context.Context) {
+	const limit = 5 * time.Second
+	d.entry.StartDrain()
+	d.waitUntil(work, time.Now().Add(limit), func() bool { return d.entry.Active() == 0 })
+}
+
 // handover gives the programs to an heir. If there is none, for example because all hosts shut down, the
 // journal waits in the store for the next host that starts.
 func (d *Daemon) handover(work context.Context) {
--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -36,6 +36,8 @@
 	tokenTimeout      = 5 * time.Second
 	// defaultTimeLimit bounds tool and service calls whose configuration sets no limit.
 	defaultTimeLimit = time.Minute
+	// leaseRetry is when a renewed lease can be expected after an outage of the store.
+	leaseRetry = 2 * time.Second
 	// maxAnswerBytes bounds the answer of a tool or service.
 	maxAnswerBytes = 256 << 10
 
@@ -141,7 +143,7 @@
 	// A home that was frozen for longer than its lease may have lost its programs to an heir, which reports
 	// this call as unknown. Not sending it now is the better end.
 	if !e.Idempotent && !d.leaseValid() {
-		return notRun(fault.New(fault.CodeMoved, "dispatch", "the home's lease has lapsed"))
+		return notRun(fault.New(fault.CodeStoreDown, "dispatch", "the home's lease has lapsed").RetryAfter(leaseRetry))
 	}
 	if e.Kind == api.CallModel {
 		return d.model(ctx, e, address)
--- a/service/home/schedlink.go
+++ b/service/home/schedlink.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,11 +48,15 @@
 	mu sync.Mutex
 	// schedulers is the scheduler last used for each group.
 	schedulers map[string]ids.Journal
-	refreshed  time.Time
+	// scheduled are the groups whose calls came to this host.
+	scheduled map[string]bool
+	// homes are the incarnations that were up at the last tick.
+	homes     map[ids.Journal]bool
+	refreshed time.Time
 }
 
 func newSchedLink(view membership.View, node *wire.Node, rt *runtime.Runtime) *schedLink {
-	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}}
+	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}, scheduled: map[string]bool{}}
 	node.Handle(wire.TypeEnqueue, l.handleEnqueue)
 	node.Handle(wire.TypeGrant, l.handleGrant)
 	rt.Handle(program.KindEnqueue, func(_ clock.Millis, e event.Effect) {
@@ -115,6 +121,9 @@
 func (l *schedLink) deliver(m toScheduler) {
 	switch {
 	case m.Enqueued != nil:
+		l.mu.Lock()
+		l.scheduled[m.Enqueued.Group] = true
+		l.mu.Unlock()
 		l.rt.Publish(*m.Enqueued)
 	case m.Withdrawn != nil:
 		l.rt.Publish(*m.Withdrawn)
@@ -167,6 +176,7 @@
 // tick turns to the new scheduler of a group when the old one is gone, and repeats everything from time to
 // time because messages can be lost.
 func (l *schedLink) tick() {
+	l.reportLostHomes()
 	l.mu.Lock()
 	refresh := time.Since(l.refreshed) >= refreshEvery
 	if refresh {
@@ -185,3 +195,27 @@
 		l.rt.Publish(program.SchedulerChanged{Group: group})
 	}
 }
+
+// reportLostHomes tells the groups that this host may schedule which homes are gone, so that their calls in
+// flight no longer count.
+func (l *schedLink) reportLostHomes() {
+	now := map[ids.Journal]bool{}
+	for _, m := range l.view.Members() {
+		if m.State != membership.StateGone {
+			now[m.Journal] = true
+		}
+	}
+	l.mu.Lock()
+	before := l.homes
+	l.homes = now
+	groups := slices.Sorted(maps.Keys(l.scheduled))
+	l.mu.Unlock()
+	for j := range before {
+		if now[j] {
+			continue
+		}
+		for _, g := range groups {
+			l.rt.Publish(sched.HomeLost{Group: g, Home: j})
+		}
+	}
+}
