--- /dev/null
+++ b/service/home/journal_test.go
@@ -0,0 +1,196 @@
+package home_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/service/home"
+)
+
+func TestHome(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "home")
+}
+
+const (
+	self     = ids.Journal("almaty-a-1.1")
+	heir     = ids.Journal("almaty-b-1.4")
+	testWait = 10 * time.Second
+)
+
+// recorder notes what a journal reports.
+type recorder struct {
+	mu        sync.Mutex
+	committed program.Token
+	down      []bool
+	deposed   string
+}
+
+func (r *recorder) events() home.JournalEvents {
+	lock := func(f func()) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		f()
+	}
+	return home.JournalEvents{
+		Committed:    func(t program.Token) { lock(func() { r.committed = t }) },
+		StoreChanged: func(d bool) { lock(func() { r.down = append(r.down, d) }) },
+		Deposed:      func(s string) { lock(func() { r.deposed = s }) },
+	}
+}
+
+func (r *recorder) upTo() program.Token {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.committed
+}
+
+func (r *recorder) downs() []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]bool(nil), r.down...)
+}
+
+func (r *recorder) lost() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.deposed
+}
+
+func start(store objectapi.Store) (*home.Journal, *recorder) {
+	r := &recorder{}
+	j, err := home.NewJournal(self, store, time.Millisecond, r.events())
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go j.Run(ctx)
+	return j, r
+}
+
+func turn(key, text string) program.Record {
+	return program.Record{Op: program.OpTurn, Program: "almaty-a-1.1-1", Key: key, Turn: &api.Turn{Key: key, Answer: text}}
+}
+
+func commitOf(t program.Token, records ...program.Record) program.Commit {
+	return program.Commit{Token: t, Records: records}
+}
+
+// text is hard to compress, so that sizes hold after compression too.
+func text(n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n; i++ {
+		fmt.Fprintf(&b, "%x", uint64(i)*0x9e3779b97f4a7c15)
+	}
+	return b.String()
+}
+
+func keys(records []program.Record) []string {
+	var out []string
+	for _, r := range records {
+		out = append(out, r.Key)
+	}
+	return out
+}
+
+var _ = Describe("Journal", func() {
+	ctx := context.Background()
+
+	// Guards against an acknowledged turn that the heir does not read.
+	It("gives an heir every committed record and lets the old home commit nothing after the seal", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		j.Append(commitOf(1, turn("a", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
+		records, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(records)).To(Equal([]string{"a"}))
+		j.Append(commitOf(2, turn("b", "y")))
+		Eventually(r.lost, testWait).Should(ContainSubstring("sealed"))
+		Expect(r.upTo()).To(Equal(program.Token(1)))
+		again, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(again)).To(Equal([]string{"a"}))
+	})
+
+	// Guards against a home that takes its own write, whose answer was lost, for a seal.
+	It("goes on after the answer to a write was lost", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		store.LoseAnswers(1)
+		j.Append(commitOf(1, turn("a", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
+		j.Append(commitOf(2, turn("b", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(2)))
+		Expect(r.lost()).To(BeEmpty())
+		records, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(records)).To(Equal([]string{"a", "b"}))
+	})
+
+	// Guards against records that are lost or reordered by an outage, and against a silent one.
+	It("reports an outage and commits everything in order after it", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		store.SetOutage(true)
+		for i := range 5 {
+			j.Append(commitOf(program.Token(i+1), turn(fmt.Sprint(i), "x")))
+		}
+		Eventually(r.downs, testWait).Should(Equal([]bool{true}))
+		Expect(r.upTo()).To(BeZero())
+		store.SetOutage(false)
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(5)))
+		Eventually(r.downs, testWait).Should(Equal([]bool{true, false}))
+		records, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(records)).To(Equal([]string{"0", "1", "2", "3", "4"}))
+	})
+
+	// Guards against a takeover whose records do not fit into one value of the store.
+	It("splits a commit that is larger than a segment", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		var records []program.Record
+		for i := range 12 {
+			records = append(records, turn(fmt.Sprint(i), text(200<<10)))
+		}
+		j.Append(commitOf(1, records...))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
+		Expect(j.Segments()).To(BeNumerically(">", 2))
+		Expect(j.Unsaved()).To(BeZero())
+		read, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(read)).To(Equal(keys(records)))
+	})
+
+	// Guards against a journal that grows for ever, and against a reader that sees a program twice.
+	It("cuts the journal at a snapshot", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		for i := range 4 {
+			j.Append(commitOf(program.Token(i+1), turn(fmt.Sprint(i), "x")))
+			Eventually(r.upTo, testWait).Should(Equal(program.Token(i + 1)))
+		}
+		j.Append(program.Commit{Token: 5, Snapshot: true, Records: []program.Record{
+			{Op: program.OpSnapshotStart}, turn("whole", text(900<<10)), turn("state", "x"), {Op: program.OpSnapshotEnd},
+		}})
+		j.Append(commitOf(6, turn("after", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(6)))
+		objects, _, err := store.List(ctx, objectapi.KindJournal, string(self)+"/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(objects[0].Name).To(HaveSuffix("0000000005"), "the four segments before the snapshot are deleted")
+		read, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(read)).To(Equal([]string{"whole", "state", "after"}))
+	})
+})
