Keep serving programs while a shutdown waits for the store; refuse URLs as tool addresses

A shutdown held new calls at the entry until the store was back, so callers hung for the whole outage; and a ticket could set a tool address with a scheme, in front of which the dispatcher puts another. Ruled out: refusing the held calls, which cuts off callers that the host can serve. After: the shutdown holds requests only while the store takes writes and tries again when it fails in between; the validation test now expects the URL to be refused, which is stricter than before.

--- a/core/configuration/configuration_test.go
+++ b/core/configuration/configuration_test.go
@@ -146,7 +146,7 @@
 			"a": {Pool: "s", Class: "slow", Tools: []string{"none", "none"}, Services: []string{"svc"}},
 			"b": {Pool: "none", Class: "batch", MaxTokens: 1, MaxTurns: -1, Agents: []string{"zed"}},
 		},
-		Tools:    map[string]*config.Tool{"t": {Address: "nowhere", CostTokens: -1}},
+		Tools:    map[string]*config.Tool{"t": {Address: "http://10.0.0.1:80", CostTokens: -1}},
 		Services: map[string]*config.Service{"svc": {Pool: "e", IdempotentPaths: []string{"x"}, TimeLimitMS: 1}},
 		Teams:    map[string]*config.Team{"t": {}},
 	}
@@ -162,7 +162,7 @@
 		`agent "b": pool "none" does not exist`,
 		`agent "b": max_turns -1 is not between 0 and 10000`,
 		`agent "b": agent "zed" does not exist`,
-		`tool "t": address "nowhere" is neither host:port nor an http URL`,
+		`tool "t": address "http://10.0.0.1:80" is not host:port`,
 		`tool "t": cost_tokens is negative`,
 		`tool "t": time_limit_ms 0 is not between 1 and 3600000`,
 		`service "svc": pool "e" is not a service pool`,
--- a/core/configuration/validate.go
+++ b/core/configuration/validate.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"net"
-	"net/url"
 	"regexp"
 	"slices"
 	"strings"
@@ -130,7 +129,7 @@
 }
 
 func checkTool(p *problems, name string, v *config.Tool) {
-	p.check(validAddress(v.Address), "tool %q: address %q is neither host:port nor an http URL", name, v.Address)
+	p.check(validAddress(v.Address), "tool %q: address %q is not host:port", name, v.Address)
 	checkCall(p, fmt.Sprintf("tool %q", name), v.CostTokens, v.TimeLimitMS)
 }
 
@@ -150,10 +149,6 @@
 }
 
 func validAddress(a string) bool {
-	if strings.Contains(a, "://") {
-		u, err := url.Parse(a)
-		return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-	}
 	host, port, err := net.SplitHostPort(a)
 	return err == nil && host != "" && port != ""
 }
--- a/service/daemon/shutdown.go
+++ b/service/daemon/shutdown.go
@@ -27,11 +27,14 @@
 	if err := d.members.Drain(drainCtx); err != nil {
 		logging.Emit(logging.DaemonDrainFailed, logging.Fields{"error": err.Error()})
 	}
-	d.entry.HoldPrograms()
-	d.waitUntil(work, started.Add(d.settings.Limits.DrainLimit), func() bool { return d.entry.ActiveLocal() == 0 && d.home.Idle() })
-	d.waitUntil(work, time.Time{}, d.home.Saved)
-	d.handover(work)
-	d.entry.ReleasePrograms()
+	for {
+		d.settle(work, started.Add(d.settings.Limits.DrainLimit))
+		done := d.handover(work)
+		d.entry.ReleasePrograms()
+		if done {
+			break
+		}
+	}
 	d.waitUntil(work, started.Add(entry.HostsTTL), func() bool { return false })
 	d.waitUntil(work, started.Add(d.settings.Limits.DrainLimit), func() bool { return d.entry.Active() == 0 })
 	closeCtx, cancelClose := context.WithTimeout(work, handoverTimeout)
@@ -41,6 +44,24 @@
 	return err
 }
 
+// settle returns when no request for the programs of this host is under way and every turn is durable. From
+// then on requests wait at the entry. While the store is down, programs go on as usual: requests that waited
+// for the store would hang for as long as it is down.
+func (d *Daemon) settle(work context.Context, deadline time.Time) {
+	for {
+		d.waitUntil(work, time.Time{}, d.storeUp)
+		d.entry.HoldPrograms()
+		d.waitUntil(work, time.Time{}, func() bool {
+			quiet := time.Now().After(deadline) || (d.entry.ActiveLocal() == 0 && d.home.Idle())
+			return !d.storeUp() || (quiet && d.home.Saved())
+		})
+		if d.storeUp() || work.Err() != nil {
+			return
+		}
+		d.entry.ReleasePrograms()
+	}
+}
+
 // finishForwarded lets the requests that this host passes on to other homes finish before a deposed
 // incarnation closes its listener.
 func (d *Daemon) finishForwarded(work context.Context) {
@@ -51,7 +72,8 @@
 
 // handover gives the programs to an heir. If there is none, for example because all hosts shut down, the
 // journal waits in the store for the next host that starts.
-func (d *Daemon) handover(work context.Context) {
+// It returns false if it is to be tried again, because the store failed meanwhile.
+func (d *Daemon) handover(work context.Context) bool {
 	ctx, cancel := context.WithTimeout(work, handoverTimeout)
 	defer cancel()
 	go func() {
@@ -60,9 +82,14 @@
 	}()
 	if err := d.members.Handover(ctx); err != nil {
 		logging.Emit(logging.DaemonHandoverFailed, logging.Fields{"error": err.Error()})
+		return d.storeUp() || work.Err() != nil
 	}
+	return true
 }
 
+// storeUp says whether this host can write to the store: its last renewal and its last commit got through.
+func (d *Daemon) storeUp() bool { return d.home.StoreUp() && d.members.StoreReachable() }
+
 // heirKey ranks the hosts that could be heirs; only their number matters.
 const heirKey = "heir"
 
--- a/service/home/home.go
+++ b/service/home/home.go
@@ -205,6 +205,9 @@
 // Saved says whether everything is durable.
 func (h *Home) Saved() bool { return h.journal.Empty() }
 
+// StoreUp says whether commits get through.
+func (h *Home) StoreUp() bool { return !h.journal.Down() }
+
 // Unsaved returns the bytes of records that are not durable yet.
 func (h *Home) Unsaved() int { return h.journal.Unsaved() }
 
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -158,6 +158,13 @@
 	return len(j.queue) == 0
 }
 
+// Down says whether the oldest commit has been waiting for longer than storeWait.
+func (j *Journal) Down() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.down
+}
+
 // Unsaved returns the bytes of records that are not durable yet.
 func (j *Journal) Unsaved() int {
 	j.mu.Lock()
