Add the bench and the program-level policies

Cause: policies that look at single calls recompute the history of a program on most turns, and nothing measured it.

The bench replays three workloads through core/sched against a timed model of batching engines with limited prefix caches. New plugins: shipped (expected remaining work by a Gittins index, admission by cache memory, calls wait for the worker that holds their prefix) and deadline. clairvoyant is in the bench only. Workers list their residents by standing, so that a call runs only when the cache holds the programs that stand before it.

Corrected before any policy was tuned: the capacity counts the context of each answer; a nominal context had overstated it for long histories. Class batch no longer ranks below interactive in the framework, since that gave baseline an order that it does not have.

Conclusion: shipped is the default.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 clean:
 	rm -rf $(BIN)
+
+# Replays the workloads through the decision code and rewrites bench/results.tsv, docs/decisions.md and docs/bench.
+bench: build
+	$(BIN)/hyssopreel-bench --results bench/results.tsv
--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// maxSkipped bounds the calls at the front of the queue that a dispatch passes over because their policy
-	// filtered every worker; without it one event could cost a scan of the whole queue.
-	maxSkipped = 64
+	// maxFreshSkipped bounds the first calls that a dispatch passes over because the policy filtered every
+	// worker. The policy mostly holds back all of them at once.
+	maxFreshSkipped = 2
+	// maxMovesTried bounds the calls per dispatch that are tried on workers other than their own.
+	maxMovesTried = 2
+	// triedAlone is the wait in milliseconds below which a call is not tried on other workers while its own is
+	// blocked.
+	triedAlone clock.Millis = 1000
 	// agedAfter is the wait, in milliseconds, after which a call counts as aged, whatever its class or rank.
 	agedAfter clock.Millis = 30_000
 	// agedShare gives one grant in this many to the call that has waited longest, once it is aged. With n
@@ -29,41 +34,75 @@
 	for _, w := range g.Workers {
 		free += w.Free()
 	}
-	if free > 0 && len(g.queue) > 0 && g.fairness.sinceAged >= agedShare {
-		if c := g.oldest(); c != nil {
-			if w := g.choose(c, true); w != nil {
-				g.fairness.sinceAged = 0
-				g.grant(c, w)
-				free--
-			}
-		}
+	if free > 0 && g.fairness.sinceAged >= agedShare && g.grantAged() {
+		free--
 	}
-	for i, skipped := 0, 0; free > 0 && i < len(g.queue) && skipped < maxSkipped; {
-		c := g.queue[i]
-		w := g.choose(c, false)
-		if w == nil {
-			i++
-			skipped++
+	g.blocked, g.moves = g.blocked[:0], 0
+	for fresh, underWay := 0, 0; free > 0; {
+		next, list := &underWay, g.queue.underWay
+		if fresh < len(g.queue.fresh) && (underWay >= len(list) || compare(g.queue.fresh[fresh], list[underWay]) < 0) {
+			next, list = &fresh, g.queue.fresh
+		}
+		if *next >= len(list) {
+			return
+		}
+		c := list[*next]
+		if w := g.consider(c); w != nil {
+			g.fairness.sinceAged++
+			g.grant(c, w)
+			free--
 			continue
 		}
+		*next++
+		if fresh >= maxFreshSkipped {
+			fresh = len(g.queue.fresh)
+		}
+	}
+}
+
+// consider returns the worker for a call of the queue in a dispatch, or nil. Once a worker turned down a
+// program that last ran on it, it is not asked again for those that rank lower: smaller calls do not
+// overtake, and the dispatch stays short.
+func (g *group) consider(c *call) *framework.Worker {
+	home := c.Program.Last
+	if c.fresh || c.urgent || home == nil {
+		return g.choose(c, false)
+	}
+	if slices.Contains(g.blocked, home) {
+		if g.moves >= maxMovesTried || g.Now-c.EnqueuedAt < triedAlone {
+			return nil
+		}
+		g.moves++
+	}
+	w := g.choose(c, false)
+	if w == nil {
+		g.blocked = append(g.blocked, home)
+	}
+	return w
+}
+
+// grantNew grants a call that was just enqueued if it fits. Nothing else changed, so no other call is
+// tried.
+func (g *group) grantNew(c *call) {
+	if w := g.choose(c, false); w != nil {
 		g.fairness.sinceAged++
 		g.grant(c, w)
-		free--
 	}
 }
 
-// oldest returns the call that has waited longest if it is aged, or nil.
-func (g *group) oldest() *call {
-	var old *call
-	for _, c := range g.queue {
-		if old == nil || c.Seq < old.Seq {
-			old = c
-		}
+// grantAged gives a place to the call that has waited longest if it is aged.
+func (g *group) grantAged() bool {
+	c := g.queue.oldest()
+	if c == nil || g.Now-c.EnqueuedAt < agedAfter {
+		return false
 	}
-	if old == nil || g.Now-old.EnqueuedAt < agedAfter {
-		return nil
+	w := g.choose(c, true)
+	if w == nil {
+		return false
 	}
-	return old
+	g.fairness.sinceAged = 0
+	g.grant(c, w)
+	return true
 }
 
 // choose returns the best worker with a free place for the call, or nil. An aged call goes to any usable
@@ -101,7 +140,7 @@
 }
 
 func (g *group) grant(c *call, w *framework.Worker) {
-	g.unqueue(c)
+	g.queue.remove(c)
 	priority := g.policy.Reserve(&g.Group, &c.Call, w)
 	waited := int64(g.Now - c.EnqueuedAt)
 	g.start(c, w)
--- a/core/sched/framework/cache.go
+++ b/core/sched/framework/cache.go
@@ -51,7 +51,11 @@
 	for o := w.oldest; o != nil && w.Held > w.CacheTokens; {
 		next := o.newer
 		if o != e && !(o.Program.Running > 0 && o.Program.Last == w) {
-			DropCached(o.Program, w)
+			if over := w.Held - w.CacheTokens; over < o.Tokens {
+				CorrectCached(o, o.Tokens-over) // engines evict the end of a prefix first
+			} else {
+				DropCached(o.Program, w)
+			}
 		}
 		o = next
 	}
--- a/core/sched/framework/framework.go
+++ b/core/sched/framework/framework.go
@@ -9,6 +9,9 @@
 package framework
 
 import (
+	"slices"
+	"sort"
+
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 )
@@ -37,8 +40,11 @@
 	Running int
 	// Held is the estimated cache in use, in tokens: the sum over its entries.
 	Held int64
+	// Active is the cache that the calls running now need at their end, in tokens.
+	Active int64
 
 	oldest, newest *Entry
+	programs       []*Program // sorted by standing
 }
 
 // Free returns the number of calls that the worker can take.
@@ -78,7 +84,55 @@
 	// Served lists the workers that ran a call of the program.
 	Served []*Worker
 
-	entries []*Entry
+	// Helper is set for a program that works for another one.
+	Helper bool
+
+	entries  []*Entry
+	resident *Worker
+	standing float64
+}
+
+// NextNeed is the cache that the program needs for its next call, in tokens.
+func (p *Program) NextNeed() int64 { return p.History + int64(p.Agent.growth()) }
+
+// FinalNeed is the cache that the program is expected to hold when it ends, in tokens: what it has, and
+// what its agent adds per turn over the turns that are expected to be left.
+func (p *Program) FinalNeed(now clock.Millis) int64 {
+	return p.History + int64(p.Agent.growth()*p.Agent.Turns.Left(p.Turn, now))
+}
+
+// Settle makes the program a resident of the worker with the given standing, the policy's rank of its latest
+// call; nil makes it a resident of no worker.
+func (p *Program) Settle(w *Worker, standing float64) {
+	if old := p.resident; old != nil {
+		i := sort.Search(len(old.programs), func(i int) bool { return old.programs[i].standing >= p.standing })
+		for old.programs[i] != p {
+			i++
+		}
+		old.programs = slices.Delete(old.programs, i, i+1)
+	}
+	p.resident, p.standing = w, standing
+	if w != nil {
+		i := sort.Search(len(w.programs), func(i int) bool { return w.programs[i].standing > standing })
+		w.programs = slices.Insert(w.programs, i, p)
+	}
+}
+
+// Resident returns the worker whose cache is meant to hold the program, or nil.
+func (p *Program) Resident() *Worker { return p.resident }
+
+// Fits reports whether the cache of w holds the call in addition to what the residents that stand before it
+// need. The program of the call does not count among them.
+func (w *Worker) Fits(c *Call, size, limit int64, need func(*Program) int64) bool {
+	for _, p := range w.programs {
+		if p.standing >= c.Rank || size > limit {
+			break
+		}
+		if p != c.Program {
+			size += need(p)
+		}
+	}
+	return size <= limit
 }
 
 // Call is a call that waits for a worker or runs on one.
@@ -99,8 +153,14 @@
 	GrantedAt clock.Millis
 }
 
-// First reports whether the program has not run anything yet.
-func (c *Call) First() bool { return c.Program.Turn == 0 && !c.Program.Started }
+// Size is the cache that the call needs at its end, in tokens.
+func (c *Call) Size() int64 { return c.PromptTokens + int64(c.Program.Agent.Generated.Or(0)) }
+
+// First reports whether the call opens new work: its program has not run anything yet, and no program under
+// way waits for it.
+func (c *Call) First() bool {
+	return c.Program.Turn == 0 && !c.Program.Started && !c.Program.Helper
+}
 
 // Group is the state of one worker group as policies see it. Policies read it and never change it.
 type Group struct {
@@ -119,8 +179,9 @@
 // their arguments and of the policy's own state.
 type Policy interface {
 	Name() string
-	// Rank orders the waiting calls of one class; the lowest goes first and ties go by arrival. It is
-	// evaluated when a call is enqueued and again about once a second.
+	// Rank orders the waiting calls; the lowest goes first and ties go by arrival. Urgent calls go before
+	// all others whatever their rank. It is evaluated when a call is enqueued and again about once a
+	// second.
 	Rank(g *Group, c *Call) float64
 	// Filter reports whether the call may run on the worker now. The worker has a free place.
 	Filter(g *Group, c *Call, w *Worker) bool
--- a/core/sched/framework/learn.go
+++ b/core/sched/framework/learn.go
@@ -1,5 +1,7 @@
 package framework
 
+import "github.com/hyssopreel/hyssopreel/common/clock"
+
 // learnWeight is the weight of a new sample in a running mean once enough samples exist: about the last 64
 // samples count.
 const learnWeight = 1.0 / 64
@@ -39,6 +41,9 @@
 	Turns     Turns
 }
 
+// growth is what a turn adds to the history of a program, in tokens.
+func (a *Agent) growth() float64 { return a.Prompt.Or(0) + a.Generated.Or(0) }
+
 // Tool is what was learned of the pauses for one tool.
 type Tool struct {
 	Name string
@@ -46,23 +51,88 @@
 	PauseMS Mean
 }
 
-// maxTurns is the default bound on the turns of one program; longer programs count in the last place.
+// maxTurns is the default bound on the turns of one program; later turns count as this one.
 const maxTurns = 280
 
-// Turns is the distribution of the number of turns of ended programs.
+// The prior of the chance that a program ends after a turn: as if priorPrograms programs of priorTurns turns
+// on average had been seen. It decides alone until programs of the agent end.
+const (
+	priorPrograms = 4.0
+	priorTurns    = 8.0
+)
+
+// indexPeriod is how long a computed index is used while programs end, in milliseconds.
+const indexPeriod clock.Millis = 1000
+
+// Turns is what was learned of the number of turns of an agent's programs. It counts how many programs
+// finished their n-th turn and how many of them ended there, so that programs that are still open count
+// for the turns that they have survived. Counting ended programs only would take every agent for a short one at
+// the start of an event.
 type Turns struct {
-	Ended int
-	Count [maxTurns + 1]int
+	reached, ended [maxTurns + 1]float64
+	changed        bool
+	computedAt     clock.Millis
+	index, left    []float64
+}
+
+// Reached notes that a program finished its n-th turn.
+func (t *Turns) Reached(n int) { t.reached[clampTurn(n)]++; t.changed = true }
+
+// Ended notes that a program ended after its n-th turn.
+func (t *Turns) Ended(n int) { t.ended[clampTurn(n)]++; t.changed = true }
+
+func clampTurn(n int) int { return max(0, min(n, maxTurns)) }
+
+// Hazard is the chance that a program that has finished n-1 turns ends with its n-th.
+func (t *Turns) Hazard(n int) float64 {
+	n = clampTurn(n)
+	return (t.ended[n] + priorPrograms/priorTurns) / (t.reached[n] + priorPrograms)
 }
 
-// Add takes in the number of turns of a program that ended.
-func (t *Turns) Add(turns int) {
-	if turns > maxTurns {
-		turns = maxTurns
+// Index returns the Gittins index of a program after n turns as a cost in turns: the least ratio, over all
+// numbers of further turns, of the expected turns spent to the chance that the program ends within them.
+// It is low for a program that is likely to end soon.
+func (t *Turns) Index(n int, now clock.Millis) float64 {
+	t.refresh(now)
+	return t.index[clampTurn(n)]
+}
+
+// Left returns the expected number of turns that follow the n-th.
+func (t *Turns) Left(n int, now clock.Millis) float64 {
+	t.refresh(now)
+	return t.left[clampTurn(n)]
+}
+
+func (t *Turns) refresh(now clock.Millis) {
+	if t.index == nil || t.changed && now-t.computedAt >= indexPeriod {
+		t.compute()
+		t.changed, t.computedAt = false, now
+	}
+}
+
+func (t *Turns) compute() {
+	if t.index == nil {
+		t.index, t.left = make([]float64, maxTurns+1), make([]float64, maxTurns+1)
+	}
+	// A program that finished its n-th turn ended there with chance Hazard(n); what follows counts for the others.
+	for n := maxTurns - 1; n >= 0; n-- {
+		t.left[n] = 1 + (1-min(1, t.Hazard(n+1)))*t.left[n+1]
 	}
-	if turns < 0 {
-		turns = 0
+	for n := range t.index {
+		survive, spent, best := 1.0, 0.0, -1.0
+		for m := n + 1; m <= maxTurns; m++ {
+			spent += survive
+			survive *= 1 - min(1, t.Hazard(m))
+			if ratio := spent / (1 - survive); best < 0 || ratio < best {
+				best = ratio
+			}
+			if survive < 0.01 {
+				break
+			}
+		}
+		if best < 0 {
+			best = 1
+		}
+		t.index[n] = best
 	}
-	t.Ended++
-	t.Count[turns]++
 }
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strings"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
@@ -21,48 +20,64 @@
 	// settledFor is how long the ID of a finished or withdrawn call is remembered, so that a late copy of its
 	// Enqueued gets no second grant. Frames are repeated within seconds of a broken link.
 	settledFor clock.Millis = 60_000
+	// releaseRepeat and releaseRepeats repeat each release twice within the reconciliation period of 10 s,
+	// because a cache report that would show a lost release is late and can have gaps itself.
+	releaseRepeat clock.Millis = 3000
 	// endedFor is how long an ended program is remembered after it ended or last showed up in a cache report.
 	endedFor clock.Millis = 600_000
 	// forgottenAfter removes a program without any message: twice the idle_timeout of programs (30 min).
 	forgottenAfter clock.Millis = 3_600_000
 )
 
+// releaseRepeats is the number of times that a release is sent again.
+const releaseRepeats = 2
+
 // call is a waiting or running call with what its home has to be told.
 type call struct {
 	framework.Call
 	id   CallID
 	home ids.Journal
+	// fresh and urgent are set when the call is enqueued and decide its place in the queue.
+	fresh, urgent bool
+	// active is what the call counts in the Active of its worker.
+	active int64
 }
 
 // group is the state of one worker group.
 //
-// calls holds every call that waits or runs. The waiting calls are in queue, sorted by class, rank and
-// arrival; the others count in the Running of their worker. A worker that leaves the group while calls run
+// calls holds every call that waits or runs. The waiting calls are in queue; the others count in the Running of their worker. A worker that leaves the group while calls run
 // on it stays in workers, unusable, until its last call has ended.
 type group struct {
 	framework.Group
-	name    string
-	policy  framework.Policy
-	workers map[string]*framework.Worker
+	name     string
+	policies func(string) (framework.Policy, bool)
+	policy   framework.Policy
+	workers  map[string]*framework.Worker
 
 	calls map[CallID]*call
-	queue []*call
+	queue queue
 	seq   uint64
 
 	// settled holds finished and withdrawn calls, refused the refused ones, each until the given time.
 	settled map[CallID]clock.Millis
 	refused map[CallID]clock.Millis
-	// ended holds ended programs and the time of the end or of the last report that showed them.
-	ended map[ids.Program]clock.Millis
+	// ended holds ended programs and the time of the end or of the last report that showed them. releasing
+	// holds the releases that are repeated until a report or the last repeat.
+	ended     map[ids.Program]clock.Millis
+	releasing []release
 
 	lastRerank, lastSweep clock.Millis
 	overload              overload
 	fairness              fairness
-	effects               []event.Effect
+	// blocked and moves are the working state of one dispatch.
+	blocked []*framework.Worker
+	moves   int
+	effects []event.Effect
 }
 
-func newGroup(name string, at clock.Millis) *group {
+func newGroup(name string, at clock.Millis, policies func(string) (framework.Policy, bool)) *group {
 	g := &group{
+		policies:   policies,
 		name:       name,
 		workers:    map[string]*framework.Worker{},
 		calls:      map[CallID]*call{},
@@ -75,17 +90,20 @@
 	g.Programs = map[ids.Program]*framework.Program{}
 	g.Agents = map[string]*framework.Agent{}
 	g.Tools = map[string]*framework.Tool{}
-	g.policy, _ = plugins.New(plugins.Default)
+	g.policy, _ = policies(plugins.Default)
 	return g
 }
 
-// run applies one event, hands out free places and returns the effects of both.
-func (g *group) run(at clock.Millis, apply func(*group)) []event.Effect {
+// run applies one event and returns its effects. With dispatch it then hands out free places: events that free or
+// add places need that, while a call that is enqueued is tried alone.
+func (g *group) run(at clock.Millis, dispatch bool, apply func(*group)) []event.Effect {
 	if at > g.Now {
 		g.Now = at
 	}
 	apply(g)
-	g.dispatch()
+	if dispatch {
+		g.dispatch()
+	}
 	out := g.effects
 	g.effects = nil
 	return out
@@ -97,7 +115,7 @@
 	if c, ok := g.calls[m.Call]; ok {
 		if m.Running != "" && c.Worker == nil {
 			// A grant of the previous scheduler reached the home after it had enqueued the call here.
-			g.unqueue(c)
+			g.queue.remove(c)
 			g.start(c, g.worker(m.Running))
 		}
 		return
@@ -123,6 +141,7 @@
 	}
 	g.seq++
 	c.Seq = g.seq
+	c.Rank = g.policy.Rank(&g.Group, &c.Call)
 	if m.Running != "" {
 		g.calls[c.id] = c
 		g.start(c, g.worker(m.Running))
@@ -133,9 +152,8 @@
 		return
 	}
 	g.calls[c.id] = c
-	p.Waiting++
-	c.Rank = g.policy.Rank(&g.Group, &c.Call)
-	g.enqueue(c)
+	g.queue.push(c)
+	g.grantNew(c)
 }
 
 // program returns the program of an enqueued call, with its state brought up to date from the message.
@@ -164,7 +182,7 @@
 	if p.Agent == nil || p.Agent.Name != m.Agent {
 		p.Agent = g.agent(m.Agent)
 	}
-	p.Class = classOf(m.Class)
+	p.Class, p.Helper = classOf(m.Class), m.Root != ""
 	p.Turn, p.Attained, p.LastSeen = m.Turn, m.AttainedTokens, g.Now
 	p.Deadline = 0
 	if m.TimeLeftMS > 0 {
@@ -240,6 +258,8 @@
 	p := c.Program
 	c.Worker, c.GrantedAt = w, g.Now
 	w.Running++
+	c.active = c.Size()
+	w.Active += c.active
 	p.Running++
 	if !p.Started {
 		p.Started = true
@@ -250,6 +270,8 @@
 	if w.CacheTokens > 0 {
 		framework.SetCached(p, w, max(c.PromptTokens, p.Cached(w)), g.Now)
 	}
+	p.History = max(p.History, c.PromptTokens)
+	p.Settle(w, c.Rank)
 }
 
 func (g *group) finished(m Finished) {
@@ -261,7 +283,7 @@
 	delete(g.calls, m.Call)
 	if c.Worker == nil {
 		// The home ran the call on a grant of the previous scheduler.
-		g.unqueue(c)
+		g.queue.remove(c)
 		return
 	}
 	w, p := c.Worker, c.Program
@@ -275,12 +297,14 @@
 		return
 	}
 	p.Turn++
+	p.Agent.Turns.Reached(p.Turn)
 	p.History = m.PromptTokens + m.GeneratedTokens
 	p.Agent.Generated.Add(float64(m.GeneratedTokens))
 	p.Agent.ServiceMS.Add(float64(g.Now - c.GrantedAt))
 	g.overload.served(float64(g.Now - c.GrantedAt))
 	if w.CacheTokens > 0 && g.Programs[p.ID] == p {
 		framework.SetCached(p, w, p.History, g.Now)
+		p.Settle(w, g.policy.Rank(&g.Group, &c.Call))
 	}
 }
 
@@ -288,6 +312,7 @@
 func (g *group) leave(c *call) {
 	w := c.Worker
 	w.Running--
+	w.Active -= c.active
 	c.Program.Running--
 	c.Worker = nil
 	if w.Running == 0 && w.MaxRunning == 0 {
@@ -302,7 +327,7 @@
 		if c.Worker != nil {
 			g.leave(c)
 		} else {
-			g.unqueue(c)
+			g.queue.remove(c)
 		}
 	}
 }
@@ -316,30 +341,58 @@
 	if !ok {
 		return
 	}
-	p.Agent.Turns.Add(m.Turns)
+	p.Agent.Turns.Ended(m.Turns)
 	g.forget(p)
 	for _, w := range p.Served {
 		if w.CacheTokens > 0 {
 			g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: p.ID})
+			g.releasing = append(g.releasing, release{p.ID, w.Name, g.Now + releaseRepeat, releaseRepeats})
+		}
+	}
+}
+
+// release is a cache release that is sent again, because the message can get lost.
+type release struct {
+	program ids.Program
+	worker  string
+	next    clock.Millis
+	left    int
+}
+
+// repeatReleases sends the releases again that are due. Releasing twice does no harm.
+func (g *group) repeatReleases() {
+	kept := g.releasing[:0]
+	for _, r := range g.releasing {
+		if _, ended := g.ended[r.program]; !ended {
+			continue
+		}
+		if g.Now >= r.next {
+			g.emit(ReleaseCache{Group: g.name, Worker: r.worker, Program: r.program})
+			r.next, r.left = g.Now+releaseRepeat, r.left-1
+		}
+		if r.left > 0 {
+			kept = append(kept, r)
 		}
 	}
+	g.releasing = kept
 }
 
 // forget removes a program, its waiting calls and its cache estimate. Calls in flight stay accounted for
 // until their homes report the end.
 func (g *group) forget(p *framework.Program) {
 	if p.Waiting > 0 {
-		for _, c := range slices.Clone(g.queue) {
+		for _, c := range g.queue.all() {
 			if c.Program == p {
 				delete(g.calls, c.id)
 				g.settled[c.id] = g.Now + settledFor
-				g.unqueue(c)
+				g.queue.remove(c)
 			}
 		}
 	}
 	for len(p.Entries()) > 0 {
 		framework.DropCached(p, p.Entries()[0].Worker)
 	}
+	p.Settle(nil, 0)
 	if p.Started {
 		g.UnderWay--
 	}
@@ -352,7 +405,7 @@
 		name = plugins.Default
 	}
 	if name != g.policy.Name() {
-		if p, ok := plugins.New(name); ok {
+		if p, ok := g.policies(name); ok {
 			g.policy = p
 			g.rerank()
 		}
@@ -375,6 +428,11 @@
 
 // dropWorker removes a worker that left the group and has no calls in flight.
 func (g *group) dropWorker(w *framework.Worker) {
+	for _, p := range g.Programs {
+		if p.Resident() == w {
+			p.Settle(nil, 0)
+		}
+	}
 	framework.EachEntry(w, func(e *framework.Entry) { framework.DropCached(e.Program, w) })
 	delete(g.workers, w.Name)
 	g.Workers = slices.DeleteFunc(g.Workers, func(o *framework.Worker) bool { return o == w })
@@ -434,7 +492,7 @@
 		if c.Worker != nil {
 			g.leave(c)
 		} else {
-			g.unqueue(c)
+			g.queue.remove(c)
 		}
 	}
 }
@@ -445,6 +503,7 @@
 		g.rerank()
 	}
 	g.refuseOverdue()
+	g.repeatReleases()
 	if g.Now-g.lastSweep >= sweepPeriod {
 		g.lastSweep = g.Now
 		g.sweep()
@@ -475,44 +534,9 @@
 	}
 }
 
-// compare orders waiting calls by class, rank and arrival.
-func compare(a, b *call) int {
-	switch {
-	case a.Program.Class != b.Program.Class:
-		return int(a.Program.Class - b.Program.Class)
-	case a.Rank < b.Rank:
-		return -1
-	case a.Rank > b.Rank:
-		return 1
-	case a.Seq < b.Seq:
-		return -1
-	case a.Seq > b.Seq:
-		return 1
-	}
-	return strings.Compare(a.id.Key, b.id.Key)
-}
-
-func (g *group) enqueue(c *call) {
-	i, _ := slices.BinarySearchFunc(g.queue, c, compare)
-	g.queue = slices.Insert(g.queue, i, c)
-}
-
-// unqueue removes a waiting call from the queue.
-func (g *group) unqueue(c *call) {
-	i, ok := slices.BinarySearchFunc(g.queue, c, compare)
-	if !ok || g.queue[i] != c {
-		// The class of a program can change between its calls, which leaves older calls out of place.
-		i = slices.Index(g.queue, c)
-	}
-	if i >= 0 {
-		g.queue = slices.Delete(g.queue, i, i+1)
-		c.Program.Waiting--
-	}
-}
-
 func (g *group) rerank() {
-	for _, c := range g.queue {
+	for _, c := range g.queue.all() {
 		c.Rank = g.policy.Rank(&g.Group, &c.Call)
 	}
-	slices.SortFunc(g.queue, compare)
+	g.queue.sort()
 }
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -29,7 +29,10 @@
 	Call  CallID `msgpack:"c"`
 	Group string `msgpack:"g"` // "<pool>/<group number>"
 	// Home is the journal of the program's home host, to which the grant goes.
-	Home  ids.Journal `msgpack:"h"`
+	Home ids.Journal `msgpack:"h"`
+	// Root is the program that a caller opened, if Call.Program is a helper that works for it; else empty.
+	// Helpers of a program under way count as under way from their first call.
+	Root  ids.Program `msgpack:"rt"`
 	Agent string      `msgpack:"ag"`
 	Class string      `msgpack:"cl"`
 	// Turn is the number of calls that the program has finished in any pool.
--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"slices"
-
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/core/sched/framework"
 )
@@ -54,7 +52,7 @@
 	if c.Program.Class == framework.Urgent {
 		return "", 0
 	}
-	wait := g.expectedWait(len(g.queue))
+	wait := g.expectedWait(g.queue.len())
 	if c.First() && wait > backlogWait {
 		return reasonBacklog, max(wait-backlogWait, minRetryAfter)
 	}
@@ -63,10 +61,10 @@
 
 // refuseOverdue refuses waiting calls whose program's deadline has passed.
 func (g *group) refuseOverdue() {
-	for _, c := range slices.Clone(g.queue) {
+	for _, c := range g.queue.all() {
 		if c.Program.Deadline > 0 && g.Now > c.Program.Deadline {
 			delete(g.calls, c.id)
-			g.unqueue(c)
+			g.queue.remove(c)
 			g.refuse(c, reasonDeadline, minRetryAfter)
 		}
 	}
--- a/core/sched/plugins/plugins.go
+++ b/core/sched/plugins/plugins.go
@@ -1,4 +1,5 @@
-// Package plugins holds the scheduling policies, one file each, named for the policy.
+// Package plugins holds the scheduling policies, one file each, named for the policy. docs/decisions.md says
+// what each is good for and which others were tried.
 package plugins
 
 import (
@@ -8,14 +9,16 @@
 )
 
 // Default is the policy of pools that name none.
-const Default = "affinity"
+const Default = "shipped"
 
 var constructors = map[string]func() framework.Policy{
 	"baseline": func() framework.Policy { return baseline{} },
 	"affinity": func() framework.Policy { return affinity{} },
+	"deadline": newDeadline,
+	Default:    newShipped,
 }
 
-// New returns a policy by name; false if there is no such policy.
+// New returns a policy by name, and false if there is no such policy.
 func New(name string) (framework.Policy, bool) {
 	c, ok := constructors[name]
 	if !ok {
