Repeat lost grants and drop calls that their homes no longer name

Cause: messages between homes and schedulers can be lost. A lost grant left its call waiting for ever, and a lost end left a worker's place taken for ever. Homes name their calls every 3 s; the scheduler now grants again when the home still waits, and drops what has not been named for 15 s. Ruled out: acknowledged messages, which double the traffic in the usual case.

--- a/core/sched/dispatch.go
+++ b/core/sched/dispatch.go
@@ -143,6 +143,7 @@
 	g.queue.remove(c)
 	priority := g.policy.Reserve(&g.Group, &c.Call, w)
 	waited := int64(g.Now - c.EnqueuedAt)
+	c.priority = priority
 	g.start(c, w)
 	g.emit(Grant{Call: c.id, Group: g.name, Home: c.home, Worker: w.Name, Priority: priority, WaitedMS: waited})
 }
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sort"
 
@@ -20,6 +22,8 @@
 	// settledFor is how long the ID of a finished or withdrawn call is remembered, so that a late copy of its
 	// Enqueued gets no second grant. Frames are repeated within seconds of a broken link.
 	settledFor clock.Millis = 60_000
+	// grantLostAfter is the age at which a grant counts as lost if the home still asks for it.
+	grantLostAfter clock.Millis = 1000
 	// releaseRepeat and releaseRepeats repeat each release twice within the reconciliation period of 10 s,
 	// because a cache report that would show a lost release is late and can have gaps itself.
 	releaseRepeat clock.Millis = 3000
@@ -39,6 +43,10 @@
 	home ids.Journal
 	// fresh and urgent are set when the call is enqueued and decide its place in the queue.
 	fresh, urgent bool
+	// heard is when the home last named the call.
+	heard clock.Millis
+	// priority is the engine priority of the grant.
+	priority int
 	// active is what the call counts in the Active of its worker.
 	active int64
 }
@@ -73,6 +81,8 @@
 	blocked []*framework.Worker
 	moves   int
 	effects []event.Effect
+	// expireAfter is ExpireMS of the last GroupChanged.
+	expireAfter clock.Millis
 }
 
 func newGroup(name string, at clock.Millis, policies func(string) (framework.Policy, bool)) *group {
@@ -113,11 +123,7 @@
 
 func (g *group) enqueued(m Enqueued) {
 	if c, ok := g.calls[m.Call]; ok {
-		if m.Running != "" && c.Worker == nil {
-			// A grant of the previous scheduler reached the home after it had enqueued the call here.
-			g.queue.remove(c)
-			g.start(c, g.worker(m.Running))
-		}
+		g.repeated(c, m)
 		return
 	}
 	if _, ok := g.settled[m.Call]; ok {
@@ -131,7 +137,7 @@
 		delete(g.refused, m.Call)
 	}
 	p := g.program(m)
-	c := &call{id: m.Call, home: m.Home}
+	c := &call{id: m.Call, home: m.Home, heard: g.Now}
 	c.Call = framework.Call{
 		Program:      p,
 		EnqueuedAt:   g.Now,
@@ -320,6 +326,44 @@
 	}
 }
 
+// repeated takes a second message about a call that is known here.
+func (g *group) repeated(c *call, m Enqueued) {
+	c.heard = g.Now
+	switch {
+	case m.Running != "" && c.Worker == nil:
+		// A grant of the previous scheduler reached the home after it had enqueued the call here.
+		g.queue.remove(c)
+		g.start(c, g.worker(m.Running))
+	case m.Running == "" && c.Worker != nil && g.Now-c.GrantedAt >= grantLostAfter:
+		// The home still waits, so the grant was lost. Homes ignore a grant that comes twice.
+		g.emit(Grant{Call: c.id, Group: g.name, Home: c.home, Worker: c.Worker.Name, Priority: c.priority})
+	}
+}
+
+// expire drops calls that their homes have not named for so long that the message that ended them must have
+// been lost. A home that still wants such a call enqueues it again with its next refresh.
+func (g *group) expire() {
+	if g.expireAfter == 0 {
+		return
+	}
+	for _, id := range slices.SortedFunc(maps.Keys(g.calls), compareCallIDs) {
+		c := g.calls[id]
+		if g.Now-c.heard < g.expireAfter {
+			continue
+		}
+		delete(g.calls, id)
+		if c.Worker != nil {
+			g.leave(c)
+		} else {
+			g.queue.remove(c)
+		}
+	}
+}
+
+func compareCallIDs(a, b CallID) int {
+	return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Attempt, b.Attempt))
+}
+
 func (g *group) withdrawn(m Withdrawn) {
 	g.settled[m.Call] = g.Now + settledFor
 	if c, ok := g.calls[m.Call]; ok {
@@ -400,6 +444,7 @@
 }
 
 func (g *group) changed(m GroupChanged) {
+	g.expireAfter = clock.Millis(m.ExpireMS)
 	name := m.Policy
 	if name == "" {
 		name = plugins.Default
@@ -507,6 +552,7 @@
 	if g.Now-g.lastSweep >= sweepPeriod {
 		g.lastSweep = g.Now
 		g.sweep()
+		g.expire()
 	}
 }
 
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -100,6 +100,9 @@
 	Group   string   `msgpack:"g"`
 	Workers []Worker `msgpack:"w"`
 	Policy  string   `msgpack:"p"`
+	// ExpireMS is the time in milliseconds after which a call that its home has not named again is dropped;
+	// 0 keeps calls until they end. Homes name all their calls every few seconds.
+	ExpireMS int64 `msgpack:"x"`
 }
 
 // LoadReported is a worker's own report; it is AgeMS old.
--- a/service/backends/backends.go
+++ b/service/backends/backends.go
@@ -38,6 +38,10 @@
 	stateUnreachable = "unreachable"
 )
 
+// callExpiry is five times the interval at which homes name their calls to the group's scheduler again, so that
+// four lost messages in a row do no harm.
+const callExpiry = 15 * time.Second
+
 // View is the part of the membership that the service uses.
 type View interface {
 	Self() membership.Member
@@ -361,7 +365,7 @@
 			if rank := s.o.View.Rank("group:" + name); len(rank) == 0 || rank[0].Name != self {
 				continue
 			}
-			g := sched.GroupChanged{Group: name, Policy: cfg.Policy}
+			g := sched.GroupChanged{Group: name, Policy: cfg.Policy, ExpireMS: callExpiry.Milliseconds()}
 			for _, b := range workers[i*groupSize : min(len(workers), (i+1)*groupSize)] {
 				g.Workers = append(g.Workers, sched.Worker{
 					Name:        b.Name,
