Add the order managers: leases, fencing, orders to engines

core/orders holds the whole decision: claim, renewal and handover of the lease, choice of the worker, retries, status. service/orders carries out the effects. It checks the lease when the body of the order is read, after the connection is up; an order whose body ends early is no request to the engine.

A new holder claims only a lease that did not change for its whole duration, and then waits for Times.InFlight before it reads engines or orders. The wait is the same for engines that check the number: such an engine refuses a late order only once it got one with the new number, so a second worker could load meanwhile.

An order that fails on two workers goes to no third one until a worker has reached the wanted state, so that a broken version leaves the pool serving.

Ruled out: claiming as soon as membership calls the holder gone, which needs a second timer for engines that ignore the number and gains seconds only.

--- a/cmd/hyssopreelctl/replay.go
+++ b/cmd/hyssopreelctl/replay.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopreel/hyssopreel/core"
 	"github.com/hyssopreel/hyssopreel/core/configuration"
 	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/orders"
 	"github.com/hyssopreel/hyssopreel/service/runtime"
 )
 
@@ -21,6 +22,7 @@
 var newReducer = func() *core.State {
 	return core.NewState(map[string]core.Subsystem{
 		"configuration": configuration.NewState(),
+		"orders":        orders.NewState(),
 	})
 }
 
--- /dev/null
+++ b/service/orders/fakes_test.go
@@ -0,0 +1,322 @@
+package orders_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	coreorders "github.com/hyssopreel/hyssopreel/core/orders"
+	"github.com/hyssopreel/hyssopreel/service/orders"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// fakeClock moves only when a test advances it.
+type fakeClock struct{ now atomic.Int64 }
+
+func (c *fakeClock) Now() clock.Millis       { return clock.Millis(c.now.Load()) }
+func (c *fakeClock) advance(d time.Duration) { c.now.Add(d.Milliseconds()) }
+
+// fakeStore is an object store in memory.
+type fakeStore struct {
+	objectapi.Store // Watch is not used
+
+	mu       sync.Mutex
+	revision objectapi.Version
+	objects  map[string]objectapi.Object
+	writes   map[string]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string]objectapi.Object{}, writes: map[string]int{}}
+}
+
+func (s *fakeStore) Create(ctx context.Context, kind, name string, value []byte) (objectapi.Version, error) {
+	return s.Update(ctx, kind, name, value, 0)
+}
+
+func (s *fakeStore) Update(_ context.Context, kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := kind + "/" + name
+	if s.objects[key].Version != expected {
+		return 0, objectapi.ErrConflict
+	}
+	s.revision++
+	s.writes[key]++
+	s.objects[key] = objectapi.Object{Kind: kind, Name: name, Version: s.revision, Value: value}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Get(_ context.Context, kind, name string) (objectapi.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return o, objectapi.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *fakeStore) List(_ context.Context, kind, prefix string) ([]objectapi.Object, objectapi.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []objectapi.Object
+	for _, o := range s.objects {
+		if o.Kind == kind && strings.HasPrefix(o.Name, prefix) {
+			out = append(out, o)
+		}
+	}
+	return out, s.revision, nil
+}
+
+// storeClient is one host's access to the store.
+type storeClient struct {
+	*fakeStore
+	down atomic.Bool
+}
+
+func (c *storeClient) Create(ctx context.Context, kind, name string, value []byte) (objectapi.Version, error) {
+	return c.Update(ctx, kind, name, value, 0)
+}
+
+func (c *storeClient) Update(ctx context.Context, kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
+	if c.down.Load() {
+		return 0, objectapi.ErrUnavailable
+	}
+	return c.fakeStore.Update(ctx, kind, name, value, expected)
+}
+
+func (c *storeClient) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
+	if c.down.Load() {
+		return objectapi.Object{}, objectapi.ErrUnavailable
+	}
+	return c.fakeStore.Get(ctx, kind, name)
+}
+
+// received is an order as an engine got it.
+type received struct {
+	Engine string
+	Fence  uint64 `json:"fence"`
+	Holder string `json:"holder"`
+	coreorders.Order
+	refused bool
+}
+
+// site is the engines of a pool and the log of the orders that reached them.
+type site struct {
+	mu      sync.Mutex
+	list    []objectapi.Backend
+	states  map[string]*coreorders.EngineState
+	log     []received
+	hold    bool // loads do not end
+	throttl int  // answers with 429 that are left
+}
+
+func newSite(checks bool, names ...string) *site {
+	s := &site{states: map[string]*coreorders.EngineState{}}
+	for _, name := range names {
+		s.states[name] = &coreorders.EngineState{Model: "m", Version: "v0"}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /v1/orders/state", func(w http.ResponseWriter, _ *http.Request) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_ = json.NewEncoder(w).Encode(s.states[name])
+		})
+		mux.HandleFunc("POST /v1/orders", func(w http.ResponseWriter, r *http.Request) { s.order(w, r, name, checks) })
+		server := httptest.NewServer(mux)
+		ginkgo.DeferCleanup(server.Close)
+		s.list = append(s.list, objectapi.Backend{
+			Name: name, Pool: "p", Kind: "engine", State: objectapi.BackendLive, ChecksFencing: checks,
+			Address: strings.TrimPrefix(server.URL, "http://"),
+		})
+	}
+	return s
+}
+
+func (s *site) order(w http.ResponseWriter, r *http.Request, name string, checks bool) {
+	b, err := io.ReadAll(r.Body)
+	o := received{Engine: name}
+	if err != nil || json.Unmarshal(b, &o) != nil {
+		http.Error(w, "request body", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.states[name]
+	switch {
+	case s.throttl > 0:
+		s.throttl--
+		w.Header().Set("Retry-After", "30")
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case checks && o.Fence < st.Fence:
+		o.refused = true
+		s.log = append(s.log, o)
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]uint64{"fence": st.Fence})
+		return
+	}
+	s.log = append(s.log, o)
+	st.Fence = max(st.Fence, o.Fence)
+	if s.hold {
+		st.Loading = true
+	} else {
+		st.Model, st.Version = o.Model, o.Version
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// finish ends the loads under way with the given version.
+func (s *site) finish(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = false
+	for _, st := range s.states {
+		if st.Loading {
+			st.Loading, st.Version = false, version
+		}
+	}
+}
+
+func (s *site) orders() []received {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.log)
+}
+
+func (s *site) versions() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for name, st := range s.states {
+		out[name] = st.Version
+	}
+	return out
+}
+
+// gate is a transport that can hold orders back, before or after it has read their bodies.
+type gate struct {
+	http.RoundTripper
+	mu       sync.Mutex
+	closed   chan struct{} // nil: open
+	readBody bool
+	waiting  atomic.Int32
+}
+
+func (g *gate) close(readBody bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed, g.readBody = make(chan struct{}), readBody
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.closed)
+	g.closed = nil
+}
+
+func (g *gate) RoundTrip(r *http.Request) (*http.Response, error) {
+	g.mu.Lock()
+	closed, readBody := g.closed, g.readBody
+	g.mu.Unlock()
+	if closed != nil && r.Method == http.MethodPost {
+		// A frozen process does not notice that its time limit passed.
+		r = r.WithContext(context.WithoutCancel(r.Context()))
+		if readBody {
+			b, err := io.ReadAll(r.Body)
+			if err != nil {
+				return nil, err
+			}
+			r.Body = io.NopCloser(strings.NewReader(string(b)))
+		}
+		g.waiting.Add(1)
+		<-closed
+		g.waiting.Add(-1)
+	}
+	return g.RoundTripper.RoundTrip(r)
+}
+
+// host is one host with the orders role.
+type host struct {
+	*orders.Service
+	name  ids.Host
+	ranks *atomic.Value // []ids.Host
+	store *storeClient
+	gate  *gate
+
+	mu     sync.Mutex
+	usable map[string]bool
+}
+
+func (h *host) Self() ids.Host         { return h.name }
+func (h *host) Rank(string) []ids.Host { return h.ranks.Load().([]ids.Host) }
+
+func (h *host) isUsable(worker string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usable[worker]
+}
+
+// cluster is the hosts of a test, with one clock.
+type cluster struct {
+	clock fakeClock
+	store *fakeStore
+	site  *site
+	ranks atomic.Value
+	hosts []*host
+}
+
+func newCluster(s *site, names ...ids.Host) *cluster {
+	c := &cluster{store: newFakeStore(), site: s}
+	c.ranks.Store(names)
+	for _, name := range names {
+		c.start(name)
+	}
+	return c
+}
+
+func (c *cluster) start(name ids.Host) {
+	h := &host{
+		name: name, ranks: &c.ranks, store: &storeClient{fakeStore: c.store},
+		gate: &gate{RoundTripper: &http.Transport{}}, usable: map[string]bool{},
+	}
+	state := core.NewState(map[string]core.Subsystem{"orders": coreorders.NewState()})
+	run := runtime.New(&c.clock, state, nil)
+	h.Service = orders.New(run, h.store, h, orders.Hooks{
+		Usable: func(_, worker string, _ uint64, usable bool) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.usable[worker] = usable
+		},
+	}, orders.Options{Holder: string(ids.NewJournal(name, 1)), Tick: time.Millisecond, Transport: h.gate})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = run.Run(ctx) })
+	wg.Go(func() { _ = h.Run(ctx) })
+	ginkgo.DeferCleanup(func() { cancel(); wg.Wait() })
+	h.SetConfig(poolAt("v1"))
+	h.SetBackends(c.site.list)
+	c.hosts = append(c.hosts, h)
+}
+
+func poolAt(version string) *config.Config {
+	return &config.Config{Number: 1, Objects: config.Objects{Pools: map[string]*config.Pool{
+		"p":   {Kind: "engine", Model: "m", Version: version, MaxRunning: 1},
+		"svc": {Kind: "service", MaxRunning: 1},
+	}}}
+}
--- /dev/null
+++ b/service/orders/orders_test.go
@@ -0,0 +1,180 @@
+package orders_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/orders"
+)
+
+func TestOrders(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "service/orders")
+}
+
+const (
+	wait = "10s"
+	tick = "2ms"
+)
+
+// passing lets simulated time pass while it polls the value.
+func passing[T any](c *cluster, value func() T) func() T {
+	return func() T {
+		c.clock.advance(100 * time.Millisecond)
+		return value()
+	}
+}
+
+func (h *host) fence() uint64 { return h.Held()["p"] }
+
+var _ = ginkgo.Describe("the order manager", func() {
+	reached := func(c *cluster, version string) {
+		ginkgo.GinkgoHelper()
+		gomega.Eventually(passing(c, c.site.versions), wait, tick).Should(gomega.HaveEach(version))
+	}
+
+	// Guards against workers that stay at an old version, and against a second manager.
+	ginkgo.It("brings all workers to the configuration and writes the status on change only", func() {
+		c := newCluster(newSite(true, "w0", "w1", "w2"), "a", "b", "c")
+		reached(c, "v1")
+		gomega.Expect(c.hosts[0].fence()).To(gomega.Equal(uint64(1)))
+		gomega.Expect(c.hosts[1].Held()).To(gomega.BeEmpty())
+		pools := func() []string {
+			out, err := c.hosts[2].Pools(context.Background(), poolAt("v1"))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(out.Pools).To(gomega.HaveLen(2))
+			gomega.Expect(out.Pools[0].Manager).To(gomega.Equal(ids.Host("a")))
+			var states []string
+			for _, w := range out.Pools[0].Workers {
+				states = append(states, w.Name+" "+w.Version+" "+w.State)
+			}
+			return states
+		}
+		gomega.Eventually(passing(c, pools), wait, tick).Should(gomega.Equal([]string{"w0 v1 ready", "w1 v1 ready", "w2 v1 ready"}))
+		writes := func() int {
+			c.store.mu.Lock()
+			defer c.store.mu.Unlock()
+			return c.store.writes["status/p"]
+		}
+		before := writes()
+		gomega.Consistently(passing(c, writes), "100ms", tick).Should(gomega.Equal(before))
+		for _, h := range c.hosts {
+			h.SetConfig(poolAt("v2"))
+		}
+		reached(c, "v2")
+	})
+
+	// Guards against calls that go to a worker while it loads.
+	ginkgo.It("reports a worker as not usable while it loads", func() {
+		s := newSite(false, "w0", "w1")
+		s.hold = true
+		c := newCluster(s, "a")
+		h := c.hosts[0]
+		gomega.Eventually(passing(c, s.orders), wait, tick).Should(gomega.HaveLen(1))
+		gomega.Expect(h.isUsable("w0")).To(gomega.BeFalse())
+		gomega.Eventually(passing(c, func() bool { return h.isUsable("w1") }), wait, tick).Should(gomega.BeTrue())
+		gomega.Consistently(passing(c, s.orders), "50ms", tick).Should(gomega.HaveLen(1), "one worker at a time")
+		s.finish("v1")
+		reached(c, "v1")
+		gomega.Eventually(passing(c, func() bool { return h.isUsable("w0") && h.isUsable("w1") }), wait, tick).Should(gomega.BeTrue())
+	})
+
+	// Guards against a manager that adds to the load of a weight store that is over its rate.
+	ginkgo.It("waits as long as a 429 says", func() {
+		s := newSite(false, "w0")
+		s.throttl = 1
+		c := newCluster(s, "a")
+		throttled := func() int { s.mu.Lock(); defer s.mu.Unlock(); return s.throttl }
+		gomega.Eventually(passing(c, throttled), wait, tick).Should(gomega.BeZero())
+		at := c.clock.Now()
+		reached(c, "v1")
+		gomega.Expect(c.clock.Now().Sub(at)).To(gomega.BeNumerically(">=", 29*time.Second))
+	})
+
+	// takeOver freezes host a right before it sends an order, lets host b take over and send orders, and
+	// lets a go on.
+	takeOver := func(checks, bodyRead bool) *cluster {
+		ginkgo.GinkgoHelper()
+		s := newSite(checks, "w0", "w1")
+		c := newCluster(s, "a", "b")
+		a, b := c.hosts[0], c.hosts[1]
+		a.gate.close(bodyRead)
+		gomega.Eventually(passing(c, a.gate.waiting.Load), wait, tick).Should(gomega.Equal(int32(1)))
+		gomega.Expect(a.fence()).To(gomega.Equal(uint64(1)))
+		a.store.down.Store(true)
+		gomega.Eventually(passing(c, b.fence), wait, tick).Should(gomega.Equal(uint64(2)))
+		reached(c, "v1")
+		a.store.down.Store(false)
+		a.gate.open()
+		gomega.Eventually(passing(c, a.fence), wait, tick).Should(gomega.BeZero(), "the old manager stops")
+		return c
+	}
+
+	// Guards against an order of the old manager after those of the new one, at engines that would carry
+	// it out.
+	ginkgo.It("sends no order after its lease, whatever it froze in", func() {
+		c := takeOver(false, false)
+		gomega.Consistently(passing(c, c.site.orders), "50ms", tick).Should(gomega.HaveEach(gomega.HaveField("Fence", uint64(2))))
+	})
+
+	// Guards against an old manager that goes on after a checking engine refused its number.
+	ginkgo.It("is refused by a checking engine when the order was on its way already", func() {
+		c := takeOver(true, true)
+		old := func() []received {
+			var out []received
+			for _, o := range c.site.orders() {
+				if o.Fence == 1 {
+					out = append(out, o)
+				}
+			}
+			return out
+		}
+		gomega.Eventually(passing(c, old), wait, tick).Should(gomega.HaveLen(1))
+		gomega.Expect(old()[0].refused).To(gomega.BeTrue())
+		gomega.Expect(c.site.versions()).To(gomega.HaveEach("v1"))
+	})
+
+	// Guards against the first order of a new manager reaching an engine together with one of the old
+	// manager's that is still under way.
+	ginkgo.It("waits until orders of the old manager have arrived, for engines that ignore the number", func() {
+		s := newSite(false, "w0")
+		s.hold = true
+		c := newCluster(s, "a", "b")
+		a, b := c.hosts[0], c.hosts[1]
+		gomega.Eventually(passing(c, s.orders), wait, tick).Should(gomega.HaveLen(1))
+		lastRenewal := c.clock.Now()
+		a.store.down.Store(true)
+		gomega.Eventually(passing(c, b.fence), wait, tick).Should(gomega.Equal(uint64(2)))
+		gomega.Expect(c.clock.Now().Sub(lastRenewal)).To(gomega.BeNumerically(">=", orders.DefaultTimes().Lease-orders.DefaultTimes().Renew))
+		claimed := c.clock.Now()
+		s.finish("other")
+		gomega.Eventually(passing(c, s.orders), wait, tick).Should(gomega.HaveLen(2))
+		gomega.Expect(s.orders()[1].Fence).To(gomega.Equal(uint64(2)))
+		gomega.Expect(c.clock.Now().Sub(claimed)).To(gomega.BeNumerically(">=", orders.DefaultTimes().InFlight-200*time.Millisecond))
+	})
+
+	// Guards against orders without a lease during an outage, and against a manager that does not go on
+	// after it.
+	ginkgo.It("stops while the store is down and goes on afterwards", func() {
+		s := newSite(false, "w0", "w1")
+		s.hold = true
+		c := newCluster(s, "a", "b")
+		gomega.Eventually(passing(c, s.orders), wait, tick).Should(gomega.HaveLen(1))
+		for _, h := range c.hosts {
+			h.store.down.Store(true)
+		}
+		c.clock.advance(orders.DefaultTimes().Lease)
+		s.finish("v1")
+		gomega.Consistently(passing(c, s.orders), "100ms", tick).Should(gomega.HaveLen(1))
+		for _, h := range c.hosts {
+			h.store.down.Store(false)
+		}
+		reached(c, "v1")
+		gomega.Expect(s.orders()).To(gomega.HaveLen(2))
+	})
+})
--- /dev/null
+++ b/service/orders/service.go
@@ -0,0 +1,347 @@
+// Package orders carries out what core/orders decides: it keeps the leases of the order managers, sends
+// orders to engines and writes the status objects of the pools.
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/orders"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// Membership is the part of the membership's View that this package uses.
+type Membership interface {
+	Self() ids.Host
+	// Rank returns the hosts in state up by rendezvous hash of the key, best first.
+	Rank(key string) []ids.Host
+}
+
+// Runtime is the part of *runtime.Runtime that this package uses.
+type Runtime interface {
+	Publish(ev event.Event)
+	Handle(k event.Kind, h runtime.Handler)
+	Clock() clock.Clock
+}
+
+// Hooks connect the order manager with scheduling and cache. All may be nil.
+type Hooks struct {
+	// Usable tells whether a worker may get calls. It runs on the reducer's goroutine and must not block.
+	// The scheduler of the worker's group may be another host; of two reports the one with the higher
+	// fence counts.
+	Usable func(pool, worker string, fence uint64, usable bool)
+	// Prepare runs before each order, once the worker has been reported as not usable. It returns when
+	// the worker runs no calls. Before a set_role order it may move or export the cache of programs. The
+	// order is sent when it returns or when ctx ends.
+	Prepare func(ctx context.Context, pool, worker string, o orders.Order)
+	// Report receives the log events of this package.
+	Report func(name string, fields map[string]any)
+}
+
+// Options are the settings of a Service. Zero values take the defaults.
+type Options struct {
+	// Holder identifies this process in leases and orders, for example the journal of the incarnation.
+	Holder string
+	Times  orders.Times
+	// Tick is the pause between two steps of the reducer. The default is 500 ms.
+	Tick time.Duration
+	// StoreTimeout bounds a call to the store. The default is 3 s.
+	StoreTimeout time.Duration
+	// PrepareLimit bounds Hooks.Prepare. The default is 1 min.
+	PrepareLimit time.Duration
+	// Transport sends the requests to engines. The default is a new http.Transport.
+	Transport http.RoundTripper
+}
+
+// Service is the orders role of a host.
+type Service struct {
+	opts    Options
+	store   objectapi.Store
+	members Membership
+	run     Runtime
+	hooks   Hooks
+	http    *http.Client
+
+	mu    sync.Mutex
+	ctx   context.Context // of Run; nil before it
+	pools []string        // engine pools of the configuration
+	held  map[string]uint64
+}
+
+// New returns a service and sets the handlers of its effects on the runtime.
+func New(run Runtime, store objectapi.Store, members Membership, hooks Hooks, opts Options) *Service {
+	if opts.Times == (orders.Times{}) {
+		opts.Times = orders.DefaultTimes()
+	}
+	setDefault(&opts.Tick, 500*time.Millisecond)
+	setDefault(&opts.StoreTimeout, 3*time.Second)
+	setDefault(&opts.PrepareLimit, time.Minute)
+	if opts.Transport == nil {
+		opts.Transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	}
+	if hooks.Usable == nil {
+		hooks.Usable = func(string, string, uint64, bool) {}
+	}
+	if hooks.Prepare == nil {
+		hooks.Prepare = func(context.Context, string, string, orders.Order) {}
+	}
+	if hooks.Report == nil {
+		hooks.Report = func(string, map[string]any) {}
+	}
+	s := &Service{
+		opts: opts, store: store, members: members, run: run, hooks: hooks,
+		http: &http.Client{Transport: opts.Transport}, held: map[string]uint64{},
+	}
+	s.handle()
+	return s
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func (s *Service) handle() {
+	s.run.Handle(orders.KindReadLease, async(s, s.readLease))
+	s.run.Handle(orders.KindWriteLease, async(s, s.writeLease))
+	s.run.Handle(orders.KindReadEngine, async(s, s.readEngine))
+	s.run.Handle(orders.KindPrepare, async(s, s.prepare))
+	s.run.Handle(orders.KindSend, async(s, s.send))
+	s.run.Handle(orders.KindWriteStatus, async(s, s.writeStatus))
+	s.run.Handle(orders.KindUsable, func(_ clock.Millis, eff event.Effect) {
+		e := eff.(orders.Usable)
+		s.hooks.Usable(e.Pool, e.Engine, e.Fence, e.Usable)
+	})
+	s.run.Handle(orders.KindHeld, s.heldChanged)
+}
+
+// async returns a handler that runs fn on a goroutine of its own.
+func async[E event.Effect](s *Service, fn func(context.Context, E)) runtime.Handler {
+	return func(_ clock.Millis, eff event.Effect) {
+		s.mu.Lock()
+		ctx := s.ctx
+		s.mu.Unlock()
+		if ctx != nil && ctx.Err() == nil {
+			go fn(ctx, eff.(E))
+		}
+	}
+}
+
+// Run lets time pass for the reducer until ctx is done.
+func (s *Service) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	s.run.Publish(orders.Started{Holder: s.opts.Holder, Times: s.opts.Times})
+	t := time.NewTicker(s.opts.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			if ranks, active := s.ranks(); active {
+				s.run.Publish(orders.Ticked{Ranks: ranks})
+			}
+		}
+	}
+}
+
+// ranks returns this host's places, and whether there is any pool to look after.
+func (s *Service) ranks() ([]orders.PoolRank, bool) {
+	s.mu.Lock()
+	pools, active := s.pools, len(s.held) > 0
+	s.mu.Unlock()
+	var out []orders.PoolRank
+	for _, p := range pools {
+		if i := slices.Index(s.members.Rank("orders:"+p), s.members.Self()); i >= 0 && i < orders.Candidates {
+			out = append(out, orders.PoolRank{Pool: p, Rank: i})
+		}
+	}
+	return out, active || len(out) > 0
+}
+
+// SetConfig takes the configuration in force; it suits Source.Subscribe.
+func (s *Service) SetConfig(c *config.Config) {
+	var e orders.Configured
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(c.Objects.Pools)) {
+		if p := c.Objects.Pools[name]; p.Kind == "engine" {
+			e.Pools = append(e.Pools, orders.NamedPool{Name: name, Pool: *p})
+			names = append(names, name)
+		}
+	}
+	s.mu.Lock()
+	s.pools = names
+	s.mu.Unlock()
+	s.run.Publish(e)
+}
+
+// SetBackends takes the platform's list of backend servers whenever it changed. Leaving workers get no
+// orders.
+func (s *Service) SetBackends(list []objectapi.Backend) {
+	var e orders.EnginesListed
+	for _, b := range list {
+		if b.Kind == "engine" && b.State == objectapi.BackendLive {
+			e.Engines = append(e.Engines, orders.Engine{Name: b.Name, Pool: b.Pool, Address: b.Address})
+		}
+	}
+	slices.SortFunc(e.Engines, func(a, b orders.Engine) int { return strings.Compare(a.Name, b.Name) })
+	s.run.Publish(e)
+}
+
+// Held returns the fencing numbers of the pools that this host manages.
+func (s *Service) Held() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.held)
+}
+
+func (s *Service) heldChanged(_ clock.Millis, eff event.Effect) {
+	e := eff.(orders.Held)
+	s.mu.Lock()
+	if e.Held {
+		s.held[e.Pool] = e.Fence
+	} else {
+		delete(s.held, e.Pool)
+	}
+	s.mu.Unlock()
+	s.hooks.Report("order_manager_changed", map[string]any{"pool": e.Pool, "fence": e.Fence, "held": e.Held})
+}
+
+func (s *Service) prepare(ctx context.Context, e orders.Prepare) {
+	limited, cancel := context.WithTimeout(ctx, s.opts.PrepareLimit)
+	defer cancel()
+	s.hooks.Prepare(limited, e.Pool, e.Engine, e.Order)
+	s.run.Publish(orders.Prepared{Pool: e.Pool, Op: e.Op})
+}
+
+func (s *Service) readLease(ctx context.Context, e orders.ReadLease) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+	defer cancel()
+	ev := orders.LeaseSeen{Pool: e.Pool}
+	o, err := s.store.Get(ctx, objectapi.KindOrders, e.Pool)
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+	case err != nil:
+		ev.Failed = true
+	default:
+		ev.Version = uint64(o.Version)
+		if err := json.Unmarshal(o.Value, &ev.Lease); err != nil {
+			ev.Failed = true
+			s.hooks.Report("order_lease_unreadable", map[string]any{"pool": e.Pool, "error": err.Error()})
+		}
+	}
+	s.run.Publish(ev)
+}
+
+func (s *Service) writeLease(ctx context.Context, e orders.WriteLease) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+	defer cancel()
+	ev := orders.LeaseWritten{Pool: e.Pool, Lease: e.Lease}
+	value, err := json.Marshal(e.Lease)
+	if err == nil {
+		ev.SentAt = s.run.Clock().Now()
+		var v objectapi.Version
+		v, err = s.put(ctx, objectapi.KindOrders, e.Pool, value, objectapi.Version(e.Version))
+		ev.Version = uint64(v)
+	}
+	switch {
+	case err == nil:
+		ev.Result = orders.Written
+	case errors.Is(err, objectapi.ErrConflict):
+		ev.Result = orders.Conflict
+	case errors.Is(err, objectapi.ErrUnavailable):
+		ev.Result = orders.NotWritten
+	default:
+		ev.Result = orders.UnknownOutcome
+	}
+	s.run.Publish(ev)
+}
+
+// put creates the object if version is 0, and updates it otherwise.
+func (s *Service) put(ctx context.Context, kind, name string, value []byte, version objectapi.Version) (objectapi.Version, error) {
+	if version == 0 {
+		return s.store.Create(ctx, kind, name, value)
+	}
+	return s.store.Update(ctx, kind, name, value, version)
+}
+
+// writeStatus replaces the status object unless a later manager wrote it.
+func (s *Service) writeStatus(ctx context.Context, e orders.WriteStatus) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.StoreTimeout)
+	defer cancel()
+	var version objectapi.Version
+	o, err := s.store.Get(ctx, objectapi.KindStatus, e.Pool)
+	if err == nil {
+		version = o.Version
+		var old orders.Status
+		if json.Unmarshal(o.Value, &old) == nil && old.Fence > e.Fence {
+			err = errors.Newf("status of pool %s has the fencing number %d of a later manager", e.Pool, old.Fence)
+		}
+	} else if errors.Is(err, objectapi.ErrNotFound) {
+		err = nil
+	}
+	if err == nil {
+		_, err = s.put(ctx, objectapi.KindStatus, e.Pool, e.Value, version)
+	}
+	if err != nil {
+		s.hooks.Report("pool_status_not_written", map[string]any{"pool": e.Pool, "error": err.Error()})
+	}
+	s.run.Publish(orders.StatusWritten{Pool: e.Pool, Written: err == nil})
+}
+
+// Pools returns the pools of the configuration with the status that their managers wrote, for
+// GET /v1/pools. It costs one listing of the store.
+func (s *Service) Pools(ctx context.Context, c *config.Config) (api.Pools, error) {
+	out := api.Pools{Pools: []api.Pool{}}
+	objects, _, err := s.store.List(ctx, objectapi.KindStatus, "")
+	if err != nil {
+		return out, errors.Wrap(err, "list the status of the pools")
+	}
+	byPool := map[string]orders.Status{}
+	for _, o := range objects {
+		var st orders.Status
+		if err := json.Unmarshal(o.Value, &st); err != nil {
+			return out, errors.Wrapf(err, "decode the status of pool %s", o.Name)
+		}
+		byPool[o.Name] = st
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Objects.Pools)) {
+		out.Pools = append(out.Pools, poolOf(name, c.Objects.Pools[name], byPool[name]))
+	}
+	return out, nil
+}
+
+func poolOf(name string, p *config.Pool, st orders.Status) api.Pool {
+	out := api.Pool{
+		Name: name, Kind: p.Kind, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role,
+		Manager: ids.Journal(st.Manager).Host(), Fence: st.Fence,
+	}
+	for _, w := range st.Workers {
+		aw := api.PoolWorker{
+			Name: w.Name, Model: w.Model, Version: w.Version, Adapters: w.Adapters, Role: w.Role,
+			State: w.State, Error: w.Error,
+		}
+		if w.Order != nil {
+			aw.Order = w.Order.String()
+		}
+		out.Workers = append(out.Workers, aw)
+	}
+	return out
+}
