--- a/core/host/host.go
+++ b/core/host/host.go
@@ -6,6 +6,7 @@
 	"github.com/hyssopreel/hyssopreel/core"
 	"github.com/hyssopreel/hyssopreel/core/configuration"
 	"github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/orders"
 	"github.com/hyssopreel/hyssopreel/core/program"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
@@ -17,5 +18,6 @@
 		"sched":         sched.NewState(),
 		"membership":    membership.New(),
 		"configuration": configuration.NewState(),
+		"orders":        orders.NewState(),
 	})
 }
