Send orders to engines from the daemon

Cause: the orders service existed and nothing ran it. Ruled out: storing these reports in the object API, which costs a write for each order step. Before: pools were listed from the backend list only.

--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -32,6 +32,7 @@
 	TypeRelay:       "relay",
 	TypeLookup:      "lookup",
 	TypeLeaving:     "leaving",
+	TypeWorkerState: "worker_state",
 	TypeOperate:     "operate",
 }
 
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -21,6 +21,7 @@
 	TypeRelay       // object API call through a peer
 	TypeLookup      // states of programs, asked of their home
 	TypeLeaving     // backend servers that are leaving
+	TypeWorkerState // order manager to group schedulers: whether a worker may get calls
 	TypeOperate     // status of a host, and its drain
 )
 
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopreel/hyssopreel/service/entry"
 	"github.com/hyssopreel/hyssopreel/service/home"
 	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/orders"
 	"github.com/hyssopreel/hyssopreel/service/runtime"
 )
 
@@ -58,6 +59,8 @@
 	members       *membership.Service
 	configuration *configuration.Service
 	backends      *backends.Service
+	orders        *orders.Service
+	reports       *workerReports
 	home          *home.Home
 	entry         *entry.Server
 	http          *http.Server
@@ -124,6 +127,7 @@
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildBackends()
+	d.buildOrders()
 	d.buildHome()
 	d.buildEntry()
 	return d, nil
@@ -194,6 +198,8 @@
 	g.Go(func() error { return d.configuration.Run(work) })
 	d.backends.Start()
 	g.Go(func() error { d.followGroups(work); return nil })
+	g.Go(func() error { return d.orders.Run(work) })
+	g.Go(func() error { d.followOrders(work); return nil })
 	g.Go(func() error {
 		if err := d.http.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
--- a/service/daemon/operators.go
+++ b/service/daemon/operators.go
@@ -193,18 +193,12 @@
 	return fault.New(fault.CodeNotFound, "drain host", "host %q does not exist", host)
 }
 
-func (d *Daemon) listPools(w http.ResponseWriter, _ *http.Request) {
-	a := api.Pools{Pools: []api.Pool{}}
-	pools := d.configuration.Current().Objects.Pools
-	for name, p := range pools {
-		pool := api.Pool{Name: name, Kind: p.Kind, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role}
-		for _, b := range d.backends.Backends() {
-			if b.Pool == name {
-				pool.Workers = append(pool.Workers, api.PoolWorker{Name: b.Name, State: b.State})
-			}
-		}
-		a.Pools = append(a.Pools, pool)
+// listPools joins the pools as configured with the status objects of their order managers.
+func (d *Daemon) listPools(w http.ResponseWriter, r *http.Request) {
+	pools, err := d.orders.Pools(r.Context(), d.configuration.Current())
+	if err != nil {
+		entry.WriteError(w, fault.New(fault.CodeStoreDown, "list pools", "%v", err))
+		return
 	}
-	slices.SortFunc(a.Pools, func(a, b api.Pool) int { return strings.Compare(a.Name, b.Name) })
-	entry.WriteJSON(w, http.StatusOK, a)
+	entry.WriteJSON(w, http.StatusOK, pools)
 }
--- a/service/daemon/wiring.go
+++ b/service/daemon/wiring.go
@@ -177,6 +177,7 @@
 				}
 				return config.Pool{}, false
 			},
+			Loading:       func(worker string) bool { return d.reports.loading(worker) },
 			ProgramStates: d.programStates,
 		},
 	})
