Add the testbed: processes, faults and counters of a deployment on loopback

Starts the stand-ins and the daemons of a deployment with a relay in front of each peer port. Each process is ended by its ID; the kernel kills it when the test process dies.

--- /dev/null
+++ b/internal/testbed/bed.go
@@ -0,0 +1,410 @@
+// Package testbed starts and stops the processes of a whole deployment on loopback, for tests and the demo:
+// the stand-ins for the outside systems and the daemons, each with a relay in front of its peer port.
+package testbed
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/standin/platform"
+)
+
+const (
+	// readyLimit bounds the start of a host; it includes the wait for the lease of an incarnation that was killed.
+	readyLimit = 60 * time.Second
+	pollEvery  = 20 * time.Millisecond
+	// maxRunning and cacheTokens are those of the pools in testdata/tickets.
+	maxRunning  = 8
+	cacheTokens = 100_000
+)
+
+// Pool is a pool of a deployment and its number of workers.
+type Pool struct {
+	Name    string
+	Workers int
+}
+
+// Deployment is the shape of one deployment.
+type Deployment struct {
+	Name    string
+	Domains []string
+	Engines Pool
+	Service Pool
+}
+
+// Deployments are the deployments of docs/design.md, section 1.1.
+var Deployments = map[string]Deployment{
+	"tobyl": {
+		Name: "tobyl", Domains: []string{"almaty-a", "almaty-b", "almaty-c"},
+		Engines: Pool{"reel-lm", 9}, Service: Pool{"bench-app", 9},
+	},
+	"tallowcreek": {
+		Name: "tallowcreek", Domains: []string{"delta-a", "piedmont-b", "coastal-c"},
+		Engines: Pool{"agent-llm", 9}, Service: Pool{"booking-app", 7},
+	},
+}
+
+// Options of a Bed.
+type Options struct {
+	Deployment Deployment
+	Hosts      int
+	// Bin is the folder of the binaries, Root the root of the repository.
+	Bin, Root string
+	// Settings replaces values of the daemons' settings; keys are "section.key".
+	Settings map[string]string
+	// StepMS is the time of one token of an engine without load, in milliseconds; 0 means 2.
+	StepMS float64
+}
+
+// Host is one daemon and the relay in front of its peer port.
+type Host struct {
+	Name   string
+	Domain string
+	// HTTP is the address of the HTTP API.
+	HTTP string
+	Link *Standin
+
+	*Process
+	settings string
+}
+
+// Standin is one stand-in; several may share a process.
+type Standin struct {
+	Name string
+	// Address serves the protocol, Control the control calls.
+	Address, Control string
+}
+
+// Bed is a running deployment.
+type Bed struct {
+	Dir      string
+	Options  Options
+	Platform *Standin
+	Engines  []*Standin
+	Services []*Standin
+	Tools    *Standin
+	Weights  *Standin
+	Hosts    []*Host
+	Backends []platform.Backend
+
+	ip        string
+	client    *http.Client
+	processes []*Process // in the order of their start
+}
+
+// Build compiles the daemon and the stand-ins into a folder.
+func Build(root, bin string) error {
+	cmd := exec.Command("go", "build", "-o", bin+"/", "./cmd/hyssopreeld", "./cmd/hyssopreel-standin")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return nil
+}
+
+// Root returns the root of the repository that holds the current folder.
+func Root() (string, error) {
+	dir, err := os.Getwd()
+	for ; err == nil; dir = filepath.Dir(dir) {
+		if _, serr := os.Stat(filepath.Join(dir, "go.mod")); serr == nil {
+			return dir, nil
+		}
+		if dir == filepath.Dir(dir) {
+			return "", errors.New("no go.mod in the current folder or above it")
+		}
+	}
+	return "", err
+}
+
+// Start starts all processes and returns when every host is ready. The caller closes the bed, also after an error.
+func Start(dir string, o Options) (*Bed, error) {
+	b := &Bed{Dir: dir, Options: o, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	// Outgoing connections to loopback come from 127.0.0.1. The daemons' ports on another loopback address
+	// cannot be taken by one of them while a daemon is down.
+	b.ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	if err := b.startStandins(); err != nil {
+		return b, err
+	}
+	for i := range o.Hosts {
+		if err := b.addHost(i); err != nil {
+			return b, err
+		}
+	}
+	for _, h := range b.Hosts {
+		if err := b.WaitReady(h); err != nil {
+			return b, err
+		}
+	}
+	return b, nil
+}
+
+func (b *Bed) startStandins() error {
+	d := b.Options.Deployment
+	step := b.Options.StepMS
+	if step == 0 {
+		step = 2
+	}
+	weights, err := b.standins("weights", 1, "weights", "--transfer-ms", "50")
+	if err != nil {
+		return err
+	}
+	b.Weights = weights[0]
+	b.Engines, err = b.standins(d.Engines.Name, d.Engines.Workers, "engine", "--count", strconv.Itoa(d.Engines.Workers),
+		"--name", d.Engines.Name, "--model", d.Engines.Name, "--step-ms", fmt.Sprint(step), "--max-running", strconv.Itoa(maxRunning),
+		"--cache-tokens", strconv.Itoa(cacheTokens), "--weights", "http://"+b.Weights.Address, "--checks-fencing")
+	if err != nil {
+		return err
+	}
+	b.Services, err = b.standins(d.Service.Name, d.Service.Workers,
+		append([]string{"service"}, slices.Repeat([]string{"--listen", "127.0.0.1:0"}, d.Service.Workers)...)...)
+	if err != nil {
+		return err
+	}
+	tools, err := b.standins("tools", 1, "tool")
+	if err != nil {
+		return err
+	}
+	b.Tools = tools[0]
+	return b.startPlatform()
+}
+
+func (b *Bed) startPlatform() error {
+	add := func(kind, pool string, workers []*Standin) {
+		for i, w := range workers {
+			b.Backends = append(b.Backends, platform.Backend{
+				Name: w.Name, Pool: pool, Kind: kind, Address: w.Address, State: "live", ChecksFencing: kind == "engine",
+				FailureDomain: b.Options.Deployment.Domains[i%len(b.Options.Deployment.Domains)],
+			})
+		}
+	}
+	add("engine", b.Options.Deployment.Engines.Name, b.Engines)
+	add("service", b.Options.Deployment.Service.Name, b.Services)
+	file := filepath.Join(b.Dir, "backends.json")
+	if err := writeJSON(file, map[string]any{"backends": b.Backends}); err != nil {
+		return err
+	}
+	// The rates are those of docs/design.md, section 1.3.
+	started, err := b.standins("platform", 1, "platform", "--backends", file, "--read-rate", "2000", "--write-rate", "500")
+	if err != nil {
+		return err
+	}
+	b.Platform = started[0]
+	return nil
+}
+
+func writeJSON(file string, v any) error {
+	j, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, j, 0o600)
+}
+
+// standins starts one process with n stand-ins.
+func (b *Bed) standins(name string, n int, args ...string) ([]*Standin, error) {
+	p, err := b.run(name, "hyssopreel-standin", args...)
+	if err != nil {
+		return nil, err
+	}
+	addresses, err := p.announced(n)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]*Standin, n)
+	for i, a := range addresses {
+		out[i] = &Standin{Name: name, Address: a, Control: a}
+		if n > 1 {
+			out[i].Name = fmt.Sprintf("%s-%d", name, i)
+		}
+	}
+	return out, nil
+}
+
+func (b *Bed) run(name, binary string, args ...string) (*Process, error) {
+	p, err := startProcess(b.Dir, name, filepath.Join(b.Options.Bin, binary), args...)
+	if err == nil {
+		b.processes = append(b.processes, p)
+	}
+	return p, err
+}
+
+// freeAddresses returns addresses with ports that the kernel chose.
+func (b *Bed) freeAddresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", net.JoinHostPort(b.ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
+
+func (b *Bed) addHost(i int) error {
+	domains := b.Options.Deployment.Domains
+	h := &Host{Domain: domains[i%len(domains)]}
+	h.Name = fmt.Sprintf("%s-%d", h.Domain, 1+i/len(domains))
+	addresses, err := b.freeAddresses(2)
+	if err != nil {
+		return err
+	}
+	h.HTTP = addresses[0]
+	link, err := b.run("link-"+h.Name, "hyssopreel-standin", "link", "--to", addresses[1])
+	if err != nil {
+		return err
+	}
+	relay, err := link.announced(2)
+	if err != nil {
+		return err
+	}
+	h.Link = &Standin{Name: link.Name, Address: relay[0], Control: relay[1]}
+	h.settings = filepath.Join(b.Dir, h.Name+".ini")
+	if err := b.writeSettings(h, addresses[1]); err != nil {
+		return err
+	}
+	b.Hosts = append(b.Hosts, h)
+	return b.StartHost(h)
+}
+
+// writeSettings writes the settings of a host. Leases are short, so that a takeover takes little time.
+func (b *Bed) writeSettings(h *Host, peer string) error {
+	values := map[string]string{
+		"host.name": h.Name, "host.failure_domain": h.Domain, "host.region": b.Options.Deployment.Name,
+		"host.data_folder": filepath.Join(b.Dir, "data-"+h.Name),
+		"listen.http":      h.HTTP, "listen.peer": peer, "listen.advertise_http": h.HTTP, "listen.advertise_peer": h.Link.Address,
+		"platform.address": b.Platform.Address, "platform.timeout": "500ms",
+		"lease.duration": "2s", "lease.renew": "500ms",
+		"membership.heartbeat": "200ms", "membership.suspect_after": "800ms",
+		"journal.batch_interval": "10ms",
+		"event_log.path":         filepath.Join(b.Dir, h.Name+".events"),
+	}
+	for k, v := range b.Options.Settings {
+		values[k] = v
+	}
+	if err := os.MkdirAll(values["host.data_folder"], 0o700); err != nil {
+		return err
+	}
+	f := ini.Empty()
+	for k, v := range values {
+		section, key, _ := strings.Cut(k, ".")
+		if _, err := f.Section(section).NewKey(key, v); err != nil {
+			return err
+		}
+	}
+	return f.SaveTo(h.settings)
+}
+
+// StartHost starts the daemon of a host; it does not wait until the host is ready.
+func (b *Bed) StartHost(h *Host) error {
+	p, err := b.run(h.Name, "hyssopreeld", "--settings", h.settings)
+	if err != nil {
+		return err
+	}
+	h.Process = p
+	return nil
+}
+
+// WaitReady waits until the host answers that it is ready.
+func (b *Bed) WaitReady(h *Host) error {
+	limit := time.After(readyLimit)
+	for {
+		if resp, err := b.client.Get("http://" + h.HTTP + "/readyz"); err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-h.Done():
+			return fmt.Errorf("host %s ended before it was ready: %w\n%s", h.Name, h.err, h.Tail(20))
+		case <-limit:
+			return fmt.Errorf("host %s is not ready after %v\n%s", h.Name, readyLimit, h.Tail(20))
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// Host returns the host with the name; "a", "b" and "c" stand for the first, second and third one.
+func (b *Bed) Host(name string) (*Host, error) {
+	for i, h := range b.Hosts {
+		if h.Name == name || (len(name) == 1 && int(name[0]-'a') == i) {
+			return h, nil
+		}
+	}
+	return nil, fmt.Errorf("no host %q", name)
+}
+
+// Ticket reads an example ticket and points its tools to the stand-in.
+func (b *Bed) Ticket(file string) (config.Ticket, error) {
+	var t config.Ticket
+	j, err := os.ReadFile(file)
+	if err != nil {
+		return t, err
+	}
+	if err := json.Unmarshal(j, &t); err != nil {
+		return t, fmt.Errorf("%s: %w", file, err)
+	}
+	for _, tool := range t.Objects.Tools {
+		if tool != nil {
+			tool.Address = b.Tools.Address
+		}
+	}
+	return t, nil
+}
+
+// DefaultTicket reads the example ticket of the deployment.
+func (b *Bed) DefaultTicket() (config.Ticket, error) {
+	return b.Ticket(filepath.Join(b.Options.Root, "testdata", "tickets", b.Options.Deployment.Name+".json"))
+}
+
+// StopHosts sends SIGTERM to all daemons and waits for their ends.
+func (b *Bed) StopHosts(limit time.Duration) error {
+	var errs error
+	for _, h := range b.Hosts {
+		errs = errors.Join(errs, h.Signal(syscall.SIGTERM))
+	}
+	for _, h := range b.Hosts {
+		errs = errors.Join(errs, h.Wait(limit))
+	}
+	return errs
+}
+
+// Close ends every process that still runs.
+func (b *Bed) Close() error {
+	var errs error
+	for _, p := range slices.Backward(b.processes) {
+		errs = errors.Join(errs, p.Kill())
+	}
+	b.client.CloseIdleConnections()
+	return errs
+}
+
+// Running returns the names of the processes that still run.
+func (b *Bed) Running() []string {
+	var names []string
+	for _, p := range b.processes {
+		select {
+		case <-p.Done():
+		default:
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/testbed/caller.go
@@ -0,0 +1,206 @@
+package testbed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/standin/engine"
+)
+
+// Do sends one request to the HTTP API at the address. An error answer is returned as *fault.Error.
+func (b *Bed) Do(ctx context.Context, address, method, path string, in, out any) error {
+	resp, err := b.send(ctx, address, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		var e api.ErrorAnswer
+		if err := json.Unmarshal(body, &e); err != nil || e.Error == nil {
+			return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, body)
+		}
+		if a, ok := out.(*api.CallAnswer); ok {
+			_ = json.Unmarshal(body, a) // a call that ended with an error has the answer's fields as well
+		}
+		return e.Error
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(body, out)
+}
+
+func (b *Bed) send(ctx context.Context, address, method, path string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		j, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(j)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return nil, err
+	}
+	return b.client.Do(req)
+}
+
+// Which asks a host which host to use, for a program or, with an empty program, for a new one. If via is
+// nil, it asks every host in turn until one answers.
+func (b *Bed) Which(ctx context.Context, via *Host, program string) (api.HostsAnswer, error) {
+	var a api.HostsAnswer
+	err := errors.New("there is no host")
+	asked := b.Hosts
+	if via != nil {
+		asked = []*Host{via}
+	}
+	for _, h := range asked {
+		actx, cancel := context.WithTimeout(ctx, time.Second)
+		err = b.Do(actx, h.HTTP, http.MethodGet, "/v1/hosts?program="+url.QueryEscape(program), nil, &a)
+		cancel()
+		if err == nil && len(a.Hosts) > 0 {
+			return a, nil
+		}
+	}
+	return a, err
+}
+
+// Stream sends a call that asks for a stream. Pieces go to emit, which may be nil. It returns the text put
+// together from the pieces; a gap or an overlap of the pieces is an error.
+func (b *Bed) Stream(ctx context.Context, address, program string, call api.Call, emit func(api.Piece)) (string, api.CallAnswer, error) {
+	call.Stream = true
+	var answer api.CallAnswer
+	resp, err := b.send(ctx, address, http.MethodPost, "/v1/programs/"+program+"/calls", call)
+	if err != nil {
+		return "", answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest {
+		var e api.ErrorAnswer
+		if err := json.NewDecoder(resp.Body).Decode(&e); err != nil || e.Error == nil {
+			return "", answer, fmt.Errorf("stream: %s", resp.Status)
+		}
+		return "", answer, e.Error
+	}
+	var text strings.Builder
+	tokens, event := 0, ""
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 4<<20)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		if name == "event" {
+			event = value
+		}
+		if name != "data" {
+			continue
+		}
+		switch event {
+		case "piece":
+			var p api.Piece
+			if err := json.Unmarshal([]byte(value), &p); err != nil {
+				return text.String(), answer, err
+			}
+			if p.Offset != tokens {
+				return text.String(), answer, fmt.Errorf("a piece begins at token %d after %d tokens", p.Offset, tokens)
+			}
+			tokens += len(strings.Fields(p.Text))
+			text.WriteString(p.Text)
+			if emit != nil {
+				emit(p)
+			}
+		case "answer":
+			if err := json.Unmarshal([]byte(value), &answer); err != nil {
+				return text.String(), answer, err
+			}
+			if answer.Error != nil {
+				return text.String(), answer, answer.Error
+			}
+			return text.String(), answer, nil
+		case "error":
+			var e api.ErrorAnswer
+			if err := json.Unmarshal([]byte(value), &e); err != nil {
+				return text.String(), answer, err
+			}
+			return text.String(), answer, e.Error
+		}
+	}
+	return text.String(), answer, errors.Join(io.ErrUnexpectedEOF, lines.Err())
+}
+
+// CallWithRetry sends a call as a caller does that keeps its key: when a connection breaks, or when the
+// answer says that the call did not run and may later, it asks which host to use and sends the call again.
+func (b *Bed) CallWithRetry(ctx context.Context, program string, call api.Call) (api.CallAnswer, error) {
+	for {
+		var a api.CallAnswer
+		hosts, err := b.Which(ctx, nil, program)
+		if err == nil {
+			err = b.Do(ctx, hosts.Hosts[0].Address, http.MethodPost, "/v1/programs/"+program+"/calls", call, &a)
+		}
+		if err == nil || !retryable(err) {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return a, errors.Join(err, ctx.Err())
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// retryable says whether a caller sends the call again. Errors of the connection are; the key makes it safe.
+func retryable(err error) bool {
+	var f *fault.Error
+	if !errors.As(err, &f) {
+		return true
+	}
+	switch f.Code {
+	case fault.CodeMoved, fault.CodePeerUnreachable, fault.CodeStoreDown, fault.CodeDraining, fault.CodeOverloaded:
+		return true
+	}
+	return f.Code == fault.CodeNotFound && f.Outcome == fault.NotRun
+}
+
+// CheckHistory returns the first difference between a history and what it has to be: turns numbered from 1,
+// and each model turn answered with the engine's deterministic answer to the turns before it. A turn that was
+// lost, moved or taken from another program changes every later answer.
+func CheckHistory(h api.History, systemPrompt string, maxTokens int) error {
+	var contents []string
+	if systemPrompt != "" {
+		contents = append(contents, systemPrompt)
+	}
+	for i, t := range h.Turns {
+		if t.Seq != i+1 {
+			return fmt.Errorf("turn %d has seq %d", i+1, t.Seq)
+		}
+		if t.Error != nil {
+			continue
+		}
+		if t.Kind != api.CallModel {
+			contents = append(contents, string(t.Kind)+" "+t.Request+"\n"+t.Answer)
+			continue
+		}
+		words, _ := engine.Answer(append(contents, t.Request), maxTokens)
+		if want := strings.Join(words, " "); strings.TrimSpace(t.Answer) != want {
+			return fmt.Errorf("turn %d (key %q) has the answer %q, not %q", t.Seq, t.Key, t.Answer, want)
+		}
+		contents = append(contents, t.Request, t.Answer)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testbed/control.go
@@ -0,0 +1,146 @@
+package testbed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/standin/engine"
+	"github.com/hyssopreel/hyssopreel/standin/linkproxy"
+	"github.com/hyssopreel/hyssopreel/standin/platform"
+	"github.com/hyssopreel/hyssopreel/standin/tool"
+)
+
+// controlLimit bounds one control call.
+const controlLimit = 10 * time.Second
+
+// control sends one control call; in and out may be nil.
+func (b *Bed) control(method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlLimit)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("%s %s%s: %s: %s", method, address, path, resp.Status, answer)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(answer, out)
+}
+
+// SetFaults sets the named faults of stand-ins and keeps the others.
+func (b *Bed) SetFaults(faults json.RawMessage, to ...*Standin) error {
+	for _, s := range to {
+		if err := b.control(http.MethodPost, s.Control, "/control/faults", faults, nil); err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+	}
+	return nil
+}
+
+// ClearFaults clears all faults of stand-ins.
+func (b *Bed) ClearFaults(of ...*Standin) error {
+	for _, s := range of {
+		if err := b.control(http.MethodDelete, s.Control, "/control/faults", nil, nil); err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+	}
+	return nil
+}
+
+// LinkAction is "cut", "silence" or "restore", as in package linkproxy.
+func (b *Bed) LinkAction(h *Host, action string) error {
+	return b.control(http.MethodPost, h.Link.Control, "/control/"+action, nil, nil)
+}
+
+// LinkState returns the state of the relay in front of the host.
+func (b *Bed) LinkState(h *Host) (linkproxy.State, error) {
+	var s linkproxy.State
+	return s, b.control(http.MethodGet, h.Link.Control, "/control/state", nil, &s)
+}
+
+// SetBackendState changes one server in the platform's list; the change shows after lag.
+func (b *Bed) SetBackendState(name, state string, lag time.Duration) error {
+	found := false
+	for i := range b.Backends {
+		if b.Backends[i].Name == name {
+			b.Backends[i].State, found = state, true
+		}
+	}
+	if !found {
+		return fmt.Errorf("no backend server %q", name)
+	}
+	return b.control(http.MethodPut, b.Platform.Control, "/control/backends",
+		map[string]any{"backends": b.Backends, "lag_ms": lag.Milliseconds()}, nil)
+}
+
+// EngineCounters returns what each engine counted.
+func (b *Bed) EngineCounters() ([]engine.Counters, error) {
+	out := make([]engine.Counters, len(b.Engines))
+	for i, s := range b.Engines {
+		if err := b.control(http.MethodGet, s.Control, "/control/counters", nil, &out[i]); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// PlatformCounters returns what the platform counted.
+func (b *Bed) PlatformCounters() (platform.Counters, error) {
+	var c platform.Counters
+	return c, b.control(http.MethodGet, b.Platform.Control, "/control/counters", nil, &c)
+}
+
+// Executions returns how often the request with the key ran at tools, services and engines, by the name of
+// the stand-in.
+func (b *Bed) Executions(key string) (map[string]int64, error) {
+	out := map[string]int64{}
+	for _, s := range append([]*Standin{b.Tools}, b.Services...) {
+		var c tool.Counters // those of plain services are the same
+		if err := b.control(http.MethodGet, s.Control, "/control/counters", nil, &c); err != nil {
+			return nil, err
+		}
+		if n := c.Executions[key]; n > 0 {
+			out[s.Name] = n
+		}
+	}
+	engines, err := b.EngineCounters()
+	for i, c := range engines {
+		if n := c.Executions[key]; n > 0 {
+			out[b.Engines[i].Name] = n
+		}
+	}
+	return out, err
+}
+
+// CacheHeld returns the tokens of cache that the engines hold, by program.
+func (b *Bed) CacheHeld() (map[string]int, error) {
+	out := map[string]int{}
+	engines, err := b.EngineCounters()
+	for _, c := range engines {
+		for program, n := range c.Cache {
+			out[program] += n
+		}
+	}
+	return out, err
+}
--- /dev/null
+++ b/internal/testbed/process.go
@@ -0,0 +1,147 @@
+package testbed
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// announceLimit bounds the start of a stand-in; the machine may be busy.
+	announceLimit = 30 * time.Second
+	// exitLimit bounds the wait for a process after SIGKILL.
+	exitLimit = 10 * time.Second
+)
+
+// Process is one process that the testbed started. It is signaled by its process ID only.
+type Process struct {
+	Name string
+	// Log is the file that holds the process's output.
+	Log string
+
+	cmd   *exec.Cmd
+	lines chan string // lines of stdout until the reader stops taking them
+	done  chan struct{}
+	err   error // why the process ended; set before done is closed
+}
+
+// starter runs functions on one thread that lives as long as this process. Linux sends the parent death
+// signal when the thread that started a process ends, not when the parent process ends.
+var starter = sync.OnceValue(func() chan<- func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range c {
+			f()
+		}
+	}()
+	return c
+})
+
+// startProcess starts a program whose output goes to a file in dir. The kernel kills it when this process ends.
+func startProcess(dir, name, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Log: filepath.Join(dir, name+".log"), lines: make(chan string, 64), done: make(chan struct{})}
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Stderr = log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	started := make(chan error)
+	starter() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go p.watch(out, log)
+	return p, nil
+}
+
+// watch copies stdout to the log until the process ends.
+func (p *Process) watch(out io.Reader, log *os.File) {
+	scanner := bufio.NewScanner(out)
+	for scanner.Scan() {
+		_, _ = fmt.Fprintln(log, scanner.Text())
+		select {
+		case p.lines <- scanner.Text():
+		default: // nobody reads lines after the start
+		}
+	}
+	p.err = p.cmd.Wait()
+	_ = log.Close()
+	close(p.done)
+}
+
+// announced returns the last words of the first n lines of stdout.
+func (p *Process) announced(n int) ([]string, error) {
+	limit := time.After(announceLimit)
+	var words []string
+	for len(words) < n {
+		select {
+		case line := <-p.lines:
+			f := strings.Fields(line)
+			words = append(words, f[len(f)-1])
+		case <-p.done:
+			return nil, fmt.Errorf("%s ended at its start: %w\n%s", p.Name, p.err, p.Tail(20))
+		case <-limit:
+			return nil, fmt.Errorf("%s announced %d of %d addresses in %v", p.Name, len(words), n, announceLimit)
+		}
+	}
+	return words, nil
+}
+
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Wait returns when the process has ended, with its exit error.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s (process %d) still runs after %v", p.Name, p.PID(), limit)
+	}
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	select {
+	case <-p.done:
+		return nil
+	case <-time.After(exitLimit):
+		return fmt.Errorf("%s (process %d) survived SIGKILL for %v", p.Name, p.PID(), exitLimit)
+	}
+}
+
+// Tail returns the last n lines of the log.
+func (p *Process) Tail(n int) string {
+	b, err := os.ReadFile(p.Log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimRight(string(b), "\n"), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
--- /dev/null
+++ b/internal/testbed/testbed_test.go
@@ -0,0 +1,50 @@
+package testbed
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+)
+
+func TestTestbed(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Testbed")
+}
+
+var _ = Describe("Bed", func() {
+	// Guards against example tickets that no host accepts, and against a bed that leaves processes running.
+	It("runs the stand-ins of each deployment and ends them", func() {
+		root, err := Root()
+		Expect(err).NotTo(HaveOccurred())
+		bin := GinkgoT().TempDir()
+		Expect(Build(root, bin)).To(Succeed())
+		for _, d := range Deployments {
+			b, err := Start(GinkgoT().TempDir(), Options{Deployment: d, Bin: bin, Root: root})
+			DeferCleanup(func() { Expect(b.Close()).To(Succeed()) })
+			Expect(err).NotTo(HaveOccurred())
+
+			ticket, err := b.DefaultTicket()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(configuration.ValidateTicket(ticket)).To(BeEmpty())
+			Expect(configuration.Validate(ticket.Objects)).To(BeEmpty())
+
+			Expect(b.SetFaults(json.RawMessage(`{"step_ms": 3}`), b.Engines...)).To(Succeed())
+			Expect(b.SetFaults(json.RawMessage(`{"misspelled": 3}`), b.Tools)).NotTo(Succeed())
+			Expect(b.ClearFaults(b.Engines...)).To(Succeed())
+			Expect(b.SetBackendState(b.Engines[0].Name, "leaving", time.Second)).To(Succeed())
+			Expect(b.Executions("no such key")).To(BeEmpty())
+			counters, err := b.EngineCounters()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(counters).To(HaveLen(d.Engines.Workers))
+
+			Expect(b.Running()).To(HaveLen(5))
+			Expect(b.Close()).To(Succeed())
+			Expect(b.Running()).To(BeEmpty())
+		}
+	})
+})
