Add the scenario language and the demo

Scripts in testdata/scenarios run against real processes; verdicts come from the counters of the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 clean:
 	rm -rf $(BIN)
+
+# Starts a deployment on loopback, runs programs in it and checks every outcome.
+demo: build
+	$(BIN)/hyssopreel-demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
--- /dev/null
+++ b/cmd/hyssopreel-demo/main.go
@@ -0,0 +1,96 @@
+// Command hyssopreel-demo builds the daemon and the stand-ins, starts a deployment with three daemons on
+// loopback, runs programs through to the end, compares every outcome with what the stand-ins counted, and
+// stops what it started. It exits with 0 only if each outcome is right.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/hyssopreel/hyssopreel/internal/testbed"
+)
+
+const (
+	// runLimit bounds the demo after the build.
+	runLimit = 55 * time.Second
+	// stopLimit bounds the shutdown of the daemons; they let callers that know them finish first.
+	stopLimit = 25 * time.Second
+	hosts     = 3
+)
+
+type options struct {
+	Deployment string `long:"deployment" choice:"tobyl" choice:"tallowcreek" default:"tobyl" description:"deployment to run"`
+	Keep       bool   `long:"keep" description:"keep the folder with the output of all processes"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.NewParser(&o, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2) // the parser has printed the error
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintf(os.Stderr, "demo failed: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) (err error) {
+	root, err := testbed.Root()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "hyssopreel-demo-")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if o.Keep || err != nil {
+			fmt.Println("output of all processes:", dir)
+			return
+		}
+		err = os.RemoveAll(dir)
+	}()
+	bin := filepath.Join(dir, "bin")
+	fmt.Println("building")
+	if err := testbed.Build(root, bin); err != nil {
+		return err
+	}
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	defer cancel()
+	bed, err := testbed.Start(dir, testbed.Options{
+		Deployment: testbed.Deployments[o.Deployment], Hosts: hosts, Bin: bin, Root: root, StepMS: 5,
+	})
+	defer func() { err = errors.Join(err, bed.Close()) }()
+	if err != nil {
+		return err
+	}
+	d := &demo{bed: bed}
+	if err := d.run(ctx); err != nil {
+		return err
+	}
+	if err := bed.StopHosts(stopLimit); err != nil {
+		return errors.Wrap(err, "stop the daemons")
+	}
+	if err := bed.Close(); err != nil {
+		return err
+	}
+	if left := bed.Running(); len(left) > 0 {
+		return fmt.Errorf("processes still run: %q", left)
+	}
+	fmt.Printf("all outcomes are right; everything is stopped after %.1f s\n", time.Since(start).Seconds())
+	return nil
+}
--- a/internal/testbed/caller.go
+++ b/internal/testbed/caller.go
@@ -16,9 +16,17 @@
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/core/config"
 	"github.com/hyssopreel/hyssopreel/standin/engine"
 )
 
+const (
+	// lookLimit bounds one look at a host, which may be frozen.
+	lookLimit = 3 * time.Second
+	// retryEvery is the pause of a caller before it sends a request again.
+	retryEvery = 100 * time.Millisecond
+)
+
 // Do sends one request to the HTTP API at the address. An error answer is returned as *fault.Error.
 func (b *Bed) Do(ctx context.Context, address, method, path string, in, out any) error {
 	resp, err := b.send(ctx, address, method, path, in)
@@ -72,7 +80,7 @@
 		asked = []*Host{via}
 	}
 	for _, h := range asked {
-		actx, cancel := context.WithTimeout(ctx, time.Second)
+		actx, cancel := context.WithTimeout(ctx, lookLimit)
 		err = b.Do(actx, h.HTTP, http.MethodGet, "/v1/hosts?program="+url.QueryEscape(program), nil, &a)
 		cancel()
 		if err == nil && len(a.Hosts) > 0 {
@@ -159,7 +167,7 @@
 		select {
 		case <-ctx.Done():
 			return a, errors.Join(err, ctx.Err())
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(retryEvery):
 		}
 	}
 }
@@ -204,3 +212,47 @@
 	}
 	return nil
 }
+
+// Await calls check until it returns nil, or until ctx is done; then it returns the last error.
+func Await(ctx context.Context, check func() error) error {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// ApplyTicket applies a ticket through a host.
+func (b *Bed) ApplyTicket(ctx context.Context, h *Host, t config.Ticket) error {
+	return b.Do(ctx, h.HTTP, http.MethodPost, "/v1/tickets", t, nil)
+}
+
+// InForce returns an error if another ticket than number is in force at the host.
+func (b *Bed) InForce(ctx context.Context, h *Host, number uint64) error {
+	list, err := b.Members(ctx, h)
+	if err != nil {
+		return err
+	}
+	for _, m := range list {
+		if string(m.Name) == h.Name && m.Ticket == number {
+			return nil
+		}
+	}
+	return fmt.Errorf("ticket %d is not in force at host %s: %+v", number, h.Name, list)
+}
+
+// Members lists the members as a host sees them.
+func (b *Bed) Members(ctx context.Context, h *Host) ([]api.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
+	defer cancel()
+	var list []api.Member
+	return list, b.Do(ctx, h.HTTP, http.MethodGet, "/v1/members", nil, &list)
+}
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -79,17 +79,20 @@
 	return s, b.control(http.MethodGet, h.Link.Control, "/control/state", nil, &s)
 }
 
-// SetBackendState changes one server in the platform's list; the change shows after lag.
-func (b *Bed) SetBackendState(name, state string, lag time.Duration) error {
-	found := false
+// SetBackends changes the state of servers in the platform's list, and with an address also where the list
+// says they are; the change shows after lag.
+func (b *Bed) SetBackends(of []*Standin, state, address string, lag time.Duration) error {
 	for i := range b.Backends {
-		if b.Backends[i].Name == name {
-			b.Backends[i].State, found = state, true
+		for _, s := range of {
+			if b.Backends[i].Name != s.Name {
+				continue
+			}
+			b.Backends[i].State, b.Backends[i].Address = state, s.Address
+			if address != "" {
+				b.Backends[i].Address = address
+			}
 		}
 	}
-	if !found {
-		return fmt.Errorf("no backend server %q", name)
-	}
 	return b.control(http.MethodPut, b.Platform.Control, "/control/backends",
 		map[string]any{"backends": b.Backends, "lag_ms": lag.Milliseconds()}, nil)
 }
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -36,7 +36,7 @@
 			Expect(b.SetFaults(json.RawMessage(`{"step_ms": 3}`), b.Engines...)).To(Succeed())
 			Expect(b.SetFaults(json.RawMessage(`{"misspelled": 3}`), b.Tools)).NotTo(Succeed())
 			Expect(b.ClearFaults(b.Engines...)).To(Succeed())
-			Expect(b.SetBackendState(b.Engines[0].Name, "leaving", time.Second)).To(Succeed())
+			Expect(b.SetBackends(b.Engines[:1], "leaving", "", time.Second)).To(Succeed())
 			Expect(b.Executions("no such key")).To(BeEmpty())
 			counters, err := b.EngineCounters()
 			Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/scenarios/conditions_test.go
@@ -0,0 +1,415 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/internal/testbed"
+)
+
+// pollLimit bounds one look at a host, which may be frozen.
+const pollLimit = 3 * time.Second
+
+func idOf(s string) ids.Program { return ids.Program(s) }
+
+type condition struct {
+	words int // at least
+	check func(s *scenario, args []string) error
+}
+
+var conditions = map[string]condition{
+	"answered":      {1, answered},
+	"failed":        {3, failed},
+	"same":          {2, same},
+	"received":      {2, received},
+	"durable":       {2, durableIs},
+	"outcome":       {3, outcomeIs},
+	"executions":    {2, executions},
+	"history":       {1, historyIs},
+	"status":        {2, statusIs},
+	"spent-at-most": {1, spentAtMost},
+	"cache":         {2, cacheIs},
+	"in-force":      {2, inForce},
+	"home":          {2, homeIs},
+	"member":        {2, memberIs},
+	"engine-order":  {2, engineOrder},
+	"requests":      {2, requests},
+	"silent-links":  {2, silentLinks},
+	"running":       {1, running},
+}
+
+func (s *scenario) expect(args []string) error {
+	if len(args) == 0 {
+		return errors.New("no condition")
+	}
+	c, ok := conditions[args[0]]
+	if !ok || len(args)-1 < c.words {
+		return fmt.Errorf("no condition %q with %d arguments; there are %q", args[0], len(args)-1, slices.Sorted(maps.Keys(conditions)))
+	}
+	return c.check(s, args[1:])
+}
+
+// ended returns the call if it has ended.
+func (s *scenario) ended(label string) (*call, error) {
+	c, err := s.call(label)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-c.done:
+		return c, nil
+	default:
+		return nil, fmt.Errorf("call %q has not ended", label)
+	}
+}
+
+// answered: each LABEL has the outcome "done", and its stream, if any, brought exactly the answer.
+func answered(s *scenario, args []string) error {
+	for _, label := range args {
+		c, err := s.ended(label)
+		if err != nil {
+			return err
+		}
+		if c.err != nil {
+			return fmt.Errorf("call %q: %w", label, c.err)
+		}
+		if c.answer.State != "done" {
+			return fmt.Errorf("call %q is in state %q", label, c.answer.State)
+		}
+		if c.request.Stream && strings.TrimSpace(c.streamed) != strings.TrimSpace(c.answer.Text) {
+			return fmt.Errorf("call %q streamed %q and was answered %q", label, c.streamed, c.answer.Text)
+		}
+	}
+	return nil
+}
+
+// failed LABEL CODE[|CODE] OUTCOME
+func failed(s *scenario, args []string) error {
+	c, err := s.ended(args[0])
+	if err != nil {
+		return err
+	}
+	var f *fault.Error
+	if !errors.As(c.err, &f) {
+		return fmt.Errorf("call %q ended with %w", args[0], c.err)
+	}
+	if !slices.Contains(strings.Split(args[1], "|"), string(f.Code)) || string(f.Outcome) != args[2] {
+		return fmt.Errorf("call %q ended with code %s and outcome %q: %w", args[0], f.Code, f.Outcome, f)
+	}
+	return nil
+}
+
+// same: all LABELs were answered with the same text.
+func same(s *scenario, args []string) error {
+	if err := answered(s, args); err != nil {
+		return err
+	}
+	first, _ := s.call(args[0])
+	for _, label := range args[1:] {
+		if c, _ := s.call(label); c.answer.Text != first.answer.Text {
+			return fmt.Errorf("call %q was answered %q, call %q %q", args[0], first.answer.Text, label, c.answer.Text)
+		}
+	}
+	return nil
+}
+
+// durable LABEL true|false
+func durableIs(s *scenario, args []string) error {
+	c, err := s.ended(args[0])
+	if err == nil && strconv.FormatBool(c.answer.Durable) != args[1] {
+		return fmt.Errorf("call %q was answered with durable: %v", args[0], c.answer.Durable)
+	}
+	return err
+}
+
+// received LABEL N: the stream has brought at least N tokens.
+func received(s *scenario, args []string) error {
+	c, err := s.call(args[0])
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseInt(args[1], 10, 64)
+	if got := c.tokens.Load(); err == nil && got < n {
+		return fmt.Errorf("call %q has received %d tokens", args[0], got)
+	}
+	return err
+}
+
+// read asks the host that "which host" names, or any alternate, for something about a program.
+func (s *scenario) read(program, path string, out any) error {
+	ctx, cancel := context.WithTimeout(s.ctx, pollLimit)
+	defer cancel()
+	a, err := s.bed.Which(ctx, nil, program)
+	if err != nil {
+		return err
+	}
+	return s.bed.Do(ctx, a.Hosts[0].Address, http.MethodGet, "/v1/programs/"+program+path, nil, out)
+}
+
+// outcome PROGRAM KEY STATE, as GET /v1/programs/{id}/calls/{key} shows it.
+func outcomeIs(s *scenario, args []string) error {
+	var a api.CallAnswer
+	err := s.read(args[0], "/calls/"+url.PathEscape(args[1]), &a)
+	if a.State == "" && err != nil {
+		return err
+	}
+	if a.State != args[2] {
+		return fmt.Errorf("call %q is in state %q: %w", args[1], a.State, err)
+	}
+	return nil
+}
+
+// executions PROGRAM/KEY N: the request ran N times, over all tools, services and engines; "N+" is at least N.
+func executions(s *scenario, args []string) error {
+	got, err := s.bed.Executions(args[0])
+	if err != nil {
+		return err
+	}
+	var n int64
+	for _, v := range got {
+		n += v
+	}
+	least, atLeast := strings.CutSuffix(args[1], "+")
+	want, err := strconv.ParseInt(least, 10, 64)
+	if err != nil {
+		return err
+	}
+	if n < want || (n > want && !atLeast) {
+		return fmt.Errorf("%s ran %d times: %v", args[0], n, got)
+	}
+	return nil
+}
+
+// history PROGRAM KEY...: the turns have exactly these keys, each model turn has the engine's answer to the
+// turns before it, and every durable answer that a caller got is in it.
+func historyIs(s *scenario, args []string) error {
+	h, err := s.checkedHistory(args[0])
+	if err != nil {
+		return err
+	}
+	var keys []string
+	texts := map[string]string{}
+	for _, t := range h.Turns {
+		keys = append(keys, t.Key)
+		texts[t.Key] = t.Answer
+	}
+	if !slices.Equal(keys, args[1:]) {
+		return fmt.Errorf("the history of %s has the keys %q", args[0], keys)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for label, c := range s.calls {
+		select {
+		case <-c.done:
+		default:
+			continue
+		}
+		if c.program != args[0] || c.err != nil || !c.answer.Durable {
+			continue
+		}
+		if text, ok := texts[c.request.Key]; !ok || text != c.answer.Text {
+			return fmt.Errorf("call %q was answered %q, the history has %q", label, c.answer.Text, text)
+		}
+	}
+	return nil
+}
+
+func (s *scenario) checkedHistory(program string) (api.History, error) {
+	var h api.History
+	if err := s.read(program, "/history", &h); err != nil {
+		return h, err
+	}
+	s.mu.Lock()
+	agent := s.ticket.Objects.Agents[s.agents[program]]
+	s.mu.Unlock()
+	if agent == nil {
+		return h, fmt.Errorf("the agent of program %s is not known", program)
+	}
+	return h, testbed.CheckHistory(h, agent.SystemPrompt, agent.MaxTokens)
+}
+
+// status PROGRAM STATE
+func statusIs(s *scenario, args []string) error {
+	var st api.ProgramStatus
+	if err := s.read(args[0], "", &st); err != nil {
+		return err
+	}
+	if st.State != args[1] {
+		return fmt.Errorf("program %s is %q", args[0], st.State)
+	}
+	return nil
+}
+
+// spent-at-most N: all engines together computed and generated no more than N tokens.
+func spentAtMost(s *scenario, args []string) error {
+	limit, err := strconv.ParseInt(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	engines, err := s.bed.EngineCounters()
+	if err != nil {
+		return err
+	}
+	var spent int64
+	for _, e := range engines {
+		spent += e.PromptTokens - e.CachedTokens + e.GeneratedTokens
+	}
+	if spent > limit {
+		return fmt.Errorf("the engines spent %d tokens", spent)
+	}
+	return nil
+}
+
+// cache PROGRAM held|none
+func cacheIs(s *scenario, args []string) error {
+	held, err := s.bed.CacheHeld()
+	if err != nil {
+		return err
+	}
+	if n := held[args[0]]; (n > 0) != (args[1] == "held") {
+		return fmt.Errorf("the engines hold %d tokens of cache of %s", n, args[0])
+	}
+	return nil
+}
+
+// in-force N HOST...: each host says of itself that ticket N is in force.
+func inForce(s *scenario, args []string) error {
+	hosts, err := s.hosts(args[1:])
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if err := s.bed.InForce(s.ctx, h, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// home PROGRAM HOST|HOST: the first host that "which host" names, asked of any host.
+func homeIs(s *scenario, args []string) error {
+	hosts, err := s.hosts(strings.Split(args[1], "|"))
+	if err != nil {
+		return err
+	}
+	a, err := s.bed.Which(s.ctx, nil, args[0])
+	if err != nil {
+		return err
+	}
+	if home := string(a.Hosts[0].Name); !slices.Contains(hostNames(hosts), home) {
+		return fmt.Errorf("the home of %s is %s", args[0], home)
+	}
+	return nil
+}
+
+// member HOST STATE [VIA...]: each host VIA, or every other one, sees HOST in the state.
+func memberIs(s *scenario, args []string) error {
+	of, err := s.bed.Host(args[0])
+	if err != nil {
+		return err
+	}
+	via, err := s.hosts(args[2:])
+	if err != nil {
+		return err
+	}
+	for _, h := range via {
+		list, err := s.bed.Members(s.ctx, h)
+		if err != nil {
+			return err
+		}
+		i := slices.IndexFunc(list, func(m api.Member) bool { return string(m.Name) == of.Name })
+		if i < 0 || !slices.Contains(strings.Split(args[1], "|"), list[i].State) {
+			return fmt.Errorf("host %s sees %+v", h.Name, list)
+		}
+	}
+	return nil
+}
+
+// engine-order PROGRAM KEY...: the engines ran exactly these model calls of the program, and each engine ran
+// its part of them in this order.
+func engineOrder(s *scenario, args []string) error {
+	engines, err := s.bed.EngineCounters()
+	if err != nil {
+		return err
+	}
+	position := map[string]int{}
+	for i, key := range args[1:] {
+		position[args[0]+"/"+key] = i + 1
+	}
+	ran := 0
+	for _, e := range engines {
+		last := 0
+		for _, id := range e.Order[args[0]] {
+			if position[id] <= last {
+				return fmt.Errorf("engine %s ran %q", e.Name, e.Order[args[0]])
+			}
+			last = position[id]
+			ran++
+		}
+	}
+	if ran != len(args)-1 {
+		return fmt.Errorf("the engines ran %d model calls of %s", ran, args[0])
+	}
+	return nil
+}
+
+// requests WORKER N: N requests reached the worker while it was leaving.
+func requests(s *scenario, args []string) error {
+	engines, err := s.bed.EngineCounters()
+	if err != nil {
+		return err
+	}
+	for i, e := range engines {
+		if s.bed.Engines[i].Name == args[0] && strconv.FormatInt(e.LeavingAccepted, 10) != args[1] {
+			return fmt.Errorf("%d requests reached %s while it was leaving", e.LeavingAccepted, args[0])
+		}
+	}
+	return nil
+}
+
+// silent-links HOST N: the relay in front of the host has N silent connections.
+func silentLinks(s *scenario, args []string) error {
+	h, err := s.bed.Host(args[0])
+	if err != nil {
+		return err
+	}
+	state, err := s.bed.LinkState(h)
+	if err == nil && strconv.Itoa(state.Silent) != args[1] {
+		return fmt.Errorf("relay of %s: %+v", h.Name, state)
+	}
+	return err
+}
+
+// running N: the engines run N requests now; "N+" is at least N.
+func running(s *scenario, args []string) error {
+	engines, err := s.bed.EngineCounters()
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, e := range engines {
+		n += e.Running
+	}
+	least, atLeast := strings.CutSuffix(args[0], "+")
+	want, err := strconv.Atoi(least)
+	if err == nil && (n < want || (n > want && !atLeast)) {
+		return fmt.Errorf("the engines run %d requests", n)
+	}
+	return err
+}
--- /dev/null
+++ b/scenarios/load_test.go
@@ -0,0 +1,142 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/internal/testbed"
+)
+
+// batch is a number of programs that run in the background.
+type batch struct {
+	done chan struct{}
+	err  error
+}
+
+// cmdLoad runs programs at the same time, each by a caller that keeps its keys and repeats requests whose
+// connection broke. A program has model turns around one tool call that may not be repeated. Every program has
+// to end with its whole history; the tool calls have to have run at most once, and once if they were answered.
+func cmdLoad(s *scenario, _ *testscript.TestScript, _ bool, args []string) error {
+	var o struct {
+		Programs int    `short:"n" default:"20"`
+		Tokens   int    `long:"tokens" default:"20"`
+		Agent    string `long:"agent"`
+		Tool     string `long:"tool"`
+		Unknown  bool   `long:"unknown-allowed"`
+		Label    string `long:"label" default:"load"`
+		BG       bool   `long:"bg"`
+	}
+	if _, err := parse(args, &o, 0, 0); err != nil {
+		return err
+	}
+	if o.Agent == "" {
+		o.Agent = map[string]string{"tobyl": "judge", "tallowcreek": "dispatch-assistant"}[s.bed.Options.Deployment.Name]
+	}
+	if o.Tool == "" {
+		o.Tool = map[string]string{"tobyl": "registration", "tallowcreek": "booking"}[s.bed.Options.Deployment.Name]
+	}
+	b := &batch{done: make(chan struct{})}
+	s.batches[o.Label] = b
+	errs := make([]error, o.Programs)
+	var wg sync.WaitGroup
+	for i := range errs {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(s.ctx, 2*requestLimit)
+			defer cancel()
+			errs[i] = s.runProgram(ctx, i, o.Agent, o.Tool, o.Tokens, o.Unknown)
+		})
+	}
+	s.waitings.Go(func() {
+		wg.Wait()
+		b.err = errors.Join(errs...)
+		close(b.done)
+	})
+	if o.BG {
+		return nil
+	}
+	<-b.done
+	return b.err
+}
+
+func (s *scenario) runProgram(ctx context.Context, n int, agent, tool string, tokens int, unknown bool) error {
+	team := map[string]string{"tobyl": "bench-1", "tallowcreek": "haulage"}[s.bed.Options.Deployment.Name]
+	id, err := s.openWithRetry(ctx, api.OpenProgram{Team: team, Agent: agent, BudgetTokens: 20_000})
+	if err != nil {
+		return fmt.Errorf("open program %d: %w", n, err)
+	}
+	model := func(key string) api.Call {
+		prompt := fmt.Sprintf("program %d turn %s [[tokens=%d]]", n, key, tokens)
+		return api.Call{Key: key, Kind: api.CallModel, Model: &api.ModelCall{Prompt: prompt}}
+	}
+	args := fmt.Sprintf(`{"program": %d}`, n)
+	calls := []api.Call{
+		model("m1"),
+		{Key: "t1", Kind: api.CallTool, Tool: &api.ToolCall{Name: tool, Args: []byte(args)}},
+		model("m2"), model("m3"),
+	}
+	answers := map[string]string{}
+	for _, c := range calls {
+		a, err := s.bed.CallWithRetry(ctx, id, c)
+		var f *fault.Error
+		if errors.As(err, &f) && f.Outcome == fault.Unknown && c.Kind == api.CallTool && unknown {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("program %s call %s: %w", id, c.Key, err)
+		}
+		answers[c.Key] = a.Text
+	}
+	return s.checkProgram(ctx, id, answers)
+}
+
+func (s *scenario) openWithRetry(ctx context.Context, q api.OpenProgram) (id string, err error) {
+	err = testbed.Await(ctx, func() (err error) {
+		id, err = s.open(ctx, "", q)
+		return err
+	})
+	return id, err
+}
+
+// checkProgram compares a program's history with the caller's answers and the tools' counters, and ends it.
+func (s *scenario) checkProgram(ctx context.Context, id string, answers map[string]string) error {
+	var h api.History
+	if err := testbed.Await(ctx, func() (err error) {
+		h, err = s.checkedHistory(id)
+		return err
+	}); err != nil {
+		return fmt.Errorf("program %s: %w", id, err)
+	}
+	var keys []string
+	for _, t := range h.Turns {
+		keys = append(keys, t.Key)
+		if want, ok := answers[t.Key]; ok && want != t.Answer {
+			return fmt.Errorf("program %s call %s was answered %q, the history has %q", id, t.Key, want, t.Answer)
+		}
+	}
+	if got := strings.Join(keys, " "); got != "m1 t1 m2 m3" {
+		return fmt.Errorf("the history of program %s has the keys %q", id, got)
+	}
+	runs := int64(0)
+	ran, err := s.bed.Executions(id + "/t1")
+	for _, n := range ran {
+		runs += n
+	}
+	if _, done := answers["t1"]; err != nil || runs > 1 || (done && runs != 1) {
+		return fmt.Errorf("program %s: its tool call ran %d times: %w", id, runs, err)
+	}
+	return testbed.Await(ctx, func() error {
+		address, err := s.address(ctx, "", id)
+		if err != nil {
+			return err
+		}
+		return s.bed.Do(ctx, address, http.MethodPost, "/v1/programs/"+id+"/end", nil, nil)
+	})
+}
