--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -93,7 +93,7 @@
 		ts.Setenv(o.As, id)
 		ts.Logf("%s=%s", o.As, id)
 	}
-	return negated(ts, neg, err)
+	return negated(neg, err)
 }
 
 func (s *scenario) open(ctx context.Context, via string, q api.OpenProgram) (string, error) {
@@ -146,7 +146,7 @@
 		return nil
 	}
 	<-c.done
-	return negated(ts, neg, c.err)
+	return negated(neg, c.err)
 }
 
 // callOf makes a call of the words after the program: key, kind, and what the kind needs.
@@ -265,5 +265,5 @@
 	if args[0] == "cancel" {
 		method, path = http.MethodDelete, "/v1/programs/"+words[0]
 	}
-	return negated(ts, neg, s.bed.Do(ctx, address, method, path, nil, nil))
+	return negated(neg, s.bed.Do(ctx, address, method, path, nil, nil))
 }
--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -16,6 +16,7 @@
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/config"
 	"github.com/hyssopreel/hyssopreel/internal/testbed"
 )
 
@@ -39,6 +40,10 @@
 	"executions":    {2, executions},
 	"history":       {1, historyIs},
 	"status":        {2, statusIs},
+	"turns":         {2, turnsAre},
+	"backend-state": {3, backendStateIs},
+	"runs":          {1, runs},
+	"ticket":        {3, ticketIs},
 	"spent-at-most": {1, spentAtMost},
 	"cache":         {2, cacheIs},
 	"in-force":      {2, inForce},
@@ -252,6 +257,73 @@
 	return nil
 }
 
+// turns PROGRAM N
+func turnsAre(s *scenario, args []string) error {
+	var h api.History
+	if err := s.read(args[0], "/history", &h); err != nil {
+		return err
+	}
+	if n := len(h.Turns); strconv.Itoa(n) != args[1] {
+		return fmt.Errorf("program %s has %d turns", args[0], n)
+	}
+	return nil
+}
+
+// backend-state NAME STATE HOST...: each host shows the backend server in the state.
+func backendStateIs(s *scenario, args []string) error {
+	hosts, err := s.hosts(args[2:])
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		ctx, cancel := context.WithTimeout(s.ctx, pollLimit)
+		defer cancel()
+		var list []api.Backend
+		if err := s.bed.Do(ctx, h.HTTP, http.MethodGet, "/v1/backends", nil, &list); err != nil {
+			return err
+		}
+		i := slices.IndexFunc(list, func(b api.Backend) bool { return b.Name == args[0] })
+		if i < 0 || list[i].State != args[1] {
+			return fmt.Errorf("host %s shows %s in another state", h.Name, args[0])
+		}
+	}
+	return nil
+}
+
+// runs HOST...: the processes of the hosts have not ended.
+func runs(s *scenario, args []string) error {
+	hosts, err := s.hosts(args)
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		if !slices.Contains(s.bed.Running(), h.Name) {
+			return fmt.Errorf("host %s has ended", h.Name)
+		}
+	}
+	return nil
+}
+
+// ticket N AUTHOR HOST...: each host shows ticket N with this author.
+func ticketIs(s *scenario, args []string) error {
+	hosts, err := s.hosts(args[2:])
+	if err != nil {
+		return err
+	}
+	for _, h := range hosts {
+		ctx, cancel := context.WithTimeout(s.ctx, pollLimit)
+		defer cancel()
+		var t config.Ticket
+		if err := s.bed.Do(ctx, h.HTTP, http.MethodGet, "/v1/tickets/"+args[0], nil, &t); err != nil {
+			return err
+		}
+		if t.Author != args[1] {
+			return fmt.Errorf("host %s has ticket %s of %q", h.Name, args[0], t.Author)
+		}
+	}
+	return nil
+}
+
 // spent-at-most N: all engines together computed and generated no more than N tokens.
 func spentAtMost(s *scenario, args []string) error {
 	limit, err := strconv.ParseInt(args[0], 10, 64)
--- a/scenarios/hosts_test.go
+++ b/scenarios/hosts_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,7 +29,8 @@
 	var o struct {
 		Via   string `long:"via" default:"a"`
 		Code  string `long:"code"`
-		Retry bool   `long:"retry"`
+		BG    bool   `long:"bg"`
+		Label string `long:"label" default:"ticket"`
 	}
 	words, err := parse(args, &o, 0, 1)
 	if err != nil {
@@ -42,11 +44,22 @@
 	if err != nil {
 		return err
 	}
-	err = s.bed.ApplyTicket(s.ctx, h, t)
-	if o.Code != "" && (err == nil || string(fault.From(err, "").Code) != o.Code) {
-		return fmt.Errorf("%w, expected code %s", err, o.Code)
+	apply := func() error {
+		err := s.bed.ApplyTicket(s.ctx, h, t)
+		var f *fault.Error
+		if !neg || !errors.As(err, &f) {
+			return negated(neg, err)
+		}
+		if o.Code != "" && !slices.Contains(strings.Split(o.Code, "|"), string(f.Code)) {
+			return fmt.Errorf("%w, expected code %s", err, o.Code)
+		}
+		return nil
 	}
-	return negated(ts, neg, err)
+	if !o.BG {
+		return apply()
+	}
+	s.background(o.Label, apply)
+	return nil
 }
 
 // cmdRaceTickets applies tickets at the same time, each through another host: HOST FILE HOST FILE ... Exactly
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -43,27 +43,61 @@
 	if o.Tool == "" {
 		o.Tool = map[string]string{"tobyl": "registration", "tallowcreek": "booking"}[s.bed.Options.Deployment.Name]
 	}
-	b := &batch{done: make(chan struct{})}
-	s.batches[o.Label] = b
 	errs := make([]error, o.Programs)
-	var wg sync.WaitGroup
-	for i := range errs {
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(s.ctx, 2*requestLimit)
-			defer cancel()
-			errs[i] = s.runProgram(ctx, i, o.Agent, o.Tool, o.Tokens, o.Unknown)
-		})
+	run := func() error {
+		var wg sync.WaitGroup
+		for i := range errs {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(s.ctx, 2*requestLimit)
+				defer cancel()
+				errs[i] = s.runProgram(ctx, i, o.Agent, o.Tool, o.Tokens, o.Unknown)
+			})
+		}
+		wg.Wait()
+		return errors.Join(errs...)
 	}
+	if !o.BG {
+		return run()
+	}
+	s.background(o.Label, run)
+	return nil
+}
+
+// background runs a function that "wait" waits for.
+func (s *scenario) background(label string, run func() error) {
+	b := &batch{done: make(chan struct{})}
+	s.batches[label] = b
 	s.waitings.Go(func() {
-		wg.Wait()
-		b.err = errors.Join(errs...)
+		b.err = run()
 		close(b.done)
 	})
-	if o.BG {
-		return nil
+}
+
+// cmdLoop makes calls of one kind until one is refused, which has to say "not run".
+func cmdLoop(s *scenario, ts *testscript.TestScript, _ bool, args []string) error {
+	const maxLoop = 400 // above the default turn limit
+	words, err := parse(args, &struct{}{}, 3, -1)
+	if err != nil {
+		return err
+	}
+	for i := range maxLoop {
+		request, err := callOf(fmt.Sprintf("loop-%d", i), words[1], words[2:])
+		if err != nil {
+			return err
+		}
+		c := s.start(words[0], "", false, request)
+		<-c.done
+		var f *fault.Error
+		switch {
+		case c.err == nil:
+		case errors.As(c.err, &f) && f.Outcome == fault.NotRun && (f.Code == fault.CodeBudgetExceeded || f.Code == fault.CodeTurnLimit):
+			ts.Logf("call %d was refused: %v", i+1, f)
+			return nil
+		default:
+			return c.err
+		}
 	}
-	<-b.done
-	return b.err
+	return fmt.Errorf("%d calls were accepted", maxLoop)
 }
 
 func (s *scenario) runProgram(ctx context.Context, n int, agent, tool string, tokens int, unknown bool) error {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -18,6 +18,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/core/config"
 	"github.com/hyssopreel/hyssopreel/internal/testbed"
 )
@@ -132,7 +133,7 @@
 	for name, c := range map[string]command{
 		"deploy": cmdDeploy, "ticket": cmdTicket, "race-tickets": cmdRaceTickets, "which": cmdWhich,
 		"open": cmdOpen, "call": cmdCall, "wait": cmdWait, "hangup": cmdHangUp, "end": cmdEnd, "cancel": cmdEnd,
-		"load": cmdLoad, "kill": cmdSignal, "freeze": cmdSignal, "thaw": cmdSignal, "term": cmdSignal,
+		"load": cmdLoad, "loop": cmdLoop, "kill": cmdSignal, "freeze": cmdSignal, "thaw": cmdSignal, "term": cmdSignal,
 		"exited": cmdExited, "restart": cmdRestart, "link": cmdLink, "fault": cmdFault, "deny": cmdDeny,
 		"backend": cmdBackend, "expect": cmdExpect, "eventually": cmdEventually,
 	} {
@@ -166,16 +167,18 @@
 	return words, nil
 }
 
-// negated turns the result of a request around: with neg it has to be an error answer.
-func negated(ts *testscript.TestScript, neg bool, err error) error {
+// negated turns the result of a request around: with neg it has to be an error answer of the API.
+func negated(neg bool, err error) error {
+	var f *fault.Error
 	switch {
-	case neg && err == nil:
+	case !neg:
+		return err
+	case err == nil:
 		return errors.New("succeeded unexpectedly")
-	case neg:
-		ts.Logf("error, as expected: %v", err)
-		return nil
+	case !errors.As(err, &f):
+		return err
 	}
-	return err
+	return nil
 }
 
 func cmdDeploy(s *scenario, ts *testscript.TestScript, _ bool, args []string) error {
