--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -106,7 +106,7 @@
 
 func (s *scenario) close(t testscript.T) {
 	s.stopAll()
-	failed := t.(testscript.TFailed).Failed()
+	failed := t.(interface{ Failed() bool }).Failed()
 	if s.bed != nil {
 		if failed {
 			for _, h := range s.bed.Hosts {
