--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -65,24 +65,25 @@
 
 // serve runs incarnations until a signal ends the last one.
 func serve(s *settings.Settings) int {
-	if err := logging.Setup(os.Stderr, s.Log.Level, s.Log.Format); err != nil {
+	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	flush, err := tracing.Setup(ctx, tracing.Options{
-		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, File: s.Tracing.File, Endpoint: s.Tracing.OTLPEndpoint,
+	tracer, err := tracing.New(ctx, tracing.Options{
+		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, File: s.Tracing.File, OTLPEndpoint: s.Tracing.OTLPEndpoint,
 	})
 	if err != nil {
 		logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
 		return exitFailed
 	}
+	tracer.SetGlobal()
 	defer func() {
 		const flushTimeout = 5 * time.Second
 		flushCtx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 		defer cancel()
-		_ = flush(flushCtx)
+		_ = tracer.Shutdown(flushCtx)
 	}()
 	for ctx.Err() == nil {
 		err := daemon.Run(ctx, s)
--- a/common/logging/logging.go
+++ b/common/logging/logging.go
@@ -1,118 +1,150 @@
-// Package logging writes numbered events with apex/log. Each event is declared once, in the file of its role,
-// and stands in docs/log-events.md.
+// Package logging writes numbered events. Each event is declared once, in events_<role>.go of this package,
+// and described in docs/log-events.md.
 package logging
 
 import (
+	"fmt"
 	"io"
-	"sort"
+	"os"
+	"slices"
+	"sync/atomic"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/apex/log/handlers/logfmt"
+	"github.com/apex/log/handlers/text"
 	"github.com/cockroachdb/errors"
 )
 
 // Level is the severity of an event.
 type Level = log.Level
 
-// Levels of events.
 const (
-	Debug = log.DebugLevel
-	Info  = log.InfoLevel
-	Warn  = log.WarnLevel
-	Error = log.ErrorLevel
+	Debug   Level = log.DebugLevel
+	Info    Level = log.InfoLevel
+	Warning Level = log.WarnLevel
+	Error   Level = log.ErrorLevel
 )
 
-// Fields are the values of one event.
+// Fields are the values of an event. Errors and fmt.Stringers are written as text.
 type Fields map[string]any
 
-// Event is one kind of log line. Its number never changes and is never used again for another event.
+// Event is a declared log event. Its number never changes its meaning.
 type Event struct {
-	Number  int
-	Level   Level
-	Message string
-	// Fields names the values that the event carries.
-	Fields []string
+	Number int
+	Level  Level
+	Text   string
+	Fields []string // names of the fields that Emit may set
 }
 
-var (
-	byNumber = map[int]*Event{}
-	byName   = map[string]*Event{}
-)
+var declared = map[int]Event{}
 
-// Declare makes an event known. It is called from package variables only; a number that is used twice is a
-// programming error.
-func Declare(number int, level Level, message string, fields ...string) *Event {
-	if e, ok := byNumber[number]; ok {
-		panic(errors.Newf("log event %d is declared twice: %q and %q", number, e.Message, message))
+// Declare declares an event. It is called for package variables only and panics if the number is taken.
+func Declare(number int, level Level, text string, fields ...string) Event {
+	if _, ok := declared[number]; ok {
+		panic(fmt.Sprintf("log event %d is declared twice", number))
 	}
-	e := &Event{Number: number, Level: level, Message: message, Fields: fields}
-	byNumber[number] = e
-	return e
-}
-
-// named declares an event that packages without a dependency on this one report by name, see Named.
-func named(name string, number int, level Level, message string, fields ...string) *Event {
-	e := Declare(number, level, message, fields...)
-	byName[name] = e
+	e := Event{Number: number, Level: level, Text: text, Fields: fields}
+	declared[number] = e
 	return e
 }
 
-// All returns the declared events by number.
-func All() []*Event {
-	out := make([]*Event, 0, len(byNumber))
-	for _, e := range byNumber {
+// Events returns all declared events in the order of their numbers.
+func Events() []Event {
+	out := make([]Event, 0, len(declared))
+	for _, e := range declared {
 		out = append(out, e)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Number < out[j].Number })
+	slices.SortFunc(out, func(a, b Event) int { return a.Number - b.Number })
 	return out
 }
 
-// Emit writes one event.
-func Emit(e *Event, f Fields) {
-	entry := log.WithField("event", e.Number)
-	if len(f) > 0 {
-		entry = entry.WithFields(log.Fields(f))
-	}
-	switch e.Level {
-	case Debug:
-		entry.Debug(e.Message)
-	case Info:
-		entry.Info(e.Message)
-	case Warn:
-		entry.Warn(e.Message)
-	default:
-		entry.Error(e.Message)
-	}
+// Formats of the log.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+)
+
+// Options configure the log of the process.
+type Options struct {
+	Level  string    // debug, info, warn or error; "" is info
+	Format string    // FormatJSON or FormatText; "" is JSON
+	Host   string    // added to each line if set
+	Output io.Writer // os.Stderr if nil
 }
 
-// Named reports events by the name under which they are declared.
-type Named struct{}
+var current atomic.Pointer[log.Entry]
 
-// Event writes the event of that name. An unknown name is logged as such, so that no event is lost.
-func (Named) Event(name string, fields map[string]any) {
-	e, ok := byName[name]
-	if !ok {
-		e = DaemonUnknownEvent
-		fields = map[string]any{"name": name}
+func init() {
+	if err := Setup(Options{}); err != nil {
+		panic(err)
 	}
-	Emit(e, fields)
 }
 
-// Setup directs all events to w. format is "json" or "text".
-func Setup(w io.Writer, level, format string) error {
-	l, err := log.ParseLevel(level)
+// Setup replaces the log of the process. Before the first call, events from level info go to stderr as JSON.
+func Setup(o Options) error {
+	if o.Output == nil {
+		o.Output = os.Stderr
+	}
+	if o.Level == "" {
+		o.Level = Info.String()
+	}
+	level, err := log.ParseLevel(o.Level)
 	if err != nil {
-		return errors.Wrapf(err, "log level %q", level)
+		return errors.Wrapf(err, "log level %q", o.Level)
 	}
-	log.SetLevel(l)
-	switch format {
-	case "json":
-		log.SetHandler(json.New(w))
-	case "text":
-		log.SetHandler(logfmt.New(w))
+	l := &log.Logger{Level: level}
+	switch o.Format {
+	case "", FormatJSON:
+		l.Handler = json.New(o.Output)
+	case FormatText:
+		l.Handler = text.New(o.Output)
 	default:
-		return errors.Newf("log format %q is not one of json, text", format)
+		return errors.Newf("log format %q is not %s or %s", o.Format, FormatJSON, FormatText)
+	}
+	entry := log.NewEntry(l)
+	if o.Host != "" {
+		entry = entry.WithField("host", o.Host)
 	}
+	current.Store(entry)
 	return nil
 }
+
+// fieldEvent holds the number of the event; fieldUndeclared lists fields that the event does not declare.
+const (
+	fieldEvent      = "event"
+	fieldUndeclared = "undeclared_fields"
+)
+
+// Emit writes an event. Undeclared fields are written too and named, so that a test of the caller finds them.
+func Emit(e Event, fields Fields) {
+	out := log.Fields{fieldEvent: e.Number}
+	var undeclared []string
+	for k, v := range fields {
+		if !slices.Contains(e.Fields, k) {
+			undeclared = append(undeclared, k)
+		}
+		switch v := v.(type) {
+		case error:
+			out[k] = v.Error()
+		case fmt.Stringer:
+			out[k] = v.String()
+		default:
+			out[k] = v
+		}
+	}
+	if len(undeclared) > 0 {
+		slices.Sort(undeclared)
+		out[fieldUndeclared] = undeclared
+	}
+	entry := current.Load().WithFields(out)
+	switch e.Level {
+	case Debug:
+		entry.Debug(e.Text)
+	case Info:
+		entry.Info(e.Text)
+	case Warning:
+		entry.Warn(e.Text)
+	default:
+		entry.Error(e.Text)
+	}
+}
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -1,292 +1,160 @@
-// Package settings reads the daemon's INI file. All problems of a file are reported at once.
+// Package settings reads the daemon's INI file. Load reports every wrong setting at once.
 package settings
 
 import (
 	"fmt"
-	"net"
-	"os"
-	"reflect"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
 )
 
-// Settings are the settings of one host. The `ini` tags name the section and key, `default` the value of a
-// key that is missing; a key without a default is required unless it is optional.
+// Settings are the settings of one daemon. Sizes are in bytes.
 type Settings struct {
-	Host       Host       `ini:"host"`
-	Listen     Listen     `ini:"listen"`
-	Platform   Platform   `ini:"platform"`
-	Lease      Lease      `ini:"lease"`
-	Membership Membership `ini:"membership"`
-	Journal    Journal    `ini:"journal"`
-	Limits     Limits     `ini:"limits"`
-	EventLog   EventLog   `ini:"event_log"`
-	Tracing    Tracing    `ini:"tracing"`
-	Log        Log        `ini:"log"`
-}
-
-// Host names the host and its place.
-type Host struct {
-	Name          string `ini:"name" check:"name"`
-	FailureDomain string `ini:"failure_domain" check:"name"`
-	Region        string `ini:"region" optional:"true"`
-	// DataFolder keeps a copy of the configuration; hosts without a disk leave it out.
-	DataFolder string `ini:"data_folder" optional:"true" check:"folder"`
-}
-
-// Listen has the addresses, as IP:port. The advertised ones are what callers and peers connect to; they
-// default to the others.
-type Listen struct {
-	HTTP          string `ini:"http" check:"address"`
-	Peer          string `ini:"peer" check:"address"`
-	AdvertiseHTTP string `ini:"advertise_http" optional:"true" check:"address"`
-	AdvertisePeer string `ini:"advertise_peer" optional:"true" check:"address"`
-}
-
-// Platform is the platform's object API.
-type Platform struct {
-	Address string        `ini:"address" check:"address"`
-	Timeout time.Duration `ini:"timeout" default:"2s"`
-}
-
-// Lease is the host's lease.
-type Lease struct {
-	Duration time.Duration `ini:"duration" default:"6s"`
-	Renew    time.Duration `ini:"renew" default:"2s"`
-}
-
-// Membership has the heartbeat between hosts.
-type Membership struct {
-	Heartbeat    time.Duration `ini:"heartbeat" default:"500ms"`
-	SuspectAfter time.Duration `ini:"suspect_after" default:"2s"`
-}
-
-// Journal bounds how records reach the store.
-type Journal struct {
-	BatchInterval time.Duration `ini:"batch_interval" default:"5ms"`
-	MaxUnsaved    Bytes         `ini:"max_unsaved" default:"16MB"`
-}
-
-// Limits bound requests and times.
-type Limits struct {
-	MaxBody        Bytes         `ini:"max_body" default:"256KB"`
-	MaxHeader      Bytes         `ini:"max_header" default:"32KB"`
-	MaxQueuedCalls int           `ini:"max_queued_calls" default:"16"`
-	OrderWait      time.Duration `ini:"order_wait" default:"2s"`
-	IdleTimeout    time.Duration `ini:"idle_timeout" default:"30m"`
-	ReconcileEvery time.Duration `ini:"reconcile_every" default:"10s"`
-	DrainLimit     time.Duration `ini:"drain_limit" default:"10m"`
-	RequestTimeout time.Duration `ini:"request_timeout" default:"5m"`
-}
-
-// EventLog records the reducer's events for replay.
-type EventLog struct {
-	Path string `ini:"path" optional:"true"`
-}
-
-// Tracing says where spans go.
-type Tracing struct {
-	File         string `ini:"file" optional:"true"`
-	OTLPEndpoint string `ini:"otlp_endpoint" optional:"true" check:"address"`
-}
-
-// Log says how events are logged.
-type Log struct {
-	Level  string `ini:"level" default:"info" oneof:"debug,info,warn,error"`
-	Format string `ini:"format" default:"json" oneof:"json,text"`
-}
-
-// Bytes is a size; in files with the units B, KB (1024 B) and MB.
-type Bytes int
-
-// Problem is one fault of a settings file.
+	Host struct {
+		Name          string
+		FailureDomain string
+		Region        string
+		DataFolder    string // "" on a host that persists nothing
+	}
+	Listen struct {
+		HTTP          string
+		Peer          string
+		AdvertiseHTTP string // HTTP if not set
+		AdvertisePeer string // Peer if not set
+	}
+	Platform struct {
+		Address string
+		Timeout time.Duration
+	}
+	Lease struct {
+		Duration time.Duration
+		Renew    time.Duration
+	}
+	Membership struct {
+		Heartbeat    time.Duration
+		SuspectAfter time.Duration
+	}
+	Journal struct {
+		BatchInterval time.Duration
+		MaxUnsaved    int64
+	}
+	Limits struct {
+		MaxBody        int64
+		MaxHeader      int64
+		MaxQueuedCalls int // per program
+		OrderWait      time.Duration
+		IdleTimeout    time.Duration
+		ReconcileEvery time.Duration
+		DrainLimit     time.Duration
+		RequestTimeout time.Duration
+	}
+	EventLog struct{ Path string }
+	Tracing  struct {
+		File         string
+		OTLPEndpoint string
+	}
+	Log struct {
+		Level  string
+		Format string
+	}
+	Seeds struct{ Peers []string }
+}
+
+// Problem is one wrong setting.
 type Problem struct {
 	File    string
 	Section string
 	Key     string
 	Value   string
-	Allowed string
+	Allowed string // what is allowed instead
 }
 
-// String names the fault as file, section, key, value and what is allowed.
+// String returns the problem as one line for the operator.
 func (p Problem) String() string {
-	return fmt.Sprintf("%s: [%s] %s = %q: %s", p.File, p.Section, p.Key, p.Value, p.Allowed)
-}
-
-// loader collects the problems of one file.
-type loader struct {
-	file     string
-	problems []Problem
-}
-
-func (l *loader) add(section, key, value, format string, args ...any) {
-	l.problems = append(l.problems, Problem{File: l.file, Section: section, Key: key, Value: value, Allowed: fmt.Sprintf(format, args...)})
-}
+	switch {
+	case p.Section == "":
+		return fmt.Sprintf("%s: %s: allowed: %s", p.File, p.Value, p.Allowed)
+	case p.Key == "":
+		return fmt.Sprintf("%s: [%s]: allowed: %s", p.File, p.Section, p.Allowed)
+	}
+	return fmt.Sprintf("%s: [%s] %s = %q: allowed: %s", p.File, p.Section, p.Key, p.Value, p.Allowed)
+}
+
+// Limits of the settings.
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+	// maxBodyBytes is the design's limit of a request, which must fit into a journal batch.
+	maxBodyBytes  = 256 * kilobyte
+	maxQueueCalls = 1 << 16
+	maxDuration   = 24 * time.Hour
+)
 
-// Load reads a settings file. The settings are usable only if there are no problems.
+// Load reads the settings file. The settings are complete and valid only if there are no problems.
 func Load(path string) (*Settings, []Problem) {
-	l := &loader{file: path}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		l.add("", "", "", "the file must be readable: %v", err)
-		return nil, l.problems
-	}
-	f, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: false, IgnoreInlineComment: true}, raw)
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
 	if err != nil {
-		l.add("", "", "", "the file must be INI: %v", err)
-		return nil, l.problems
+		return &Settings{}, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
 	}
+	r := &reader{path: path, file: file, known: map[string]map[string]bool{}}
 	s := &Settings{}
-	l.unknownSections(f)
-	v := reflect.ValueOf(s).Elem()
-	for i := range v.NumField() {
-		l.section(f, v.Type().Field(i).Tag.Get("ini"), v.Field(i))
-	}
-	s.setAdvertised()
-	if len(l.problems) == 0 {
-		l.crossCheck(s)
-	}
-	return s, l.problems
-}
-
-func (l *loader) unknownSections(f *ini.File) {
-	var known []string
-	t := reflect.TypeFor[Settings]()
-	for i := range t.NumField() {
-		known = append(known, t.Field(i).Tag.Get("ini"))
-	}
-	for _, sec := range f.Sections() {
-		if sec.Name() == ini.DefaultSection {
-			for _, k := range sec.Keys() {
-				l.add("", k.Name(), k.Value(), "keys must stand in a section")
-			}
-			continue
-		}
-		if !slices.Contains(known, sec.Name()) {
-			l.add(sec.Name(), "", "", "unknown section; known are %s", strings.Join(known, ", "))
-		}
-	}
-}
-
-func (l *loader) section(f *ini.File, name string, v reflect.Value) {
-	sec := f.Section(name)
-	var known []string
-	for i := range v.NumField() {
-		field := v.Type().Field(i)
-		key := field.Tag.Get("ini")
-		known = append(known, key)
-		value := field.Tag.Get("default")
-		if sec.HasKey(key) {
-			value = sec.Key(key).Value()
-		}
-		if value == "" {
-			if field.Tag.Get("optional") != "true" {
-				l.add(name, key, value, "a value is required")
-			}
-			continue
-		}
-		l.set(name, key, value, field.Tag, v.Field(i))
-	}
-	for _, k := range sec.Keys() {
-		if !slices.Contains(known, k.Name()) {
-			l.add(name, k.Name(), k.Value(), "unknown key; known are %s", strings.Join(known, ", "))
-		}
-	}
-}
-
-func (l *loader) set(section, key, value string, tag reflect.StructTag, v reflect.Value) {
-	switch v.Interface().(type) {
-	case time.Duration:
-		d, err := time.ParseDuration(value)
-		if err != nil || d <= 0 {
-			l.add(section, key, value, "a positive duration with a unit, for example 500ms, 2s or 10m")
-		}
-		v.SetInt(int64(d))
-	case Bytes:
-		n, ok := parseBytes(value)
-		if !ok {
-			l.add(section, key, value, "a positive size with a unit, for example 256KB or 16MB")
-		}
-		v.SetInt(int64(n))
-	case int:
-		n, err := strconv.Atoi(value)
-		if err != nil || n <= 0 {
-			l.add(section, key, value, "a positive whole number")
-		}
-		v.SetInt(int64(n))
-	case string:
-		if allowed := check(value, tag); allowed != "" {
-			l.add(section, key, value, "%s", allowed)
-		}
-		v.SetString(value)
-	}
-}
-
-func parseBytes(value string) (Bytes, bool) {
-	for unit, factor := range map[string]int{"KB": 1 << 10, "MB": 1 << 20} {
-		if number, ok := strings.CutSuffix(value, unit); ok {
-			n, err := strconv.Atoi(strings.TrimSpace(number))
-			return Bytes(n * factor), err == nil && n > 0
-		}
-	}
-	number, ok := strings.CutSuffix(value, "B")
-	n, err := strconv.Atoi(strings.TrimSpace(number))
-	return Bytes(n), ok && err == nil && n > 0
-}
-
-// maxNameBytes bounds host names, which stand in every program ID.
-const maxNameBytes = 63
-
-// check returns what is allowed if the value is not.
-func check(value string, tag reflect.StructTag) string {
-	if allowed := tag.Get("oneof"); allowed != "" && !slices.Contains(strings.Split(allowed, ","), value) {
-		return "one of " + allowed
-	}
-	switch tag.Get("check") {
-	case "address":
-		host, port, err := net.SplitHostPort(value)
-		if n, portErr := strconv.Atoi(port); err != nil || net.ParseIP(host) == nil || portErr != nil || n < 1 || n > 65535 {
-			return "an IP address and a port, for example 10.0.0.7:7400"
-		}
-	case "name":
-		ok := len(value) <= maxNameBytes && !strings.ContainsFunc(value, func(r rune) bool {
-			return r != '-' && (r < 'a' || r > 'z') && (r < '0' || r > '9')
-		})
-		if !ok {
-			return fmt.Sprintf("at most %d lower-case letters, digits and hyphens", maxNameBytes)
-		}
-	case "folder":
-		if info, err := os.Stat(value); err != nil || !info.IsDir() {
-			return "a folder that exists"
-		}
-	}
-	return ""
-}
-
-func (s *Settings) setAdvertised() {
-	if s.Listen.AdvertiseHTTP == "" {
-		s.Listen.AdvertiseHTTP = s.Listen.HTTP
-	}
-	if s.Listen.AdvertisePeer == "" {
-		s.Listen.AdvertisePeer = s.Listen.Peer
-	}
-}
-
-// crossCheck checks settings against each other.
-func (l *loader) crossCheck(s *Settings) {
-	if s.Lease.Renew*2 >= s.Lease.Duration {
-		l.add("lease", "renew", s.Lease.Renew.String(), "less than half of duration (%s), so that one renewal may be lost", s.Lease.Duration)
-	}
-	if s.Membership.SuspectAfter <= 2*s.Membership.Heartbeat {
-		l.add("membership", "suspect_after", s.Membership.SuspectAfter.String(), "more than two heartbeats (%s each)", s.Membership.Heartbeat)
-	}
-	// A record holds a request and its answer, and a segment must stay below the store's 1 MB.
-	const largestBody = 256 << 10
-	if s.Limits.MaxBody > largestBody {
-		l.add("limits", "max_body", strconv.Itoa(int(s.Limits.MaxBody)), "at most 256KB")
-	}
+	r.readAll(s)
+	r.checkAcross(s)
+	r.reportUnknown()
+	return s, r.problems
+}
+
+func (r *reader) readAll(s *Settings) {
+	s.Host.Name = r.hostName("host", "name")
+	s.Host.FailureDomain = r.hostName("host", "failure_domain")
+	s.Host.Region = r.hostName("host", "region")
+	s.Host.DataFolder = r.text("host", "data_folder")
+
+	s.Listen.HTTP = r.address("listen", "http", required, "")
+	s.Listen.Peer = r.address("listen", "peer", required, "")
+	s.Listen.AdvertiseHTTP = r.address("listen", "advertise_http", optional, s.Listen.HTTP)
+	s.Listen.AdvertisePeer = r.address("listen", "advertise_peer", optional, s.Listen.Peer)
+
+	s.Platform.Address = r.address("platform", "address", required, "")
+	s.Platform.Timeout = r.duration("platform", "timeout", 2*time.Second)
+
+	s.Lease.Duration = r.duration("lease", "duration", 6*time.Second)
+	s.Lease.Renew = r.duration("lease", "renew", 2*time.Second)
+
+	s.Membership.Heartbeat = r.duration("membership", "heartbeat", 500*time.Millisecond)
+	s.Membership.SuspectAfter = r.duration("membership", "suspect_after", 2*time.Second)
+
+	s.Journal.BatchInterval = r.duration("journal", "batch_interval", 5*time.Millisecond)
+	s.Journal.MaxUnsaved = r.size("journal", "max_unsaved", 16*megabyte, 1<<40)
+
+	s.Limits.MaxBody = r.size("limits", "max_body", 256*kilobyte, maxBodyBytes)
+	s.Limits.MaxHeader = r.size("limits", "max_header", 32*kilobyte, megabyte)
+	s.Limits.MaxQueuedCalls = r.count("limits", "max_queued_calls", 16, maxQueueCalls)
+	s.Limits.OrderWait = r.duration("limits", "order_wait", 2*time.Second)
+	s.Limits.IdleTimeout = r.duration("limits", "idle_timeout", 30*time.Minute)
+	s.Limits.ReconcileEvery = r.duration("limits", "reconcile_every", 10*time.Second)
+	s.Limits.DrainLimit = r.duration("limits", "drain_limit", 10*time.Minute)
+	s.Limits.RequestTimeout = r.duration("limits", "request_timeout", 5*time.Minute)
+
+	s.EventLog.Path = r.text("event_log", "path")
+	s.Tracing.File = r.text("tracing", "file")
+	s.Tracing.OTLPEndpoint = r.address("tracing", "otlp_endpoint", optional, "")
+	s.Log.Level = r.oneOf("log", "level", "info", "debug", "info", "warn", "error")
+	s.Log.Format = r.oneOf("log", "format", "json", "json", "text")
+	s.Seeds.Peers = r.addresses("seeds", "peers")
+}
+
+// checkAcross compares settings with each other. A setting that is wrong by itself is 0 here and skipped.
+func (r *reader) checkAcross(s *Settings) {
+	if s.Lease.Renew > 0 && s.Lease.Duration > 0 && s.Lease.Renew >= s.Lease.Duration/2 {
+		// A holder then gets a second attempt before its lease expires.
+		r.problem("lease", "renew", s.Lease.Renew.String(), fmt.Sprintf("less than half of the lease duration (%s)", s.Lease.Duration))
+	}
+	if s.Membership.SuspectAfter > 0 && s.Membership.Heartbeat > 0 && s.Membership.SuspectAfter <= 2*s.Membership.Heartbeat {
+		// One lost heartbeat must not make a host suspect.
+		r.problem("membership", "suspect_after", s.Membership.SuspectAfter.String(),
+			fmt.Sprintf("more than two heartbeats (%s each)", s.Membership.Heartbeat))
+	}
+	r.checkAdvertised("advertise_http", "http", s.Listen.AdvertiseHTTP)
+	r.checkAdvertised("advertise_peer", "peer", s.Listen.AdvertisePeer)
 }
--- a/common/tracing/tracing.go
+++ b/common/tracing/tracing.go
@@ -1,69 +1,122 @@
-// Package tracing sets up OpenTelemetry: W3C trace context between processes, and export of spans to a
-// collector and to a file.
+// Package tracing sets up OpenTelemetry: one span per hop, W3C trace context in HTTP headers and in peer
+// frames, exported over OTLP and to a file.
 package tracing
 
 import (
 	"context"
+	"net/http"
 	"os"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/resource"
-	"go.opentelemetry.io/otel/sdk/trace"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+)
+
+const (
+	serviceName    = "hyssopreel"
+	traceFilePerms = 0o640
 )
 
-// Options say where spans go. Without a file and an endpoint no span is recorded.
+// Options configure the traces of a host.
 type Options struct {
 	Host          string
 	FailureDomain string
-	// File gets one JSON object a span.
-	File string
-	// Endpoint is the host:port of an OTLP/HTTP collector.
-	Endpoint string
+	File          string // spans are appended, one JSON object a line; "" writes none
+	OTLPEndpoint  string // IP:port of an OTLP/HTTP collector without TLS; "" sends none
 }
 
-// Setup sets the global tracer provider and propagator. The returned function writes what is left and closes
-// the exporters.
-func Setup(ctx context.Context, o Options) (func(context.Context) error, error) {
-	otel.SetTextMapPropagator(propagation.TraceContext{})
-	if o.File == "" && o.Endpoint == "" {
-		return func(context.Context) error { return nil }, nil
+// Tracer starts the spans of one host. A nil *Tracer starts spans that are not recorded.
+type Tracer struct {
+	provider *sdktrace.TracerProvider
+	tracer   trace.Tracer
+	file     *os.File
+	host     []attribute.KeyValue
+}
+
+// New returns the tracer of a host. The exporters connect later: a collector that is down does not fail New.
+func New(ctx context.Context, o Options) (*Tracer, error) {
+	t := &Tracer{host: []attribute.KeyValue{attribute.String("host.name", o.Host), attribute.String("failure_domain", o.FailureDomain)}}
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithResource(resource.NewSchemaless(append(t.host, attribute.String("service.name", serviceName))...)),
+	}
+	if o.OTLPEndpoint != "" {
+		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(o.OTLPEndpoint), otlptracehttp.WithInsecure())
+		if err != nil {
+			return nil, errors.Wrapf(err, "OTLP exporter to %s", o.OTLPEndpoint)
+		}
+		options = append(options, sdktrace.WithBatcher(e))
 	}
-	options := []trace.TracerProviderOption{trace.WithResource(resource.NewSchemaless(
-		attribute.String("service.name", "hyssopreeld"),
-		attribute.String("host.name", o.Host),
-		attribute.String("failure_domain", o.FailureDomain),
-	))}
-	var file *os.File
 	if o.File != "" {
-		var err error
-		if file, err = os.OpenFile(o.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		f, err := os.OpenFile(o.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, traceFilePerms)
+		if err != nil {
 			return nil, errors.Wrap(err, "open trace file")
 		}
-		exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
 		if err != nil {
-			return nil, errors.Wrap(err, "create file exporter")
+			_ = f.Close()
+			return nil, errors.Wrap(err, "trace file exporter")
 		}
-		options = append(options, trace.WithBatcher(exporter))
+		t.file = f
+		options = append(options, sdktrace.WithBatcher(e))
 	}
-	if o.Endpoint != "" {
-		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(o.Endpoint), otlptracehttp.WithInsecure())
-		if err != nil {
-			return nil, errors.Wrap(err, "create OTLP exporter")
-		}
-		options = append(options, trace.WithBatcher(exporter))
+	t.provider = sdktrace.NewTracerProvider(options...)
+	t.tracer = t.provider.Tracer(serviceName)
+	return t, nil
+}
+
+// SetGlobal makes t the tracer of libraries in this process and logs export errors as events.
+func (t *Tracer) SetGlobal() {
+	otel.SetTracerProvider(t.provider)
+	otel.SetTextMapPropagator(propagator)
+	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
+		logging.Emit(logging.SpansLost, logging.Fields{"error": err})
+	}))
+}
+
+// Hop starts the span of one hop of a request. It carries the host's name and failure domain.
+func (t *Tracer) Hop(ctx context.Context, step string, kind trace.SpanKind, attributes ...attribute.KeyValue) (context.Context, trace.Span) {
+	if t == nil {
+		return ctx, trace.SpanFromContext(context.Background())
 	}
-	provider := trace.NewTracerProvider(options...)
-	otel.SetTracerProvider(provider)
-	return func(ctx context.Context) error {
-		err := provider.Shutdown(ctx)
-		if file != nil {
-			err = errors.CombineErrors(err, file.Close())
-		}
-		return err
-	}, nil
+	return t.tracer.Start(ctx, step, trace.WithSpanKind(kind), trace.WithAttributes(t.host...), trace.WithAttributes(attributes...))
+}
+
+// End ends a span and records err if it is not nil.
+func End(span trace.Span, err error) {
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
+// Shutdown exports the spans that have ended and closes the exporters.
+func (t *Tracer) Shutdown(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	err := t.provider.Shutdown(ctx)
+	if t.file != nil {
+		err = errors.CombineErrors(err, t.file.Close())
+	}
+	return errors.Wrap(err, "shut down tracing")
+}
+
+var propagator = propagation.TraceContext{}
+
+// Inject writes the trace context of ctx to HTTP headers.
+func Inject(ctx context.Context, h http.Header) { propagator.Inject(ctx, propagation.HeaderCarrier(h)) }
+
+// Extract returns ctx with the trace context of HTTP headers.
+func Extract(ctx context.Context, h http.Header) context.Context {
+	return propagator.Extract(ctx, propagation.HeaderCarrier(h))
 }
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -20,12 +20,9 @@
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/settings"
 	"github.com/hyssopreel/hyssopreel/common/wire"
-	"github.com/hyssopreel/hyssopreel/core"
 	"github.com/hyssopreel/hyssopreel/core/config"
-	coreconfiguration "github.com/hyssopreel/hyssopreel/core/configuration"
-	coremembership "github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/host"
 	"github.com/hyssopreel/hyssopreel/core/program"
-	"github.com/hyssopreel/hyssopreel/core/sched"
 	"github.com/hyssopreel/hyssopreel/service/backends"
 	"github.com/hyssopreel/hyssopreel/service/configuration"
 	"github.com/hyssopreel/hyssopreel/service/entry"
@@ -47,22 +44,13 @@
 	retention = time.Hour
 )
 
-// NewState returns the reducer's state of a host; the replay of an event log starts from the same.
-func NewState() *core.State {
-	return core.NewState(map[string]core.Subsystem{
-		"program":       program.New(),
-		"sched":         sched.NewState(),
-		"membership":    coremembership.New(),
-		"configuration": coreconfiguration.NewState(),
-	})
-}
-
 // Daemon is one incarnation of a host.
 type Daemon struct {
 	settings *settings.Settings
 	log      io.WriteCloser
 
 	clock         clock.Clock
+	metrics       *metrics.Metrics
 	local         *objectapi.HTTPStore // the platform as this host reaches it
 	store         objectapi.Store      // the same, through a peer where this host alone lost it
 	node          *wire.Node
@@ -111,6 +99,7 @@
 
 func build(s *settings.Settings) (*Daemon, error) {
 	d := &Daemon{settings: s, clock: clock.System(), deposed: make(chan string, 1), drain: make(chan struct{}, 1)}
+	d.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	if s.EventLog.Path != "" {
 		f, err := os.OpenFile(s.EventLog.Path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
@@ -131,7 +120,7 @@
 	if d.log != nil {
 		log = d.log
 	}
-	d.rt = runtime.New(d.clock, NewState(), log)
+	d.rt = runtime.New(d.clock, host.NewState(), log)
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildBackends()
@@ -162,8 +151,8 @@
 func (d *Daemon) buildEntry() {
 	s := d.settings
 	d.entry = entry.New(entry.Options{
-		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: int64(s.Limits.MaxBody), RequestTimeout: s.Limits.RequestTimeout,
-		Mount: d.mountOperators, Ready: d.ready, Metrics: metrics.Handler(), Observe: observeRequest,
+		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, RequestTimeout: s.Limits.RequestTimeout,
+		Mount: d.mountOperators, Ready: d.ready, Metrics: d.metrics.Handler(), Observe: d.observeRequest,
 	})
 	const readHeaderTimeout = 5 * time.Second
 	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(s.Limits.MaxHeader)}
@@ -223,6 +212,7 @@
 		return nil
 	case reason := <-d.deposed:
 		logging.Emit(logging.DaemonDeposed, logging.Fields{"host": string(d.settings.Host.Name), "reason": reason})
+		d.finishForwarded(work)
 		return ErrDeposed
 	case <-work.Done():
 		return errors.New("a part of the daemon failed")
@@ -234,6 +224,7 @@
 	d.backends.Stop()
 	d.members.Stop()
 	_ = d.node.Close()
+	_ = d.metrics.Close()
 	if d.log != nil {
 		_ = d.log.Close()
 	}
@@ -247,8 +238,8 @@
 	}
 }
 
-func observeRequest(route string, status int, took time.Duration) {
-	scope := metrics.Root().Tagged(map[string]string{"route": route, "status": strconv.Itoa(status)})
+func (d *Daemon) observeRequest(route string, status int, took time.Duration) {
+	scope := d.metrics.Scope().Tagged(map[string]string{"route": route, "status": strconv.Itoa(status)})
 	scope.Counter("requests").Inc(1)
 	scope.Timer("request_duration").Record(took)
 }
