Number the attempts of calls uniquely, and start the next incarnation

Two faults that the scenarios found.

A key that was refused 'not run' and sent again hung until the group's scheduler forgot the old attempt (60 s): the home numbered its attempts from 1 again, and the scheduler ignores IDs of attempts that have ended. The ID of an attempt now names the home and a number that is unique there. Scenario not_run hung at its last part before and passes now.

A deposed incarnation never started the next one, because daemon.Run waited for the HTTP server, which only the deferred close ended. Scenario once_frozen saw the thawed host as gone for 45 s before and passes now.

--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -10,6 +10,7 @@
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/sched"
 )
 
 const (
@@ -176,12 +177,13 @@
 	case api.CallAgent:
 		r.openChild(p, c)
 	default:
+		r.newAttempt(p, c)
 		r.beforeDispatch(p, c)
 	}
 }
 
 func (r *reduction) granted(e Granted) {
-	p, c := r.scheduling(e.Call.Program, e.Call.Key, e.Call.Attempt)
+	p, c := r.scheduling(e.Call)
 	if c == nil {
 		r.rejectGrant(e)
 		return
@@ -193,7 +195,7 @@
 // rejectGrant gives the worker back if the call no longer wants it. A grant that came twice is kept.
 func (r *reduction) rejectGrant(e Granted) {
 	if p, ok := r.programs[e.Call.Program]; ok {
-		if c := p.running; c != nil && p.callID(c) == e.Call && c.worker == e.Worker {
+		if c := p.running; c != nil && c.id == e.Call && c.worker == e.Worker {
 			return
 		}
 	}
@@ -201,20 +203,20 @@
 }
 
 // scheduling returns the call if it waits for a grant of this attempt.
-func (r *reduction) scheduling(id ids.Program, key string, attempt int) (*program, *call) {
-	p, ok := r.programs[id]
+func (r *reduction) scheduling(id sched.CallID) (*program, *call) {
+	p, ok := r.programs[id.Program]
 	if !ok || p.running == nil {
 		return nil, nil
 	}
 	c := p.running
-	if c.request.Key != key || c.attempt != attempt || c.state != callScheduling {
+	if c.id != id || c.state != callScheduling {
 		return nil, nil
 	}
 	return p, c
 }
 
 func (r *reduction) refused(e Refused) {
-	p, c := r.scheduling(e.Call.Program, e.Call.Key, e.Call.Attempt)
+	p, c := r.scheduling(e.Call)
 	if c == nil {
 		return
 	}
@@ -234,7 +236,7 @@
 		return
 	}
 	c.state = callIntent
-	r.write(pendingCommit{next: stepIntent, program: p.id, key: c.request.Key, attempt: c.attempt},
+	r.write(pendingCommit{next: stepIntent, program: p.id, key: c.request.Key, attempt: c.id.Attempt},
 		Record{Op: OpIntent, Program: p.id, Key: c.request.Key, Hash: c.hash, Call: &c.request})
 }
 
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -47,7 +47,7 @@
 // enqueue asks the group's scheduler for a worker, as a new attempt.
 func (r *reduction) enqueue(p *program, c *call) {
 	c.state = callScheduling
-	c.attempt++
+	r.newAttempt(p, c)
 	c.worker = ""
 	r.countCall(poolOf(r.group(p, c)))
 	r.emit(Enqueue{Request: r.enqueued(p, c)})
@@ -55,7 +55,7 @@
 
 func (r *reduction) enqueued(p *program, c *call) sched.Enqueued {
 	e := sched.Enqueued{
-		Call: p.callID(c), Group: r.group(p, c), Home: r.self, Agent: p.header.Agent, Class: p.header.Class,
+		Call: c.id, Group: r.group(p, c), Home: r.self, Agent: p.header.Agent, Class: p.header.Class,
 		Turn: len(p.turns), AttainedTokens: p.spent, AgeMS: int64(r.at - p.header.OpenedAt),
 		PausedMS: int64(r.at - p.active), PauseTool: p.lastTool, Avoid: slices.Clone(c.avoid), Running: c.worker,
 	}
@@ -73,11 +73,11 @@
 // dispatch sends the call to its backend server.
 func (r *reduction) dispatch(p *program, c *call) {
 	c.state = callDispatched
-	if c.request.Kind == api.CallTool {
-		c.attempt++
+	if c.request.Kind == api.CallTool && c.failures > 0 {
+		r.newAttempt(p, c)
 	}
 	d := Dispatch{
-		Call: p.callID(c), Kind: c.request.Kind, Worker: c.worker, Priority: c.priority, ResumeText: c.text, Trace: c.trace,
+		Call: c.id, Kind: c.request.Kind, Worker: c.worker, Priority: c.priority, ResumeText: c.text, Trace: c.trace,
 		Idempotent: r.idempotent(p, c.request), Group: r.group(p, c),
 	}
 	switch c.request.Kind {
@@ -128,7 +128,7 @@
 
 func (r *reduction) dispatchEnded(e DispatchEnded) {
 	p, ok := r.programs[e.Call.Program]
-	if !ok || p.running == nil || p.callID(p.running) != e.Call || p.running.state != callDispatched {
+	if !ok || p.running == nil || p.running.id != e.Call || p.running.state != callDispatched {
 		return // the call was canceled, or this is the late end of an earlier attempt
 	}
 	c := p.running
@@ -251,9 +251,9 @@
 func (r *reduction) giveBack(p *program, c *call) {
 	switch {
 	case c.state == callScheduling:
-		r.emit(Withdraw{Request: sched.Withdrawn{Call: p.callID(c), Group: r.group(p, c)}})
+		r.emit(Withdraw{Request: sched.Withdrawn{Call: c.id, Group: r.group(p, c)}})
 	case c.state == callIntent && c.worker != "":
-		r.emit(finishUnused(Granted{Call: p.callID(c), Group: r.group(p, c), Worker: c.worker}))
+		r.emit(finishUnused(Granted{Call: c.id, Group: r.group(p, c), Worker: c.worker}))
 	}
 }
 
--- a/core/program/lifecycle.go
+++ b/core/program/lifecycle.go
@@ -215,9 +215,9 @@
 	}
 	switch c.state {
 	case callDispatched, callChild:
-		r.emit(CancelDispatch{Call: p.callID(c), Worker: c.worker})
+		r.emit(CancelDispatch{Call: c.id, Worker: c.worker})
 		if c.worker != "" {
-			r.emit(finishUnused(Granted{Call: p.callID(c), Group: r.group(p, c), Worker: c.worker}))
+			r.emit(finishUnused(Granted{Call: c.id, Group: r.group(p, c), Worker: c.worker}))
 		}
 		c.turn.Answer = c.text
 		if c.request.Kind == api.CallModel {
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -55,6 +55,7 @@
 	config   config.Config
 	groups   map[string]int // worker groups by pool
 
+	attempts  int // of all calls at this home
 	lastToken Token
 	pending   []pendingCommit // commits that are not durable yet, in token order
 	unsaved   int             // estimated bytes of pending commits
@@ -140,8 +141,9 @@
 	hash       uint64
 	state      callState
 	since      clock.Millis // when it came, or when the calls before it last moved
-	attempt    int
-	failures   int // dispatches that broke
+	id         sched.CallID // of the latest attempt
+	attempt    int          // number of the latest attempt of this call
+	failures   int          // dispatches that broke
 	worker     string
 	priority   int
 	avoid      []string
@@ -302,7 +304,7 @@
 	switch {
 	case p.next == stepReserved && c.state == callReserving && prog.running == c:
 		r.reserved(prog, c)
-	case p.next == stepIntent && c.state == callIntent && c.attempt == p.attempt:
+	case p.next == stepIntent && c.state == callIntent && c.id.Attempt == p.attempt:
 		c.intentDone = true
 		r.dispatch(prog, c)
 	case p.next == stepTurn:
@@ -374,7 +376,7 @@
 				r.fail(w, ferr)
 			}
 			if c.state == callDispatched && c.request.Kind == api.CallModel {
-				r.emit(CancelDispatch{Call: p.callID(c), Worker: c.worker})
+				r.emit(CancelDispatch{Call: c.id, Worker: c.worker})
 			}
 		}
 	}
@@ -396,8 +398,11 @@
 	return true
 }
 
-func (p *program) callID(c *call) sched.CallID {
-	return sched.CallID{Program: p.id, Key: c.request.Key, Attempt: c.attempt}
+// newAttempt gives the call an ID that no earlier attempt had.
+func (r *reduction) newAttempt(p *program, c *call) {
+	r.attempts++
+	c.attempt++
+	c.id = sched.CallID{Program: p.id, Key: c.request.Key, Home: r.self, Attempt: r.attempts}
 }
 
 // liveCalls returns the calls that somebody may wait for, the running one first.
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -20,7 +20,10 @@
 type CallID struct {
 	Program ids.Program `msgpack:"p"`
 	Key     string      `msgpack:"k"`
-	// Attempt counts dispatches of the call, from 1.
+	// Home and Attempt tell an attempt from earlier ones, also of a call that did not run and was sent again
+	// under its key, or that an heir runs again. The scheduler ignores the IDs of attempts that have ended.
+	Home ids.Journal `msgpack:"h"`
+	// Attempt counts the attempts of all calls at Home.
 	Attempt int `msgpack:"a"`
 }
 
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -102,7 +102,7 @@
 	Hosts    []*Host
 	Backends []platform.Backend
 
-	ip        string
+	network   string // first three bytes of the hosts' IP addresses
 	client    *http.Client
 	processes []*Process // in the order of their start
 }
@@ -134,9 +134,7 @@
 // Start starts all processes and returns when every host is ready. The caller closes the bed, also after an error.
 func Start(dir string, o Options) (*Bed, error) {
 	b := &Bed{Dir: dir, Options: o, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
-	// Outgoing connections to loopback come from 127.0.0.1. The daemons' ports on another loopback address
-	// cannot be taken by one of them while a daemon is down.
-	b.ip = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+	b.network = fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256))
 	if err := b.startStandins(); err != nil {
 		return b, err
 	}
@@ -243,11 +241,12 @@
 	return p, err
 }
 
-// freeAddresses returns addresses with ports that the kernel chose.
-func (b *Bed) freeAddresses(n int) ([]string, error) {
+// freeAddresses returns addresses of one IP address with ports that the kernel chose. Each host has an IP
+// address of its own, so that no other process is given its ports before it listens or while it is down.
+func freeAddresses(ip string, n int) ([]string, error) {
 	out := make([]string, n)
 	for i := range out {
-		l, err := net.Listen("tcp", net.JoinHostPort(b.ip, "0"))
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
@@ -261,7 +260,7 @@
 	domains := b.Options.Deployment.Domains
 	h := &Host{Domain: domains[i%len(domains)]}
 	h.Name = fmt.Sprintf("%s-%d", h.Domain, 1+i/len(domains))
-	addresses, err := b.freeAddresses(2)
+	addresses, err := freeAddresses(fmt.Sprintf("%s.%d", b.network, 1+i), 2)
 	if err != nil {
 		return err
 	}
--- a/internal/testbed/caller.go
+++ b/internal/testbed/caller.go
@@ -253,6 +253,7 @@
 func (b *Bed) Members(ctx context.Context, h *Host) ([]api.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, lookLimit)
 	defer cancel()
-	var list []api.Member
-	return list, b.Do(ctx, h.HTTP, http.MethodGet, "/v1/members", nil, &list)
+	var a api.Members
+	err := b.Do(ctx, h.HTTP, http.MethodGet, "/v1/members", nil, &a)
+	return a.Members, err
 }
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -213,8 +213,8 @@
 	return nil, fmt.Errorf("no call %q", label)
 }
 
-// cmdWait waits for the ends of calls or loads in the background.
-func cmdWait(s *scenario, _ *testscript.TestScript, _ bool, args []string) error {
+// cmdAwait waits for the ends of calls or loads in the background.
+func cmdAwait(s *scenario, _ *testscript.TestScript, _ bool, args []string) error {
 	for _, label := range args[1:] {
 		done := (chan struct{})(nil)
 		if b := s.batches[label]; b != nil {
--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -269,22 +269,31 @@
 	return nil
 }
 
-// backend-state NAME STATE HOST...: each host shows the backend server in the state.
+// backend-state NAME STATE[@ADDRESS] HOST...: each host shows the backend server in the state, at the
+// address or else at its real one.
 func backendStateIs(s *scenario, args []string) error {
 	hosts, err := s.hosts(args[2:])
 	if err != nil {
 		return err
 	}
+	of, err := s.standins(args[0])
+	if err != nil {
+		return err
+	}
+	state, address, moved := strings.Cut(args[1], "@")
+	if !moved {
+		address = of[0].Address
+	}
 	for _, h := range hosts {
 		ctx, cancel := context.WithTimeout(s.ctx, pollLimit)
 		defer cancel()
-		var list []api.Backend
-		if err := s.bed.Do(ctx, h.HTTP, http.MethodGet, "/v1/backends", nil, &list); err != nil {
+		var a api.Backends
+		if err := s.bed.Do(ctx, h.HTTP, http.MethodGet, "/v1/backends", nil, &a); err != nil {
 			return err
 		}
-		i := slices.IndexFunc(list, func(b api.Backend) bool { return b.Name == args[0] })
-		if i < 0 || list[i].State != args[1] {
-			return fmt.Errorf("host %s shows %s in another state", h.Name, args[0])
+		i := slices.IndexFunc(a.Backends, func(b api.Backend) bool { return b.Name == args[0] })
+		if i < 0 || a.Backends[i].State != state || a.Backends[i].Address != address {
+			return fmt.Errorf("host %s does not show %s as %s at %s", h.Name, args[0], state, address)
 		}
 	}
 	return nil
--- a/scenarios/hosts_test.go
+++ b/scenarios/hosts_test.go
@@ -119,7 +119,7 @@
 
 func cmdSignal(s *scenario, _ *testscript.TestScript, _ bool, args []string) error {
 	signal := map[string]syscall.Signal{
-		"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "term": syscall.SIGTERM,
+		"crash": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "thaw": syscall.SIGCONT, "term": syscall.SIGTERM,
 	}[args[0]]
 	hosts, err := s.hosts(args[1:])
 	if err != nil {
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// background runs a function that "wait" waits for.
+// background runs a function that "await" waits for.
 func (s *scenario) background(label string, run func() error) {
 	b := &batch{done: make(chan struct{})}
 	s.batches[label] = b
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -132,8 +132,8 @@
 	out := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, c := range map[string]command{
 		"deploy": cmdDeploy, "ticket": cmdTicket, "race-tickets": cmdRaceTickets, "which": cmdWhich,
-		"open": cmdOpen, "call": cmdCall, "wait": cmdWait, "hangup": cmdHangUp, "end": cmdEnd, "cancel": cmdEnd,
-		"load": cmdLoad, "loop": cmdLoop, "kill": cmdSignal, "freeze": cmdSignal, "thaw": cmdSignal, "term": cmdSignal,
+		"open": cmdOpen, "call": cmdCall, "await": cmdAwait, "hangup": cmdHangUp, "end": cmdEnd, "cancel": cmdEnd,
+		"load": cmdLoad, "loop": cmdLoop, "crash": cmdSignal, "freeze": cmdSignal, "thaw": cmdSignal, "term": cmdSignal,
 		"exited": cmdExited, "restart": cmdRestart, "link": cmdLink, "fault": cmdFault, "deny": cmdDeny,
 		"backend": cmdBackend, "expect": cmdExpect, "eventually": cmdEventually,
 	} {
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -38,6 +38,9 @@
 	// handoverTimeout bounds the wait for an heir at shutdown; after it the lease lapses and the programs are
 	// taken over like those of a dead host.
 	handoverTimeout = 30 * time.Second
+	// lastAnswers bounds the wait for the answers of an incarnation that was deposed or failed. It delays the
+	// next incarnation, and requests for programs of other hosts may take for long.
+	lastAnswers = time.Second
 	// quietPoll is how often a shutdown looks for requests that are still under way.
 	quietPoll = 20 * time.Millisecond
 	// retention is how long ended programs can be read.
@@ -90,6 +93,7 @@
 	if err == nil {
 		err = d.shutdown(work)
 	}
+	d.stopServing()
 	stop()
 	if waitErr := g.Wait(); err == nil && waitErr != nil && !errors.Is(waitErr, context.Canceled) {
 		err = waitErr
@@ -219,6 +223,15 @@
 	}
 }
 
+// stopServing ends the HTTP server. Requests that a deposed incarnation answers with "moved" get their answers.
+func (d *Daemon) stopServing() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if d.http.Shutdown(ctx) != nil {
+		_ = d.http.Close()
+	}
+}
+
 func (d *Daemon) close() {
 	_ = d.http.Close()
 	d.backends.Stop()
