Reserve more budget for a call that runs again after it broke

A model call whose engine broke in mid-stream ended with 'outcome unknown' although the program's budget had plenty left: another run had to fit into the chunk reserved for the first one, whose cost counts a whole prompt. Ruled out: the retry budget of the pool and the number of attempts. Now another run reserves what it needs, as the first one did; scenario streams failed at its last part before and passes now.

A call that broke and then was refused counted as 'not run', and the cost of its broken runs was dropped. It now ends as 'outcome unknown' and is charged.

--- a/cmd/hyssopreel-demo/demo.go
+++ b/cmd/hyssopreel-demo/demo.go
@@ -172,7 +172,11 @@
 		err = d.bed.Do(ctx, address, http.MethodPost, "/v1/programs/"+id+"/calls", call, &answer)
 		say("%s\n  ", strings.TrimSpace(answer.Text))
 	}
-	say("%s at %s, durable: %v, cost %d tokens\n", answer.State, answer.Worker, answer.Durable, answer.Usage.CostTokens)
+	at := answer.Worker
+	if at != "" {
+		at = " at " + at
+	}
+	say("%s%s, durable: %v, cost %d tokens\n", answer.State, at, answer.Durable, answer.Usage.CostTokens)
 	if err == nil && (answer.State != "done" || !answer.Durable) {
 		err = fmt.Errorf("the answer is in state %q, durable: %v", answer.State, answer.Durable)
 	}
--- a/core/program/budget.go
+++ b/core/program/budget.go
@@ -12,14 +12,16 @@
 	chunkTurns = 2
 )
 
-// reserve makes sure that the worst case of the call is covered by a durable reservation before it is sent.
+// reserve makes sure that the worst case of the call, and what its broken runs have cost, is covered by a
+// durable reservation before it is sent.
 func (r *reduction) reserve(p *program, c *call) {
 	worst, ferr := r.worstCase(p, c)
 	if ferr != nil {
 		r.notRun(p, c, ferr)
 		return
 	}
-	if p.chunk >= worst && !p.reservationPending(r.State) {
+	need := worst + c.turn.Usage.CostTokens
+	if p.chunk >= need && !p.reservationPending(r.State) {
 		r.reserved(p, c)
 		return
 	}
@@ -28,7 +30,7 @@
 		return
 	}
 	c.state = callReserving
-	amount := min(max(chunkTurns*worst-p.chunk, 0), p.left())
+	amount := min(max(need+(chunkTurns-1)*worst-p.chunk, 0), p.left())
 	r.write(pendingCommit{next: stepReserved, program: p.id, key: c.request.Key},
 		Record{Op: OpReserved, Program: p.id, Tokens: amount})
 }
@@ -50,11 +52,12 @@
 // worstCase returns the most tokens that the call can cost. A model call is given as many output
 // tokens as the budget allows; it fails if the prompt alone is over the budget.
 func (r *reduction) worstCase(p *program, c *call) (int64, *fault.Error) {
-	available := p.left() + p.chunk
+	available := p.left() + p.chunk - c.turn.Usage.CostTokens
 	var worst int64
 	switch c.request.Kind {
 	case api.CallModel:
-		prompt := r.promptBound(p, c.request.Model.Prompt)
+		// A run that resumes elsewhere computes the text so far as a part of its prompt.
+		prompt := r.promptBound(p, c.request.Model.Prompt) + int64(len(c.text))
 		out := int64(r.agent(p).MaxTokens)
 		if m := int64(c.request.Model.MaxTokens); m > 0 && (m < out || out == 0) {
 			out = m
--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -240,8 +240,14 @@
 		Record{Op: OpIntent, Program: p.id, Key: c.request.Key, Hash: c.hash, Call: &c.request})
 }
 
-// notRun ends a call that has had no effect: its key may be used again and its place in the order is free.
+// notRun ends a call that has had no effect: its key may be used again and its place in the order is free. A
+// call that broke before has run, and what that cost is charged.
 func (r *reduction) notRun(p *program, c *call, ferr *fault.Error) {
+	if c.failures > 0 {
+		r.giveBack(p, c)
+		r.endBroken(p, c, ferr)
+		return
+	}
 	if _, ok := p.intents[c.request.Key]; ok {
 		r.write(pendingCommit{}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
 	}
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -73,9 +73,6 @@
 // dispatch sends the call to its backend server.
 func (r *reduction) dispatch(p *program, c *call) {
 	c.state = callDispatched
-	if c.request.Kind == api.CallTool && c.failures > 0 {
-		r.newAttempt(p, c)
-	}
 	d := Dispatch{
 		Call: c.id, Kind: c.request.Kind, Worker: c.worker, Priority: c.priority, ResumeText: c.text, Trace: c.trace,
 		Idempotent: r.idempotent(p, c.request), Group: r.group(p, c),
@@ -201,20 +198,23 @@
 	if c.request.Kind == api.CallModel {
 		c.turn.Usage.CostTokens += r.brokenCost(p, c, e)
 	}
-	if r.idempotent(p, c.request) && c.failures < maxBroken && r.withinChunk(p, c) && r.mayRetry(poolOf(r.group(p, c))) {
-		if c.request.Kind == api.CallTool {
-			r.dispatch(p, c)
-			return
+	if r.mayRunAgain(p, c) {
+		if c.worker != "" {
+			c.avoid = append(c.avoid, c.worker)
 		}
-		c.avoid = append(c.avoid, c.worker)
-		r.enqueue(p, c)
+		r.reserve(p, c)
 		return
 	}
 	ferr := e.Error
 	if ferr == nil {
 		ferr = fault.New(fault.CodeBackendFailed, "dispatch", "the answer was cut off").At(c.worker)
 	}
-	c.turn.Answer = e.Text
+	r.endBroken(p, c, ferr)
+}
+
+// endBroken ends a call whose runs broke, with what is known of its answer.
+func (r *reduction) endBroken(p *program, c *call, ferr *fault.Error) {
+	c.turn.Answer = c.text
 	c.turn.Usage.CostTokens = min(c.turn.Usage.CostTokens+r.fixedCost(c.request), p.chunk)
 	r.complete(p, c, ferr.With(fault.Unknown))
 }
@@ -229,22 +229,17 @@
 	return r.promptBound(p, c.request.Model.Prompt) + e.Usage.GeneratedTokens + unseenTokens
 }
 
-// withinChunk says whether the reservation covers another run of the call after what it has cost so far. A
-// call that resumes elsewhere computes its prompt again.
-func (r *reduction) withinChunk(p *program, c *call) bool {
-	worst, ferr := r.worstCase(p, c)
-	if ferr != nil {
+// mayRunAgain says whether a call that broke is sent again: it has to be repeatable, and the budget has to
+// cover another run.
+func (r *reduction) mayRunAgain(p *program, c *call) bool {
+	if !r.idempotent(p, c.request) || c.failures >= maxBroken {
 		return false
 	}
-	if c.request.Kind != api.CallModel {
-		return true
-	}
-	if worst+c.turn.Usage.CostTokens <= p.chunk {
-		return true
+	worst, ferr := r.worstCase(p, c)
+	if ferr != nil || (r.storeDown && worst+c.turn.Usage.CostTokens > p.chunk) {
+		return false
 	}
-	prompt := r.promptBound(p, c.request.Model.Prompt) + int64(len(c.text))
-	c.maxTokens = int(p.chunk - c.turn.Usage.CostTokens - prompt)
-	return c.maxTokens > 0
+	return r.mayRetry(poolOf(r.group(p, c)))
 }
 
 // giveBack frees the worker of a call that will not be dispatched.
