--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,10 @@
 clean:
 	rm -rf $(BIN)
 
+# Starts a deployment on loopback, runs programs in it and checks every outcome.
+demo: build
+	$(BIN)/hyssopreel-demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
 # Replays the workloads through the decision code and rewrites bench/results.tsv, docs/decisions.md and docs/bench.
 bench: build
 	$(BIN)/hyssopreel-bench --results bench/results.tsv
