--- a/core/program/state.go
+++ b/core/program/state.go
@@ -390,9 +390,9 @@
 // attempted says whether the call may have run.
 func (c *call) attempted() bool {
 	switch c.state {
-	case callWaiting, callReserving:
+	case callWaiting:
 		return false
-	case callScheduling, callIntent:
+	case callReserving, callScheduling, callIntent:
 		return c.failures > 0
 	}
 	return true
