Add hyssopreel-capacity, which measures what the capacity page needs

Cause: docs/design.md, section 1.5 gives a target size, and no figure of the design was measured.

Ruled out: wall time for events (other programs load the machine; processor time from getrusage is used), text of repeated bytes (it compresses far better than prose; random words of a fixed vocabulary are used).

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 # Starts a deployment on loopback, runs programs in it and checks every outcome.
 demo: build
 	$(BIN)/hyssopreel-demo $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+# Measures what docs/CAPACITY.md is computed from; PARTS selects some of memory,events,frames,journal,fleet,takeover.
+capacity: build
+	$(BIN)/hyssopreel-capacity $(if $(PARTS),--parts $(PARTS))
--- /dev/null
+++ b/cmd/hyssopreel-capacity/events.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+// processorTime is the time of this process on all processors, in microseconds; unlike the wall time it does not count
+// the time that other processes take.
+func processorTime() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / float64(time.Microsecond)
+}
+
+// cost returns the processor time in microseconds and the allocations of one run of f: the median, the least and the
+// greatest of five rounds.
+func cost(times int, f func(i int)) (median, low, high, allocs float64) {
+	const rounds = 5
+	var took []float64
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for r := range rounds {
+		start := processorTime()
+		for i := range times {
+			f(r*times + i)
+		}
+		took = append(took, (processorTime()-start)/float64(times))
+	}
+	runtime.ReadMemStats(&after)
+	sort.Float64s(took)
+	return took[rounds/2], took[0], took[rounds-1], float64(after.Mallocs-before.Mallocs) / float64(rounds*times)
+}
+
+func printCost(kind, size string, times int, f func(i int)) float64 {
+	median, low, high, allocs := cost(times, f)
+	fmt.Printf("%s at %s: %.4g us (%.4g to %.4g), %.4g allocations\n", kind, size, median, low, high, allocs)
+	return median
+}
+
+func measureEvents(o options) error {
+	turns := newSeries("all events of a turn", "programs", "us")
+	sweeps := newSeries("program.ticked with the sweep", "programs", "us")
+	ticks := newSeries("program.ticked without the sweep", "programs", "us")
+	changes := newSeries("program.scheduler_changed, no call of the group", "programs", "us")
+	exports := newSeries("program.snapshot_requested, no history", "programs", "us")
+	for _, n := range append([]int{2270}, o.Programs...) {
+		h := newHome(n)
+		size := fmt.Sprintf("%d programs", n)
+		measureTurns(h, n, size, turns)
+		h.send(program.Ticked{})
+		ticks.add(float64(n), printCost("program.ticked without the sweep", size, 200, func(int) { h.send(program.Ticked{}) }))
+		sweeps.add(float64(n), printCost("program.ticked with the sweep", size, 3, func(int) { h.now += 10_000; h.send(program.Ticked{}) }))
+		changes.add(float64(n), printCost("program.scheduler_changed", size, 5, func(int) { h.send(program.SchedulerChanged{Group: "other/0"}) }))
+		exports.add(float64(n), printCost("program.snapshot_requested", size, 1, func(int) { h.send(program.SnapshotRequested{}); h.settle() }))
+	}
+	for _, s := range []*series{turns, ticks, sweeps, changes, exports} {
+		s.print()
+	}
+	measureSchedEvents()
+	measureMembershipEvents()
+	return measureCodec()
+}
+
+// measureTurns also splits the time of a turn by event kind.
+func measureTurns(h *home, n int, size string, total *series) {
+	type sum struct {
+		took  time.Duration
+		count int
+	}
+	byKind := map[event.Kind]*sum{}
+	h.observe = func(e event.Event, reduce func() []event.Effect) []event.Effect {
+		start := time.Now()
+		out := reduce()
+		s := byKind[e.EventKind()]
+		if s == nil {
+			s = &sum{}
+			byKind[e.EventKind()] = s
+		}
+		s.took += time.Since(start)
+		s.count++
+		return out
+	}
+	total.add(float64(n), printCost("all events of a turn without text", size, 1000, func(i int) {
+		h.turn(h.programs[i%n], fmt.Sprintf("key-%d", i), 0)
+	}))
+	h.observe = nil
+	kinds := make([]string, 0, len(byKind))
+	for k := range byKind {
+		kinds = append(kinds, string(k))
+	}
+	sort.Strings(kinds)
+	for _, k := range kinds {
+		s := byKind[event.Kind(k)]
+		fmt.Printf("  %s: %.4g us wall time, %d events\n", k, float64(s.took.Nanoseconds())/1000/float64(s.count), s.count)
+	}
+}
+
+func measureSchedEvents() {
+	for _, workers := range []int{16, 64} {
+		for _, waiting := range []int{0, 100, 1000} {
+			places := workers * 8
+			size := fmt.Sprintf("%d workers, %d waiting calls", workers, waiting)
+			next := places + waiting
+			// Each finished call is followed by a new one, so that the queue keeps its length.
+			var running []sched.Grant
+			take := func(effects []event.Effect) {
+				for _, e := range effects {
+					if g, ok := e.(sched.Grant); ok {
+						running = append(running, g)
+					}
+				}
+			}
+			state := sched.NewState()
+			state.Reduce(1000, groupOf(workers))
+			for i := range places + waiting {
+				take(state.Reduce(1000, enqueued("lm/0", i)))
+			}
+			printCost("sched.finished and sched.enqueued", size, 200, func(int) {
+				if len(running) > 0 {
+					g := running[0]
+					running = running[1:]
+					take(state.Reduce(1000, sched.Finished{Call: g.Call, Group: g.Group, Worker: g.Worker, PromptTokens: 10, GeneratedTokens: 10}))
+				}
+				take(state.Reduce(1000, enqueued("lm/0", next)))
+				next++
+			})
+			now := clock.Millis(1000)
+			printCost("sched.ticked", size, 200, func(int) { now += 100; state.Reduce(now, sched.Ticked{Group: "lm/0"}) })
+		}
+	}
+}
+
+func measureMembershipEvents() {
+	heard := newSeries("membership.heard", "members", "us")
+	ticked := newSeries("membership.ticked", "members", "us")
+	for _, n := range []int{9, 30, 90, 370} {
+		r, m := reducerOf(n)
+		now := clock.Millis(1000)
+		size := fmt.Sprintf("%d members", n)
+		digest := membership.Digest(m)
+		heard.add(float64(n), printCost("membership.heard", size, 300, func(int) {
+			r.Reduce(now, membership.Heard{Beat: membership.Heartbeat{Host: m[1].Name, Incarnation: 7, LeaseVersion: 9, Members: digest}})
+		}))
+		ticked.add(float64(n), printCost("membership.ticked", size, 300, func(i int) {
+			now += 100
+			for j := 1; j < n; j *= 2 { // the finger peers are alive
+				r.Reduce(now, membership.FrameHeard{Host: m[j].Name})
+			}
+			r.Reduce(now, membership.Ticked{Draw: uint32(i)})
+		}))
+	}
+	heard.print()
+	ticked.print()
+}
+
+// measureCodec measures the encoding and decoding that the runtime does for every event.
+func measureCodec() error {
+	h := newHome(1)
+	h.begin(h.programs[0], "key", turnBytes/4)
+	d := configuration.Document{Config: testConfig(1000)}
+	for _, e := range []event.Event{
+		program.DispatchEnded{Call: h.dispatch.Call, Result: program.ResultDone, Text: text(h.rng, turnBytes*3/4)},
+		program.Ticked{},
+		membership.Heard{Beat: membership.Heartbeat{Host: "almaty-a-1", Incarnation: 7, Members: 1 << 60}},
+		enqueued("lm/0", 1),
+		program.ConfigChanged{Config: testConfig(1000)},
+		configuration.Offered{Document: &d},
+	} {
+		b, err := event.Encode(event.Envelope{At: 1, Event: e})
+		if err != nil {
+			return err
+		}
+		printCost("encoding and decoding of "+string(e.EventKind()), fmt.Sprintf("%d bytes", len(b)), 50, func(int) {
+			b, err := event.Encode(event.Envelope{At: 1, Event: e})
+			if err == nil {
+				_, err = event.Decode(b)
+			}
+			if err != nil {
+				panic(err)
+			}
+		})
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/hyssopreel-capacity/fit.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// series is one quantity measured at several sizes.
+type series struct {
+	name, xUnit, yUnit string
+	x, y               []float64
+}
+
+func newSeries(name, xUnit, yUnit string) *series {
+	return &series{name: name, xUnit: xUnit, yUnit: yUnit}
+}
+
+func (s *series) add(x, y float64) {
+	s.x, s.y = append(s.x, x), append(s.y, y)
+	fmt.Printf("%s: %g %s -> %.6g %s\n", s.name, x, s.xUnit, y, s.yUnit)
+}
+
+// line is a least-squares line. SlopeError is the standard error of the slope, NaN with fewer than three points.
+type line struct{ Intercept, Slope, SlopeError float64 }
+
+func fit(x, y []float64) line {
+	var l line
+	l.Intercept, l.Slope = stat.LinearRegression(x, y, nil, false)
+	l.SlopeError = math.NaN()
+	if n := float64(len(x)); n > 2 {
+		var residuals float64
+		for i := range x {
+			d := y[i] - l.Intercept - l.Slope*x[i]
+			residuals += d * d
+		}
+		l.SlopeError = math.Sqrt(residuals / (n - 2) / (stat.Variance(x, nil) * (n - 1)))
+	}
+	return l
+}
+
+func (s *series) print() {
+	l := fit(s.x, s.y)
+	fmt.Printf("= %s: slope %.6g (standard error %.2g) %s per %s, intercept %.6g, %d points\n", s.name, l.Slope, l.SlopeError, s.yUnit, s.xUnit, l.Intercept, len(s.x))
+}
--- /dev/null
+++ b/cmd/hyssopreel-capacity/fleet.go
@@ -0,0 +1,340 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/internal/testbed"
+	"github.com/hyssopreel/hyssopreel/standin/platform"
+)
+
+const (
+	// settleTime lets a fleet exchange its records before it is measured.
+	settleTime = 4 * time.Second
+	// idleTime is the time over which an idle fleet is measured: three renewals of 4 s.
+	idleTime = 12 * time.Second
+	// tickets is the number of tickets whose way through a fleet is measured.
+	tickets = 3
+	// clockTicks is the unit of the processor time in /proc/<pid>/stat, per second (USER_HZ of Linux).
+	clockTicks = 100
+)
+
+// targetSettings are those of the target size in docs/design.md, sections 3 and 9.
+func targetSettings() map[string]string {
+	return map[string]string{
+		"lease.duration": "12s", "lease.renew": "4s", "membership.heartbeat": "1s", "membership.suspect_after": "3s",
+		"event_log.path": "", "platform.timeout": "2s",
+	}
+}
+
+func startBed(o options, hosts, domains int, settings map[string]string) (*testbed.Bed, func(), error) {
+	root, err := testbed.Root()
+	if err != nil {
+		return nil, nil, err
+	}
+	bin, err := filepath.Abs(o.Bin)
+	if err != nil {
+		return nil, nil, err
+	}
+	dir, err := os.MkdirTemp("", "hyssopreel-capacity-")
+	if err != nil {
+		return nil, nil, err
+	}
+	d := testbed.Deployments["tobyl"]
+	d.Domains = nil
+	for i := range domains {
+		d.Domains = append(d.Domains, fmt.Sprintf("domain-%c", 'a'+i))
+	}
+	bed, err := testbed.Start(dir, testbed.Options{Deployment: d, Hosts: hosts, Bin: bin, Root: root, Settings: settings})
+	closeBed := func() {
+		if cerr := bed.Close(); cerr != nil {
+			fmt.Fprintln(os.Stderr, cerr)
+		}
+		_ = os.RemoveAll(dir)
+	}
+	if err != nil {
+		closeBed()
+		return nil, nil, err
+	}
+	return bed, closeBed, nil
+}
+
+// usage is what the kernel counted for one process.
+type usage struct {
+	seconds               float64 // processor time
+	read, written         float64 // bytes, sockets included
+	readCalls, writeCalls float64
+	memory                float64 // resident bytes
+}
+
+func usageOf(pid int) (usage, error) {
+	var u usage
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	// The fields after the command, which is in parentheses, begin with the state, field 3.
+	f := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	u.seconds = (user + system) / clockTicks
+	for _, file := range []string{"io", "status"} {
+		b, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
+		if err != nil {
+			return u, err
+		}
+		for line := range strings.Lines(string(b)) {
+			f := strings.Fields(line)
+			if len(f) < 2 {
+				continue
+			}
+			v, _ := strconv.ParseFloat(f[1], 64)
+			switch f[0] {
+			case "rchar:":
+				u.read = v
+			case "wchar:":
+				u.written = v
+			case "syscr:":
+				u.readCalls = v
+			case "syscw:":
+				u.writeCalls = v
+			case "VmRSS:":
+				u.memory = v * 1024
+			}
+		}
+	}
+	return u, nil
+}
+
+func usages(bed *testbed.Bed) ([]usage, error) {
+	out := make([]usage, len(bed.Hosts))
+	for i, h := range bed.Hosts {
+		var err error
+		if out[i], err = usageOf(h.PID()); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func measureFleets(o options) error {
+	s := fleetSeries{
+		cpu:     newSeries("processor time of an idle daemon", "hosts", "% of a core"),
+		memory:  newSeries("resident memory of an idle daemon", "hosts", "MB"),
+		written: newSeries("bytes written by an idle daemon", "hosts", "bytes/s"),
+		writes:  newSeries("write calls of an idle daemon", "hosts", "calls/s"),
+		ticket:  newSeries("time until a ticket is in force on all hosts, longest of 3", "hosts", "ms"),
+	}
+	for _, n := range o.Sizes {
+		if err := measureFleet(o, n, s); err != nil {
+			return fmt.Errorf("%d hosts: %w", n, err)
+		}
+	}
+	for _, x := range []*series{s.cpu, s.memory, s.written, s.writes, s.ticket} {
+		x.print()
+	}
+	return nil
+}
+
+type fleetSeries struct{ cpu, memory, written, writes, ticket *series }
+
+func measureFleet(o options, n int, s fleetSeries) error {
+	started := time.Now()
+	bed, closeBed, err := startBed(o, n, min(n, 13), targetSettings())
+	if err != nil {
+		return err
+	}
+	defer closeBed()
+	fmt.Printf("%d daemons are ready after %s, load average %s\n", n, time.Since(started).Round(100*time.Millisecond), loadAverage())
+	t, err := bed.DefaultTicket()
+	if err != nil {
+		return err
+	}
+	if err := apply(bed, bed.Hosts[0], t); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	if err := measureIdle(bed, n, s); err != nil {
+		return err
+	}
+	return measureTickets(bed, n, s.ticket)
+}
+
+func measureIdle(bed *testbed.Bed, n int, s fleetSeries) error {
+	callsBefore, err := bed.PlatformCounters()
+	if err != nil {
+		return err
+	}
+	before, err := usages(bed)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	time.Sleep(idleTime)
+	after, err := usages(bed)
+	if err != nil {
+		return err
+	}
+	calls, err := bed.PlatformCounters()
+	if err != nil {
+		return err
+	}
+	took := time.Since(start).Seconds()
+	var total usage
+	most := 0.0
+	for i := range after {
+		total.seconds += after[i].seconds - before[i].seconds
+		total.read += after[i].read - before[i].read
+		total.written += after[i].written - before[i].written
+		total.readCalls += after[i].readCalls - before[i].readCalls
+		total.writeCalls += after[i].writeCalls - before[i].writeCalls
+		total.memory += after[i].memory
+		most = max(most, after[i].seconds-before[i].seconds)
+	}
+	hosts := float64(n)
+	s.cpu.add(hosts, 100*total.seconds/took/hosts)
+	fmt.Printf("  the busiest daemon: %.3g%% of a core\n", 100*most/took)
+	s.memory.add(hosts, total.memory/hosts/(1<<20))
+	s.written.add(hosts, total.written/took/hosts)
+	fmt.Printf("  bytes read: %.5g a second and host\n", total.read/took/hosts)
+	s.writes.add(hosts, total.writeCalls/took/hosts)
+	printCalls(callsBefore, calls, took, hosts)
+	return nil
+}
+
+func printCalls(before, after platform.Counters, seconds, hosts float64) {
+	kinds := make([]string, 0, len(after.ByKind))
+	for k := range after.ByKind {
+		kinds = append(kinds, k)
+	}
+	sort.Strings(kinds)
+	line := func(name string, b, a platform.Calls) {
+		fmt.Printf("  store calls, %s: %.4g reads/s, %.4g writes/s, %.4g watches/s, %d conflicts, %d refused (%.4g reads and writes a second and host)\n",
+			name, float64(a.Reads-b.Reads)/seconds, float64(a.Writes-b.Writes)/seconds, float64(a.Watches-b.Watches)/seconds,
+			a.Conflicts-b.Conflicts, a.Refused-b.Refused, float64(a.Reads-b.Reads+a.Writes-b.Writes)/seconds/hosts)
+	}
+	for _, k := range kinds {
+		var b platform.Calls
+		if c := before.ByKind[k]; c != nil {
+			b = *c
+		}
+		if *after.ByKind[k] != b {
+			line(k, b, *after.ByKind[k])
+		}
+	}
+	backends := func(c platform.Counters) platform.Calls { return platform.Calls{Reads: c.Backends} }
+	line("list of backend servers", backends(before), backends(after))
+	line("all", before.Calls, after.Calls)
+	fmt.Printf("  waiting watches: %d\n", after.Waiting)
+}
+
+func apply(bed *testbed.Bed, via *testbed.Host, t config.Ticket) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return bed.Do(ctx, via.HTTP, http.MethodPost, "/v1/tickets", t, nil)
+}
+
+// measureTickets applies tickets and reads from the logs of the daemons when each was in force.
+func measureTickets(bed *testbed.Bed, n int, s *series) error {
+	var longest time.Duration
+	callsBefore, err := bed.PlatformCounters()
+	if err != nil {
+		return err
+	}
+	for i := range tickets {
+		number := uint64(100 + i)
+		sent := time.Now()
+		if err := apply(bed, bed.Hosts[i%n], ticket(number, "bench-1")); err != nil {
+			return err
+		}
+		answered := time.Since(sent)
+		last, median, err := inForce(bed, number, sent)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("ticket %d over %d hosts: answered after %s, in force on half of the hosts after %s, on all after %s\n",
+			i+1, n, answered.Round(time.Millisecond), median.Round(time.Millisecond), last.Round(time.Millisecond))
+		longest = max(longest, last)
+	}
+	calls, err := bed.PlatformCounters()
+	if err != nil {
+		return err
+	}
+	for _, kind := range []string{"config", "tickets"} {
+		a, b := calls.ByKind[kind], callsBefore.ByKind[kind]
+		if b == nil {
+			b = &platform.Calls{}
+		}
+		if a != nil {
+			fmt.Printf("  store calls for %d tickets, %s: %d reads, %d writes, %d watches\n", tickets, kind, a.Reads-b.Reads, a.Writes-b.Writes, a.Watches-b.Watches)
+		}
+	}
+	s.add(float64(n), float64(longest.Milliseconds()))
+	return nil
+}
+
+// logLine is the part of a line of a daemon's log that is used here.
+type logLine struct {
+	Timestamp time.Time `json:"timestamp"`
+	Fields    struct {
+		Event   int     `json:"event"`
+		Ticket  uint64  `json:"ticket"`
+		Journal string  `json:"journal"`
+		Error   *string `json:"error"`
+	} `json:"fields"`
+}
+
+const (
+	eventAdoption = 1305
+	eventInForce  = 1400
+)
+
+// findLine returns when a line of the log first matched.
+func findLine(file string, match func(logLine) bool) (time.Time, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return time.Time{}, err
+	}
+	defer func() { _ = f.Close() }()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var l logLine
+		if json.Unmarshal(lines.Bytes(), &l) == nil && match(l) {
+			return l.Timestamp, nil
+		}
+	}
+	return time.Time{}, lines.Err()
+}
+
+func inForce(bed *testbed.Bed, number uint64, sent time.Time) (last, median time.Duration, err error) {
+	var took []time.Duration
+	for _, h := range bed.Hosts {
+		for {
+			at, err := findLine(h.Log, func(l logLine) bool { return l.Fields.Event == eventInForce && l.Fields.Ticket == number })
+			if err != nil {
+				return 0, 0, err
+			}
+			if !at.IsZero() {
+				took = append(took, at.Sub(sent))
+				break
+			}
+			if time.Since(sent) > time.Minute {
+				return 0, 0, fmt.Errorf("ticket %d is not in force on host %s after a minute", number, h.Name)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	return took[len(took)-1], took[len(took)/2], nil
+}
--- /dev/null
+++ b/cmd/hyssopreel-capacity/frames.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/membership"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+	"github.com/hyssopreel/hyssopreel/service/backends"
+	servicemembership "github.com/hyssopreel/hyssopreel/service/membership"
+)
+
+// The bodies of enqueue and grant frames, as in service/home/schedlink.go.
+type (
+	toScheduler struct {
+		Enqueued *sched.Enqueued     `msgpack:"e,omitempty"`
+		Finished *sched.Finished     `msgpack:"f,omitempty"`
+		Ended    *sched.ProgramEnded `msgpack:"n,omitempty"`
+	}
+	toHome struct {
+		Grant *sched.Grant `msgpack:"g,omitempty"`
+	}
+)
+
+// measureFrames sends each message over a connection and reads the length of its frame.
+func measureFrames(options) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = l.Close() }()
+	lengths := make(chan int, 1)
+	go readLengths(l, lengths)
+	node := wire.NewNode(wire.Options{Self: "almaty-a-1/3w5e11264sgsf", HeartbeatEvery: time.Hour, SilentAfter: time.Hour})
+	defer func() { _ = node.Close() }()
+	for i, m := range frameExamples() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		err := node.Send(ctx, l.Addr().String(), m.frame, m.body)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if i == 0 {
+			fmt.Printf("hello: %d bytes\n", <-lengths)
+		}
+		fmt.Printf("%s: %d bytes\n", m.name, <-lengths)
+	}
+	return nil
+}
+
+func readLengths(l net.Listener, lengths chan<- int) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	for {
+		var header [4]byte
+		if _, err := io.ReadFull(conn, header[:]); err != nil {
+			return
+		}
+		n := int64(binary.BigEndian.Uint32(header[:]))
+		if _, err := io.CopyN(io.Discard, conn, n); err != nil {
+			return
+		}
+		lengths <- int(n) + len(header)
+	}
+}
+
+type example struct {
+	name  string
+	frame wire.Type
+	body  any
+}
+
+func frameExamples() []example {
+	q := enqueued("reel-lm/37", 4711)
+	m := members(370)
+	keys := make([]servicemembership.RecordKey, len(m))
+	for i := range m {
+		keys[i] = servicemembership.RecordKey{Name: m[i].Name, Incarnation: 7, Version: 3, State: membership.StateUp}
+	}
+	programs := make([]ids.Program, 100)
+	for i := range programs {
+		programs[i] = ids.NewProgram(journal, uint64(100_000+i))
+	}
+	rng := rand.New(rand.NewPCG(5, 6))
+	beat := membership.Heartbeat{Host: "almaty-a-1", Incarnation: 7, LeaseVersion: 1 << 30, Members: 1 << 62, Ticket: 5_000_000, Leaving: 1 << 61}
+	document := configuration.Document{Config: testConfig(1000)}
+	return []example{
+		{"heartbeat of a link", wire.TypeHeartbeat, nil},
+		{"heartbeat of the membership, the same as its answer", wire.TypeHeartbeat, beat},
+		{"enqueue", wire.TypeEnqueue, toScheduler{Enqueued: &q}},
+		{"finish (sent as enqueue)", wire.TypeEnqueue, toScheduler{Finished: &sched.Finished{Call: q.Call, Group: q.Group, Worker: "reel-lm-4711", PromptTokens: 20_000, CachedTokens: 19_000, GeneratedTokens: 271}}},
+		{"program ended (sent as enqueue)", wire.TypeEnqueue, toScheduler{Ended: &sched.ProgramEnded{Program: q.Call.Program, Group: q.Group, Agent: q.Agent, Turns: 280}}},
+		{"grant", wire.TypeGrant, toHome{Grant: &sched.Grant{Call: q.Call, Group: q.Group, Home: journal, Worker: "reel-lm-4711", WaitedMS: 100}}},
+		{"ticket for one team", wire.TypeTicket, configuration.Pushed{From: "10.1.1.1:8081", Base: 1, Ticket: ticket(2, "team-0001"), At: 1}},
+		{"ticket_fetch", wire.TypeTicketFetch, struct {
+			Number uint64 `msgpack:"n"`
+		}{5_000_000}},
+		{"answer to ticket_fetch, 1,000 teams", wire.TypeAnswer, &document},
+		{"member, one record", wire.TypeMember, servicemembership.MemberMessage{Records: m[:1]}},
+		{"member, one suspicion", wire.TypeMember, servicemembership.MemberMessage{Suspicions: []membership.Suspicion{{Host: "almaty-a-1", Incarnation: 7, LeaseVersion: 1 << 30, SilentMS: 2000}}}},
+		{"member, keys of 370 hosts", wire.TypeMember, servicemembership.MemberMessage{Compare: true, Known: keys}},
+		{"member, records of 370 hosts", wire.TypeMember, servicemembership.MemberMessage{Records: m}},
+		{"handover", wire.TypeHandover, servicemembership.HandoverMessage{Host: "almaty-a-1"}},
+		{"lookup of 100 programs", wire.TypeLookup, struct {
+			Programs []ids.Program `msgpack:"p"`
+		}{programs}},
+		{"leaving, one notice", wire.TypeLeaving, backends.LeavingMessage{Notices: make([]backends.Notice, 1)}},
+		{"relay of a lease renewal", wire.TypeRelay, objectapi.RelayRequest{Op: "update", Kind: objectapi.KindLease, Name: "almaty-a-1", Value: make([]byte, 140), Expected: 1 << 30}},
+		{"payload: call of 1 KB", wire.TypeCall, api.Call{Key: "key-17", Kind: api.CallModel, Model: &api.ModelCall{Prompt: text(rng, 1024)}}},
+		{"payload: stream, one token", wire.TypePiece, api.Piece{Offset: 100, Text: "token"}},
+		{"payload: answer of 271 tokens", wire.TypeAnswer, api.CallAnswer{Program: q.Call.Program, Key: "key-17", Seq: 17, State: "done", Text: text(rng, 271*4), Worker: "reel-lm-4711"}},
+		{"cancel", wire.TypeCancel, nil},
+	}
+}
--- /dev/null
+++ b/cmd/hyssopreel-capacity/main.go
@@ -0,0 +1,71 @@
+// Command hyssopreel-capacity measures what docs/CAPACITY.md is computed from. It prints the measured points and, for
+// each quantity, a least-squares line over them.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Parts    string `long:"parts" default:"memory,events,frames,journal,fleet,takeover" description:"comma-separated parts to run"`
+	Bin      string `long:"bin" default:"bin" description:"folder of the binaries"`
+	Sizes    []int  `long:"hosts" description:"fleet sizes" default:"3" default:"9" default:"30" default:"90"`
+	Programs []int  `long:"programs" description:"numbers of programs" default:"1000" default:"10000" default:"50000"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	parts := []struct {
+		name string
+		run  func(options) error
+	}{
+		{"memory", measureMemory},
+		{"events", measureEvents},
+		{"frames", measureFrames},
+		{"journal", measureJournal},
+		{"fleet", measureFleets},
+		{"takeover", measureTakeovers},
+	}
+	selected := strings.Split(o.Parts, ",")
+	for _, p := range parts {
+		if !slices.Contains(selected, p.name) {
+			continue
+		}
+		started := time.Now()
+		fmt.Printf("\n## %s (%d processors, load average %s)\n", p.name, runtime.NumCPU(), loadAverage())
+		if err := p.run(o); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		fmt.Printf("# %s took %s\n", p.name, time.Since(started).Round(time.Second))
+	}
+	return nil
+}
+
+func loadAverage() string {
+	b, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	f := strings.Fields(string(b))
+	return strings.Join(f[:min(3, len(f))], " ")
+}
--- /dev/null
+++ b/cmd/hyssopreel-capacity/world.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/config"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/core/sched"
+)
+
+const (
+	journal = ids.Journal("almaty-a-1.1")
+	// turnBytes is the text of one turn: 320,000 tokens over 280 turns at about 4 bytes a token.
+	turnBytes = 4571
+	budget    = 1 << 40
+)
+
+// words is a vocabulary; text of random words compresses like prose, unlike repeated or random bytes.
+var words = func() []string {
+	rng := rand.New(rand.NewPCG(1, 2))
+	out := make([]string, 4000)
+	for i := range out {
+		b := make([]byte, 2+rng.IntN(9))
+		for j := range b {
+			b[j] = "etaoinshrdlucmfwypvbgkqjxz"[min(rng.IntN(26), rng.IntN(26))]
+		}
+		out[i] = string(b)
+	}
+	return out
+}()
+
+func text(rng *rand.Rand, n int) string {
+	var b strings.Builder
+	b.Grow(n + 12)
+	for b.Len() < n {
+		b.WriteString(words[min(rng.IntN(len(words)), rng.IntN(len(words)))])
+		b.WriteByte(' ')
+	}
+	return b.String()[:n]
+}
+
+func testConfig(teams int) config.Config {
+	c := config.Config{Number: 1, Objects: config.Objects{
+		Pools:  map[string]*config.Pool{"lm": {Kind: "engine", Model: "m", MaxRunning: 8, CacheTokens: 100_000}},
+		Agents: map[string]*config.Agent{"judge": {Pool: "lm", Class: "interactive", MaxTokens: 1024, MaxTurns: 1 << 20}},
+		Teams:  map[string]*config.Team{},
+	}}
+	for i := range teams {
+		c.Objects.Teams[fmt.Sprintf("team-%04d", i)] = &config.Team{MaxBudgetTokens: budget, MaxOpenPrograms: 1 << 30}
+	}
+	return c
+}
+
+// home is a program reducer whose commits take effect when settle is called.
+type home struct {
+	state    *program.State
+	now      clock.Millis
+	programs []ids.Program
+	rng      *rand.Rand
+	pending  []program.Commit
+	dispatch program.Dispatch
+	enqueue  sched.Enqueued
+	// onCommit, if set, gets the commits instead of pending.
+	onCommit func(program.Commit)
+	// observe, if set, runs an event in place of reduce.
+	observe func(event.Event, func() []event.Effect) []event.Effect
+}
+
+func newHome(programs int) *home {
+	h := &home{state: program.New(), now: 1000, rng: rand.New(rand.NewPCG(3, 4))}
+	h.send(program.Started{Journal: journal, Limits: program.Limits{
+		MaxQueuedCalls: 16, OrderWait: 2 * time.Second, IdleTimeout: 24 * time.Hour, Retention: time.Hour, MaxUnsaved: 1 << 30,
+	}})
+	h.send(program.ConfigChanged{Config: testConfig(10)})
+	h.send(program.GroupsChanged{Groups: map[string]int{"lm": 94}})
+	for range programs {
+		h.open()
+	}
+	h.settle()
+	return h
+}
+
+func (h *home) open() {
+	h.send(program.OpenRequested{Request: api.OpenProgram{Team: "team-0001", Agent: "judge", BudgetTokens: budget}})
+	h.programs = append(h.programs, ids.NewProgram(journal, uint64(len(h.programs)+1)))
+}
+
+func (h *home) send(e event.Event) {
+	reduce := func() []event.Effect { return h.state.Reduce(h.now, e) }
+	var effects []event.Effect
+	if h.observe != nil {
+		effects = h.observe(e, reduce)
+	} else {
+		effects = reduce()
+	}
+	for _, f := range effects {
+		switch f := f.(type) {
+		case program.Commit:
+			if h.onCommit != nil {
+				h.onCommit(f)
+			} else {
+				h.pending = append(h.pending, f)
+			}
+		case program.Dispatch:
+			h.dispatch = f
+		case program.Enqueue:
+			h.enqueue = f.Request
+		}
+	}
+}
+
+// settle makes all commits durable.
+func (h *home) settle() {
+	for len(h.pending) > 0 {
+		upTo := h.pending[len(h.pending)-1].Token
+		h.pending = nil
+		h.send(program.Committed{UpTo: upTo})
+	}
+}
+
+// begin submits a model call and brings it to its dispatch.
+func (h *home) begin(p ids.Program, key string, requestBytes int) {
+	h.send(program.CallSubmitted{Program: p, Call: api.Call{Key: key, Kind: api.CallModel, Model: &api.ModelCall{Prompt: text(h.rng, requestBytes)}}})
+	h.settle()
+	q := h.enqueue
+	h.send(program.Granted{Call: q.Call, Group: q.Group, Worker: "reel-lm-4711"})
+}
+
+// turn runs one whole model call.
+func (h *home) turn(p ids.Program, key string, textBytes int) {
+	h.begin(p, key, textBytes/4)
+	h.send(program.DispatchEnded{
+		Call: h.dispatch.Call, Result: program.ResultDone, Text: text(h.rng, textBytes-textBytes/4),
+		Usage: api.Usage{PromptTokens: 1, GeneratedTokens: 1, CostTokens: 2},
+	})
+	h.settle()
+}
