--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -122,7 +122,7 @@
 }
 
 // NewJournal returns the writer of a journal that has no segments yet. It waits interval for more records
-// before it writes a batch.
+// before each batch, so that the store's write rate does not depend on the load.
 func NewJournal(id ids.Journal, store objectapi.Store, interval time.Duration, ev JournalEvents) (*Journal, error) {
 	c, err := newCodec()
 	if err != nil {
@@ -180,17 +180,30 @@
 			return
 		case <-j.wake:
 		}
-		if !sleep(ctx, j.interval) {
-			return
-		}
 		for !j.Empty() {
-			if !j.writeBatch(ctx) {
+			if !j.collect(ctx) || !j.writeBatch(ctx) {
 				return
 			}
 		}
 	}
 }
 
+// collect waits for more records: for the batch interval, or until they fill a segment.
+func (j *Journal) collect(ctx context.Context) bool {
+	t := time.NewTimer(j.interval)
+	defer t.Stop()
+	for j.Unsaved() < maxBatchBytes {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return true
+		case <-j.wake:
+		}
+	}
+	return true
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- /dev/null
+++ b/service/home/journal_test.go
@@ -0,0 +1,74 @@
+package home
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+// startJournal runs a journal over a store whose writes take some time; committed gets the tokens.
+func startJournal(t *testing.T, interval, write time.Duration) (j *Journal, store *objectapi.Memory, committed chan program.Token) {
+	t.Helper()
+	store = objectapi.NewMemory()
+	committed = make(chan program.Token, 1000)
+	j, err := NewJournal("a-1.1", slowStore{store, write}, interval, JournalEvents{
+		Committed: func(upTo program.Token) { committed <- upTo }, StoreChanged: func(bool) {}, Deposed: func(string) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go j.Run(ctx)
+	return j, store, committed
+}
+
+type slowStore struct {
+	objectapi.Store
+	write time.Duration
+}
+
+func (s slowStore) Create(ctx context.Context, kind, name string, value []byte) (objectapi.Version, error) {
+	time.Sleep(s.write)
+	return s.Store.Create(ctx, kind, name, value)
+}
+
+func commitOf(token program.Token, bytes int) program.Commit {
+	return program.Commit{Token: token, Records: []program.Record{{Op: program.OpTurn, Program: "a-1.1-1", Turn: &api.Turn{Answer: strings.Repeat("x", bytes)}}}}
+}
+
+// TestBatchInterval guards against a write rate that follows the load: records that come during a write were written
+// at once instead of after the interval.
+func TestBatchInterval(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	j, store, _ := startJournal(t, interval, 20*time.Millisecond)
+	start := time.Now()
+	for token := program.Token(1); time.Since(start) < 400*time.Millisecond; token++ {
+		j.Append(commitOf(token, 10))
+		time.Sleep(time.Millisecond)
+	}
+	_, writes := store.Counts()
+	if most := int(time.Since(start)/interval) + 1; writes > most || writes == 0 {
+		t.Errorf("%d writes in %s, want 1 to %d", writes, time.Since(start), most)
+	}
+}
+
+// TestFullBatch guards against a backlog that leaves at one segment an interval.
+func TestFullBatch(t *testing.T) {
+	j, _, committed := startJournal(t, time.Hour, 0)
+	for token := program.Token(1); token <= 3; token++ {
+		j.Append(commitOf(token, maxBatchBytes))
+	}
+	for range 3 {
+		select {
+		case <-committed:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a full segment waits for the batch interval")
+		}
+	}
+}
