Measure idle fleets after the links of their start were closed

Cause: links to former finger peers stay open for 30 s and doubled the frames of a fleet that had just started. The takeover part also failed on a platform that had no call of a kind yet.

--- a/cmd/hyssopreel-capacity/fleet.go
+++ b/cmd/hyssopreel-capacity/fleet.go
@@ -13,14 +13,17 @@
 	"strings"
 	"time"
 
+	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/config"
 	"github.com/hyssopreel/hyssopreel/internal/testbed"
 	"github.com/hyssopreel/hyssopreel/standin/platform"
 )
 
 const (
-	// settleTime lets a fleet exchange its records before it is measured.
+	// settleTime lets a fleet exchange its records before it is measured. A larger fleet also gets the time after which
+	// the links of its start, when the finger peers change with every new host, are closed as idle.
 	settleTime = 4 * time.Second
+	settleFrom = 30 // hosts
 	// idleTime is the time over which an idle fleet is measured: three renewals of 4 s.
 	idleTime = 12 * time.Second
 	// tickets is the number of tickets whose way through a fleet is measured.
@@ -164,6 +167,9 @@
 		return err
 	}
 	time.Sleep(settleTime)
+	if n >= settleFrom {
+		time.Sleep(wire.DefaultIdleAfter)
+	}
 	if err := measureIdle(bed, n, s); err != nil {
 		return err
 	}
@@ -208,6 +214,15 @@
 	s.written.add(hosts, total.written/took/hosts)
 	fmt.Printf("  bytes read: %.5g a second and host\n", total.read/took/hosts)
 	s.writes.add(hosts, total.writeCalls/took/hosts)
+	links := 0
+	for _, h := range bed.Hosts {
+		state, err := bed.LinkState(h)
+		if err != nil {
+			return err
+		}
+		links += state.Links
+	}
+	fmt.Printf("  accepted links: %.4g a host\n", float64(links)/hosts)
 	printCalls(callsBefore, calls, took, hosts)
 	return nil
 }
@@ -224,12 +239,8 @@
 			a.Conflicts-b.Conflicts, a.Refused-b.Refused, float64(a.Reads-b.Reads+a.Writes-b.Writes)/seconds/hosts)
 	}
 	for _, k := range kinds {
-		var b platform.Calls
-		if c := before.ByKind[k]; c != nil {
-			b = *c
-		}
-		if *after.ByKind[k] != b {
-			line(k, b, *after.ByKind[k])
+		if a, b := callsOf(after, k), callsOf(before, k); a != b {
+			line(k, b, a)
 		}
 	}
 	backends := func(c platform.Counters) platform.Calls { return platform.Calls{Reads: c.Backends} }
@@ -238,6 +249,14 @@
 	fmt.Printf("  waiting watches: %d\n", after.Waiting)
 }
 
+// callsOf returns the calls of one object kind.
+func callsOf(c platform.Counters, kind string) platform.Calls {
+	if k := c.ByKind[kind]; k != nil {
+		return *k
+	}
+	return platform.Calls{}
+}
+
 func apply(bed *testbed.Bed, via *testbed.Host, t config.Ticket) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
@@ -271,13 +290,8 @@
 		return err
 	}
 	for _, kind := range []string{"config", "tickets"} {
-		a, b := calls.ByKind[kind], callsBefore.ByKind[kind]
-		if b == nil {
-			b = &platform.Calls{}
-		}
-		if a != nil {
-			fmt.Printf("  store calls for %d tickets, %s: %d reads, %d writes, %d watches\n", tickets, kind, a.Reads-b.Reads, a.Writes-b.Writes, a.Watches-b.Watches)
-		}
+		a, b := callsOf(calls, kind), callsOf(callsBefore, kind)
+		fmt.Printf("  store calls for %d tickets, %s: %d reads, %d writes, %d watches\n", tickets, kind, a.Reads-b.Reads, a.Writes-b.Writes, a.Watches-b.Watches)
 	}
 	s.add(float64(n), float64(longest.Milliseconds()))
 	return nil
--- a/cmd/hyssopreel-capacity/takeover.go
+++ b/cmd/hyssopreel-capacity/takeover.go
@@ -79,7 +79,7 @@
 		return 0, err
 	}
 	fmt.Printf("%d programs of one turn were opened in %s (batch interval 10 ms): %.4g journal writes per 1,000 turns\n", programs,
-		time.Since(start).Round(time.Millisecond), 1000*float64(calls.ByKind["journal"].Writes-before.ByKind["journal"].Writes)/float64(programs))
+		time.Since(start).Round(time.Millisecond), 1000*float64(callsOf(calls, "journal").Writes-callsOf(before, "journal").Writes)/float64(programs))
 	killed := time.Now()
 	if err := victim.Kill(); err != nil {
 		return 0, err
@@ -96,7 +96,7 @@
 	}
 	fmt.Printf("lease %s, %d programs: all are served %s after the kill; ", lease, programs, took.Round(time.Millisecond))
 	for _, kind := range []string{"journal", "leases", "members"} {
-		a, b := after.ByKind[kind], calls.ByKind[kind]
+		a, b := callsOf(after, kind), callsOf(calls, kind)
 		fmt.Printf("%s: %d reads and %d writes; ", kind, a.Reads-b.Reads, a.Writes-b.Writes)
 	}
 	for _, h := range bed.Hosts[1:] {
