--- a/service/home/home.go
+++ b/service/home/home.go
@@ -22,8 +22,6 @@
 const (
 	// tickEvery lets time pass in the reducer; it bounds how late a call that waits for its turn is refused.
 	tickEvery = 250 * time.Millisecond
-	// maxSegments is the length of a journal at which its home writes a snapshot.
-	maxSegments = 256
 )
 
 // Options are what a Home needs.
@@ -91,7 +89,7 @@
 	go h.journal.Run(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	var snapshotAt uint64
+	asked := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -101,10 +99,10 @@
 			h.link.tick()
 			h.hub.sweep()
 			// The next snapshot is not asked for before this one has cut the journal.
-			if n := h.journal.Segments(); n < maxSegments {
-				snapshotAt = 0
-			} else if snapshotAt == 0 {
-				snapshotAt = n
+			if !h.journal.SnapshotDue() {
+				asked = false
+			} else if !asked {
+				asked = true
 				h.rt.Publish(program.SnapshotRequested{})
 			}
 		}
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -23,6 +23,12 @@
 	// maxBatchBytes closes a batch before compression, so that a segment stays below the 1 MB that the
 	// store holds in a value even if nothing compresses.
 	maxBatchBytes = 768 << 10
+	// minSegments is the length of a journal at which its home writes the first snapshot.
+	minSegments = 256
+	// snapshotFactor is the length of a journal, in lengths of its last snapshot, at which the next one is due. With 3,
+	// snapshots add half a segment for each segment of new records, and a reader reads at most three times the
+	// state.
+	snapshotFactor = 3
 	// storeWait is how long a commit may wait before programs go on without it.
 	storeWait = time.Second
 	// minRetry and maxRetry bound the pause between two tries of one write.
@@ -119,6 +125,8 @@
 	firstSegment uint64
 	// snapshotStart is the first segment of the snapshot that is being written, or 0.
 	snapshotStart uint64
+	// snapshotSegments is the length of the last snapshot.
+	snapshotSegments uint64
 }
 
 // NewJournal returns the writer of a journal that has no segments yet. It waits interval for more records
@@ -165,11 +173,13 @@
 	return j.unsaved
 }
 
-// Segments returns the number of segments that a reader of the journal has to read.
-func (j *Journal) Segments() uint64 {
+// SnapshotDue says whether the journal is long enough for a snapshot: at least minSegments, and several times the last
+// snapshot. A snapshot of a large state is longer than minSegments itself, and without the second condition the next
+// one would begin as soon as it is written.
+func (j *Journal) SnapshotDue() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.next - j.firstSegment
+	return j.next-j.firstSegment >= max(minSegments, snapshotFactor*j.snapshotSegments)
 }
 
 // Run writes batches until ctx is done or the journal is sealed.
@@ -320,7 +330,7 @@
 func (j *Journal) cut(ctx context.Context) {
 	j.mu.Lock()
 	first, start := j.firstSegment, j.snapshotStart
-	j.snapshotStart = 0
+	j.snapshotStart, j.snapshotSegments = 0, j.next-start
 	j.mu.Unlock()
 	for ; first < start; first++ {
 		err := j.store.Delete(ctx, objectapi.KindJournal, segmentName(j.id, first), 0)
--- a/service/home/journal_test.go
+++ b/service/home/journal_test.go
@@ -72,3 +72,33 @@
 		}
 	}
 }
+
+// TestSnapshotOfLargeState guards against snapshots without end: a snapshot that is longer than the least length of a
+// journal made the next one due at once.
+func TestSnapshotOfLargeState(t *testing.T) {
+	j, store, committed := startJournal(t, time.Millisecond, 0)
+	snapshot := program.Commit{Token: 1, Snapshot: true, Records: []program.Record{{Op: program.OpSnapshotStart}}}
+	record := commitOf(1, maxBatchBytes-100).Records[0] // fills a segment
+	for range minSegments + 44 {
+		snapshot.Records = append(snapshot.Records, record)
+	}
+	snapshot.Records = append(snapshot.Records, program.Record{Op: program.OpSnapshotEnd})
+	j.Append(snapshot)
+	select {
+	case <-committed:
+	case <-time.After(time.Minute):
+		t.Fatal("the snapshot was not written")
+	}
+	if _, writes := store.Counts(); writes < minSegments {
+		t.Fatalf("the snapshot took %d segments; the test needs at least %d", writes, minSegments)
+	}
+	if j.SnapshotDue() {
+		t.Error("the next snapshot is due as soon as the first is written")
+	}
+	j.mu.Lock()
+	j.next += 2 * (minSegments + 46)
+	j.mu.Unlock()
+	if !j.SnapshotDue() {
+		t.Error("no snapshot is due after twice its length in new segments")
+	}
+}
