Keep only a few numbers of a settled call besides its turn

Ruled out: forgetting old keys; a repeated key must get its recorded answer (docs/design.md, section 4).

A call that is finished and durable is replaced by its hash, its status and the index of its turn (16 bytes); the answer to a repeated key is built from the turn.

--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -35,7 +35,7 @@
 		return
 	}
 	hash := callHash(e.Call)
-	if c, ok := p.calls[e.Call.Key]; ok {
+	if c, ok := p.call(e.Call.Key); ok {
 		r.join(p, c, hash, e)
 		return
 	}
--- a/core/program/read.go
+++ b/core/program/read.go
@@ -35,7 +35,7 @@
 	case QueryHistory:
 		r.emit(Reply{Waiter: e.Waiter, History: &api.History{ID: p.id, Turns: slices.Clone(p.turns)}})
 	case QueryCall:
-		c, ok := p.calls[e.Key]
+		c, ok := p.call(e.Key)
 		if !ok {
 			r.fail(e.Waiter, fault.New(fault.CodeNotFound, "read call", "program %s has no call with key %q", p.id, e.Key))
 			return
--- a/core/program/records.go
+++ b/core/program/records.go
@@ -59,7 +59,7 @@
 	p := &program{
 		id: rec.Program, header: h, state: StateOpen, active: h.OpenedAt,
 		spent: h.Spent, workers: slices.Clone(h.Workers),
-		calls: map[string]*call{}, intents: map[string]uint64{},
+		calls: map[string]*call{}, settled: map[string]settledCall{}, intents: map[string]uint64{},
 	}
 	s.programs[p.id] = p
 	s.open[h.Team]++
@@ -96,10 +96,10 @@
 	}
 	c, ok := p.calls[rec.Key]
 	if !ok {
-		c = &call{request: api.Call{Key: rec.Key, Seq: t.Seq, Kind: t.Kind}, hash: rec.Hash, state: callFinished, durable: true}
-		p.calls[rec.Key] = c
+		p.settled[rec.Key] = settledCall{hash: rec.Hash, turn: int32(len(p.turns) - 1), status: int32(rec.Status)}
+		return
 	}
-	c.turn, c.status = t, rec.Status
+	c.turn, c.status, c.index = t, rec.Status, len(p.turns)-1
 }
 
 // served notes that a worker may hold the program's cache; the latest worker is the last.
@@ -149,7 +149,7 @@
 	for i := range p.turns {
 		t := p.turns[i]
 		rec := Record{Op: OpTurn, Program: p.id, Key: t.Key, Turn: &t, Tokens: t.Usage.CostTokens}
-		if c, ok := p.calls[t.Key]; ok {
+		if c, ok := p.call(t.Key); ok {
 			rec.Hash, rec.Status = c.hash, c.status
 		}
 		out = append(out, rec)
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -110,8 +110,9 @@
 	usage api.Usage
 
 	turns   []api.Turn
-	calls   map[string]*call // all calls by key
-	waiting []*call          // in arrival order
+	calls   map[string]*call       // calls that are not finished or not durable, by key
+	settled map[string]settledCall // all other calls, by key
+	waiting []*call                // in arrival order
 	running *call
 
 	intents  map[string]uint64 // hash by key of intents without an outcome; used when records are replayed
@@ -155,6 +156,14 @@
 	turn    api.Turn
 	status  int
 	durable bool
+	index   int // of its turn in the program's history, once it is recorded
+}
+
+// settledCall is what is kept of a finished and durable call besides its turn; a program has up to 280 of them.
+type settledCall struct {
+	hash   uint64
+	turn   int32 // index of its turn
+	status int32
 }
 
 // New returns the state of a home without programs. Started tells it its journal.
@@ -309,6 +318,8 @@
 		r.dispatch(prog, c)
 	case p.next == stepTurn:
 		c.durable = true
+		delete(prog.calls, p.key)
+		prog.settled[p.key] = settledCall{hash: c.hash, turn: int32(c.index), status: int32(c.status)}
 		if c.state == callCommitting {
 			r.finish(prog, c)
 		}
@@ -383,6 +394,22 @@
 	r.running = map[ids.Program]struct{}{}
 }
 
+// call returns a call by its key. That of a settled one is a copy.
+func (p *program) call(key string) (*call, bool) {
+	if c, ok := p.calls[key]; ok {
+		return c, true
+	}
+	s, ok := p.settled[key]
+	if !ok {
+		return nil, false
+	}
+	t := p.turns[s.turn]
+	return &call{
+		request: api.Call{Key: key, Seq: t.Seq, Kind: t.Kind}, hash: s.hash, state: callFinished, turn: t, status: int(s.status),
+		durable: true, index: int(s.turn),
+	}, true
+}
+
 func (p *program) callID(c *call) sched.CallID {
 	return sched.CallID{Program: p.id, Key: c.request.Key, Attempt: c.attempt}
 }
