--- a/cmd/hyssopreel-capacity/takeover.go
+++ b/cmd/hyssopreel-capacity/takeover.go
@@ -13,8 +13,12 @@
 	"github.com/hyssopreel/hyssopreel/internal/testbed"
 )
 
-// callers is the number of callers that open programs at the same time.
-const callers = 32
+const (
+	// callers is the number of callers that open programs at the same time.
+	callers = 32
+	// samples is the number of programs that are asked for after the kill.
+	samples = 20
+)
 
 func measureTakeovers(o options) error {
 	byPrograms := newSeries("takeover with a lease of 2s", "programs", "ms")
@@ -45,7 +49,7 @@
 	return nil
 }
 
-// measureTakeover kills a host that has programs of one turn and returns the time until the last of them is served.
+// measureTakeover kills a host that has programs of one turn and returns the time until they are served again.
 func measureTakeover(o options, lease, renew time.Duration, programs int) (time.Duration, error) {
 	settings := targetSettings()
 	settings["lease.duration"], settings["lease.renew"] = lease.String(), renew.String()
@@ -84,8 +88,9 @@
 	if err := victim.Kill(); err != nil {
 		return 0, err
 	}
-	for _, id := range open {
-		if err := waitServed(bed, other, id, killed); err != nil {
+	// All programs of a journal are adopted by one event, so some of them stand for all.
+	for i := 0; i < len(open); i += max(1, len(open)/samples) {
+		if err := waitServed(bed, other, open[i], killed); err != nil {
 			return 0, err
 		}
 	}
@@ -94,7 +99,7 @@
 	if err != nil {
 		return 0, err
 	}
-	fmt.Printf("lease %s, %d programs: all are served %s after the kill; ", lease, programs, took.Round(time.Millisecond))
+	fmt.Printf("lease %s, %d programs: served again %s after the kill; ", lease, programs, took.Round(time.Millisecond))
 	for _, kind := range []string{"journal", "leases", "members"} {
 		a, b := callsOf(after, kind), callsOf(calls, kind)
 		fmt.Printf("%s: %d reads and %d writes; ", kind, a.Reads-b.Reads, a.Writes-b.Writes)
