--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -36,7 +36,7 @@
 		return
 	}
 	hash := callHash(e.Call)
-	if c, ok := p.calls[e.Call.Key]; ok {
+	if c, ok := p.call(e.Call.Key); ok {
 		r.join(p, c, hash, e)
 		return
 	}
@@ -163,6 +163,7 @@
 		if c.request.Seq == 0 || c.request.Seq == next {
 			p.waiting = slices.Delete(p.waiting, i, i+1)
 			p.running = c
+			r.running[p.id] = struct{}{}
 			r.reserve(p, c)
 			return
 		}
@@ -271,6 +272,7 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *call) bool { return o == c })
 	if p.running == c {
 		p.running = nil
+		delete(r.running, p.id)
 	}
 	for _, o := range p.waiting {
 		o.since = r.at
--- a/service/backends/backends.go
+++ b/service/backends/backends.go
@@ -38,9 +38,9 @@
 	stateUnreachable = "unreachable"
 )
 
-// callExpiry is five times the interval at which homes name their calls to the group's scheduler again, so that
-// four lost messages in a row do no harm.
-const callExpiry = 15 * time.Second
+// callExpiry is more than twice the interval at which homes report their calls in flight to the group's scheduler
+// (a minute), so that one lost report does no harm.
+const callExpiry = 150 * time.Second
 
 // View is the part of the membership that the service uses.
 type View interface {
--- a/service/home/journal_test.go
+++ b/service/home/journal_test.go
@@ -166,7 +166,9 @@
 		}
 		j.Append(commitOf(1, records...))
 		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
-		Expect(j.Segments()).To(BeNumerically(">", 2))
+		segments, _, err := store.List(ctx, objectapi.KindJournal, string(self)+"/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(segments)).To(BeNumerically(">", 2))
 		Expect(j.Unsaved()).To(BeZero())
 		read, err := home.Seal(ctx, store, self, heir)
 		Expect(err).NotTo(HaveOccurred())
