Replay recorded event logs to stated outcomes

Cause: hyssopreelctl replay compared effects only, which no person can read, and no recorded run was kept.

Found and fixed: - The turn of a call whose outcome is unknown after a takeover had neither kind nor request: a restored intent kept only the hash of its call. It now keeps the record. A new incarnation now renames an existing log.

Ruled out: effects that depend on the order of a map; two replays of each trace gave the same bytes.

--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -25,7 +25,7 @@
 	exitUnknown  = 3 // the request may have run
 	exitConflict = 4 // another ticket was accepted, or the tag belongs to another ticket
 	exitDone     = 5 // the request ran, and an error was reported all the same
-	exitDiffers  = 6 // a replay gave other effects than expected
+	exitDiffers  = 6 // a replay gave other outcomes or effects than expected
 )
 
 const description = `hyssopreelctl shows and changes a hyssopreel deployment. It talks to any of its hosts.
@@ -37,7 +37,7 @@
   3  the outcome is unknown: the request may have run
   4  conflict: another ticket was accepted with this number or a higher one
   5  the request ran, and an error was reported all the same
-  6  a replay gave other effects than expected
+  6  a replay gave other outcomes or effects than expected
 
 Example:
   hyssopreelctl --host 10.0.0.1:7070 --host 10.0.0.2:7070 ticket list`
@@ -116,7 +116,7 @@
 	return report(stderr, a.Output, err)
 }
 
-// errDiffers is the result of a replay with other effects than expected.
+// errDiffers is the result of a replay with other outcomes or effects than expected.
 type errDiffers struct{ message string }
 
 func (e *errDiffers) Error() string { return e.message }
@@ -210,7 +210,7 @@
 	pool := d.group(p.Command, "pool", "Show pools")
 	d.add(pool, "list", "List the pools and their workers", "", "pool list", &poolList{})
 	d.add(p.Command, "replay", "Run an event log through the reducer and show its effects",
-		"The log is the one that a daemon writes with the setting event_log. With --expect, the effects are compared byte for byte with a file written by --output json.",
-		"replay events.log --expect effects.json", &replay{})
+		"The log is the one that a daemon writes with the setting event_log. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
+		"replay events.log --expect outcomes.json", &replayCommand{})
 	return d.err
 }
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -198,3 +198,27 @@
 		})
 	})
 })
+
+// Guards against outcomes that are compared as effects, and against a difference that is not reported.
+var _ = ginkgo.Describe("replay of a recorded trace", func() {
+	const trace = "../../testdata/traces/tallowcreek/delta-a-1"
+	ctl := func(args ...string) result {
+		var out, errOut bytes.Buffer
+		code := run(context.Background(), append([]string{"replay", trace + ".events.zst"}, args...), strings.NewReader(""), &out, &errOut)
+		return result{code, out.String(), errOut.String()}
+	}
+
+	ginkgo.It("compares the outcomes with stated ones", func() {
+		stated, err := os.ReadFile(trace + ".outcomes.json")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(ctl("--outcomes").out).To(gomega.Equal(string(stated)))
+		gomega.Expect(ctl("--expect", trace+".outcomes.json").code).To(gomega.Equal(exitOK))
+		changed := filepath.Join(ginkgo.GinkgoT().TempDir(), "changed.json")
+		content := strings.Replace(string(stated), `"spent_tokens": 1`, `"spent_tokens": 2`, 1)
+		gomega.Expect(content).NotTo(gomega.Equal(string(stated)))
+		gomega.Expect(os.WriteFile(changed, []byte(content), 0o600)).To(gomega.Succeed())
+		r := ctl("--expect", changed)
+		gomega.Expect(r.code).To(gomega.Equal(exitDiffers))
+		gomega.Expect(r.errOut).To(gomega.ContainSubstring("outcomes differ"))
+	})
+})
--- a/cmd/hyssopreelctl/replay.go
+++ b/cmd/hyssopreelctl/replay.go
@@ -10,43 +10,35 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hyssopreel/hyssopreel/core"
-	"github.com/hyssopreel/hyssopreel/core/event"
-	"github.com/hyssopreel/hyssopreel/core/host"
-	"github.com/hyssopreel/hyssopreel/service/runtime"
+	"github.com/hyssopreel/hyssopreel/service/replay"
 )
 
-// newReducer returns the state in which a daemon starts.
-var newReducer = host.NewState
-
-type replay struct {
-	Expect string `long:"expect" value-name:"EFFECTS" description:"file of expected effects, written by --output json"`
-	Args   struct {
-		File string `positional-arg-name:"FILE" description:"event log of a daemon"`
+type replayCommand struct {
+	Expect   string `long:"expect" value-name:"FILE" description:"file of stated outcomes, or of expected effects written by --output json"`
+	Outcomes bool   `long:"outcomes" description:"show the outcomes, as --expect takes them, and not the effects"`
+	Args     struct {
+		File string `positional-arg-name:"FILE" description:"event log of a daemon; it may be compressed with zstd"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// effectLine is one effect. encoding/json sorts map keys, so that equal effects give equal bytes.
-type effectLine struct {
-	Event  int          `json:"event"` // index of the event in the log, from 1
-	AtMS   int64        `json:"at_ms"`
-	Cause  event.Kind   `json:"cause"`
-	Kind   event.Kind   `json:"kind"`
-	Effect event.Effect `json:"effect"`
-}
-
-func (c *replay) run(a *app) error {
+func (c *replayCommand) run(a *app) error {
 	f, err := os.Open(c.Args.File)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	if c.Expect != "" {
+	switch {
+	case c.Expect != "":
 		return c.compare(a, f)
-	}
-	if a.Output == "json" {
+	case c.Outcomes:
+		o, err := replay.ReadOutcomes(f)
+		if err != nil {
+			return err
+		}
+		return o.Write(a.stdout)
+	case a.Output == "json":
 		w := bufio.NewWriter(a.stdout)
-		err := replayLog(f, func(l effectLine) error { return writeLine(w, l) })
+		err := replay.Effects(f, func(l replay.EffectLine) error { return l.Write(w) })
 		return errors.CombineErrors(err, w.Flush())
 	}
 	return a.printReplay(f)
@@ -55,7 +47,7 @@
 func (a *app) printReplay(f io.Reader) error {
 	var replayErr error
 	err := a.print(nil, "EVENT AT CAUSE EFFECT CONTENT", func(add func(...any)) {
-		replayErr = replayLog(f, func(l effectLine) error {
+		replayErr = replay.Effects(f, func(l replay.EffectLine) error {
 			content, err := json.Marshal(l.Effect)
 			add(l.Event, l.AtMS, l.Cause, l.Kind, string(content))
 			return err
@@ -67,16 +59,41 @@
 	return replayErr
 }
 
-// compare reports the first effect that differs from the expected ones.
-func (c *replay) compare(a *app, f io.Reader) error {
+// compare compares with stated outcomes if the file has them, and else with effects.
+func (c *replayCommand) compare(a *app, f io.Reader) error {
 	expected, err := os.ReadFile(c.Expect)
 	if err != nil {
 		return err
 	}
+	if stated, err := replay.ParseOutcomes(expected); err == nil {
+		return compareOutcomes(a, f, stated)
+	} else if c.Outcomes {
+		return errors.Wrap(err, c.Expect)
+	}
+	return compareEffects(a, f, expected)
+}
+
+func compareOutcomes(a *app, f io.Reader, stated *replay.Outcomes) error {
+	replayed, err := replay.ReadOutcomes(f)
+	if err != nil {
+		return err
+	}
+	d, err := replay.Difference(stated, replayed)
+	if err != nil {
+		return err
+	}
+	if d != "" {
+		return &errDiffers{d}
+	}
+	return a.done("All outcomes of %d programs and %d answers are as stated.", len(stated.Programs), len(stated.Answers))
+}
+
+// compareEffects reports the first effect that differs from the expected ones.
+func compareEffects(a *app, f io.Reader, expected []byte) error {
 	rest, n := expected, 0
-	err = replayLog(f, func(l effectLine) error {
+	err := replay.Effects(f, func(l replay.EffectLine) error {
 		var b bytes.Buffer
-		if err := writeLine(&b, l); err != nil {
+		if err := l.Write(&b); err != nil {
 			return err
 		}
 		n++
@@ -96,33 +113,3 @@
 	}
 	return a.done("All %d effects are as expected.", n)
 }
-
-func writeLine(w io.Writer, l effectLine) error {
-	e := json.NewEncoder(w)
-	e.SetEscapeHTML(false)
-	return errors.Wrapf(e.Encode(l), "encode effect %s", l.Kind)
-}
-
-// replayLog reduces the events of a log from the initial state and passes on each effect.
-func replayLog(log io.Reader, fn func(effectLine) error) error {
-	state := newReducer()
-	rd := bufio.NewReader(log)
-	for i := 1; ; i++ {
-		b, err := runtime.ReadRecord(rd)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrapf(err, "event %d", i)
-		}
-		e, err := event.Decode(b)
-		if err != nil {
-			return errors.Wrapf(err, "event %d", i)
-		}
-		for _, eff := range core.Reduce(state, e) {
-			if err := fn(effectLine{Event: i, AtMS: int64(e.At), Cause: e.Event.EventKind(), Kind: eff.EffectKind(), Effect: eff}); err != nil {
-				return err
-			}
-		}
-	}
-}
--- a/core/program/records.go
+++ b/core/program/records.go
@@ -39,7 +39,7 @@
 	case OpCharged:
 		p.spent += rec.Tokens
 	case OpIntent:
-		p.intents[rec.Key] = rec.Hash
+		p.intents[rec.Key] = *rec
 	case OpWithdrawn:
 		delete(p.intents, rec.Key)
 	case OpTurn:
@@ -59,7 +59,7 @@
 	p := &program{
 		id: rec.Program, header: h, state: StateOpen, active: h.OpenedAt,
 		spent: h.Spent, workers: slices.Clone(h.Workers),
-		calls: map[string]*call{}, intents: map[string]uint64{},
+		calls: map[string]*call{}, intents: map[string]Record{},
 	}
 	s.programs[p.id] = p
 	s.open[h.Team]++
@@ -155,7 +155,7 @@
 		out = append(out, rec)
 	}
 	for _, k := range slices.Sorted(maps.Keys(p.intents)) {
-		out = append(out, Record{Op: OpIntent, Program: p.id, Key: k, Hash: p.intents[k]})
+		out = append(out, p.intents[k])
 	}
 	if p.state != StateOpen {
 		out = append(out, Record{Op: OpEnded, Program: p.id, State: p.state, At: p.ended, Workers: slices.Clone(p.releases)})
@@ -214,14 +214,17 @@
 	p.spent += p.chunk // reserved and not settled counts as spent
 	p.chunk = 0
 	intents := p.intents
-	p.intents = map[string]uint64{}
+	p.intents = map[string]Record{}
 	records := p.export()
 	if p.state != StateOpen {
 		return records
 	}
 	for i, k := range slices.Sorted(maps.Keys(intents)) {
 		t := api.Turn{Seq: len(p.turns) + 1 + i, Key: k, Error: errOutcomeUnknown("takeover", "its home failed after the request may have been sent")}
-		records = append(records, Record{Op: OpTurn, Program: p.id, Key: k, Hash: intents[k], Turn: &t})
+		if c := intents[k].Call; c != nil {
+			t.Kind, t.Request = c.Kind, requestText(*c)
+		}
+		records = append(records, Record{Op: OpTurn, Program: p.id, Key: k, Hash: intents[k].Hash, Turn: &t})
 	}
 	// The child of an agent call has no caller of its own: its parent's call is unknown now.
 	if p.header.ParentKey != "" {
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -114,7 +114,7 @@
 	waiting []*call          // in arrival order
 	running *call
 
-	intents  map[string]uint64 // hash by key of intents without an outcome; used when records are replayed
+	intents  map[string]Record // by key: intents without an outcome; used when records are replayed
 	workers  []string          // workers that served the program, the latest last
 	releases []string          // workers that still have to release the ended program's cache
 
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -105,9 +105,9 @@
 	d := &Daemon{settings: s, clock: clock.System(), deposed: make(chan string, 1), drain: make(chan struct{}, 1)}
 	d.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	if s.EventLog.Path != "" {
-		f, err := os.OpenFile(s.EventLog.Path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		f, err := createEventLog(s.EventLog.Path)
 		if err != nil {
-			return nil, errors.Wrap(err, "open event log")
+			return nil, err
 		}
 		d.log = f
 	}
@@ -133,6 +133,25 @@
 	return d, nil
 }
 
+// createEventLog begins the log of a new incarnation. An existing log gets the next free number as its suffix: a
+// replay starts from the state of a host that has just started, so one log holds one incarnation.
+func createEventLog(path string) (*os.File, error) {
+	if _, err := os.Stat(path); err == nil {
+		for n := 1; ; n++ {
+			old := path + "." + strconv.Itoa(n)
+			if _, err := os.Stat(old); err == nil {
+				continue
+			}
+			if err := os.Rename(path, old); err != nil {
+				return nil, errors.Wrap(err, "rename event log")
+			}
+			break
+		}
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	return f, errors.Wrap(err, "create event log")
+}
+
 func (d *Daemon) buildHome() {
 	s := d.settings
 	d.home = home.New(home.Options{
--- /dev/null
+++ b/service/replay/outcomes.go
@@ -0,0 +1,285 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/configuration"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+// Outcomes are what a log comes to: the state after its last event, and what left the host on the way.
+type Outcomes struct {
+	// Ticket is the number in force after the last event.
+	Ticket   uint64    `json:"ticket"`
+	Programs []Program `json:"programs"`
+	// DispatchedOnce counts the dispatches of each call that may not be repeated, by "<program>/<key>".
+	DispatchedOnce map[string]int `json:"dispatched_once"`
+	Answers        []Answer       `json:"answers"`
+}
+
+// Program is one program after the last event.
+type Program struct {
+	ID           ids.Program `json:"id"`
+	State        string      `json:"state"`
+	BudgetTokens int64       `json:"budget_tokens"`
+	SpentTokens  int64       `json:"spent_tokens"`
+	Turns        []Turn      `json:"turns"`
+}
+
+// Turn is one turn of a history. Outcome is "done", or the code and the outcome of its error.
+type Turn struct {
+	Seq        int          `json:"seq"`
+	Key        string       `json:"key"`
+	Kind       api.CallKind `json:"kind"`
+	Outcome    string       `json:"outcome"`
+	CostTokens int64        `json:"cost_tokens"`
+}
+
+// Answer is what one waiter asked for and heard. A waiter that heard nothing has the answer "none".
+type Answer struct {
+	Waiter  program.WaiterID `json:"waiter"`
+	Request string           `json:"request"`
+	Answer  string           `json:"answer"`
+}
+
+const noAnswer = "none"
+
+// notListed stands for the waiters of the reconciliation of caches, which asks periodically and has no caller.
+const notListed = -1
+
+// collector gathers outcomes while a log is replayed.
+type collector struct {
+	out     Outcomes
+	waiters map[program.WaiterID]int // index in out.Answers
+}
+
+// ReadOutcomes replays a log and returns its outcomes. A second answer to a waiter and an answer without a
+// waiter are errors.
+func ReadOutcomes(log io.Reader) (*Outcomes, error) {
+	c := collector{
+		out:     Outcomes{Programs: []Program{}, DispatchedOnce: map[string]int{}, Answers: []Answer{}},
+		waiters: map[program.WaiterID]int{},
+	}
+	state, at, err := Run(log, func(i int, e event.Envelope, effects []event.Effect) error {
+		c.asked(e.Event)
+		for _, eff := range effects {
+			if err := c.effect(eff); err != nil {
+				return errors.Wrapf(err, "event %d", i)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &c.out, c.programs(state, at)
+}
+
+func (c *collector) asked(e event.Event) {
+	switch e := e.(type) {
+	case program.OpenRequested:
+		c.wait(e.Waiter, "open %s for %s", e.Request.Agent, e.Request.Team)
+	case program.CallSubmitted:
+		c.wait(e.Waiter, "call %s/%s", e.Program, e.Call.Key)
+	case program.EndRequested:
+		verb := "end"
+		if e.Cancel {
+			verb = "cancel"
+		}
+		c.wait(e.Waiter, "%s %s", verb, e.Program)
+	case program.JournalRead:
+		c.wait(e.Waiter, "adopt %s", e.Journal)
+	case program.ReadRequested:
+		if e.Query == program.QueryAlive {
+			c.waiters[e.Waiter] = notListed
+			return
+		}
+		c.wait(e.Waiter, "read %s %s%s", e.Query, e.Program, e.Key)
+	}
+}
+
+func (c *collector) wait(w program.WaiterID, format string, args ...any) {
+	c.waiters[w] = len(c.out.Answers)
+	c.out.Answers = append(c.out.Answers, Answer{Waiter: w, Request: fmt.Sprintf(format, args...), Answer: noAnswer})
+}
+
+func (c *collector) effect(eff event.Effect) error {
+	switch eff := eff.(type) {
+	case configuration.InForce:
+		c.out.Ticket = eff.Document.Number
+	case program.Dispatch:
+		if !eff.Idempotent {
+			c.out.DispatchedOnce[string(eff.Call.Program)+"/"+eff.Call.Key]++
+		}
+	case program.Reply:
+		return c.replied(eff)
+	}
+	return nil
+}
+
+func (c *collector) replied(r program.Reply) error {
+	i, ok := c.waiters[r.Waiter]
+	switch {
+	case !ok:
+		return errors.Newf("an answer went to waiter %d, which asked for nothing", r.Waiter)
+	case i == notListed:
+	case c.out.Answers[i].Answer != noAnswer:
+		return errors.Newf("waiter %d got a second answer", r.Waiter)
+	default:
+		c.out.Answers[i].Answer = replyText(r)
+	}
+	return nil
+}
+
+func replyText(r program.Reply) string {
+	switch {
+	case r.Error != nil:
+		return errorText(r.Error)
+	case r.Opened != "":
+		return "opened " + string(r.Opened)
+	case r.Answer != nil && r.Answer.Error != nil:
+		return fmt.Sprintf("%s, seq %d: %s", r.Answer.State, r.Answer.Seq, errorText(r.Answer.Error))
+	case r.Answer != nil:
+		return fmt.Sprintf("%s, seq %d: %s", r.Answer.State, r.Answer.Seq, r.Answer.Text)
+	case r.Status != nil:
+		return fmt.Sprintf("%s, %d turns, %d tokens spent", r.Status.State, r.Status.Turns, r.Status.SpentTokens)
+	case r.History != nil:
+		return fmt.Sprintf("%d turns", len(r.History.Turns))
+	case r.List != nil:
+		return fmt.Sprintf("%d programs", len(r.List))
+	default:
+		return fmt.Sprintf("adopted %d programs", r.Adopted)
+	}
+}
+
+func errorText(e *fault.Error) string { return fmt.Sprintf("%s, %s", e.Code, e.Outcome) }
+
+// outcomesWaiter is the waiter of the queries that follow the log. The counter of a host does not reach it.
+const outcomesWaiter = ^program.WaiterID(0)
+
+// programs reads the programs as a caller does.
+func (c *collector) programs(state *core.State, at clock.Millis) error {
+	read := func(q program.Query, id ids.Program) (program.Reply, error) {
+		e := program.ReadRequested{Waiter: outcomesWaiter, Query: q, Program: id}
+		for _, eff := range core.Reduce(state, event.Envelope{At: at, Event: e}) {
+			if r, ok := eff.(program.Reply); ok && r.Waiter == outcomesWaiter {
+				if r.Error != nil {
+					return r, r.Error
+				}
+				return r, nil
+			}
+		}
+		return program.Reply{}, errors.Newf("no reply to the query %q", string(q))
+	}
+	list, err := read(program.QueryList, "")
+	if err != nil {
+		return err
+	}
+	for _, s := range list.List {
+		h, err := read(program.QueryHistory, s.ID)
+		if err != nil {
+			return err
+		}
+		c.out.Programs = append(c.out.Programs, Summary(s, *h.History))
+	}
+	return nil
+}
+
+// Summary states a program as its status and its history show it.
+func Summary(s api.ProgramStatus, h api.History) Program {
+	p := Program{ID: s.ID, State: s.State, BudgetTokens: s.BudgetTokens, SpentTokens: s.SpentTokens, Turns: []Turn{}}
+	for _, t := range h.Turns {
+		turn := Turn{Seq: t.Seq, Key: t.Key, Kind: t.Kind, Outcome: "done", CostTokens: t.Usage.CostTokens}
+		if t.Error != nil {
+			turn.Outcome = errorText(t.Error)
+		}
+		p.Turns = append(p.Turns, turn)
+	}
+	return p
+}
+
+// Write writes the outcomes as JSON, with a turn or an answer a line.
+func (o *Outcomes) Write(w io.Writer) error {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "{\n  \"ticket\": %d,\n  \"programs\": [", o.Ticket)
+	for i, p := range o.Programs {
+		fmt.Fprintf(&b, "%s\n    {\"id\": %s, \"state\": %s, \"budget_tokens\": %d, \"spent_tokens\": %d, \"turns\": [",
+			comma(i), compact(p.ID), compact(p.State), p.BudgetTokens, p.SpentTokens)
+		for j, t := range p.Turns {
+			fmt.Fprintf(&b, "%s\n      %s", comma(j), compact(t))
+		}
+		b.WriteString("\n    ]}")
+	}
+	once, err := json.MarshalIndent(o.DispatchedOnce, "  ", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(&b, "\n  ],\n  \"dispatched_once\": %s,\n  \"answers\": [", once)
+	for i, a := range o.Answers {
+		fmt.Fprintf(&b, "%s\n    %s", comma(i), compact(a))
+	}
+	b.WriteString("\n  ]\n}\n")
+	_, err = w.Write(b.Bytes())
+	return errors.Wrap(err, "write outcomes")
+}
+
+func comma(i int) string {
+	if i == 0 {
+		return ""
+	}
+	return ","
+}
+
+// compact encodes a value of this package, which cannot fail, on one line.
+func compact(v any) []byte {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	_ = e.Encode(v)
+	return bytes.TrimSpace(b.Bytes())
+}
+
+// ParseOutcomes reads a file of stated outcomes; a file of anything else, such as effects, is an error.
+func ParseOutcomes(b []byte) (*Outcomes, error) {
+	var o Outcomes
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&o); err != nil {
+		return nil, errors.Wrap(err, "read outcomes")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("read outcomes: data after the JSON value")
+	}
+	return &o, nil
+}
+
+// Difference describes the first difference between stated and replayed outcomes; it is empty if they are equal.
+func Difference(stated, replayed *Outcomes) (string, error) {
+	var want, got bytes.Buffer
+	if err := errors.CombineErrors(stated.Write(&want), replayed.Write(&got)); err != nil {
+		return "", err
+	}
+	w, g := bytes.Split(want.Bytes(), []byte("\n")), bytes.Split(got.Bytes(), []byte("\n"))
+	for i := range max(len(w), len(g)) {
+		switch {
+		case i >= len(w):
+			return fmt.Sprintf("not stated: %s", bytes.TrimSpace(g[i])), nil
+		case i >= len(g):
+			return fmt.Sprintf("not replayed: %s", bytes.TrimSpace(w[i])), nil
+		case !bytes.Equal(w[i], g[i]):
+			return fmt.Sprintf("outcomes differ\n  stated:   %s\n  replayed: %s", bytes.TrimSpace(w[i]), bytes.TrimSpace(g[i])), nil
+		}
+	}
+	return "", nil
+}
--- /dev/null
+++ b/service/replay/replay.go
@@ -0,0 +1,99 @@
+// Package replay runs a recorded event log through the reducer again and summarizes what came of it.
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/core"
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/host"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// EffectLine is one effect with the event that caused it. encoding/json sorts map keys, so that equal effects
+// give equal bytes.
+type EffectLine struct {
+	Event  int          `json:"event"` // index of the event in the log, from 1
+	AtMS   int64        `json:"at_ms"`
+	Cause  event.Kind   `json:"cause"`
+	Kind   event.Kind   `json:"kind"`
+	Effect event.Effect `json:"effect"`
+}
+
+// Write appends the effect as one line of JSON.
+func (l EffectLine) Write(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetEscapeHTML(false)
+	return errors.Wrapf(e.Encode(l), "encode effect %s", l.Kind)
+}
+
+// zstdMagic begins a compressed log. As the length of a first record it would be 680 MB.
+var zstdMagic = []byte{0x28, 0xb5, 0x2f, 0xfd}
+
+// maxWindow bounds the memory that a compressed log may ask for.
+const maxWindow = 64 << 20
+
+// Open returns the records of an event log, which may be compressed with zstd.
+func Open(r io.Reader) (io.ReadCloser, error) {
+	b := bufio.NewReader(r)
+	if head, _ := b.Peek(len(zstdMagic)); !bytes.Equal(head, zstdMagic) {
+		return io.NopCloser(b), nil
+	}
+	d, err := zstd.NewReader(b, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxWindow(maxWindow))
+	if err != nil {
+		return nil, errors.Wrap(err, "open compressed event log")
+	}
+	return d.IOReadCloser(), nil
+}
+
+// Step is called with each event of a log, its index from 1, and the effects that it had.
+type Step func(index int, e event.Envelope, effects []event.Effect) error
+
+// Run reduces the events of a log, starting with the state of a host that has just started, and returns the state
+// after the last one. The error of a log that is cut off names the event.
+func Run(log io.Reader, step Step) (*core.State, clock.Millis, error) {
+	rd, err := Open(log)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = rd.Close() }()
+	state := host.NewState()
+	var at clock.Millis
+	for i := 1; ; i++ {
+		b, err := runtime.ReadRecord(rd)
+		if errors.Is(err, io.EOF) {
+			return state, at, nil
+		}
+		if err != nil {
+			return nil, 0, errors.Wrapf(err, "event %d", i)
+		}
+		e, err := event.Decode(b)
+		if err != nil {
+			return nil, 0, errors.Wrapf(err, "event %d", i)
+		}
+		at = e.At
+		if err := step(i, e, core.Reduce(state, e)); err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+// Effects calls fn with each effect of a log.
+func Effects(log io.Reader, fn func(EffectLine) error) error {
+	_, _, err := Run(log, func(i int, e event.Envelope, effects []event.Effect) error {
+		for _, eff := range effects {
+			if err := fn(EffectLine{Event: i, AtMS: int64(e.At), Cause: e.Event.EventKind(), Kind: eff.EffectKind(), Effect: eff}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return err
+}
--- /dev/null
+++ b/service/replay/replay_test.go
@@ -0,0 +1,116 @@
+package replay_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/program"
+	"github.com/hyssopreel/hyssopreel/service/replay"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+const traces = "../../testdata/traces"
+
+func effects(g *gomega.WithT, log []byte) []byte {
+	var b bytes.Buffer
+	g.Expect(replay.Effects(bytes.NewReader(log), func(l replay.EffectLine) error { return l.Write(&b) })).To(gomega.Succeed())
+	return b.Bytes()
+}
+
+// Guards against a change of the reducer that changes what recorded runs came to, and against decisions that
+// depend on the order of a map, which a replay cannot repeat.
+func TestRecordedTraces(t *testing.T) {
+	for _, deployment := range []string{"tobyl", "tallowcreek"} {
+		logs, err := filepath.Glob(filepath.Join(traces, deployment, "*.events.zst"))
+		gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.NewWithT(t).Expect(logs).NotTo(gomega.BeEmpty(), "traces of %s", deployment)
+		dispatches := map[string]int{}
+		for _, path := range logs {
+			t.Run(deployment+"/"+filepath.Base(path), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				log, err := os.ReadFile(path)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				b, err := os.ReadFile(strings.TrimSuffix(path, ".events.zst") + ".outcomes.json")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				stated, err := replay.ParseOutcomes(b)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				replayed, err := replay.ReadOutcomes(bytes.NewReader(log))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(replay.Difference(stated, replayed)).To(gomega.BeEmpty())
+
+				for call, n := range replayed.DispatchedOnce {
+					dispatches[call] += n
+				}
+				first := effects(g, log)
+				g.Expect(first).NotTo(gomega.BeEmpty())
+				g.Expect(bytes.Equal(first, effects(g, log))).To(gomega.BeTrue(), "the effects of two replays differ")
+			})
+		}
+		for call, n := range dispatches {
+			gomega.NewWithT(t).Expect(n).To(gomega.Equal(1), "dispatches of %s at all hosts", call)
+		}
+		gomega.NewWithT(t).Expect(dispatches).NotTo(gomega.BeEmpty())
+	}
+}
+
+// Guards against a comparison that passes although something differs.
+func TestDifference(t *testing.T) {
+	g := gomega.NewWithT(t)
+	stated := func() *replay.Outcomes {
+		return &replay.Outcomes{
+			Ticket: 1, DispatchedOnce: map[string]int{"p/k": 1},
+			Programs: []replay.Program{{ID: "p", State: "open", Turns: []replay.Turn{{Seq: 1, Key: "k", Kind: "tool", Outcome: "done"}}}},
+			Answers:  []replay.Answer{{Waiter: 1, Request: "call p/k", Answer: "none"}},
+		}
+	}
+	for name, change := range map[string]func(*replay.Outcomes){
+		"ticket":   func(o *replay.Outcomes) { o.Ticket = 2 },
+		"state":    func(o *replay.Outcomes) { o.Programs[0].State = "ended" },
+		"spent":    func(o *replay.Outcomes) { o.Programs[0].SpentTokens = 1 },
+		"turn":     func(o *replay.Outcomes) { o.Programs[0].Turns[0].Outcome = "moved, not run" },
+		"turns":    func(o *replay.Outcomes) { o.Programs[0].Turns = nil },
+		"dispatch": func(o *replay.Outcomes) { o.DispatchedOnce["p/k"] = 2 },
+		"answer":   func(o *replay.Outcomes) { o.Answers[0].Answer = "done, seq 1: x" },
+		"answers":  func(o *replay.Outcomes) { o.Answers = append(o.Answers, o.Answers[0]) },
+	} {
+		other := stated()
+		g.Expect(replay.Difference(stated(), other)).To(gomega.BeEmpty())
+		change(other)
+		g.Expect(replay.Difference(stated(), other)).NotTo(gomega.BeEmpty(), name)
+	}
+	var b bytes.Buffer
+	g.Expect(stated().Write(&b)).To(gomega.Succeed())
+	g.Expect(replay.ParseOutcomes(b.Bytes())).To(gomega.Equal(stated()))
+	_, err := replay.ParseOutcomes([]byte(`{"event":1,"at_ms":2,"cause":"a.b","kind":"c.d","effect":{}}`))
+	g.Expect(err).To(gomega.HaveOccurred(), "effects are not outcomes")
+}
+
+// Guards against waiters of a log that are mixed up or lost.
+func TestAnswers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var log bytes.Buffer
+	for _, e := range []event.Event{
+		program.Started{Journal: "a.1"},
+		program.OpenRequested{Waiter: 7},
+		program.ReadRequested{Waiter: 8, Query: program.QueryAlive},
+		program.EndRequested{Waiter: 9, Program: "a.1-4", Cancel: true},
+		program.JournalRead{Waiter: 10, Journal: "b.2"},
+	} {
+		b, err := event.Encode(event.Envelope{At: 1, Event: e})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(runtime.WriteRecord(&log, b)).To(gomega.Succeed())
+	}
+	o, err := replay.ReadOutcomes(&log)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(o.Answers).To(gomega.Equal([]replay.Answer{
+		{Waiter: 7, Request: "open  for ", Answer: "invalid_request, not run"},
+		{Waiter: 9, Request: "cancel a.1-4", Answer: "not_found, not run"},
+		{Waiter: 10, Request: "adopt b.2", Answer: "none"}, // the commit is missing
+	}))
+}
