Check the input of the HTTP API strictly

Cause: the checks had no test.

Found and fixed: - Data after the JSON value was accepted if it began with a closing brace or bracket, and any data after a ticket was. - A ticket over the size limit got 400 and not 413. Headers over the limit got an untyped 431, or ran: net/http adds 4 KB. - A key with a control character failed at dispatch with 502; a key with an escaped slash could not be read back. - service.path "/search/../pay" passed as the idempotent path "/search"; broken paths and fragments passed as well. - deadline_ms was taken as none if negative, and overflowed if huge. max_tokens could overflow the worst case of a program whose agent was deleted. - A program of a host that does not exist got 502; it gets 404 now, with a time to retry after, because the member list may lag. The client asks again in this case. - 405 had no Allow header; an early seq had no time to retry after.

--- a/client/client.go
+++ b/client/client.go
@@ -228,7 +228,7 @@
 		}
 		last = c.send(ctx, addr, method, path, body, read)
 		moved := last != nil && fault.From(last, path).Code == fault.CodeMoved
-		if !moved && !unreachable(last) {
+		if !moved && !unreachable(last) && !notYetKnown(last) {
 			return last
 		}
 		c.forget(program, addr)
@@ -361,6 +361,15 @@
 	return err != nil && fault.From(err, "").Code == fault.CodePeerUnreachable && fault.From(err, "").Outcome == fault.NotRun
 }
 
+// notYetKnown reports whether the host may learn of the program's home soon.
+func notYetKnown(err error) bool {
+	if err == nil {
+		return false
+	}
+	f := fault.From(err, "")
+	return f.Code == fault.CodeNotFound && f.Outcome == fault.NotRun && f.RetryAfterMS > 0
+}
+
 func baseURL(addr string) string {
 	if strings.Contains(addr, "://") {
 		return strings.TrimSuffix(addr, "/")
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -74,6 +74,34 @@
 		gomega.Expect(a.Key).To(gomega.Equal("k"))
 	})
 
+	// Guards against an error for a program whose home joined a moment ago, and against waiting for one that is gone.
+	ginkgo.It("asks again while the home is not known yet", func() {
+		var requests atomic.Int32
+		var home atomic.Value
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /v1/hosts", hostsAre(&home))
+		missing := fault.New(fault.CodeNotFound, "find home", "no such host")
+		mux.HandleFunc("GET /v1/programs/{id}", func(w http.ResponseWriter, r *http.Request) {
+			switch n := requests.Add(1); {
+			case r.PathValue("id") == "gone.1-1":
+				refuse(w, missing)
+			case n == 1:
+				refuse(w, missing.RetryAfter(time.Second))
+			default:
+				answer(w, api.ProgramStatus{ID: "h.1-1"})
+			}
+		})
+		host := serve(mux)
+		home.Store(host)
+		c := client.New([]string{host}, nil)
+		p, err := c.Program(ctx, "h.1-1")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(string(p.ID)).To(gomega.Equal("h.1-1"))
+		_, err = c.Program(ctx, "gone.1-1")
+		gomega.Expect(fault.From(err, "").Code).To(gomega.Equal(fault.CodeNotFound))
+		gomega.Expect(requests.Load()).To(gomega.Equal(int32(3)))
+	})
+
 	// Guards against "not run" for a request that a host may have taken, and against sending it twice.
 	ginkgo.It("reports an unknown outcome when the connection breaks after the request", func() {
 		var requests atomic.Int32
--- a/core/program/budget.go
+++ b/core/program/budget.go
@@ -62,7 +62,7 @@
 		if m := int64(c.request.Model.MaxTokens); m > 0 && (m < out || out == 0) {
 			out = m
 		}
-		if prompt+out > available {
+		if out > available-prompt { // the sum may overflow: max_tokens comes from the caller
 			out = available - prompt
 		}
 		c.maxTokens = int(out)
--- a/core/program/lifecycle.go
+++ b/core/program/lifecycle.go
@@ -19,6 +19,8 @@
 	stepOpen = "open program"
 	// sweepEvery is how often all programs are looked at; a sweep of 20,000 programs sorts their IDs.
 	sweepEvery = 10 * time.Second
+	// maxDeadline bounds deadline_ms, whose sum with the time of day must not overflow.
+	maxDeadline = 366 * 24 * time.Hour
 )
 
 // groupIn returns the group of a pool that serves the program. Programs are spread by hash and stay in
@@ -62,6 +64,9 @@
 	if q.BudgetTokens <= 0 || q.BudgetTokens > team.MaxBudgetTokens {
 		return nil, fault.New(fault.CodeInvalid, stepOpen, "budget_tokens is %d; team %q allows 1 to %d", q.BudgetTokens, q.Team, team.MaxBudgetTokens)
 	}
+	if q.DeadlineMS < 0 || q.DeadlineMS > maxDeadline.Milliseconds() {
+		return nil, fault.New(fault.CodeInvalid, stepOpen, "deadline_ms is %d; 0 to %d is allowed", q.DeadlineMS, maxDeadline.Milliseconds())
+	}
 	if r.open[q.Team] >= team.MaxOpenPrograms {
 		return nil, fault.New(fault.CodeLimit, stepOpen, "team %q has %d programs open at this host", q.Team, r.open[q.Team]).RetryAfter(r.limits.OrderWait)
 	}
@@ -289,7 +294,7 @@
 	}
 	for _, c := range slices.Clone(p.waiting) {
 		if r.at.Sub(c.since) >= r.limits.OrderWait {
-			r.notRun(p, c, fault.New(fault.CodeOutOfOrder, "order calls", "seq %d came before seq %d", c.request.Seq, p.nextSeq()))
+			r.notRun(p, c, fault.New(fault.CodeOutOfOrder, "order calls", "seq %d came before seq %d", c.request.Seq, p.nextSeq()).RetryAfter(r.limits.OrderWait))
 		}
 	}
 }
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -174,11 +174,12 @@
 func (d *Daemon) buildEntry() {
 	s := d.settings
 	d.entry = entry.New(entry.Options{
-		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, RequestTimeout: s.Limits.RequestTimeout,
+		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, MaxHeaderBytes: s.Limits.MaxHeader, RequestTimeout: s.Limits.RequestTimeout,
 		Mount: d.mountOperators, Ready: d.ready, Metrics: d.metrics.Handler(), Observe: d.observeRequest,
 	})
 	const readHeaderTimeout = 5 * time.Second
-	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(s.Limits.MaxHeader)}
+	// Headers up to twice the limit get the entry's typed error; net/http refuses larger ones itself.
+	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeader)}
 }
 
 func (d *Daemon) ready() error {
--- a/service/daemon/operators.go
+++ b/service/daemon/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -117,10 +116,8 @@
 
 func (d *Daemon) applyTicket(w http.ResponseWriter, r *http.Request) {
 	var t config.Ticket
-	dec := json.NewDecoder(r.Body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&t); err != nil {
-		entry.WriteError(w, fault.New(fault.CodeInvalid, "read ticket", "%v", err))
+	if ferr := entry.Decode(r, &t); ferr != nil {
+		entry.WriteError(w, ferr)
 		return
 	}
 	c, err := d.configuration.Apply(r.Context(), t)
@@ -140,9 +137,9 @@
 }
 
 func (d *Daemon) showTicket(w http.ResponseWriter, r *http.Request) {
-	n, err := strconv.ParseUint(chi.URLParam(r, "number"), 10, 64)
+	n, err := strconv.ParseUint(entry.Param(r, "number"), 10, 64)
 	if err != nil {
-		entry.WriteError(w, fault.New(fault.CodeInvalid, "show ticket", "%q is not a ticket number", chi.URLParam(r, "number")))
+		entry.WriteError(w, fault.New(fault.CodeInvalid, "show ticket", "%q is not a ticket number", entry.Param(r, "number")))
 		return
 	}
 	t, err := d.configuration.Ticket(r.Context(), n)
@@ -171,7 +168,7 @@
 }
 
 func (d *Daemon) drainMember(w http.ResponseWriter, r *http.Request) {
-	host := ids.Host(chi.URLParam(r, "host"))
+	host := ids.Host(entry.Param(r, "host"))
 	if err := d.drainHost(r.Context(), host); err != nil {
 		entry.WriteError(w, fault.From(err, "drain host"))
 		return
--- a/service/entry/ops.go
+++ b/service/entry/ops.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -61,12 +62,23 @@
 		return membership.Member{}, fault.New(fault.CodeInvalid, "find home", "%v", err)
 	}
 	m, ok := s.opts.View.HomeOf(journal)
+	if !ok && !s.known(journal) {
+		// The host may have joined a moment ago.
+		return m, fault.New(fault.CodeNotFound, "find home", "program %s: there is no host %q", id, journal.Host()).RetryAfter(takeoverRetry)
+	}
 	if !ok {
 		return m, fault.New(fault.CodePeerUnreachable, "find home", "the home of program %s is not known or is being taken over", id).RetryAfter(takeoverRetry)
 	}
 	return m, nil
 }
 
+// known says whether the host of a journal is a member, or a member adopted the journal. Hosts that are gone count.
+func (s *Server) known(j ids.Journal) bool {
+	return slices.ContainsFunc(s.opts.View.Members(), func(m membership.Member) bool {
+		return m.Name == j.Host() || slices.Contains(m.Adopted, j)
+	})
+}
+
 // do carries the request out at its home, at most one hop away. emit hears the pieces of a stream.
 func (s *Server) do(ctx context.Context, q request, emit func(api.Piece)) (*result, error) {
 	for {
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +39,8 @@
 	answeredHosts = 3
 	// maxKeyBytes bounds a request key.
 	maxKeyBytes = 128
+	// headerLineBytes is what a header line has besides its name and value: ": " and the line's end.
+	headerLineBytes = 4
 )
 
 // Options are what a Server needs.
@@ -44,6 +49,8 @@
 	Node         *wire.Node
 	Home         *home.Home
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the headers of a request; 0 is no bound.
+	MaxHeaderBytes int64
 	// RequestTimeout bounds a request, streams included.
 	RequestTimeout time.Duration
 	// Mount adds the operators' routes.
@@ -82,6 +89,7 @@
 // Handler returns the routes.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(s.limitHeader)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	r.Get("/readyz", s.ready)
 	if s.opts.Metrics != nil {
@@ -105,6 +113,7 @@
 		WriteError(w, fault.New(fault.CodeNotFound, "route request", "no such path: %s", r.URL.Path))
 	})
 	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", strings.Join(allowed(r), ", "))
 		WriteJSON(w, http.StatusMethodNotAllowed, api.ErrorAnswer{
 			Error: fault.New(fault.CodeInvalid, "route request", "method %s is not allowed for %s", r.Method, r.URL.Path),
 		})
@@ -112,6 +121,53 @@
 	return r
 }
 
+// allowed returns the methods of a path.
+func allowed(r *http.Request) []string {
+	path := r.URL.RawPath
+	if path == "" {
+		path = r.URL.Path
+	}
+	var out []string
+	for _, m := range []string{http.MethodDelete, http.MethodGet, http.MethodPost} {
+		if chi.RouteContext(r.Context()).Routes.Match(chi.NewRouteContext(), m, path) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// limitHeader refuses requests whose headers are too large. The limit of net/http, which answers without a typed
+// error, is above it.
+func (s *Server) limitHeader(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := int64(len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineBytes)
+		for k, values := range r.Header {
+			for _, v := range values {
+				n += int64(len(k) + len(v) + headerLineBytes)
+			}
+		}
+		if limit := s.opts.MaxHeaderBytes; limit > 0 && n > limit {
+			WriteJSON(w, http.StatusRequestHeaderFieldsTooLarge, api.ErrorAnswer{
+				Error: fault.New(fault.CodeTooLarge, "read request", "the headers have %d bytes; %d are allowed", n, limit),
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Param returns a parameter of the path. With escaped slashes, chi matches the escaped path.
+func Param(r *http.Request, name string) string {
+	v := chi.URLParam(r, name)
+	if r.URL.RawPath == "" {
+		return v
+	}
+	if u, err := url.PathUnescape(v); err == nil {
+		return u
+	}
+	return v
+}
+
 // statusWriter notes the status for metrics; it passes Flush on for streams.
 type statusWriter struct {
 	http.ResponseWriter
@@ -191,7 +247,7 @@
 
 func (s *Server) openProgram(w http.ResponseWriter, r *http.Request) {
 	var q api.OpenProgram
-	if ferr := decode(r, &q); ferr != nil {
+	if ferr := Decode(r, &q); ferr != nil {
 		WriteError(w, ferr)
 		return
 	}
@@ -206,7 +262,7 @@
 // simple serves a request that has no body and one answer.
 func (s *Server) simple(o op, pick func(*result) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		q := request{Op: o, Program: ids.Program(chi.URLParam(r, "id")), Key: chi.URLParam(r, "key")}
+		q := request{Op: o, Program: ids.Program(Param(r, "id")), Key: Param(r, "key")}
 		res, err := s.do(r.Context(), q, nil)
 		if err != nil {
 			WriteError(w, fault.From(err, string(o)))
@@ -218,7 +274,7 @@
 
 func (s *Server) submitCall(w http.ResponseWriter, r *http.Request) {
 	var c api.Call
-	if ferr := decode(r, &c); ferr != nil {
+	if ferr := Decode(r, &c); ferr != nil {
 		WriteError(w, ferr)
 		return
 	}
@@ -226,7 +282,7 @@
 		WriteError(w, ferr)
 		return
 	}
-	q := request{Op: opCall, Program: ids.Program(chi.URLParam(r, "id")), Call: &c}
+	q := request{Op: opCall, Program: ids.Program(Param(r, "id")), Call: &c}
 	if c.Stream {
 		s.streamCall(w, r, q)
 		return
@@ -280,6 +336,10 @@
 	if c.Key == "" || len(c.Key) > maxKeyBytes {
 		return invalid("key has %d bytes; 1 to %d are allowed", len(c.Key), maxKeyBytes)
 	}
+	// The key is sent to backend servers in a header.
+	if i := strings.IndexFunc(c.Key, func(r rune) bool { return r <= ' ' || r > '~' }); i >= 0 {
+		return invalid("key %q has a character at byte %d that is not printable ASCII, or is a blank", c.Key, i)
+	}
 	if c.Seq < 0 {
 		return invalid("seq is %d; it counts from 1", c.Seq)
 	}
@@ -302,8 +362,8 @@
 	switch {
 	case c.Model != nil && (c.Model.Prompt == "" || c.Model.MaxTokens < 0):
 		return invalid("model.prompt must not be empty and model.max_tokens must not be negative")
-	case c.Service != nil && (c.Service.Path == "" || c.Service.Path[0] != '/'):
-		return invalid("service.path %q does not begin with /", c.Service.Path)
+	case c.Service != nil && !validPath(c.Service.Path):
+		return invalid("service.path %q is not an absolute path without dot segments and without a fragment", c.Service.Path)
 	case c.Service != nil && !allowedMethods[c.Service.Method]:
 		return invalid("service.method %q is not one of GET, POST, PUT, PATCH, DELETE", c.Service.Method)
 	case c.Agent != nil && (c.Agent.Prompt == "" || c.Agent.BudgetTokens <= 0):
@@ -312,26 +372,41 @@
 	return nil
 }
 
+// validPath says whether a path reaches the backend server as it is. With dot segments, a path that looks
+// idempotent could lead to another one.
+func validPath(path string) bool {
+	u, err := url.ParseRequestURI(path)
+	if err != nil || path[0] != '/' || strings.Contains(path, "#") {
+		return false
+	}
+	return !slices.ContainsFunc(strings.Split(u.Path, "/"), func(s string) bool { return s == "." || s == ".." })
+}
+
 var allowedMethods = map[string]bool{
 	http.MethodGet: true, http.MethodPost: true, http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
 }
 
-// decode reads a JSON body strictly: unknown fields and trailing data are errors.
-func decode(r *http.Request, v any) *fault.Error {
+// Decode reads a JSON body strictly: unknown fields and data after the value are errors.
+func Decode(r *http.Request, v any) *fault.Error {
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
 	err := d.Decode(v)
-	if err == nil && d.More() {
-		err = errors.New("data after the JSON value")
+	if err == nil {
+		// More is not enough: it is false before a closing brace or bracket.
+		if _, err = d.Token(); errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("data after the JSON value")
+		}
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.CodeTooLarge, "read request", "the body is larger than %d bytes", tooLarge.Limit)
-	case err != nil:
+	default:
 		return fault.New(fault.CodeInvalid, "read request", "%v", err)
 	}
-	return nil
 }
 
 // WriteError answers with an error.
