--- a/cmd/hyssopreel-capacity/events.go
+++ b/cmd/hyssopreel-capacity/events.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
 	"runtime"
 	"sort"
 	"syscall"
 	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/configuration"
 	"github.com/hyssopreel/hyssopreel/core/event"
 	"github.com/hyssopreel/hyssopreel/core/membership"
@@ -73,9 +78,54 @@
 	}
 	measureSchedEvents()
 	measureMembershipEvents()
+	if err := measureBackendList(); err != nil {
+		return err
+	}
 	return measureCodec()
 }
 
+// measureBackendList measures the answer of the platform that every host reads every 2 s; the time includes the server's.
+func measureBackendList() error {
+	bytes := newSeries("list of backend servers", "workers", "bytes")
+	times := newSeries("read of the list of backend servers", "workers", "us")
+	for _, n := range []int{100, 1000, 6000} {
+		var list struct {
+			Backends []objectapi.Backend `json:"backends"`
+		}
+		for i := range n {
+			list.Backends = append(list.Backends, objectapi.Backend{
+				Name: fmt.Sprintf("reel-lm-%04d", i), Pool: "reel-lm", Kind: "engine", Address: fmt.Sprintf("10.2.%d.%d:9000", i/250, i%250),
+				FailureDomain: fmt.Sprintf("almaty-%c", 'a'+i%13), State: objectapi.BackendLive, ChecksFencing: true,
+			})
+		}
+		b, err := json.Marshal(list)
+		if err != nil {
+			return err
+		}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(b) })}
+		go func() { _ = server.Serve(l) }()
+		store := objectapi.NewHTTPStore(l.Addr().String(), "capacity", 10*time.Second)
+		bytes.add(float64(n), float64(len(b)))
+		var failed error
+		times.add(float64(n), printCost("read of the list of backend servers", fmt.Sprintf("%d workers", n), 10, func(int) {
+			if found, err := store.Backends(context.Background()); err != nil || len(found) != n {
+				failed = fmt.Errorf("%d of %d workers: %w", len(found), n, err)
+			}
+		}))
+		_ = server.Close()
+		if failed != nil {
+			return failed
+		}
+	}
+	bytes.print()
+	times.print()
+	return nil
+}
+
 // measureRefresh repeats the calls of a host of the target size: 750 of its 2,270 programs have a call in flight.
 func measureRefresh() {
 	h := newHome(2270)
