--- a/service/membership/membership.go
+++ b/service/membership/membership.go
@@ -139,6 +139,31 @@
 
 	mu    sync.Mutex
 	ranks map[string][]Member
+	homes map[ids.Journal]home
+}
+
+// home is the answer to one HomeOf.
+type home struct {
+	member Member
+	ok     bool
+}
+
+// maxHomes bounds the homes that are kept for one state of the view: the journals of 370 hosts and some adopted ones.
+// Every grant asks for one, and a search through 370 records with 256 adopted journals each takes 0.3 ms.
+const maxHomes = 4096
+
+// home returns the owner of a journal.
+func (v *snapshot) home(j ids.Journal) (Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if h, ok := v.homes[j]; ok {
+		return h.member, h.ok
+	}
+	m, ok := core.Home(j, v.members)
+	if len(v.homes) < maxHomes {
+		v.homes[j] = home{m, ok}
+	}
+	return m, ok
 }
 
 // maxRanks bounds the ranks that are kept for one state of the view. The schedulers ask for the rank of
@@ -347,7 +372,7 @@
 // View.
 
 func (s *Service) setView(self Member, members []Member, suspected []ids.Host) {
-	v := &snapshot{self: self, members: members, suspected: map[ids.Host]bool{}, ranks: map[string][]Member{}}
+	v := &snapshot{self: self, members: members, suspected: map[ids.Host]bool{}, ranks: map[string][]Member{}, homes: map[ids.Journal]home{}}
 	for _, h := range suspected {
 		v.suspected[h] = true
 	}
@@ -380,7 +405,7 @@
 func (s *Service) Epoch() uint64 { return s.view.Load().epoch }
 
 // HomeOf implements View.
-func (s *Service) HomeOf(j ids.Journal) (Member, bool) { return core.Home(j, s.view.Load().members) }
+func (s *Service) HomeOf(j ids.Journal) (Member, bool) { return s.view.Load().home(j) }
 
 // Rank implements View. The caller does not change the result.
 func (s *Service) Rank(key string) []Member { return s.view.Load().rank(key) }
