--- a/cmd/hyssopreel-capacity/events.go
+++ b/cmd/hyssopreel-capacity/events.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/configuration"
 	"github.com/hyssopreel/hyssopreel/core/event"
@@ -227,6 +228,13 @@
 	}
 	heard.print()
 	ticked.print()
+	m := members(370)
+	for i := range m { // the longest list that a record keeps
+		for k := range 256 {
+			m[i].Adopted = append(m[i].Adopted, ids.NewJournal(m[(i*31+k)%370].Name, uint64(100+k)))
+		}
+	}
+	printCost("search for the home of a journal", "370 members, 256 adopted journals each", 20, func(int) { membership.Home(m[200].Journal, m) })
 }
 
 // measureCodec measures the encoding and decoding that the runtime does for every event.
--- a/cmd/hyssopreel-capacity/fleet.go
+++ b/cmd/hyssopreel-capacity/fleet.go
@@ -40,7 +40,18 @@
 	}
 }
 
+// startBed starts a deployment. A port that was free when it was chosen may be taken when its daemon starts, so a
+// second attempt is made.
 func startBed(o options, hosts, domains int, settings map[string]string) (*testbed.Bed, func(), error) {
+	bed, closeBed, err := tryStartBed(o, hosts, domains, settings)
+	if err != nil {
+		fmt.Printf("start of %d hosts failed and is tried again: %v\n", hosts, err)
+		return tryStartBed(o, hosts, domains, settings)
+	}
+	return bed, closeBed, nil
+}
+
+func tryStartBed(o options, hosts, domains int, settings map[string]string) (*testbed.Bed, func(), error) {
 	root, err := testbed.Root()
 	if err != nil {
 		return nil, nil, err
