--- a/core/program/records.go
+++ b/core/program/records.go
@@ -39,7 +39,7 @@
 	case OpCharged:
 		p.spent += rec.Tokens
 	case OpIntent:
-		p.intents[rec.Key] = rec.Hash
+		p.intents[rec.Key] = *rec
 	case OpWithdrawn:
 		delete(p.intents, rec.Key)
 	case OpTurn:
@@ -59,7 +59,7 @@
 	p := &program{
 		id: rec.Program, header: h, state: StateOpen, active: h.OpenedAt,
 		spent: h.Spent, workers: slices.Clone(h.Workers),
-		calls: map[string]*call{}, intents: map[string]uint64{},
+		calls: map[string]*call{}, settled: map[string]settledCall{}, intents: map[string]Record{},
 	}
 	s.programs[p.id] = p
 	s.open[h.Team]++
@@ -96,10 +96,10 @@
 	}
 	c, ok := p.calls[rec.Key]
 	if !ok {
-		c = &call{request: api.Call{Key: rec.Key, Seq: t.Seq, Kind: t.Kind}, hash: rec.Hash, state: callFinished, durable: true}
-		p.calls[rec.Key] = c
+		p.settled[rec.Key] = settledCall{hash: rec.Hash, turn: int32(len(p.turns) - 1), status: int32(rec.Status)}
+		return
 	}
-	c.turn, c.status = t, rec.Status
+	c.turn, c.status, c.index = t, rec.Status, len(p.turns)-1
 }
 
 // served notes that a worker may hold the program's cache; the latest worker is the last.
@@ -149,13 +149,13 @@
 	for i := range p.turns {
 		t := p.turns[i]
 		rec := Record{Op: OpTurn, Program: p.id, Key: t.Key, Turn: &t, Tokens: t.Usage.CostTokens}
-		if c, ok := p.calls[t.Key]; ok {
+		if c, ok := p.call(t.Key); ok {
 			rec.Hash, rec.Status = c.hash, c.status
 		}
 		out = append(out, rec)
 	}
 	for _, k := range slices.Sorted(maps.Keys(p.intents)) {
-		out = append(out, Record{Op: OpIntent, Program: p.id, Key: k, Hash: p.intents[k]})
+		out = append(out, p.intents[k])
 	}
 	if p.state != StateOpen {
 		out = append(out, Record{Op: OpEnded, Program: p.id, State: p.state, At: p.ended, Workers: slices.Clone(p.releases)})
@@ -214,14 +214,17 @@
 	p.spent += p.chunk // reserved and not settled counts as spent
 	p.chunk = 0
 	intents := p.intents
-	p.intents = map[string]uint64{}
+	p.intents = map[string]Record{}
 	records := p.export()
 	if p.state != StateOpen {
 		return records
 	}
 	for i, k := range slices.Sorted(maps.Keys(intents)) {
 		t := api.Turn{Seq: len(p.turns) + 1 + i, Key: k, Error: errOutcomeUnknown("takeover", "its home failed after the request may have been sent")}
-		records = append(records, Record{Op: OpTurn, Program: p.id, Key: k, Hash: intents[k], Turn: &t})
+		if c := intents[k].Call; c != nil {
+			t.Kind, t.Request = c.Kind, requestText(*c)
+		}
+		records = append(records, Record{Op: OpTurn, Program: p.id, Key: k, Hash: intents[k].Hash, Turn: &t})
 	}
 	// The child of an agent call has no caller of its own: its parent's call is unknown now.
 	if p.header.ParentKey != "" {
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopreel/hyssopreel/service/entry"
 	"github.com/hyssopreel/hyssopreel/service/home"
 	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/orders"
 	"github.com/hyssopreel/hyssopreel/service/runtime"
 )
 
@@ -61,6 +62,8 @@
 	members       *membership.Service
 	configuration *configuration.Service
 	backends      *backends.Service
+	orders        *orders.Service
+	reports       *workerReports
 	home          *home.Home
 	entry         *entry.Server
 	http          *http.Server
@@ -105,9 +108,9 @@
 	d := &Daemon{settings: s, clock: clock.System(), deposed: make(chan string, 1), drain: make(chan struct{}, 1)}
 	d.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	if s.EventLog.Path != "" {
-		f, err := os.OpenFile(s.EventLog.Path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		f, err := createEventLog(s.EventLog.Path)
 		if err != nil {
-			return nil, errors.Wrap(err, "open event log")
+			return nil, err
 		}
 		d.log = f
 	}
@@ -128,11 +131,31 @@
 	d.buildMembership()
 	d.buildConfiguration()
 	d.buildBackends()
+	d.buildOrders()
 	d.buildHome()
 	d.buildEntry()
 	return d, nil
 }
 
+// createEventLog begins the log of a new incarnation. An existing log gets the next free number as its suffix: a
+// replay starts from the state of a host that has just started, so one log holds one incarnation.
+func createEventLog(path string) (*os.File, error) {
+	if _, err := os.Stat(path); err == nil {
+		for n := 1; ; n++ {
+			old := path + "." + strconv.Itoa(n)
+			if _, err := os.Stat(old); err == nil {
+				continue
+			}
+			if err := os.Rename(path, old); err != nil {
+				return nil, errors.Wrap(err, "rename event log")
+			}
+			break
+		}
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	return f, errors.Wrap(err, "create event log")
+}
+
 func (d *Daemon) buildHome() {
 	s := d.settings
 	d.home = home.New(home.Options{
@@ -155,11 +178,12 @@
 func (d *Daemon) buildEntry() {
 	s := d.settings
 	d.entry = entry.New(entry.Options{
-		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, RequestTimeout: s.Limits.RequestTimeout,
+		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, MaxHeaderBytes: s.Limits.MaxHeader, RequestTimeout: s.Limits.RequestTimeout,
 		Mount: d.mountOperators, Ready: d.ready, Metrics: d.metrics.Handler(), Observe: d.observeRequest,
 	})
 	const readHeaderTimeout = 5 * time.Second
-	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: int(s.Limits.MaxHeader)}
+	// Headers up to twice the limit get the entry's typed error; net/http refuses larger ones itself.
+	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeader)}
 }
 
 func (d *Daemon) ready() error {
@@ -198,6 +222,8 @@
 	g.Go(func() error { return d.configuration.Run(work) })
 	d.backends.Start()
 	g.Go(func() error { d.followGroups(work); return nil })
+	g.Go(func() error { return d.orders.Run(work) })
+	g.Go(func() error { d.followOrders(work); return nil })
 	g.Go(func() error {
 		if err := d.http.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
--- a/service/daemon/operators.go
+++ b/service/daemon/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strconv"
@@ -117,10 +116,8 @@
 
 func (d *Daemon) applyTicket(w http.ResponseWriter, r *http.Request) {
 	var t config.Ticket
-	dec := json.NewDecoder(r.Body)
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&t); err != nil {
-		entry.WriteError(w, fault.New(fault.CodeInvalid, "read ticket", "%v", err))
+	if ferr := entry.Decode(r, &t); ferr != nil {
+		entry.WriteError(w, ferr)
 		return
 	}
 	c, err := d.configuration.Apply(r.Context(), t)
@@ -140,9 +137,9 @@
 }
 
 func (d *Daemon) showTicket(w http.ResponseWriter, r *http.Request) {
-	n, err := strconv.ParseUint(chi.URLParam(r, "number"), 10, 64)
+	n, err := strconv.ParseUint(entry.Param(r, "number"), 10, 64)
 	if err != nil {
-		entry.WriteError(w, fault.New(fault.CodeInvalid, "show ticket", "%q is not a ticket number", chi.URLParam(r, "number")))
+		entry.WriteError(w, fault.New(fault.CodeInvalid, "show ticket", "%q is not a ticket number", entry.Param(r, "number")))
 		return
 	}
 	t, err := d.configuration.Ticket(r.Context(), n)
@@ -171,7 +168,7 @@
 }
 
 func (d *Daemon) drainMember(w http.ResponseWriter, r *http.Request) {
-	host := ids.Host(chi.URLParam(r, "host"))
+	host := ids.Host(entry.Param(r, "host"))
 	if err := d.drainHost(r.Context(), host); err != nil {
 		entry.WriteError(w, fault.From(err, "drain host"))
 		return
@@ -193,18 +190,12 @@
 	return fault.New(fault.CodeNotFound, "drain host", "host %q does not exist", host)
 }
 
-func (d *Daemon) listPools(w http.ResponseWriter, _ *http.Request) {
-	a := api.Pools{Pools: []api.Pool{}}
-	pools := d.configuration.Current().Objects.Pools
-	for name, p := range pools {
-		pool := api.Pool{Name: name, Kind: p.Kind, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role}
-		for _, b := range d.backends.Backends() {
-			if b.Pool == name {
-				pool.Workers = append(pool.Workers, api.PoolWorker{Name: b.Name, State: b.State})
-			}
-		}
-		a.Pools = append(a.Pools, pool)
+// listPools joins the pools as configured with the status objects of their order managers.
+func (d *Daemon) listPools(w http.ResponseWriter, r *http.Request) {
+	pools, err := d.orders.Pools(r.Context(), d.configuration.Current())
+	if err != nil {
+		entry.WriteError(w, fault.New(fault.CodeStoreDown, "list pools", "%v", err))
+		return
 	}
-	slices.SortFunc(a.Pools, func(a, b api.Pool) int { return strings.Compare(a.Name, b.Name) })
-	entry.WriteJSON(w, http.StatusOK, a)
+	entry.WriteJSON(w, http.StatusOK, pools)
 }
