--- a/core/sched/framework/framework.go
+++ b/core/sched/framework/framework.go
@@ -190,3 +190,16 @@
 	// Reserve is told of the grant and returns the priority for the engine; lower runs first.
 	Reserve(g *Group, c *Call, w *Worker) int
 }
+
+// Pauser is implemented by policies that give up the place of a program in the cache during a long pause.
+type Pauser interface {
+	// Keep reports whether a program that has paused for the given time keeps its place. It is asked about once a second.
+	Keep(g *Group, p *Program, elapsed clock.Millis) bool
+}
+
+// EachResident calls fn for every resident of w in the order of standing. fn may move the program.
+func (w *Worker) EachResident(fn func(*Program)) {
+	for _, p := range slices.Clone(w.programs) {
+		fn(p)
+	}
+}
--- a/core/sched/framework/learn.go
+++ b/core/sched/framework/learn.go
@@ -1,6 +1,10 @@
 package framework
 
-import "github.com/hyssopreel/hyssopreel/common/clock"
+import (
+	"math/bits"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+)
 
 // learnWeight is the weight of a new sample in a running mean once enough samples exist: about the last 64
 // samples count.
@@ -47,8 +51,34 @@
 // Tool is what was learned of the pauses for one tool.
 type Tool struct {
 	Name string
-	// PauseMS is the length of the pause.
-	PauseMS Mean
+	// counts and sums are over the pauses whose length in milliseconds has the same power of two.
+	counts, sums [pauseBuckets]float64
+}
+
+// pauseBuckets covers pauses of up to 2^31 ms, 24 days.
+const pauseBuckets = 32
+
+func pauseBucket(ms float64) int { return min(pauseBuckets-1, bits.Len64(uint64(max(0, ms)))) }
+
+// Paused takes in the length of a pause.
+func (t *Tool) Paused(ms float64) {
+	b := pauseBucket(ms)
+	t.counts[b]++
+	t.sums[b] += ms
+}
+
+// Residual returns how much longer a pause is expected to last that has lasted for the given time, in
+// milliseconds. A pause longer than every one seen is expected to last as long again.
+func (t *Tool) Residual(elapsed float64) float64 {
+	var count, sum float64
+	for b := pauseBucket(elapsed) + 1; b < pauseBuckets; b++ {
+		count += t.counts[b]
+		sum += t.sums[b]
+	}
+	if count == 0 {
+		return elapsed
+	}
+	return max(0, sum/count-elapsed)
 }
 
 // maxTurns is the default bound on the turns of one program; later turns count as this one.
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -60,7 +60,7 @@
 
 	// settled holds finished and withdrawn calls, refused the refused ones, each until the given time.
 	settled map[CallID]clock.Millis
-	refused map[CallID]clock.Millis
+	refused map[CallID]refusedCall
 	// ended holds ended programs and the time of the end or of the last report that showed them. releasing
 	// holds the releases that are repeated until a report or the last repeat.
 	ended     map[ids.Program]clock.Millis
@@ -82,7 +82,7 @@
 		workers:    map[string]*framework.Worker{},
 		calls:      map[CallID]*call{},
 		settled:    map[CallID]clock.Millis{},
-		refused:    map[CallID]clock.Millis{},
+		refused:    map[CallID]refusedCall{},
 		ended:      map[ids.Program]clock.Millis{},
 		lastRerank: at,
 		lastSweep:  at,
@@ -123,9 +123,9 @@
 	if _, ok := g.settled[m.Call]; ok {
 		return
 	}
-	if until, ok := g.refused[m.Call]; ok && m.Running == "" {
-		if g.Now < until {
-			g.emit(Refuse{Call: m.Call, Home: m.Home, Reason: reasonBacklog, RetryAfterMS: int64(until - g.Now)})
+	if r, ok := g.refused[m.Call]; ok && m.Running == "" {
+		if g.Now < r.until {
+			g.emit(Refuse{Call: m.Call, Home: m.Home, Reason: r.reason, RetryAfterMS: int64(r.until - g.Now)})
 			return
 		}
 		delete(g.refused, m.Call)
@@ -141,6 +141,7 @@
 	}
 	g.seq++
 	c.Seq = g.seq
+	c.fresh, c.urgent = c.First(), p.Class == framework.Urgent
 	c.Rank = g.policy.Rank(&g.Group, &c.Call)
 	if m.Running != "" {
 		g.calls[c.id] = c
@@ -189,7 +190,7 @@
 		p.Deadline = g.Now + clock.Millis(m.TimeLeftMS)
 	}
 	if m.PauseTool != "" && m.PausedMS > 0 {
-		g.tool(m.PauseTool).PauseMS.Add(float64(m.PausedMS))
+		g.tool(m.PauseTool).Paused(float64(m.PausedMS))
 	}
 	if m.Turn > 0 && p.History > 0 && m.PromptTokens > p.History {
 		p.Agent.Prompt.Add(float64(m.PromptTokens - p.History))
@@ -261,6 +262,9 @@
 	c.active = c.Size()
 	w.Active += c.active
 	p.Running++
+	if c.fresh {
+		g.overload.started(g.Now)
+	}
 	if !p.Started {
 		p.Started = true
 		g.UnderWay++
@@ -501,6 +505,7 @@
 	if g.Now-g.lastRerank >= rerankPeriod {
 		g.lastRerank = g.Now
 		g.rerank()
+		g.reviewPauses()
 	}
 	g.refuseOverdue()
 	g.repeatReleases()
@@ -510,6 +515,22 @@
 	}
 }
 
+// reviewPauses takes the place in the cache from programs whose pause is expected to go on for long. Their
+// prefix stays cached until the engine needs the memory.
+func (g *group) reviewPauses() {
+	pauser, ok := g.policy.(framework.Pauser)
+	if !ok {
+		return
+	}
+	for _, w := range g.Workers {
+		w.EachResident(func(p *framework.Program) {
+			if p.Running == 0 && p.Waiting == 0 && !pauser.Keep(&g.Group, p, g.Now-p.LastFinished) {
+				p.Settle(nil, 0)
+			}
+		})
+	}
+}
+
 // sweep forgets settled calls, refused calls and programs that are too old to matter.
 func (g *group) sweep() {
 	for id, until := range g.settled {
@@ -517,8 +538,8 @@
 			delete(g.settled, id)
 		}
 	}
-	for id, until := range g.refused {
-		if g.Now >= until {
+	for id, r := range g.refused {
+		if g.Now >= r.until {
 			delete(g.refused, id)
 		}
 	}
--- a/core/sched/plugins/plugins.go
+++ b/core/sched/plugins/plugins.go
@@ -16,6 +16,7 @@
 	"affinity": func() framework.Policy { return affinity{} },
 	"deadline": newDeadline,
 	Default:    newShipped,
+	"yielding": newYielding,
 }
 
 // New returns a policy by name, and false if there is no such policy.
--- a/core/sched/plugins/program.go
+++ b/core/sched/plugins/program.go
@@ -16,6 +16,9 @@
 	Share float64
 	// Stick is how long a call waits for the worker that holds its prefix, in milliseconds.
 	Stick clock.Millis
+	// Hold is the longest expected rest of a pause for which a program keeps its place in the cache, in
+	// milliseconds; 0 keeps it always.
+	Hold clock.Millis
 }
 
 func (p Program) Name() string { return p.PolicyName }
@@ -68,3 +71,9 @@
 	}
 	return 1
 }
+
+// Keep implements framework.Pauser by the learned lengths of the tool's pauses.
+func (p Program) Keep(g *framework.Group, pr *framework.Program, elapsed clock.Millis) bool {
+	tool := g.Tools[pr.PauseTool]
+	return p.Hold == 0 || tool == nil || tool.Residual(float64(elapsed)) <= float64(p.Hold)
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -1,10 +1,6 @@
 package sched
 
-import (
-	"slices"
-
-	"github.com/hyssopreel/hyssopreel/core/sched/framework"
-)
+import "slices"
 
 // queue holds the waiting calls of a group in two sorted lists: the first calls of new programs, and the
 // calls of programs under way. A policy that admits no new program for now leaves the whole first list
@@ -21,13 +17,10 @@
 	return &q.underWay
 }
 
-func (q *queue) len() int { return len(q.fresh) + len(q.underWay) }
-
 // all returns a copy of the waiting calls, those under way first.
 func (q *queue) all() []*call { return slices.Concat(q.underWay, q.fresh) }
 
 func (q *queue) push(c *call) {
-	c.fresh, c.urgent = c.First(), c.Program.Class == framework.Urgent
 	list := q.list(c)
 	i, _ := slices.BinarySearchFunc(*list, c, compare)
 	*list = slices.Insert(*list, i, c)
