Compare with the targets, draw plots and measure decisions in the bench

Cause: the results had to be read by hand, and the time of a decision was not measured.

make bench now writes the ratios to the targets, the tables of docs/decisions.md and the plots, and prints the real time of decisions. The largest replays start first.

Before: no figure for the time of a decision.

--- a/Makefile
+++ b/Makefile
@@ -21,4 +21,4 @@
 
 # Replays the workloads through the decision code and rewrites bench/results.tsv, docs/decisions.md and docs/bench.
 bench: build
-	$(BIN)/hyssopreel-bench --results bench/results.tsv
+	$(BIN)/hyssopreel-bench --results bench/results.tsv --plots docs/bench --decisions docs/decisions.md --timing
--- a/bench/engine/engine.go
+++ b/bench/engine/engine.go
@@ -22,7 +22,6 @@
 	ChunkTokens    int64   `ini:"chunk_tokens"` // prompt tokens computed per step at most
 	MaxRunning     int     `ini:"max_running"`  // sequences in the batch
 	CacheTokens    int64   `ini:"cache_tokens"` // KV memory, for running sequences and idle prefixes
-	ExportMicros   float64 `ini:"export_us"`    // per token moved out of or into the engine
 }
 
 // TokenMicros is the worker time per generated token at the given context, in a batch as large as memory and
@@ -114,25 +113,6 @@
 	return tokens
 }
 
-// Import adds the exported cache of a program as far as memory allows.
-func (e *Engine) Import(program int, tokens int64) {
-	en := e.entries[program]
-	if en == nil {
-		en = &entry{program: program}
-		e.entries[program] = en
-		e.link(en)
-	}
-	en.pinned = true
-	if grow := min(tokens-en.tokens, e.room(tokens-en.tokens)); grow > 0 {
-		en.tokens += grow
-		e.used += grow
-	}
-	en.pinned = false
-	if en.tokens == 0 {
-		e.drop(en)
-	}
-}
-
 // Holding is the cache of one program.
 type Holding struct {
 	Program int
--- /dev/null
+++ b/bench/report/plots.go
@@ -0,0 +1,122 @@
+package report
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/hyssopreel/hyssopreel/bench/replay"
+	"github.com/hyssopreel/hyssopreel/bench/workload"
+)
+
+// Run is one replay with what it was run on.
+type Run struct {
+	Params *workload.Params
+	Load   float64
+	Policy string
+	Replay *replay.Replay
+}
+
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
+	// plottedLoad is the load of the plots: the first saturated one.
+	plottedLoad = 1.0
+)
+
+// Plots draws, for each workload that asks for it, the distribution of the latency by policy and the cache of baseline
+// and shipped over time.
+func Plots(dir string, runs []Run) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Wrap(err, "create the directory of the plots")
+	}
+	latency := map[string]*plot.Plot{}
+	series := map[string]int{}
+	var names []string
+	for _, r := range runs {
+		if !r.Params.Plot || r.Load != plottedLoad {
+			continue
+		}
+		p, ok := latency[r.Params.Name]
+		if !ok {
+			p = newPlot(fmt.Sprintf("%s at load %.1f: all programs", r.Params.Name, r.Load), "latency (s)", "share of programs")
+			latency[r.Params.Name] = p
+			names = append(names, r.Params.Name)
+		}
+		if err := addDistribution(p, r, series[r.Params.Name]); err != nil {
+			return err
+		}
+		series[r.Params.Name]++
+		if r.Policy == "baseline" || r.Policy == "shipped" {
+			if err := plotCache(dir, r); err != nil {
+				return err
+			}
+		}
+	}
+	for _, name := range names {
+		if err := save(latency[name], filepath.Join(dir, name+"-latency.png")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Add(plotter.NewGrid())
+	return p
+}
+
+func addDistribution(p *plot.Plot, r Run, i int) error {
+	all := allLatencies(r.Params, r.Replay, "")
+	points := make(plotter.XYs, len(all))
+	for k, l := range all {
+		points[k] = plotter.XY{X: l, Y: float64(k+1) / float64(len(all))}
+	}
+	return addLine(p, r.Policy, points, i)
+}
+
+func addLine(p *plot.Plot, name string, points plotter.XYs, i int) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return errors.Wrapf(err, "plot %s", name)
+	}
+	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+func plotCache(dir string, r Run) error {
+	p := newPlot(fmt.Sprintf("%s at load %.1f, %s: cache of all workers", r.Params.Name, r.Load, r.Policy), "time (s)", "million tokens")
+	p.Legend.Top = true
+	for i, s := range []struct {
+		name string
+		of   func(replay.CachePoint) int64
+	}{
+		{"running", func(c replay.CachePoint) int64 { return c.Running }},
+		{"waiting", func(c replay.CachePoint) int64 { return c.Waiting }},
+		{"paused", func(c replay.CachePoint) int64 { return c.Paused }},
+		{"ended", func(c replay.CachePoint) int64 { return c.Ended }},
+	} {
+		points := make(plotter.XYs, len(r.Replay.Cache))
+		for k, c := range r.Replay.Cache {
+			points[k] = plotter.XY{X: float64(c.Second), Y: float64(s.of(c)) / 1e6}
+		}
+		if err := addLine(p, s.name, points, i); err != nil {
+			return err
+		}
+	}
+	return save(p, filepath.Join(dir, fmt.Sprintf("%s-cache-%s.png", r.Params.Name, r.Policy)))
+}
+
+func save(p *plot.Plot, path string) error {
+	return errors.Wrapf(p.Save(plotWidth, plotHeight, path), "save %s", path)
+}
--- a/bench/report/table.go
+++ b/bench/report/table.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
 )
 
 // tableMetrics are the columns of the table for people.
@@ -80,3 +83,114 @@
 		return strconv.FormatFloat(v/1e6, 'f', 1, 64) + "M"
 	}
 }
+
+// Targets of the policy shipped: the ratio of a metric to another policy's that it may reach at most.
+var targets = []struct {
+	metric, other string
+	most          float64
+}{
+	{"latency_p95", "baseline", 0.6},
+	{"latency_all_p95", "baseline", 0.6},
+	{"latency_p95", "affinity", 0.75},
+	{"latency_p95", "clairvoyant", 1.25},
+	{"latency_p50", "baseline", 0.4},
+	{"recomputed_prompt_tokens", "baseline", 1.0 / 3},
+}
+
+// saturated reports whether the targets hold at a load.
+func saturated(load float64) bool { return load == 1.0 || load == 1.3 }
+
+// Ratios formats how shipped compares with the targets in the saturated cells.
+func Ratios(rows []Row) string {
+	var b strings.Builder
+	values, order := index(rows)
+	fmt.Fprintln(&b, "| workload | load | metric | to | ratio | target | reached |")
+	fmt.Fprintln(&b, "|---|---|---|---|---|---|---|")
+	for _, k := range order {
+		if k.policy != "shipped" || !saturated(k.load) {
+			continue
+		}
+		for _, t := range targets {
+			other := values[key{k.workload, k.load, t.other}][t.metric]
+			if other == 0 {
+				continue
+			}
+			ratio := values[k][t.metric] / other
+			fmt.Fprintf(&b, "| %s | %s | %s | %s | %.3f | %.3f | %s |\n",
+				k.workload, formatLoad(k.load), t.metric, t.other, ratio, t.most, yesNo(ratio <= t.most))
+		}
+	}
+	b.WriteString(goodput(values, order))
+	return b.String()
+}
+
+// goodputTarget is the least share of the peak goodput that shipped keeps at the loads 1.3 and 2.0. The peak is
+// over the loads up to the one at hand: a larger load can finish more programs, which is no loss.
+const goodputTarget = 0.9
+
+func goodput(values map[key]map[string]float64, order []key) string {
+	var b strings.Builder
+	peak := map[string]float64{}
+	for _, k := range order {
+		if k.policy != "shipped" {
+			continue
+		}
+		peak[k.workload] = max(peak[k.workload], values[k]["goodput"])
+		if k.load >= 1.3 {
+			share := values[k]["goodput"] / peak[k.workload]
+			fmt.Fprintf(&b, "| %s | %s | goodput | its peak up to this load | %.3f | at least %.1f | %s |\n",
+				k.workload, formatLoad(k.load), share, goodputTarget, yesNo(share >= goodputTarget))
+		}
+	}
+	return b.String()
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// Markdown formats the main metrics as a table.
+func Markdown(rows []Row) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| workload | load | policy | %s |\n", strings.Join(pageMetrics, " | "))
+	fmt.Fprintf(&b, "|---|---|---|%s\n", strings.Repeat("---|", len(pageMetrics)))
+	values, order := index(rows)
+	for _, k := range order {
+		fmt.Fprintf(&b, "| %s | %s | %s |", k.workload, formatLoad(k.load), k.policy)
+		for _, m := range pageMetrics {
+			fmt.Fprintf(&b, " %s |", formatCell(values[k][m]))
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// pageMetrics are the columns of the table in docs/decisions.md.
+var pageMetrics = []string{
+	"latency_p50", "latency_p95", "latency_p99", "latency_all_p50", "latency_all_p95", "in_time_share", "goodput", "refused_share", "failed_share",
+	"hung_up_share", "unfinished_share", "recomputed_prompt_tokens", "ended_cache_longest", "latency_p95_urgent",
+}
+
+// The table of results in docs/decisions.md stands between these lines.
+const (
+	tableBegin = "<!-- results: begin (written by make bench) -->\n"
+	tableEnd   = "<!-- results: end -->\n"
+)
+
+// ReplaceTable replaces the tables of a page by those of the rows.
+func ReplaceTable(path string, rows []Row) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the page of decisions")
+	}
+	head, rest, ok := strings.Cut(string(page), tableBegin)
+	_, tail, closed := strings.Cut(rest, tableEnd)
+	if !ok || !closed {
+		return errors.Newf("%s has no lines %q and %q", path, strings.TrimSpace(tableBegin), strings.TrimSpace(tableEnd))
+	}
+	out := head + tableBegin + "\n" + Ratios(rows) + "\n" + Markdown(rows) + "\n" + tableEnd + tail
+	return errors.Wrap(os.WriteFile(path, []byte(out), 0o644), "write the page of decisions")
+}
--- a/cmd/hyssopreel-bench/main.go
+++ b/cmd/hyssopreel-bench/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -17,7 +18,9 @@
 
 	"github.com/hyssopreel/hyssopreel/bench/replay"
 	"github.com/hyssopreel/hyssopreel/bench/report"
+	"github.com/hyssopreel/hyssopreel/bench/timing"
 	"github.com/hyssopreel/hyssopreel/bench/workload"
+	"github.com/hyssopreel/hyssopreel/core/sched/plugins"
 )
 
 type options struct {
@@ -25,6 +28,10 @@
 	Only      []string  `long:"only" description:"workload to replay; all by default"`
 	Loads     []float64 `long:"load" description:"load to replay; the loads of the file by default"`
 	Policies  []string  `long:"policy" description:"policy to replay; all by default"`
+	Seed      uint64    `long:"seed" description:"seed instead of the one of the file, to see how far the figures depend on it"`
+	Plots     string    `long:"plots" description:"directory for the plots; empty draws none"`
+	Decisions string    `long:"decisions" description:"page whose table of results is replaced; empty replaces none"`
+	Timing    bool      `long:"timing" description:"measure the real time of decisions after the replays"`
 	Results   string    `long:"results" description:"file for the table of results; empty writes none"`
 }
 
@@ -60,7 +67,12 @@
 	}
 	var g errgroup.Group
 	g.SetLimit(runtime.GOMAXPROCS(0))
-	for _, c := range cells {
+	// The largest replays start first, so that none is left over at the end.
+	bySize := slices.Clone(cells)
+	slices.SortStableFunc(bySize, func(a, b *cell) int {
+		return cmp.Compare(float64(b.params.Workers)*b.load, float64(a.params.Workers)*a.load)
+	})
+	for _, c := range bySize {
 		g.Go(func() error {
 			c.replay = replayCell(c)
 			c.rows = report.Metrics(c.params, c.load, c.policy, c.replay)
@@ -75,8 +87,35 @@
 		rows = append(rows, c.rows...)
 	}
 	fmt.Print(report.Table(rows))
+	fmt.Print(report.Ratios(rows))
+	if err := write(o, cells, rows); err != nil {
+		return err
+	}
+	if o.Timing {
+		for _, policy := range plugins.Names() {
+			fmt.Println(timing.Measure(policy))
+		}
+	}
+	return nil
+}
+
+func write(o options, cells []*cell, rows []report.Row) error {
 	if o.Results != "" {
-		return os.WriteFile(o.Results, report.TSV(rows), 0o644)
+		if err := os.WriteFile(o.Results, report.TSV(rows), 0o644); err != nil {
+			return errors.Wrap(err, "write results")
+		}
+	}
+	if o.Plots != "" {
+		var runs []report.Run
+		for _, c := range cells {
+			runs = append(runs, report.Run{Params: c.params, Load: c.load, Policy: c.policy, Replay: c.replay})
+		}
+		if err := report.Plots(o.Plots, runs); err != nil {
+			return err
+		}
+	}
+	if o.Decisions != "" {
+		return report.ReplaceTable(o.Decisions, rows)
 	}
 	return nil
 }
@@ -93,6 +132,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if o.Seed != 0 {
+			p.Seed = o.Seed
+		}
 		if len(o.Only) > 0 && !slices.Contains(o.Only, p.Name) {
 			continue
 		}
--- a/cmd/hyssopreel-bench/policies.go
+++ b/cmd/hyssopreel-bench/policies.go
@@ -14,7 +14,7 @@
 // clairvoyantNew times as long: of 1, 2 and 4, 2 gives the clairvoyant policy its lowest p95.
 const (
 	clairvoyantShare = 1.1
-	clairvoyantStick = 8000
+	clairvoyantStick = 16_000
 	clairvoyantNew   = 2
 )
 
