Decode the list of backend servers only when it changed

Cause: every host reads the platform's list every 2 s. At 6,000 workers it is 901 KB of JSON, and reading it takes 25.9 ms of processor time: 1.3% of the 1.8% of a core that a host has for control.

Ruled out: a longer period (a leaving server has to be noticed within seconds); a version of the list in the request (the platform's protocol has none).

--- a/common/objectapi/http.go
+++ b/common/objectapi/http.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,9 @@
 
 	mu   sync.Mutex
 	down time.Time // start of the outage; zero while the store is available
+	// listed is the last answer to Backends, and list what it says.
+	listed []byte
+	list   []Backend
 }
 
 var (
@@ -277,13 +281,26 @@
 	return out, a.Revision, nil
 }
 
-// Backends implements BackendLister.
+// Backends implements BackendLister. The list is decoded only when the answer differs from the last one: 6,000 entries
+// are 0.9 MB of JSON, every host reads them every 2 s, and they rarely change.
 func (s *HTTPStore) Backends(ctx context.Context) ([]Backend, error) {
-	var a struct {
-		Backends []Backend `json:"backends"`
+	c := call{method: http.MethodGet, path: "/v1/backends"}
+	_, _, b, err := s.do(ctx, c)
+	if err != nil {
+		return nil, err
 	}
-	err := s.getJSON(ctx, call{path: "/v1/backends"}, &a)
-	return a.Backends, err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listed == nil || !bytes.Equal(b, s.listed) {
+		var a struct {
+			Backends []Backend `json:"backends"`
+		}
+		if err := s.decode(c, b, &a); err != nil {
+			return nil, err
+		}
+		s.listed, s.list = b, a.Backends
+	}
+	return slices.Clone(s.list), nil
 }
 
 func (s *HTTPStore) getJSON(ctx context.Context, c call, out any) error {
@@ -292,6 +309,10 @@
 	if err != nil {
 		return err
 	}
+	return s.decode(c, b, out)
+}
+
+func (s *HTTPStore) decode(c call, b []byte, out any) error {
 	if err := json.Unmarshal(b, out); err != nil {
 		return typed(errors.Wrapf(err, "GET %s at %s: answer", c.path, s.base), ErrUnavailable)
 	}
--- a/common/objectapi/objectapi_test.go
+++ b/common/objectapi/objectapi_test.go
@@ -35,6 +35,30 @@
 var _ = Describe("HTTPStore", func() {
 	ctx := context.Background()
 
+	It("shows each change of the list of backend servers", func() { // guards against an answer that is kept too long or shared with a caller
+		var body atomic.Value
+		store := storeAt(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body.Load().(string)) })
+		names := func() (out []string) {
+			list, err := store.Backends(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			for i := range list {
+				out = append(out, list[i].Name)
+				list[i].Name = "changed by the caller"
+			}
+			return out
+		}
+		body.Store(`{"backends": [{"name": "a"}, {"name": "b"}]}`)
+		Expect(names()).To(Equal([]string{"a", "b"}))
+		Expect(names()).To(Equal([]string{"a", "b"}))
+		body.Store(`{"backends": [{"name": "a"}, {"name": "c"}]}`)
+		Expect(names()).To(Equal([]string{"a", "c"}))
+		body.Store(`{"backends": [`)
+		_, err := store.Backends(ctx)
+		Expect(err).To(MatchError(objectapi.ErrUnavailable))
+		body.Store(`{"backends": []}`)
+		Expect(names()).To(BeEmpty())
+	})
+
 	It("follows the published protocol", func() {
 		type seen struct{ method, uri, match, none, client string }
 		var last atomic.Pointer[seen]
