Keep the callers' listener across incarnations

Ruled out: a longer wait before the close, which leaves the requests in the listener's backlog. The listener now belongs to the process; between two incarnations requests are refused as not run with a time to retry.

--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
@@ -63,7 +62,7 @@
 	return serve(s)
 }
 
-// serve runs incarnations until a signal ends the last one.
+// serve runs the host until a signal ends it.
 func serve(s *settings.Settings) int {
 	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -85,16 +84,9 @@
 		defer cancel()
 		_ = tracer.Shutdown(flushCtx)
 	}()
-	for ctx.Err() == nil {
-		err := daemon.Run(ctx, s)
-		if errors.Is(err, daemon.ErrDeposed) {
-			continue
-		}
-		if err != nil {
-			logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
-			return exitFailed
-		}
-		return 0
+	if err := daemon.Run(ctx, s); err != nil {
+		logging.Emit(logging.DaemonFailed, logging.Fields{"error": err.Error()})
+		return exitFailed
 	}
 	return 0
 }
--- a/service/daemon/daemon.go
+++ b/service/daemon/daemon.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"io"
-	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -32,16 +30,13 @@
 	"github.com/hyssopreel/hyssopreel/service/runtime"
 )
 
-// ErrDeposed ends an incarnation whose programs were taken over. The process starts a new one.
-var ErrDeposed = errors.New("this incarnation was deposed")
+// errDeposed ends an incarnation whose programs were taken over.
+var errDeposed = errors.New("this incarnation was deposed")
 
 const (
 	// handoverTimeout bounds the wait for an heir at shutdown; after it the lease lapses and the programs are
 	// taken over like those of a dead host.
 	handoverTimeout = 30 * time.Second
-	// lastAnswers bounds the wait for the answers of an incarnation that was deposed or failed. It delays the
-	// next incarnation, and requests for programs of other hosts may take for long.
-	lastAnswers = time.Second
 	// quietPoll is how often a shutdown looks for requests that are still under way.
 	quietPoll = 20 * time.Millisecond
 	// retention is how long ended programs can be read.
@@ -66,18 +61,37 @@
 	reports       *workerReports
 	home          *home.Home
 	entry         *entry.Server
-	http          *http.Server
+	front         *front
 	deposed       chan string
 	drain         chan struct{}
 }
 
-// Run runs one incarnation until ctx is done or an operator drains the host, and then shuts it down without cutting off a request. It returns
-// ErrDeposed when the programs of this incarnation were taken over.
+// Run runs a host until ctx is done or an operator drains it, and then shuts it down without cutting off a
+// request. When the programs of an incarnation were taken over, the next incarnation starts.
 func Run(ctx context.Context, s *settings.Settings) error {
+	f, err := newFront(s)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	for {
+		err := runIncarnation(ctx, s, f)
+		switch {
+		case !errors.Is(err, errDeposed):
+			return err
+		case ctx.Err() != nil:
+			return nil
+		}
+	}
+}
+
+// runIncarnation runs one incarnation. It returns errDeposed when the programs of this incarnation were taken over.
+func runIncarnation(ctx context.Context, s *settings.Settings, f *front) error {
 	d, err := build(s)
 	if err != nil {
 		return err
 	}
+	d.front = f
 	defer d.close()
 	// The parts outlive ctx, because the shutdown needs them.
 	work, stop := context.WithCancel(context.Background())
@@ -96,7 +110,7 @@
 	if err == nil {
 		err = d.shutdown(work)
 	}
-	d.stopServing()
+	f.serve(nil)
 	stop()
 	if waitErr := g.Wait(); err == nil && waitErr != nil && !errors.Is(waitErr, context.Canceled) {
 		err = waitErr
@@ -181,9 +195,6 @@
 		View: d.members, Node: d.node, Home: d.home, MaxBodyBytes: s.Limits.MaxBody, MaxHeaderBytes: s.Limits.MaxHeader, RequestTimeout: s.Limits.RequestTimeout,
 		Mount: d.mountOperators, Ready: d.ready, Metrics: d.metrics.Handler(), Observe: d.observeRequest,
 	})
-	const readHeaderTimeout = 5 * time.Second
-	// Headers up to twice the limit get the entry's typed error; net/http refuses larger ones itself.
-	d.http = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeader)}
 }
 
 func (d *Daemon) ready() error {
@@ -199,22 +210,15 @@
 // start brings the parts up in the order in which they need each other. Requests are served last.
 func (d *Daemon) start(ctx, work context.Context, g *errgroup.Group) error {
 	s := d.settings
-	httpListener, err := net.Listen("tcp", s.Listen.HTTP)
-	if err != nil {
-		return errors.Wrapf(err, "listen for callers at %s", s.Listen.HTTP)
-	}
 	g.Go(func() error { return d.rt.Run(work) })
 	// The peer port opens before the lease is taken, so that a peer that reads the new record can connect.
 	if _, err := d.node.Listen(s.Listen.Peer); err != nil {
-		_ = httpListener.Close()
 		return err
 	}
 	if err := d.members.Start(ctx); err != nil {
-		_ = httpListener.Close()
 		return err
 	}
 	if err := d.home.Start(d.members.Self().Journal); err != nil {
-		_ = httpListener.Close()
 		return err
 	}
 	d.configuration.Subscribe(func(c *config.Config) { d.rt.Publish(program.ConfigChanged{Config: *c}) })
@@ -224,12 +228,7 @@
 	g.Go(func() error { d.followGroups(work); return nil })
 	g.Go(func() error { return d.orders.Run(work) })
 	g.Go(func() error { d.followOrders(work); return nil })
-	g.Go(func() error {
-		if err := d.http.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
-		}
-		return nil
-	})
+	d.front.serve(d.entry.Handler())
 	return nil
 }
 
@@ -243,23 +242,15 @@
 	case reason := <-d.deposed:
 		logging.Emit(logging.DaemonDeposed, logging.Fields{"host": string(d.settings.Host.Name), "reason": reason})
 		d.finishForwarded(work)
-		return ErrDeposed
+		return errDeposed
+	case err := <-d.front.failed:
+		return err
 	case <-work.Done():
 		return errors.New("a part of the daemon failed")
 	}
 }
 
-// stopServing ends the HTTP server. Requests that a deposed incarnation answers with "moved" get their answers.
-func (d *Daemon) stopServing() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
-	defer cancel()
-	if d.http.Shutdown(ctx) != nil {
-		_ = d.http.Close()
-	}
-}
-
 func (d *Daemon) close() {
-	_ = d.http.Close()
 	d.backends.Stop()
 	d.members.Stop()
 	_ = d.node.Close()
--- /dev/null
+++ b/service/daemon/front.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/service/entry"
+)
+
+// betweenRetry is when a caller should ask again while the host has no incarnation that serves.
+const betweenRetry = 500 * time.Millisecond
+
+// front is the HTTP listener of the process. It outlives the incarnations, so that a deposition closes no
+// connection of a caller: requests that come between two incarnations are refused as not run.
+type front struct {
+	server  *http.Server
+	handler atomic.Pointer[http.Handler] // of the incarnation that serves
+	failed  chan error
+}
+
+func newFront(s *settings.Settings) (*front, error) {
+	l, err := net.Listen("tcp", s.Listen.HTTP)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for callers at %s", s.Listen.HTTP)
+	}
+	const readHeaderTimeout = 5 * time.Second
+	f := &front{failed: make(chan error, 1)}
+	// Headers up to twice the limit get the entry's typed error; net/http refuses larger ones itself.
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeader)}
+	go func() {
+		if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			f.failed <- errors.Wrap(err, "serve callers")
+		}
+	}()
+	return f, nil
+}
+
+// serve directs requests to an incarnation; nil refuses them.
+func (f *front) serve(h http.Handler) {
+	if h == nil {
+		f.handler.Store(nil)
+		return
+	}
+	f.handler.Store(&h)
+}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h := f.handler.Load(); h != nil {
+		(*h).ServeHTTP(w, r)
+		return
+	}
+	if r.URL.Path == "/healthz" {
+		_, _ = io.WriteString(w, "ok\n")
+		return
+	}
+	entry.WriteError(w, fault.New(fault.CodeDraining, "serve request", "the host has no lease; use another host").RetryAfter(betweenRetry))
+}
+
+// shutdown closes the listener and waits for the requests that are being served.
+func (f *front) shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
+
+func (f *front) close() { _ = f.server.Close() }
--- a/service/daemon/shutdown.go
+++ b/service/daemon/shutdown.go
@@ -39,7 +39,7 @@
 	d.waitUntil(work, started.Add(d.settings.Limits.DrainLimit), func() bool { return d.entry.Active() == 0 })
 	closeCtx, cancelClose := context.WithTimeout(work, handoverTimeout)
 	defer cancelClose()
-	err := d.http.Shutdown(closeCtx)
+	err := d.front.shutdown(closeCtx)
 	logging.Emit(logging.DaemonStopped, logging.Fields{"host": string(d.settings.Host.Name), "ms": time.Since(started).Milliseconds()})
 	return err
 }
@@ -62,11 +62,11 @@
 	}
 }
 
-// finishForwarded lets the requests that this host passes on to other homes finish before a deposed
-// incarnation closes its listener.
+// finishForwarded lets the requests that a deposed incarnation still has finish: those that it passes on to
+// other homes, and those that it answers with "moved". New requests are refused until the next incarnation serves.
 func (d *Daemon) finishForwarded(work context.Context) {
 	const limit = 5 * time.Second
-	d.entry.StartDrain()
+	d.front.serve(nil)
 	d.waitUntil(work, time.Now().Add(limit), func() bool { return d.entry.Active() == 0 })
 }
 
