Join all hops of a call in one trace

Cause: no test followed a request from its caller to the engine through the span files of the hosts.

Ruled out: a trace that is lost between hosts; frames and dispatches carried it already.

--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -249,7 +249,7 @@
 		return
 	}
 	if _, ok := p.intents[c.request.Key]; ok {
-		r.write(pendingCommit{}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
+		r.write(pendingCommit{program: p.id, key: c.request.Key}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
 	}
 	r.giveBack(p, c)
 	delete(p.calls, c.request.Key)
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -50,7 +50,7 @@
 	r.newAttempt(p, c)
 	c.worker = ""
 	r.countCall(poolOf(r.group(p, c)))
-	r.emit(Enqueue{Request: r.enqueued(p, c)})
+	r.emit(Enqueue{Request: r.enqueued(p, c), Trace: c.trace})
 }
 
 func (r *reduction) enqueued(p *program, c *call) sched.Enqueued {
@@ -266,7 +266,7 @@
 		}
 		switch c.state {
 		case callScheduling, callIntent, callDispatched:
-			r.emit(Enqueue{Request: r.enqueued(p, c)})
+			r.emit(Enqueue{Request: r.enqueued(p, c), Trace: c.trace})
 		}
 	}
 }
--- a/core/program/lifecycle.go
+++ b/core/program/lifecycle.go
@@ -120,7 +120,7 @@
 		Team: p.header.Team, Agent: q.Name, BudgetTokens: q.BudgetTokens, Parent: p.id,
 	}, agent, c.request.Key, p.header.DeadlineAt)
 	records = append(records, Record{Op: OpIntent, Program: p.id, Key: c.request.Key, Hash: c.hash, Call: &c.request})
-	r.write(pendingCommit{}, records...)
+	r.write(pendingCommit{program: p.id, key: c.request.Key}, records...)
 	c.state = callChild
 	r.callSubmitted(CallSubmitted{Program: id, Trace: c.trace, Call: api.Call{
 		Key: c.request.Key, Kind: api.CallModel, Model: &api.ModelCall{Prompt: q.Prompt},
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -167,6 +167,8 @@
 	Token    Token    `msgpack:"t"`
 	Records  []Record `msgpack:"r"`
 	Snapshot bool     `msgpack:"s"`
+	// Trace is the W3C traceparent of the call that the commit belongs to, if there is one.
+	Trace string `msgpack:"tr"`
 }
 
 // Reply answers a waiter. Exactly one of the fields besides Waiter is set.
@@ -192,6 +194,7 @@
 // Enqueue asks the group's scheduler for a worker.
 type Enqueue struct {
 	Request sched.Enqueued `msgpack:"r"`
+	Trace   string         `msgpack:"tr"`
 }
 
 // Withdraw takes a waiting call back from the group's scheduler.
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -244,7 +244,17 @@
 	next.token = r.lastToken
 	r.unsaved += next.bytes
 	r.pending = append(r.pending, next)
-	r.emit(Commit{Token: next.token, Records: records})
+	r.emit(Commit{Token: next.token, Records: records, Trace: r.traceOf(next.program, next.key)})
+}
+
+// traceOf returns the trace of a call; it is empty for other keys.
+func (r *reduction) traceOf(id ids.Program, key string) string {
+	if p, ok := r.programs[id]; ok {
+		if c, ok := p.calls[key]; ok {
+			return c.trace
+		}
+	}
+	return ""
 }
 
 // snapshot commits the state as it is. The records describe the state and are not applied to it again.
--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -67,6 +67,8 @@
 	Bin, Root string
 	// Settings replaces values of the daemons' settings; keys are "section.key".
 	Settings map[string]string
+	// Trace makes each host write its spans to <host>.spans in the folder of the bed.
+	Trace bool
 	// StepMS is the time of one token of an engine without load, in milliseconds; 0 means 2.
 	StepMS float64
 }
@@ -294,6 +296,9 @@
 		"journal.batch_interval": "10ms",
 		"event_log.path":         filepath.Join(b.Dir, h.Name+".events"),
 	}
+	if b.Options.Trace {
+		values["tracing.file"] = filepath.Join(b.Dir, h.Name+".spans")
+	}
 	for k, v := range b.Options.Settings {
 		values[k] = v
 	}
--- a/service/entry/input_test.go
+++ b/service/entry/input_test.go
@@ -300,8 +300,16 @@
 		table = append(table, invalid("malformed "+path, http.MethodGet, path, ""))
 	}
 	for _, q := range [][2]string{
-		{"PUT", "/v1/programs"}, {"DELETE", "/v1/programs"}, {"POST", "/v1/programs/" + p}, {"GET", "/v1/programs/" + p + "/end"},
-		{"GET", calls}, {"DELETE", calls}, {"POST", calls + "/k1"}, {"PATCH", "/v1/tickets"}, {"POST", "/v1/hosts"}, {"GET", "/v1/members/a-1/drain"},
+		{"PUT", "/v1/programs"},
+		{"DELETE", "/v1/programs"},
+		{"POST", "/v1/programs/" + p},
+		{"GET", "/v1/programs/" + p + "/end"},
+		{"GET", calls},
+		{"DELETE", calls},
+		{"POST", calls + "/k1"},
+		{"PATCH", "/v1/tickets"},
+		{"POST", "/v1/hosts"},
+		{"GET", "/v1/members/a-1/drain"},
 	} {
 		table = append(table, refusal{name: "method", method: q[0], path: q[1], body: call, status: http.StatusMethodNotAllowed, code: fault.CodeInvalid})
 	}
--- a/service/entry/ops.go
+++ b/service/entry/ops.go
@@ -8,10 +8,13 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/tracing"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/program"
 	"github.com/hyssopreel/hyssopreel/service/membership"
@@ -91,7 +94,10 @@
 		}
 		if s.gate.enter() {
 			defer s.gate.leave()
-			return s.local(ctx, q, emit)
+			ctx, span := s.tracer.Start(ctx, "home "+string(q.Op), trace.WithAttributes(attribute.String("program", string(q.Program))))
+			res, err := s.local(ctx, q, emit)
+			tracing.End(span, err)
+			return res, err
 		}
 		if err := s.gate.wait(ctx); err != nil {
 			return nil, err
@@ -110,8 +116,15 @@
 func randomKey() string { return strconv.FormatUint(rand.Uint64(), 36) }
 
 func (s *Server) forward(ctx context.Context, home membership.Member, q request, emit func(api.Piece)) (*result, error) {
-	ctx, span := s.tracer.Start(ctx, "forward "+string(q.Op))
-	defer span.End()
+	ctx, span := s.tracer.Start(ctx, "forward "+string(q.Op), trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("program", string(q.Program)), attribute.String("home", string(home.Name))))
+	res, err := s.exchange(ctx, home, q, emit)
+	tracing.End(span, err)
+	return res, err
+}
+
+// exchange sends the request to its home and reads the answer.
+func (s *Server) exchange(ctx context.Context, home membership.Member, q request, emit func(api.Piece)) (*result, error) {
 	x, err := s.opts.Node.Open(ctx, home.PeerAddress, wire.TypeCall, q)
 	if err != nil {
 		return nil, err
@@ -145,8 +158,6 @@
 		_ = r.Fail(fault.New(fault.CodeInvalid, "decode request", "%v", err))
 		return
 	}
-	ctx, span := s.tracer.Start(ctx, "home "+string(q.Op))
-	defer span.End()
 	if home, ferr := s.route(q); ferr != nil || home.Journal != s.opts.View.Self().Journal {
 		_ = r.Fail(fault.New(fault.CodeMoved, "home", "program %s does not live here", q.Program).At(string(s.opts.View.Self().Name)))
 		return
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -195,6 +196,7 @@
 		r.Body = http.MaxBytesReader(w, r.Body, s.opts.MaxBodyBytes)
 		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
 		next.ServeHTTP(sw, r.WithContext(ctx))
+		span.SetAttributes(attribute.Int("status", sw.status))
 		span.SetName("entry " + r.Method + " " + chi.RouteContext(r.Context()).RoutePattern())
 		if s.opts.Observe != nil {
 			s.opts.Observe(r.Method+" "+chi.RouteContext(r.Context()).RoutePattern(), sw.status, time.Since(start))
--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -83,28 +84,38 @@
 	}
 	return &dispatcher{
 		backends: backends, leaseValid: leaseValid, publish: publish, hub: h,
-		tracer: otel.Tracer("hyssopreel/home"), propagator: propagation.TraceContext{},
+		tracer: otel.Tracer(tracerName), propagator: propagation.TraceContext{},
 		client:     &http.Client{Transport: transport(true)},
 		onceClient: &http.Client{Transport: transport(false)},
 		active:     map[sched.CallID]context.CancelFunc{},
 	}
 }
 
+// tracerName names the spans of a home.
+const tracerName = "hyssopreel/home"
+
+// withTrace returns a context in which new spans belong to the trace of a W3C traceparent.
+func withTrace(traceparent string) context.Context {
+	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": traceparent})
+}
+
 // start begins a dispatch on a goroutine of its own.
 func (d *dispatcher) start(e program.Dispatch) {
-	ctx := d.propagator.Extract(context.Background(), propagation.MapCarrier{"traceparent": e.Trace})
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(withTrace(e.Trace))
 	d.mu.Lock()
 	d.active[e.Call] = cancel
 	d.mu.Unlock()
 	go func() {
 		defer cancel()
 		ctx, span := d.tracer.Start(ctx, "dispatch "+string(e.Kind), trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
-			attribute.String("program", string(e.Call.Program)), attribute.String("worker", e.Worker), attribute.Int("attempt", e.Call.Attempt)))
+			attribute.String("program", string(e.Call.Program)), attribute.String("key", e.Call.Key), attribute.String("worker", e.Worker), attribute.Int("attempt", e.Call.Attempt)))
 		defer span.End()
 		ended := d.run(ctx, e)
 		ended.Call = e.Call
 		span.SetAttributes(attribute.String("result", string(ended.Result)))
+		if ended.Error != nil {
+			span.SetStatus(codes.Error, ended.Error.Error())
+		}
 		d.mu.Lock()
 		delete(d.active, e.Call)
 		d.mu.Unlock()
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/klauspost/compress/zstd"
 	"github.com/vmihailenco/msgpack/v5"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
@@ -90,6 +93,7 @@
 	records  []program.Record
 	bytes    int
 	snapshot bool
+	span     trace.Span // nil for a commit without a trace
 }
 
 // JournalEvents is what a Journal reports.
@@ -108,6 +112,7 @@
 	codec    *codec
 	interval time.Duration
 	events   JournalEvents
+	tracer   trace.Tracer
 
 	mu      sync.Mutex
 	queue   []commit
@@ -129,7 +134,7 @@
 		return nil, err
 	}
 	return &Journal{
-		id: id, store: store, codec: c, interval: interval, events: ev,
+		id: id, store: store, codec: c, interval: interval, events: ev, tracer: otel.Tracer(tracerName),
 		wake: make(chan struct{}, 1), next: 1, firstSegment: 1,
 	}, nil
 }
@@ -142,7 +147,7 @@
 		size += len(b)
 	}
 	j.mu.Lock()
-	j.queue = append(j.queue, commit{token: e.Token, records: e.Records, bytes: size, snapshot: e.Snapshot})
+	j.queue = append(j.queue, commit{token: e.Token, records: e.Records, bytes: size, snapshot: e.Snapshot, span: j.startSpan(e)})
 	j.unsaved += size
 	j.mu.Unlock()
 	select {
@@ -151,6 +156,17 @@
 	}
 }
 
+// startSpan starts the span of a commit, which ends when it is durable.
+func (j *Journal) startSpan(e program.Commit) trace.Span {
+	if e.Trace == "" || len(e.Records) == 0 {
+		return nil
+	}
+	first := e.Records[0]
+	_, span := j.tracer.Start(withTrace(e.Trace), "commit "+string(first.Op), trace.WithAttributes(
+		attribute.String("program", string(first.Program)), attribute.String("journal", string(j.id))))
+	return span
+}
+
 // Empty says whether everything is durable.
 func (j *Journal) Empty() bool {
 	j.mu.Lock()
@@ -304,6 +320,9 @@
 	for _, c := range j.queue[:n] {
 		j.unsaved -= c.bytes
 		snapshot = c.snapshot
+		if c.span != nil {
+			c.span.End()
+		}
 	}
 	j.queue = j.queue[n:]
 	return snapshot
--- a/service/home/schedlink.go
+++ b/service/home/schedlink.go
@@ -7,6 +7,10 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/wire"
@@ -53,22 +57,28 @@
 	// homes are the incarnations that were up at the last tick.
 	homes     map[ids.Journal]bool
 	refreshed time.Time
+	// grants are the spans of the calls that wait for a worker.
+	grants map[sched.CallID]trace.Span
+	tracer trace.Tracer
 }
 
 func newSchedLink(view membership.View, node *wire.Node, rt *runtime.Runtime) *schedLink {
-	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}, scheduled: map[string]bool{}}
+	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}, scheduled: map[string]bool{}, grants: map[sched.CallID]trace.Span{}, tracer: otel.Tracer(tracerName)}
 	node.Handle(wire.TypeEnqueue, l.handleEnqueue)
 	node.Handle(wire.TypeGrant, l.handleGrant)
 	rt.Handle(program.KindEnqueue, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Enqueue).Request
+		l.startWait(q, e.(program.Enqueue).Trace)
 		l.toScheduler(q.Group, toScheduler{Enqueued: &q})
 	})
 	rt.Handle(program.KindWithdraw, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Withdraw).Request
+		l.endWait(q.Call, "withdrawn", "")
 		l.toScheduler(q.Group, toScheduler{Withdrawn: &q})
 	})
 	rt.Handle(program.KindFinish, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Finish).Request
+		l.endWait(q.Call, "finished", "") // without effect after a grant
 		l.toScheduler(q.Group, toScheduler{Finished: &q})
 	})
 	rt.Handle(program.KindNotifyEnded, func(_ clock.Millis, e event.Effect) {
@@ -86,6 +96,33 @@
 	return l
 }
 
+// startWait starts the span of a call's wait for a worker. A call that is enqueued again goes on waiting.
+func (l *schedLink) startWait(q sched.Enqueued, traceparent string) {
+	if traceparent == "" || q.Running != "" {
+		return
+	}
+	host, _ := l.scheduler(q.Group)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.grants[q.Call]; ok {
+		return
+	}
+	_, l.grants[q.Call] = l.tracer.Start(withTrace(traceparent), "wait for grant", trace.WithAttributes(
+		attribute.String("program", string(q.Call.Program)), attribute.String("key", q.Call.Key), attribute.Int("attempt", q.Call.Attempt),
+		attribute.String("group", q.Group), attribute.String("scheduler", string(host.Name))))
+}
+
+func (l *schedLink) endWait(c sched.CallID, result, worker string) {
+	l.mu.Lock()
+	span, ok := l.grants[c]
+	delete(l.grants, c)
+	l.mu.Unlock()
+	if ok {
+		span.SetAttributes(attribute.String("result", result), attribute.String("worker", worker))
+		span.End()
+	}
+}
+
 // scheduler returns the host that schedules the group.
 func (l *schedLink) scheduler(group string) (membership.Member, bool) {
 	ranked := l.view.Rank("group:" + group)
@@ -159,9 +196,11 @@
 
 func (l *schedLink) deliverHome(m toHome) {
 	if g := m.Grant; g != nil {
+		l.endWait(g.Call, "granted", g.Worker)
 		l.rt.Publish(program.Granted{Call: g.Call, Group: g.Group, Worker: g.Worker, Priority: g.Priority})
 	}
 	if q := m.Refuse; q != nil {
+		l.endWait(q.Call, "refused", "")
 		l.rt.Publish(program.Refused{Call: q.Call, Reason: q.Reason, RetryAfterMS: q.RetryAfterMS})
 	}
 }
--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -110,6 +110,11 @@
 		control.Error(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if t := r.Header.Get("traceparent"); t != "" {
+		e.mu.Lock()
+		e.counters.Traces[req.id] = t
+		e.mu.Unlock()
+	}
 	e.enqueue(req)
 	defer e.abort(req) // without effect on a request that has ended
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -80,6 +80,8 @@
 	Name string `json:"name"` // of the engine
 	// Executions counts, by request_id, how often the request entered the batch.
 	Executions map[string]int64 `json:"executions"`
+	// Traces has the traceparent header of the latest request with each request_id, if it had one.
+	Traces map[string]string `json:"traces"`
 	// Order has the request IDs of each program in the order in which they entered the batch.
 	Order           map[string][]string `json:"order"`
 	PromptTokens    int64               `json:"prompt_tokens"`
@@ -138,10 +140,10 @@
 		orders: orderState{Model: cfg.Model, Adapters: []string{}},
 		counters: Counters{
 			Name:       cfg.Name,
-			Executions: map[string]int64{},
-			Order:      map[string][]string{},
-			Orders:     []OrderRecord{},
-			Released:   map[string]int64{},
+			Executions: map[string]int64{}, Traces: map[string]string{},
+			Order:    map[string][]string{},
+			Orders:   []OrderRecord{},
+			Released: map[string]int64{},
 		},
 	}
 	e.report()
@@ -200,6 +202,7 @@
 	defer e.mu.Unlock()
 	out := e.counters
 	out.Executions = maps.Clone(out.Executions)
+	out.Traces = maps.Clone(out.Traces)
 	out.Released = maps.Clone(out.Released)
 	out.Orders = slices.Clone(out.Orders)
 	out.Order = make(map[string][]string, len(e.counters.Order))
