Do not refuse calls of programs under way on account of new programs

Cause: the expected wait of a call counted new programs ahead of it, so that under baseline, affinity or deadline a program under way could be refused while new programs waited in front of it.

New programs count for first calls only.

Ruled out: moving such calls ahead of new programs in the framework, which would give baseline an order that it does not have.

--- a/core/sched/overload.go
+++ b/core/sched/overload.go
@@ -75,7 +75,8 @@
 }
 
 // expectedWait estimates how long the call will wait: for the places that the calls ahead of it take, and for
-// the programs that start before it. It is 0 while no worker is usable, since nothing is known then.
+// the programs that start before it. New programs do not count for a call of a program under way, which is never
+// refused in their favour, even when the policy serves them first. It is 0 while no worker is usable, since nothing is known then.
 func (g *group) expectedWait(c *call) clock.Millis {
 	places, free := 0, 0
 	for _, w := range g.Workers {
@@ -87,7 +88,10 @@
 	if places == 0 {
 		return 0
 	}
-	newer := ahead(g.queue.fresh, c)
+	newer := 0
+	if c.First() {
+		newer = ahead(g.queue.fresh, c)
+	}
 	calls := newer + ahead(g.queue.underWay, c)
 	if calls == 0 && free > 0 {
 		return 0
--- a/core/sched/state_test.go
+++ b/core/sched/state_test.go
@@ -159,3 +159,17 @@
 		g.Expect(granted).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<=", 47)), policy)
 	}
 }
+
+// Guards against a program under way that is refused because new programs wait ahead of it.
+func TestUnderWayIsNotRefusedForNewPrograms(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sched.NewState()
+	s.Reduce(0, twoWorkers("baseline", 1))
+	for i := range 20 {
+		s.Reduce(0, enqueued(fmt.Sprintf("a.1-%d", i+1), "k1", 0))
+	}
+	newer, underWay := enqueued("b.1-1", "k1", 0), enqueued("b.1-2", "k5", 4)
+	newer.TimeLeftMS, underWay.TimeLeftMS = 5000, 5000
+	g.Expect(of[sched.Refuse](s.Reduce(1, newer))).To(gomega.HaveLen(1))
+	g.Expect(of[sched.Refuse](s.Reduce(1, underWay))).To(gomega.BeEmpty())
+}
