Name the program that a sub-agent works for when it asks for a worker

Cause: the scheduler admits sub-agents with their parent only if it is told the parent, and the home did not tell. Under memory pressure a parent then waits for a child that waits for admission. Before: the new test sees no root. After: it passes.

--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
 
@@ -59,6 +60,7 @@
 		Call: c.id, Group: r.group(p, c), Home: r.self, Agent: p.header.Agent, Class: p.header.Class,
 		Turn: len(p.turns), AttainedTokens: p.spent, AgeMS: int64(r.at - p.header.OpenedAt),
 		PausedMS: int64(r.at - p.active), PauseTool: p.lastTool, Avoid: slices.Clone(c.avoid), Running: c.worker,
+		Root: r.root(p),
 	}
 	if p.header.DeadlineAt != 0 {
 		e.TimeLeftMS = max(int64(p.header.DeadlineAt-r.at), 1)
@@ -71,6 +73,21 @@
 	return e
 }
 
+// root returns the program at the top of a child's ancestors, or "" for a program that a caller opened by
+// itself. The scheduler admits children with the program that they work for.
+func (r *reduction) root(p *program) ids.Program {
+	var root ids.Program
+	for p.header.Parent != "" {
+		root = p.header.Parent
+		parent, ok := r.programs[root]
+		if !ok {
+			break
+		}
+		p = parent
+	}
+	return root
+}
+
 // dispatch sends the call to its backend server.
 func (r *reduction) dispatch(p *program, c *call) {
 	c.state = callDispatched
--- /dev/null
+++ b/core/program/root_test.go
@@ -0,0 +1,40 @@
+package program_test
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+// Guards against a sub-agent that waits for admission as a new program while its parent waits for it.
+func TestChildNamesTheProgramItWorksFor(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := program.New()
+	s.Reduce(1, program.Started{Journal: "h.1", Limits: program.Limits{MaxQueuedCalls: 4}})
+	s.Reduce(1, program.ConfigChanged{Config: testConfig})
+	s.Reduce(2, program.OpenRequested{Waiter: 1, Request: api.OpenProgram{Team: "t", Agent: "judge", BudgetTokens: budget}})
+	effects := s.Reduce(3, program.CallSubmitted{Waiter: 2, Program: "h.1-1", Call: api.Call{
+		Key: "a", Kind: api.CallAgent, Agent: &api.AgentCall{Name: "helper", Prompt: "p", BudgetTokens: 400},
+	}})
+	var roots []ids.Program
+	for len(effects) > 0 {
+		last := program.Token(0)
+		for _, e := range effects {
+			switch e := e.(type) {
+			case program.Commit:
+				last = e.Token
+			case program.Enqueue:
+				roots = append(roots, e.Request.Root)
+			}
+		}
+		effects = nil
+		if last != 0 {
+			effects = s.Reduce(4, program.Committed{UpTo: last})
+		}
+	}
+	g.Expect(roots).To(gomega.Equal([]ids.Program{"h.1-1"}))
+}
