--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -426,16 +426,26 @@
 	return records, next, false, nil
 }
 
-// Delete removes the segments of a journal whose programs have been adopted.
+// Delete removes the segments of a journal whose programs have been adopted, except its seal. The former home may be
+// frozen before the write of its next segment, and the seal is what makes the store refuse it.
 func Delete(ctx context.Context, store objectapi.Store, id ids.Journal) error {
 	objects, _, err := store.List(ctx, objectapi.KindJournal, string(id)+"/")
 	if err != nil {
 		return errors.Wrapf(err, "list journal %s", id)
 	}
+	c, err := newCodec()
+	if err != nil {
+		return err
+	}
 	for _, o := range objects {
+		if s, err := c.decode(o.Value); err == nil && isSeal(s) {
+			continue
+		}
 		if err := store.Delete(ctx, objectapi.KindJournal, o.Name, 0); err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 			return errors.Wrapf(err, "delete segment %s", o.Name)
 		}
 	}
 	return nil
 }
+
+func isSeal(s *segment) bool { return len(s.Records) == 1 && s.Records[0].Op == program.OpSeal }
--- a/service/home/journal_test.go
+++ b/service/home/journal_test.go
@@ -123,6 +123,25 @@
 		Expect(keys(again)).To(Equal([]string{"a"}))
 	})
 
+	// Guards against a turn that a thawed home acknowledges although its programs were adopted and its journal deleted.
+	It("lets the old home commit nothing after the journal was deleted", func() {
+		store := objectapi.NewMemory()
+		j, r := start(store)
+		j.Append(commitOf(1, turn("a", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
+		_, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(home.Delete(ctx, store, self)).To(Succeed())
+		j.Append(commitOf(2, turn("b", "y")))
+		Eventually(r.lost, testWait).Should(ContainSubstring("sealed"))
+		Expect(r.upTo()).To(Equal(program.Token(1)))
+		Expect(home.Delete(ctx, store, self)).To(Succeed(), "it is repeated at the next start of the host")
+		objects, _, err := store.List(ctx, objectapi.KindJournal, string(self)+"/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(objects).To(HaveLen(1), "the seal stays")
+		Expect(home.Seal(ctx, store, self, heir)).To(BeEmpty())
+	})
+
 	// Guards against a home that takes its own write, whose answer was lost, for a seal.
 	It("goes on after the answer to a write was lost", func() {
 		store := objectapi.NewMemory()
