--- a/cmd/hyssopreel-capacity/events.go
+++ b/cmd/hyssopreel-capacity/events.go
@@ -172,11 +172,18 @@
 	}
 }
 
+// measureSchedEvents measures a group whose workers' cache holds few of the programs, and one where it holds all.
 func measureSchedEvents() {
+	for _, cache := range []int64{100_000, 100_000_000} {
+		measureSchedEventsAt(cache)
+	}
+}
+
+func measureSchedEventsAt(cache int64) {
 	for _, workers := range []int{16, 64} {
 		for _, waiting := range []int{0, 100, 1000} {
 			places := workers * 8
-			size := fmt.Sprintf("%d workers, %d waiting calls", workers, waiting)
+			size := fmt.Sprintf("%d workers, %d calls above their places, a cache of %d tokens a worker", workers, waiting, cache)
 			next := places + waiting
 			// Each finished call is followed by a new one, so that the queue keeps its length.
 			var running []sched.Grant
@@ -188,7 +195,11 @@
 				}
 			}
 			state := sched.NewState()
-			state.Reduce(1000, groupOf(workers))
+			g := groupOf(workers)
+			for i := range g.Workers {
+				g.Workers[i].CacheTokens = cache
+			}
+			state.Reduce(1000, g)
 			for i := range places + waiting {
 				take(state.Reduce(1000, enqueued("lm/0", i)))
 			}
