Prove orders to engines on real processes

Scenarios orders, orders_kill, orders_freeze, orders_freeze_unchecked and orders_outage change the version of a pool while programs run. The lease of order managers follows the settings of the host lease (15 s and 5 s at the defaults), and shorter host leases shorten its other times too: with 2 s, the lease of a manager lasts 5 s.

Faults found. Orders reached engines that were running calls, because the daemon waited for nothing before an order; now it waits until a load report taken after the last grant can have arrived shows no calls.

Taken out, on scratch copies, to see each scenario fail: - orders: the wait for an idle worker: "order ... reached an engine with 6 calls". The report that a worker loads: the worker never becomes idle, and fewer than 6 workers have the version when the programs end. - orders_kill: the claim of another holder's lapsed lease: 2 of 9 workers have the version after 45 s. - orders_freeze: the new fencing number of a new holder: "an order of holder almaty-b-1 (number 1) came after one of holder almaty-c-1 (number 1)". - orders_freeze_unchecked: the check of the lease before an order: "engine reel-lm-2 accepted 2 orders to load version v2", with number 2 and 34 ms later number 1. - orders_outage: a write of the lease that the store refused counts as done: "2 holders sent orders" before the store was back.

--- a/internal/testbed/bed.go
+++ b/internal/testbed/bed.go
@@ -69,6 +69,12 @@
 	Settings map[string]string
 	// StepMS is the time of one token of an engine without load, in milliseconds; 0 means 2.
 	StepMS float64
+	// IgnoreFencing makes the engines carry out orders with an old fencing number.
+	IgnoreFencing bool
+	// FetchesPerSecond is the rate of the weight store; 0 is no limit.
+	FetchesPerSecond float64
+	// EngineArgs are further options of the engine stand-ins; a later option replaces an earlier one.
+	EngineArgs []string
 }
 
 // Host is one daemon and the relay in front of its peer port.
@@ -157,14 +163,20 @@
 	if step == 0 {
 		step = 2
 	}
-	weights, err := b.standins("weights", 1, "weights", "--transfer-ms", "50")
+	weights, err := b.standins("weights", 1, "weights", "--transfer-ms", "50", "--rate", fmt.Sprint(b.Options.FetchesPerSecond))
 	if err != nil {
 		return err
 	}
 	b.Weights = weights[0]
-	b.Engines, err = b.standins(d.Engines.Name, d.Engines.Workers, "engine", "--count", strconv.Itoa(d.Engines.Workers),
+	args := []string{
+		"engine", "--count", strconv.Itoa(d.Engines.Workers),
 		"--name", d.Engines.Name, "--model", d.Engines.Name, "--step-ms", fmt.Sprint(step), "--max-running", strconv.Itoa(maxRunning),
-		"--cache-tokens", strconv.Itoa(cacheTokens), "--weights", "http://"+b.Weights.Address, "--checks-fencing")
+		"--cache-tokens", strconv.Itoa(cacheTokens), "--weights", "http://" + b.Weights.Address,
+	}
+	if !b.Options.IgnoreFencing {
+		args = append(args, "--checks-fencing")
+	}
+	b.Engines, err = b.standins(d.Engines.Name, d.Engines.Workers, append(args, b.Options.EngineArgs...)...)
 	if err != nil {
 		return err
 	}
@@ -185,7 +197,7 @@
 	add := func(kind, pool string, workers []*Standin) {
 		for i, w := range workers {
 			b.Backends = append(b.Backends, platform.Backend{
-				Name: w.Name, Pool: pool, Kind: kind, Address: w.Address, State: "live", ChecksFencing: kind == "engine",
+				Name: w.Name, Pool: pool, Kind: kind, Address: w.Address, State: "live", ChecksFencing: kind == "engine" && !b.Options.IgnoreFencing,
 				FailureDomain: b.Options.Deployment.Domains[i%len(b.Options.Deployment.Domains)],
 			})
 		}
--- a/internal/testbed/control.go
+++ b/internal/testbed/control.go
@@ -13,6 +13,7 @@
 	"github.com/hyssopreel/hyssopreel/standin/linkproxy"
 	"github.com/hyssopreel/hyssopreel/standin/platform"
 	"github.com/hyssopreel/hyssopreel/standin/tool"
+	"github.com/hyssopreel/hyssopreel/standin/weights"
 )
 
 // controlLimit bounds one control call.
@@ -108,6 +109,12 @@
 	return out, nil
 }
 
+// WeightCounters returns what the weight store counted.
+func (b *Bed) WeightCounters() (weights.Counters, error) {
+	var c weights.Counters
+	return c, b.control(http.MethodGet, b.Weights.Control, "/control/counters", nil, &c)
+}
+
 // PlatformCounters returns what the platform counted.
 func (b *Bed) PlatformCounters() (platform.Counters, error) {
 	var c platform.Counters
--- a/scenarios/conditions_test.go
+++ b/scenarios/conditions_test.go
@@ -53,6 +53,15 @@
 	"requests":      {2, requests},
 	"silent-links":  {2, silentLinks},
 	"running":       {1, running},
+
+	"pool":            {3, poolIs},
+	"manager":         {2, managerIs},
+	"loads":           {2, loads},
+	"holders":         {1, holders},
+	"holders-in-turn": {0, holdersInTurn},
+	"orders-to-idle":  {0, ordersToIdle},
+	"loading-refused": {1, loadingRefused},
+	"aborted":         {1, aborted},
 }
 
 func (s *scenario) expect(args []string) error {
--- a/scenarios/load_test.go
+++ b/scenarios/load_test.go
@@ -31,6 +31,7 @@
 		Agent    string `long:"agent"`
 		Tool     string `long:"tool"`
 		Unknown  bool   `long:"unknown-allowed"`
+		NoRetry  bool   `long:"no-retry"`
 		Label    string `long:"label" default:"load"`
 		BG       bool   `long:"bg"`
 	}
@@ -50,7 +51,7 @@
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(s.ctx, 2*requestLimit)
 				defer cancel()
-				errs[i] = s.runProgram(ctx, i, o.Agent, o.Tool, o.Tokens, o.Unknown)
+				errs[i] = s.runProgram(ctx, i, o.Agent, o.Tool, o.Tokens, o.Unknown, o.NoRetry)
 			})
 		}
 		wg.Wait()
@@ -100,7 +101,7 @@
 	return fmt.Errorf("%d calls were accepted", maxLoop)
 }
 
-func (s *scenario) runProgram(ctx context.Context, n int, agent, tool string, tokens int, unknown bool) error {
+func (s *scenario) runProgram(ctx context.Context, n int, agent, tool string, tokens int, unknown, noRetry bool) error {
 	team := map[string]string{"tobyl": "bench-1", "tallowcreek": "haulage"}[s.bed.Options.Deployment.Name]
 	id, err := s.openWithRetry(ctx, api.OpenProgram{Team: team, Agent: agent, BudgetTokens: 20_000})
 	if err != nil {
@@ -118,7 +119,11 @@
 	}
 	answers := map[string]string{}
 	for _, c := range calls {
-		a, err := s.bed.CallWithRetry(ctx, id, c)
+		send := s.bed.CallWithRetry
+		if noRetry {
+			send = s.callOnce
+		}
+		a, err := send(ctx, id, c)
 		var f *fault.Error
 		if errors.As(err, &f) && f.Outcome == fault.Unknown && c.Kind == api.CallTool && unknown {
 			continue
@@ -131,6 +136,15 @@
 	return s.checkProgram(ctx, id, answers)
 }
 
+// callOnce sends a call a single time.
+func (s *scenario) callOnce(ctx context.Context, program string, request api.Call) (a api.CallAnswer, err error) {
+	address, err := s.address(ctx, "", program)
+	if err != nil {
+		return a, err
+	}
+	return a, s.bed.Do(ctx, address, http.MethodPost, "/v1/programs/"+program+"/calls", request, &a)
+}
+
 func (s *scenario) openWithRetry(ctx context.Context, q api.OpenProgram) (id string, err error) {
 	err = testbed.Await(ctx, func() (err error) {
 		id, err = s.open(ctx, "", q)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -135,7 +135,7 @@
 		"open": cmdOpen, "call": cmdCall, "await": cmdAwait, "hangup": cmdHangUp, "end": cmdEnd, "cancel": cmdEnd,
 		"load": cmdLoad, "loop": cmdLoop, "crash": cmdSignal, "freeze": cmdSignal, "thaw": cmdSignal, "term": cmdSignal,
 		"exited": cmdExited, "restart": cmdRestart, "link": cmdLink, "fault": cmdFault, "deny": cmdDeny,
-		"backend": cmdBackend, "expect": cmdExpect, "eventually": cmdEventually,
+		"backend": cmdBackend, "manager": cmdManager, "expect": cmdExpect, "eventually": cmdEventually,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			s := ts.Value(scenarioKey{}).(*scenario)
@@ -187,6 +187,8 @@
 		Hosts      int     `short:"n" default:"3"`
 		StepMS     float64 `long:"step-ms"`
 		NoTicket   bool    `long:"no-ticket"`
+		NoFencing  bool    `long:"ignore-fencing"`
+		Fetches    float64 `long:"fetches-per-second"`
 	}
 	words, err := parse(args, &o, 0, -1)
 	if err != nil {
@@ -206,6 +208,7 @@
 	}
 	s.bed, err = testbed.Start(s.dir, testbed.Options{
 		Deployment: d, Hosts: o.Hosts, Bin: bin, Root: root, Settings: settings, StepMS: o.StepMS,
+		IgnoreFencing: o.NoFencing, FetchesPerSecond: o.Fetches,
 	})
 	if err != nil {
 		return err
--- a/service/backends/engines.go
+++ b/service/backends/engines.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,13 +51,32 @@
 	}
 }
 
-func (s *Service) pollLoad(b objectapi.Backend, w *worker) {
-	var load struct {
-		AgeMS       int64 `json:"age_ms"`
-		Running     int   `json:"running"`
-		Waiting     int   `json:"waiting"`
-		CacheTokens int64 `json:"cache_tokens"`
+// loadAnswer is what an engine answers about its load.
+type loadAnswer struct {
+	AgeMS       int64 `json:"age_ms"`
+	Running     int   `json:"running"`
+	Waiting     int   `json:"waiting"`
+	CacheTokens int64 `json:"cache_tokens"`
+}
+
+// Idle asks an engine whether it ran no calls at some moment after the given one. The report of an engine lags, so
+// the answer is false until the lag has passed.
+func (s *Service) Idle(workerName string, after time.Time) (bool, error) {
+	b, ok := s.Backend(workerName)
+	if !ok {
+		return false, errors.Newf("worker %s is not in the platform's list", workerName)
+	}
+	var load loadAnswer
+	asked := time.Now()
+	if err := s.request(http.MethodGet, b.Address, "/v1/load", nil, &load); err != nil {
+		return false, err
 	}
+	reported := asked.Add(-time.Duration(load.AgeMS) * time.Millisecond)
+	return reported.After(after) && load.Running == 0 && load.Waiting == 0, nil
+}
+
+func (s *Service) pollLoad(b objectapi.Backend, w *worker) {
+	var load loadAnswer
 	sentAt := s.o.Clock.Now()
 	err := s.request(http.MethodGet, b.Address, "/v1/load", nil, &load)
 	s.mu.Lock()
--- a/service/daemon/orders.go
+++ b/service/daemon/orders.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
+	coreorders "github.com/hyssopreel/hyssopreel/core/orders"
 	"github.com/hyssopreel/hyssopreel/service/membership"
 	"github.com/hyssopreel/hyssopreel/service/orders"
 )
@@ -19,6 +20,16 @@
 	// unusableFor is how long such a report counts. When its manager dies, the worker is used again; an engine
 	// that still loads refuses the call and says that it did not run.
 	unusableFor = 5 * time.Second
+	// grantsUnderWay is the longest time from the report that a worker is not usable to the arrival of the last call
+	// at it: a tick of the scheduler (100 ms), and the ways of the report, the grant and the call.
+	grantsUnderWay = 300 * time.Millisecond
+	// idlePoll is the pause between two looks at the load of a worker that is about to get an order. After
+	// maxLoadFailures looks without an answer, the order is tried all the same, and fails if the worker is down.
+	idlePoll        = 100 * time.Millisecond
+	maxLoadFailures = 3
+	// defaultHostLease and defaultHostRenew are the defaults of the settings lease.duration and lease.renew.
+	defaultHostLease = 6 * time.Second
+	defaultHostRenew = 2 * time.Second
 )
 
 // workerReport is the body of a worker_state frame: one worker that may or may not get calls.
@@ -106,8 +117,9 @@
 			d.reports.hear(r)
 			go d.report(context.Background(), r)
 		},
-		Report: logging.Named{}.Event,
-	}, orders.Options{Holder: processName(ids.Host(d.settings.Host.Name))})
+		Prepare: d.waitIdle,
+		Report:  logging.Named{}.Event,
+	}, orders.Options{Holder: processName(ids.Host(d.settings.Host.Name)), Times: orderTimes(d.settings.Lease.Duration, d.settings.Lease.Renew)})
 	d.node.Handle(wire.TypeWorkerState, func(_ context.Context, r *wire.Request) {
 		var w workerReport
 		if r.Decode(&w) == nil {
@@ -116,6 +128,45 @@
 	})
 }
 
+// orderTimes returns the times of the order managers for a host lease. They are the defaults at the default host
+// lease; a shorter one shortens them in proportion, a longer one lengthens the lease of the order manager only.
+func orderTimes(lease, renew time.Duration) coreorders.Times {
+	t := coreorders.DefaultTimes()
+	leases, renews := float64(lease)/float64(defaultHostLease), float64(renew)/float64(defaultHostRenew)
+	t.Lease = time.Duration(float64(t.Lease) * leases)
+	t.Renew = time.Duration(float64(t.Renew) * renews)
+	for _, d := range []*time.Duration{
+		&t.MinHold, &t.InFlight, &t.IdlePoll, &t.LoadPoll, &t.LoadGrace, &t.UnreachableLimit, &t.RetryMin, &t.RetryMax, &t.StatusPause,
+	} {
+		*d = time.Duration(float64(*d) * min(1, leases))
+	}
+	return t
+}
+
+// waitIdle returns when a worker that was reported as not usable runs no calls, or cannot tell. Load reports lag, so
+// one counts only if it describes a moment after the last grant can have arrived.
+func (d *Daemon) waitIdle(ctx context.Context, _, worker string, _ coreorders.Order) {
+	grantsArrived := time.Now().Add(grantsUnderWay)
+	t := time.NewTicker(idlePoll)
+	defer t.Stop()
+	for failures := 0; failures < maxLoadFailures; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		idle, err := d.backends.Idle(worker, grantsArrived)
+		switch {
+		case err != nil:
+			failures++
+		case idle:
+			return
+		default:
+			failures = 0
+		}
+	}
+}
+
 // report tells the schedulers of the pool's groups whether a worker may get calls.
 func (d *Daemon) report(ctx context.Context, r workerReport) {
 	ctx, cancel := context.WithTimeout(ctx, reportUnusableEvery)
--- a/service/orders/service.go
+++ b/service/orders/service.go
@@ -54,7 +54,8 @@
 
 // Options are the settings of a Service. Zero values take the defaults.
 type Options struct {
-	// Holder identifies this process in leases and orders, for example the journal of the incarnation.
+	// Holder identifies this process in leases and orders: the journal of the incarnation, or the name of the host,
+	// a slash and what tells the process from earlier ones.
 	Holder string
 	Times  orders.Times
 	// Tick is the pause between two steps of the reducer. The default is 500 ms.
@@ -328,10 +329,18 @@
 	return out, nil
 }
 
+// hostOf returns the host of a holder, which is a journal or "<host>/<process>".
+func hostOf(holder string) ids.Host {
+	if host, _, ok := strings.Cut(holder, "/"); ok {
+		return ids.Host(host)
+	}
+	return ids.Journal(holder).Host()
+}
+
 func poolOf(name string, p *config.Pool, st orders.Status) api.Pool {
 	out := api.Pool{
 		Name: name, Kind: p.Kind, Model: p.Model, Version: p.Version, Adapters: p.Adapters, Role: p.Role,
-		Manager: ids.Journal(st.Manager).Host(), Fence: st.Fence,
+		Manager: hostOf(st.Manager), Fence: st.Fence,
 	}
 	for _, w := range st.Workers {
 		aw := api.PoolWorker{
