--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,8 @@
 
 # Replays the workloads through the decision code and rewrites bench/results.tsv, docs/decisions.md and docs/bench.
 bench: build
-	$(BIN)/hyssopreel-bench --results bench/results.tsv
+	$(BIN)/hyssopreel-bench --results bench/results.tsv --plots docs/bench --decisions docs/decisions.md --timing
+
+# Measures what docs/CAPACITY.md is computed from; PARTS selects some of memory,events,frames,journal,fleet,takeover.
+capacity: build
+	$(BIN)/hyssopreel-capacity $(if $(PARTS),--parts $(PARTS))
--- a/core/membership/reducer.go
+++ b/core/membership/reducer.go
@@ -100,11 +100,18 @@
 	owned map[ids.Journal]bool
 
 	viewDirty bool
-	// sorted and digest describe the member list; they are computed again after a change. Several heartbeats
-	// and ticks a second need them.
-	sorted  []Member
+	effects   []event.Effect
+	// Derived from the records and computed again after a change of one, because every heartbeat and tick needs
+	// them: sorting 370 records takes about 0.2 ms.
+	derived *derived
+}
+
+// derived is what follows from the records alone.
+type derived struct {
+	members []Member // sorted by name; shared and not changed
+	peers   []*peer  // in the order of members
+	fingers []ids.Host
 	digest  uint64
-	effects []event.Effect
 }
 
 // New returns the reducer of a host that has not started.
@@ -178,12 +185,6 @@
 	}
 }
 
-// changed takes note of a change of a record or of a suspicion.
-func (r *Reducer) changed() {
-	r.viewDirty = true
-	r.sorted = nil
-}
-
 func (r *Reducer) emit(effects ...event.Effect) { r.effects = append(r.effects, effects...) }
 
 func (r *Reducer) start(at clock.Millis, e Started) {
@@ -264,34 +265,41 @@
 	}
 }
 
-// members returns all records sorted by name. The result is shared and not changed.
-func (r *Reducer) members() []Member {
-	if r.sorted == nil {
-		out := []Member{r.self}
-		for _, p := range r.peers {
-			out = append(out, p.record)
-		}
-		slices.SortFunc(out, func(a, b Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
-		r.sorted, r.digest = out, Digest(out)
-	}
-	return r.sorted
+// changed takes note of a change of a record or of a suspicion.
+func (r *Reducer) changed() {
+	r.viewDirty = true
+	r.derived = nil
 }
 
-func (r *Reducer) sortedPeers() []*peer {
-	var out []*peer
-	for _, m := range r.members() {
+func (r *Reducer) derive() *derived {
+	if r.derived != nil {
+		return r.derived
+	}
+	d := &derived{members: make([]Member, 0, len(r.peers)+1)}
+	d.members = append(d.members, r.self)
+	for _, p := range r.peers {
+		d.members = append(d.members, p.record)
+	}
+	slices.SortFunc(d.members, func(a, b Member) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	var ring []ids.Host
+	for _, m := range d.members {
 		if p := r.peers[m.Name]; p != nil {
-			out = append(out, p)
+			d.peers = append(d.peers, p)
+		}
+		// Hosts that are gone are not on the ring; suspected ones are, so that their return is noticed.
+		if m.State != StateGone && (m.PeerAddress != "" || m.Name == r.self.Name) {
+			ring = append(ring, m.Name)
 		}
 	}
-	return out
+	d.fingers, d.digest = Fingers(r.self.Name, ring), Digest(d.members)
+	r.derived = d
+	return d
 }
 
-// memberDigest returns the digest of the member list.
-func (r *Reducer) memberDigest() uint64 {
-	r.members()
-	return r.digest
-}
+// members returns all records sorted by name. The result is shared and not to be changed.
+func (r *Reducer) members() []Member { return r.derive().members }
+
+func (r *Reducer) sortedPeers() []*peer { return r.derive().peers }
 
 func (r *Reducer) suspects() []ids.Host {
 	var out []ids.Host
@@ -316,17 +324,8 @@
 	return slices.IndexFunc(Rank("heir:"+string(j), r.candidates()), func(m Member) bool { return m.Name == r.self.Name })
 }
 
-// fingers returns the finger peers. Hosts that are gone are not on the ring; suspected ones are, so that
-// their return is noticed.
-func (r *Reducer) fingers() []ids.Host {
-	var ring []ids.Host
-	for _, m := range r.members() {
-		if m.State != StateGone && (m.PeerAddress != "" || m.Name == r.self.Name) {
-			ring = append(ring, m.Name)
-		}
-	}
-	return Fingers(r.self.Name, ring)
-}
+// fingers returns the finger peers.
+func (r *Reducer) fingers() []ids.Host { return r.derive().fingers }
 
 // watch starts the watch of new finger peers.
 func (r *Reducer) watch(at clock.Millis) {
@@ -437,7 +436,7 @@
 // Heartbeats and suspicion.
 
 func (r *Reducer) beat() {
-	digest := r.memberDigest()
+	digest := r.derive().digest
 	for _, h := range r.fingers() {
 		p := r.peers[h]
 		r.emit(SendHeartbeat{Host: h, Address: p.record.PeerAddress, Beat: Heartbeat{
@@ -467,7 +466,7 @@
 	if b.Suspected {
 		r.refute()
 	}
-	differs := b.Members != r.memberDigest()
+	differs := b.Members != r.derive().digest
 	if differs && p.differs {
 		r.emit(ExchangeRecords{Address: p.record.PeerAddress})
 	}
--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -36,7 +36,7 @@
 		return
 	}
 	hash := callHash(e.Call)
-	if c, ok := p.calls[e.Call.Key]; ok {
+	if c, ok := p.call(e.Call.Key); ok {
 		r.join(p, c, hash, e)
 		return
 	}
@@ -163,6 +163,7 @@
 		if c.request.Seq == 0 || c.request.Seq == next {
 			p.waiting = slices.Delete(p.waiting, i, i+1)
 			p.running = c
+			r.running[p.id] = struct{}{}
 			r.reserve(p, c)
 			return
 		}
@@ -249,7 +250,7 @@
 		return
 	}
 	if _, ok := p.intents[c.request.Key]; ok {
-		r.write(pendingCommit{}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
+		r.write(pendingCommit{program: p.id, key: c.request.Key}, Record{Op: OpWithdrawn, Program: p.id, Key: c.request.Key})
 	}
 	r.giveBack(p, c)
 	delete(p.calls, c.request.Key)
@@ -271,6 +272,7 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(o *call) bool { return o == c })
 	if p.running == c {
 		p.running = nil
+		delete(r.running, p.id)
 	}
 	for _, o := range p.waiting {
 		o.since = r.at
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -1,12 +1,14 @@
 package program
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
 
@@ -50,7 +52,7 @@
 	r.newAttempt(p, c)
 	c.worker = ""
 	r.countCall(poolOf(r.group(p, c)))
-	r.emit(Enqueue{Request: r.enqueued(p, c)})
+	r.emit(Enqueue{Request: r.enqueued(p, c), Trace: c.trace})
 }
 
 func (r *reduction) enqueued(p *program, c *call) sched.Enqueued {
@@ -58,6 +60,7 @@
 		Call: c.id, Group: r.group(p, c), Home: r.self, Agent: p.header.Agent, Class: p.header.Class,
 		Turn: len(p.turns), AttainedTokens: p.spent, AgeMS: int64(r.at - p.header.OpenedAt),
 		PausedMS: int64(r.at - p.active), PauseTool: p.lastTool, Avoid: slices.Clone(c.avoid), Running: c.worker,
+		Root: r.root(p),
 	}
 	if p.header.DeadlineAt != 0 {
 		e.TimeLeftMS = max(int64(p.header.DeadlineAt-r.at), 1)
@@ -70,6 +73,21 @@
 	return e
 }
 
+// root returns the program at the top of a child's ancestors, or "" for a program that a caller opened by
+// itself. The scheduler admits children with the program that they work for.
+func (r *reduction) root(p *program) ids.Program {
+	var root ids.Program
+	for p.header.Parent != "" {
+		root = p.header.Parent
+		parent, ok := r.programs[root]
+		if !ok {
+			break
+		}
+		p = parent
+	}
+	return root
+}
+
 // dispatch sends the call to its backend server.
 func (r *reduction) dispatch(p *program, c *call) {
 	c.state = callDispatched
@@ -257,16 +275,24 @@
 	return Finish{Request: sched.Finished{Call: e.Call, Group: e.Group, Worker: e.Worker, Failed: true}}
 }
 
-// schedulerChanged enqueues the group's waiting calls again and reports those in flight.
+// schedulerChanged enqueues the waiting calls again and reports those in flight.
 func (r *reduction) schedulerChanged(e SchedulerChanged) {
-	for _, p := range r.sorted() {
+	for _, id := range slices.Sorted(maps.Keys(r.running)) {
+		p, ok := r.programs[id]
+		if !ok || p.running == nil {
+			continue
+		}
 		c := p.running
-		if c == nil || c.request.Kind == api.CallTool || c.request.Kind == api.CallAgent || r.group(p, c) != e.Group {
+		if c.request.Kind == api.CallTool || c.request.Kind == api.CallAgent || e.Group != "" && r.group(p, c) != e.Group {
 			continue
 		}
 		switch c.state {
-		case callScheduling, callIntent, callDispatched:
-			r.emit(Enqueue{Request: r.enqueued(p, c)})
+		case callScheduling:
+			r.emit(Enqueue{Request: r.enqueued(p, c), Trace: c.trace})
+		case callIntent, callDispatched:
+			if !e.WaitingOnly {
+				r.emit(Enqueue{Request: r.enqueued(p, c), Trace: c.trace})
+			}
 		}
 	}
 }
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -132,10 +132,12 @@
 	Groups map[string]int `msgpack:"g"`
 }
 
-// SchedulerChanged says that another host schedules the group now: waiting calls are enqueued again, and
-// calls in flight are reported.
+// SchedulerChanged says that another host schedules the group now, or that messages to its scheduler may have been
+// lost: waiting calls are enqueued again, and calls in flight are reported.
 type SchedulerChanged struct {
-	Group string `msgpack:"g"`
+	Group string `msgpack:"g"` // empty for all groups
+	// WaitingOnly leaves out the calls that were granted: the scheduler that granted them counts them already.
+	WaitingOnly bool `msgpack:"w"`
 }
 
 // JournalRead carries the records of a sealed journal that this host takes over.
@@ -167,6 +169,8 @@
 	Token    Token    `msgpack:"t"`
 	Records  []Record `msgpack:"r"`
 	Snapshot bool     `msgpack:"s"`
+	// Trace is the W3C traceparent of the call that the commit belongs to, if there is one.
+	Trace string `msgpack:"tr"`
 }
 
 // Reply answers a waiter. Exactly one of the fields besides Waiter is set.
@@ -192,6 +196,7 @@
 // Enqueue asks the group's scheduler for a worker.
 type Enqueue struct {
 	Request sched.Enqueued `msgpack:"r"`
+	Trace   string         `msgpack:"tr"`
 }
 
 // Withdraw takes a waiting call back from the group's scheduler.
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -69,6 +69,7 @@
 	children map[ids.Program][]ids.Program // by parent
 	callOf   map[WaiterID]*call            // waiters for calls
 	queued   map[ids.Program]struct{}      // programs with waiting calls
+	running  map[ids.Program]struct{}      // programs with a running call
 	sweptAt  clock.Millis                  // last look at all programs for idle and expired ones
 }
 
@@ -110,11 +111,12 @@
 	usage api.Usage
 
 	turns   []api.Turn
-	calls   map[string]*call // all calls by key
-	waiting []*call          // in arrival order
+	calls   map[string]*call       // calls that are not finished or not durable, by key
+	settled map[string]settledCall // all other calls, by key
+	waiting []*call                // in arrival order
 	running *call
 
-	intents  map[string]uint64 // hash by key of intents without an outcome; used when records are replayed
+	intents  map[string]Record // by key: intents without an outcome; used when records are replayed
 	workers  []string          // workers that served the program, the latest last
 	releases []string          // workers that still have to release the ended program's cache
 
@@ -156,6 +158,14 @@
 	turn    api.Turn
 	status  int
 	durable bool
+	index   int // of its turn in the program's history, once it is recorded
+}
+
+// settledCall is what is kept of a finished and durable call besides its turn; a program has up to 280 of them.
+type settledCall struct {
+	hash   uint64
+	turn   int32 // index of its turn
+	status int32
 }
 
 // New returns the state of a home without programs. Started tells it its journal.
@@ -168,6 +178,7 @@
 		children: map[ids.Program][]ids.Program{},
 		callOf:   map[WaiterID]*call{},
 		queued:   map[ids.Program]struct{}{},
+		running:  map[ids.Program]struct{}{},
 	}
 }
 
@@ -244,7 +255,17 @@
 	next.token = r.lastToken
 	r.unsaved += next.bytes
 	r.pending = append(r.pending, next)
-	r.emit(Commit{Token: next.token, Records: records})
+	r.emit(Commit{Token: next.token, Records: records, Trace: r.traceOf(next.program, next.key)})
+}
+
+// traceOf returns the trace of a call; it is empty for other keys.
+func (r *reduction) traceOf(id ids.Program, key string) string {
+	if p, ok := r.programs[id]; ok {
+		if c, ok := p.calls[key]; ok {
+			return c.trace
+		}
+	}
+	return ""
 }
 
 // snapshot commits the state as it is. The records describe the state and are not applied to it again.
@@ -309,6 +330,8 @@
 		r.dispatch(prog, c)
 	case p.next == stepTurn:
 		c.durable = true
+		delete(prog.calls, p.key)
+		prog.settled[p.key] = settledCall{hash: c.hash, turn: int32(c.index), status: int32(c.status)}
 		if c.state == callCommitting {
 			r.finish(prog, c)
 		}
@@ -385,6 +408,23 @@
 	r.children = map[ids.Program][]ids.Program{}
 	r.callOf = map[WaiterID]*call{}
 	r.queued = map[ids.Program]struct{}{}
+	r.running = map[ids.Program]struct{}{}
+}
+
+// call returns a call by its key. That of a settled one is a copy.
+func (p *program) call(key string) (*call, bool) {
+	if c, ok := p.calls[key]; ok {
+		return c, true
+	}
+	s, ok := p.settled[key]
+	if !ok {
+		return nil, false
+	}
+	t := p.turns[s.turn]
+	return &call{
+		request: api.Call{Key: key, Seq: t.Seq, Kind: t.Kind}, hash: s.hash, state: callFinished, turn: t, status: int(s.status),
+		durable: true, index: int(s.turn),
+	}, true
 }
 
 // attempted says whether the call may have run.
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/klauspost/compress/zstd"
 	"github.com/vmihailenco/msgpack/v5"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
@@ -23,6 +26,12 @@
 	// maxBatchBytes closes a batch before compression, so that a segment stays below the 1 MB that the
 	// store holds in a value even if nothing compresses.
 	maxBatchBytes = 768 << 10
+	// minSegments is the length of a journal at which its home writes the first snapshot.
+	minSegments = 256
+	// snapshotFactor is the length of a journal, in lengths of its last snapshot, at which the next one is due. With 3,
+	// snapshots add half a segment for each segment of new records, and a reader reads at most three times the
+	// state.
+	snapshotFactor = 3
 	// storeWait is how long a commit may wait before programs go on without it.
 	storeWait = time.Second
 	// minRetry and maxRetry bound the pause between two tries of one write.
@@ -90,6 +99,7 @@
 	records  []program.Record
 	bytes    int
 	snapshot bool
+	span     trace.Span // nil for a commit without a trace
 }
 
 // JournalEvents is what a Journal reports.
@@ -108,6 +118,7 @@
 	codec    *codec
 	interval time.Duration
 	events   JournalEvents
+	tracer   trace.Tracer
 
 	mu      sync.Mutex
 	queue   []commit
@@ -119,17 +130,19 @@
 	firstSegment uint64
 	// snapshotStart is the first segment of the snapshot that is being written, or 0.
 	snapshotStart uint64
+	// snapshotSegments is the length of the last snapshot.
+	snapshotSegments uint64
 }
 
 // NewJournal returns the writer of a journal that has no segments yet. It waits interval for more records
-// before it writes a batch.
+// before each batch, so that the store's write rate does not depend on the load.
 func NewJournal(id ids.Journal, store objectapi.Store, interval time.Duration, ev JournalEvents) (*Journal, error) {
 	c, err := newCodec()
 	if err != nil {
 		return nil, err
 	}
 	return &Journal{
-		id: id, store: store, codec: c, interval: interval, events: ev,
+		id: id, store: store, codec: c, interval: interval, events: ev, tracer: otel.Tracer(tracerName),
 		wake: make(chan struct{}, 1), next: 1, firstSegment: 1,
 	}, nil
 }
@@ -142,7 +155,7 @@
 		size += len(b)
 	}
 	j.mu.Lock()
-	j.queue = append(j.queue, commit{token: e.Token, records: e.Records, bytes: size, snapshot: e.Snapshot})
+	j.queue = append(j.queue, commit{token: e.Token, records: e.Records, bytes: size, snapshot: e.Snapshot, span: j.startSpan(e)})
 	j.unsaved += size
 	j.mu.Unlock()
 	select {
@@ -151,6 +164,17 @@
 	}
 }
 
+// startSpan starts the span of a commit, which ends when it is durable.
+func (j *Journal) startSpan(e program.Commit) trace.Span {
+	if e.Trace == "" || len(e.Records) == 0 {
+		return nil
+	}
+	first := e.Records[0]
+	_, span := j.tracer.Start(withTrace(e.Trace), "commit "+string(first.Op), trace.WithAttributes(
+		attribute.String("program", string(first.Program)), attribute.String("journal", string(j.id))))
+	return span
+}
+
 // Empty says whether everything is durable.
 func (j *Journal) Empty() bool {
 	j.mu.Lock()
@@ -172,11 +196,13 @@
 	return j.unsaved
 }
 
-// Segments returns the number of segments that a reader of the journal has to read.
-func (j *Journal) Segments() uint64 {
+// SnapshotDue says whether the journal is long enough for a snapshot: at least minSegments, and several times the last
+// snapshot. A snapshot of a large state is longer than minSegments itself, and without the second condition the next
+// one would begin as soon as it is written.
+func (j *Journal) SnapshotDue() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.next - j.firstSegment
+	return j.next-j.firstSegment >= max(minSegments, snapshotFactor*j.snapshotSegments)
 }
 
 // Run writes batches until ctx is done or the journal is sealed.
@@ -187,17 +213,30 @@
 			return
 		case <-j.wake:
 		}
-		if !sleep(ctx, j.interval) {
-			return
-		}
 		for !j.Empty() {
-			if !j.writeBatch(ctx) {
+			if !j.collect(ctx) || !j.writeBatch(ctx) {
 				return
 			}
 		}
 	}
 }
 
+// collect waits for more records: for the batch interval, or until they fill a segment.
+func (j *Journal) collect(ctx context.Context) bool {
+	t := time.NewTimer(j.interval)
+	defer t.Stop()
+	for j.Unsaved() < maxBatchBytes {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return true
+		case <-j.wake:
+		}
+	}
+	return true
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -304,6 +343,9 @@
 	for _, c := range j.queue[:n] {
 		j.unsaved -= c.bytes
 		snapshot = c.snapshot
+		if c.span != nil {
+			c.span.End()
+		}
 	}
 	j.queue = j.queue[n:]
 	return snapshot
@@ -314,7 +356,7 @@
 func (j *Journal) cut(ctx context.Context) {
 	j.mu.Lock()
 	first, start := j.firstSegment, j.snapshotStart
-	j.snapshotStart = 0
+	j.snapshotStart, j.snapshotSegments = 0, j.next-start
 	j.mu.Unlock()
 	for ; first < start; first++ {
 		err := j.store.Delete(ctx, objectapi.KindJournal, segmentName(j.id, first), 0)
--- a/service/home/schedlink.go
+++ b/service/home/schedlink.go
@@ -7,6 +7,10 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/wire"
@@ -20,8 +24,12 @@
 const (
 	// sendTimeout bounds a one-way message to a peer.
 	sendTimeout = time.Second
-	// refreshEvery repeats what this home waits for and has in flight, in case a message was lost.
+	// refreshEvery repeats what this home waits for, in case a message was lost.
 	refreshEvery = 3 * time.Second
+	// reportEvery repeats what this home has in flight. A scheduler that lacks a call in flight gives its worker one
+	// call too many until then. At the target a host has about 750 calls in flight; repeating them every 3 s
+	// would take 53 KB/s of the 3 KB/s that a host has for control.
+	reportEvery = time.Minute
 )
 
 // toScheduler is the body of an enqueue frame. Exactly one field is set.
@@ -51,24 +59,36 @@
 	// scheduled are the groups whose calls came to this host.
 	scheduled map[string]bool
 	// homes are the incarnations that were up at the last tick.
-	homes     map[ids.Journal]bool
+	homes map[ids.Journal]bool
+	// lost holds the groups whose scheduler a message did not reach.
+	lost      map[string]bool
 	refreshed time.Time
+	reported  time.Time
+	// grants are the spans of the calls that wait for a worker.
+	grants map[sched.CallID]trace.Span
+	tracer trace.Tracer
 }
 
 func newSchedLink(view membership.View, node *wire.Node, rt *runtime.Runtime) *schedLink {
-	l := &schedLink{view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}, scheduled: map[string]bool{}}
+	l := &schedLink{
+		view: view, node: node, rt: rt, schedulers: map[string]ids.Journal{}, lost: map[string]bool{},
+		scheduled: map[string]bool{}, grants: map[sched.CallID]trace.Span{}, tracer: otel.Tracer(tracerName),
+	}
 	node.Handle(wire.TypeEnqueue, l.handleEnqueue)
 	node.Handle(wire.TypeGrant, l.handleGrant)
 	rt.Handle(program.KindEnqueue, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Enqueue).Request
+		l.startWait(q, e.(program.Enqueue).Trace)
 		l.toScheduler(q.Group, toScheduler{Enqueued: &q})
 	})
 	rt.Handle(program.KindWithdraw, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Withdraw).Request
+		l.endWait(q.Call, "withdrawn", "")
 		l.toScheduler(q.Group, toScheduler{Withdrawn: &q})
 	})
 	rt.Handle(program.KindFinish, func(_ clock.Millis, e event.Effect) {
 		q := e.(program.Finish).Request
+		l.endWait(q.Call, "finished", "") // without effect after a grant
 		l.toScheduler(q.Group, toScheduler{Finished: &q})
 	})
 	rt.Handle(program.KindNotifyEnded, func(_ clock.Millis, e event.Effect) {
@@ -86,6 +106,33 @@
 	return l
 }
 
+// startWait starts the span of a call's wait for a worker. A call that is enqueued again goes on waiting.
+func (l *schedLink) startWait(q sched.Enqueued, traceparent string) {
+	if traceparent == "" || q.Running != "" {
+		return
+	}
+	host, _ := l.scheduler(q.Group)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.grants[q.Call]; ok {
+		return
+	}
+	_, l.grants[q.Call] = l.tracer.Start(withTrace(traceparent), "wait for grant", trace.WithAttributes(
+		attribute.String("program", string(q.Call.Program)), attribute.String("key", q.Call.Key), attribute.Int("attempt", q.Call.Attempt),
+		attribute.String("group", q.Group), attribute.String("scheduler", string(host.Name))))
+}
+
+func (l *schedLink) endWait(c sched.CallID, result, worker string) {
+	l.mu.Lock()
+	span, ok := l.grants[c]
+	delete(l.grants, c)
+	l.mu.Unlock()
+	if ok {
+		span.SetAttributes(attribute.String("result", result), attribute.String("worker", worker))
+		span.End()
+	}
+}
+
 // scheduler returns the host that schedules the group.
 func (l *schedLink) scheduler(group string) (membership.Member, bool) {
 	ranked := l.view.Rank("group:" + group)
@@ -107,14 +154,20 @@
 		l.deliver(m)
 		return
 	}
-	l.send(host.PeerAddress, wire.TypeEnqueue, m)
+	l.send(host.PeerAddress, wire.TypeEnqueue, m, func() {
+		l.mu.Lock()
+		l.lost[group] = true // tick repeats everything
+		l.mu.Unlock()
+	})
 }
 
-func (l *schedLink) send(address string, t wire.Type, body any) {
+func (l *schedLink) send(address string, t wire.Type, body any, failed func()) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 		defer cancel()
-		_ = l.node.Send(ctx, address, t, body) // a lost message is repeated by tick
+		if err := l.node.Send(ctx, address, t, body); err != nil {
+			failed()
+		}
 	}()
 }
 
@@ -154,14 +207,16 @@
 		}
 		return
 	}
-	l.send(host.PeerAddress, wire.TypeGrant, m)
+	l.send(host.PeerAddress, wire.TypeGrant, m, func() {})
 }
 
 func (l *schedLink) deliverHome(m toHome) {
 	if g := m.Grant; g != nil {
+		l.endWait(g.Call, "granted", g.Worker)
 		l.rt.Publish(program.Granted{Call: g.Call, Group: g.Group, Worker: g.Worker, Priority: g.Priority})
 	}
 	if q := m.Refuse; q != nil {
+		l.endWait(q.Call, "refused", "")
 		l.rt.Publish(program.Refused{Call: q.Call, Reason: q.Reason, RetryAfterMS: q.RetryAfterMS})
 	}
 }
@@ -173,26 +228,37 @@
 	}
 }
 
-// tick turns to the new scheduler of a group when the old one is gone, and repeats everything from time to
-// time because messages can be lost.
+// tick turns to the new scheduler of a group when the old one is gone, and repeats messages that were lost. A message
+// that was written to a connection that then broke is not known to be lost, so what waits and what is in flight is
+// repeated from time to time as well.
 func (l *schedLink) tick() {
 	l.reportLostHomes()
 	l.mu.Lock()
-	refresh := time.Since(l.refreshed) >= refreshEvery
-	if refresh {
-		l.refreshed = time.Now()
+	now := time.Now()
+	if l.reported.IsZero() {
+		l.refreshed, l.reported = now, now
 	}
-	var changed []string
+	var changes []program.SchedulerChanged
 	for group, old := range l.schedulers {
 		host, ok := l.scheduler(group)
-		if ok && (refresh || host.Journal != old) {
+		if ok && (l.lost[group] || host.Journal != old) {
 			l.schedulers[group] = host.Journal
-			changed = append(changed, group)
+			delete(l.lost, group)
+			changes = append(changes, program.SchedulerChanged{Group: group})
 		}
 	}
+	switch {
+	case now.Sub(l.reported) >= reportEvery:
+		l.refreshed, l.reported = now, now
+		changes = []program.SchedulerChanged{{}} // all groups
+		clear(l.lost)
+	case now.Sub(l.refreshed) >= refreshEvery:
+		l.refreshed = now
+		changes = append(changes, program.SchedulerChanged{WaitingOnly: true})
+	}
 	l.mu.Unlock()
-	for _, group := range changed {
-		l.rt.Publish(program.SchedulerChanged{Group: group})
+	for _, c := range changes {
+		l.rt.Publish(c)
 	}
 }
 
