--- a/common/ids/ids.go
+++ b/common/ids/ids.go
@@ -38,7 +38,7 @@
 		return "", 0, errors.Newf("journal %q has no incarnation", string(j))
 	}
 	n, err := strconv.ParseUint(string(j[i+1:]), 10, 64)
-	if err != nil {
+	if err != nil || NewJournal(Host(j[:i]), n) != j {
 		return "", 0, errors.Newf("journal %q has an invalid incarnation", string(j))
 	}
 	return Host(j[:i]), n, nil
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/nesting"
 )
 
 var typeNames = map[Type]string{
@@ -118,6 +119,9 @@
 	if _, err := io.ReadFull(r, b); err != nil {
 		return nil, err
 	}
+	if err := nesting.Check(b); err != nil {
+		return nil, errors.Wrap(err, "decode frame")
+	}
 	var f frame
 	if err := msgpack.Unmarshal(b, &f); err != nil {
 		return nil, errors.Wrap(err, "decode frame")
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/nesting"
 )
 
 // Kind names the type of an event or an effect, for example "program.call_submitted". The part before
@@ -56,6 +57,9 @@
 
 // Decode reverses Encode.
 func Decode(b []byte) (Envelope, error) {
+	if err := nesting.Check(b); err != nil {
+		return Envelope{}, errors.Wrap(err, "decode event record")
+	}
 	var r record
 	if err := msgpack.Unmarshal(b, &r); err != nil {
 		return Envelope{}, errors.Wrap(err, "decode event record")
--- /dev/null
+++ b/service/home/fuzz_test.go
@@ -0,0 +1,82 @@
+package home
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/core/program"
+)
+
+// Guards against a damaged journal that ends its heir, and against records that change when a home is taken over.
+// The input is a segment as it is in the store, or, with plain, before its compression.
+func FuzzDecodeSegment(f *testing.F) {
+	c, err := newCodec()
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, s := range []segment{
+		{Journal: "a-1.7", Writer: 1},
+		{Journal: "a-1.7", Writer: 2, Records: []program.Record{{Op: program.OpSeal, Heir: "b-1.2"}}},
+		{Journal: "a-1.7", Writer: 3, Records: []program.Record{
+			{Op: program.OpOpened, Program: "a-1.7-1", Header: &program.Header{Team: "t", Agent: "judge", Budget: 100}},
+			{Op: program.OpIntent, Program: "a-1.7-1", Key: "pay", Hash: 5, Call: &api.Call{Key: "pay", Kind: api.CallTool, Tool: &api.ToolCall{Name: "payout"}}},
+			{Op: program.OpTurn, Program: "a-1.7-1", Key: "pay", Turn: &api.Turn{Seq: 1, Key: "pay"}, Status: 200, Tokens: 20},
+			{Op: program.OpEnded, Program: "a-1.7-1", State: program.StateEnded, At: 9, Workers: []string{"w"}},
+		}},
+	} {
+		b, err := c.encode(&s)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b, false)
+		f.Add(b[:len(b)-1], false)
+		if b, err = msgpack.Marshal(&s); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b, true)
+		f.Add(b[:len(b)/2], true)
+	}
+	f.Add(bytes.Repeat([]byte{0x91}, 1000), true) // nested arrays
+	f.Fuzz(func(t *testing.T, b []byte, plain bool) {
+		if plain {
+			b = c.enc.EncodeAll(b, nil)
+		}
+		s, err := c.decode(b)
+		if err != nil {
+			return
+		}
+		encoded, err := c.encode(s)
+		if err != nil {
+			t.Fatalf("encode %+v: %v", s, err)
+		}
+		again, err := c.decode(encoded)
+		if err != nil {
+			t.Fatalf("decode what was encoded of %+v: %v", s, err)
+		}
+		// omitempty makes empty lists absent.
+		if d := cmp.Diff(s, again, cmpopts.EquateEmpty()); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// Guards against segments that are read in another order than they were written in.
+func FuzzSegmentName(f *testing.F) {
+	f.Add("a-1.7/0000000001")
+	f.Add("a-1.7/x")
+	f.Add("0")
+	f.Fuzz(func(t *testing.T, name string) {
+		seq, err := segmentSeq(name)
+		if err != nil {
+			return
+		}
+		if again, err := segmentSeq(segmentName("a-1.7", seq)); err != nil || again != seq {
+			t.Fatalf("%q has seq %d, which became %d (%v)", name, seq, again, err)
+		}
+	})
+}
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/nesting"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/program"
 )
@@ -26,6 +27,9 @@
 	// maxBatchBytes closes a batch before compression, so that a segment stays below the 1 MB that the
 	// store holds in a value even if nothing compresses.
 	maxBatchBytes = 768 << 10
+	// maxSegmentBytes bounds the memory that a damaged segment can ask for. A segment has at most maxBatchBytes, or
+	// one larger record.
+	maxSegmentBytes = 16 << 20
 	// storeWait is how long a commit may wait before programs go on without it.
 	storeWait = time.Second
 	// minRetry and maxRetry bound the pause between two tries of one write.
@@ -60,7 +64,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create zstd encoder")
 	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1))
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSegmentBytes))
 	if err != nil {
 		return nil, errors.Wrap(err, "create zstd decoder")
 	}
@@ -80,6 +84,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress segment")
 	}
+	if err := nesting.Check(raw); err != nil {
+		return nil, errors.Wrap(err, "decode segment")
+	}
 	var s segment
 	if err := msgpack.Unmarshal(raw, &s); err != nil {
 		return nil, errors.Wrap(err, "decode segment")
--- a/service/runtime/runtime.go
+++ b/service/runtime/runtime.go
@@ -3,6 +3,7 @@
 package runtime
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"io"
@@ -168,15 +169,23 @@
 	return nil
 }
 
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // ReadRecord reads one record of an event log; io.EOF at its end.
 func ReadRecord(rd io.Reader) ([]byte, error) {
 	var n [4]byte
 	if _, err := io.ReadFull(rd, n[:]); err != nil {
 		return nil, err
 	}
-	b := make([]byte, binary.BigEndian.Uint32(n[:]))
-	if _, err := io.ReadFull(rd, b); err != nil {
-		return nil, errors.Wrap(err, "event log record is cut off")
+	// The buffer grows with what is there: a damaged length must not allocate 4 GB.
+	var b bytes.Buffer
+	if _, err := io.CopyN(&b, rd, int64(binary.BigEndian.Uint32(n[:]))); err != nil {
+		return nil, errors.Wrap(noEOF(err), "event log record is cut off")
 	}
-	return b, nil
+	return b.Bytes(), nil
 }
