--- a/service/configuration/configuration_test.go
+++ b/service/configuration/configuration_test.go
@@ -262,7 +262,11 @@
 		for _, h := range started {
 			gomega.Eventually(h.Number).Should(gomega.Equal(uint64(7)))
 		}
-		gomega.Expect(watching()).To(gomega.ConsistOf("x0", "x1", "y0", "y1"))
+		// A watcher whose watch has just ended is about to begin the next one.
+		gomega.Eventually(watching).Should(gomega.ConsistOf("x0", "x1", "y0", "y1"))
+		net.store.mu.Lock()
+		defer net.store.mu.Unlock()
+		gomega.Expect(net.store.watched).To(gomega.HaveLen(4), "no other host has ever watched")
 	})
 })
 
--- a/service/configuration/fakes_test.go
+++ b/service/configuration/fakes_test.go
@@ -30,10 +30,11 @@
 	objects  map[string]objectapi.Object
 	changed  chan struct{}
 	watches  map[ids.Host]int
+	watched  map[ids.Host]bool // hosts that have ever watched
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{}), watches: map[ids.Host]int{}}
+	return &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{}), watches: map[ids.Host]int{}, watched: map[ids.Host]bool{}}
 }
 
 func (s *fakeStore) write(kind, name string, value []byte, expected objectapi.Version) (objectapi.Version, error) {
@@ -177,6 +178,7 @@
 func (c *client) Watch(ctx context.Context, kind, prefix string, after objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
 	c.fakeStore.mu.Lock()
 	c.watches[c.host]++
+	c.watched[c.host] = true
 	c.fakeStore.mu.Unlock()
 	defer func() {
 		c.fakeStore.mu.Lock()
