--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -18,6 +18,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/nesting"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/program"
 )
@@ -26,6 +27,9 @@
 	// maxBatchBytes closes a batch before compression, so that a segment stays below the 1 MB that the
 	// store holds in a value even if nothing compresses.
 	maxBatchBytes = 768 << 10
+	// maxSegmentBytes bounds the memory that a damaged segment can ask for. A segment has at most maxBatchBytes, or
+	// one larger record.
+	maxSegmentBytes = 16 << 20
 	// minSegments is the length of a journal at which its home writes the first snapshot.
 	minSegments = 256
 	// snapshotFactor is the length of a journal, in lengths of its last snapshot, at which the next one is due. With 3,
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create zstd encoder")
 	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1))
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSegmentBytes))
 	if err != nil {
 		return nil, errors.Wrap(err, "create zstd decoder")
 	}
@@ -86,6 +90,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress segment")
 	}
+	if err := nesting.Check(raw); err != nil {
+		return nil, errors.Wrap(err, "decode segment")
+	}
 	var s segment
 	if err := msgpack.Unmarshal(raw, &s); err != nil {
 		return nil, errors.Wrap(err, "decode segment")
