--- a/core/program/random_test.go
+++ b/core/program/random_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -75,6 +76,9 @@
 	storeDown  bool
 
 	executionsHere map[string]int // since the last restart
+
+	cache    map[ids.Program]map[string]bool // workers that hold a program's cache, as far as a journal can know
+	releases []program.ReleaseCache          // asked for by this home and not done yet
 }
 
 type submission struct {
@@ -86,6 +90,7 @@
 	w := &world{
 		t: t, now: 1000, submitted: map[program.WaiterID]submission{}, calls: map[string]api.Call{},
 		executions: map[string]int{}, billed: map[ids.Program]int64{}, acked: map[ids.Program][]api.CallAnswer{},
+		cache: map[ids.Program]map[string]bool{},
 	}
 	w.restart()
 	return w
@@ -98,7 +103,7 @@
 	w.home++
 	w.state = program.New()
 	records := w.durable
-	w.durable, w.pending, w.enqueued, w.inFlight = nil, nil, nil, nil
+	w.durable, w.pending, w.enqueued, w.inFlight, w.releases = nil, nil, nil, nil, nil
 	w.submitted = map[program.WaiterID]submission{}
 	w.storeDown = false
 	w.executionsHere = map[string]int{}
@@ -125,6 +130,10 @@
 			w.dispatched(f)
 		case program.Reply:
 			w.replied(f)
+		case program.CancelDispatch:
+			w.inFlight = slices.DeleteFunc(w.inFlight, func(d program.Dispatch) bool { return d.Call == f.Call })
+		case program.ReleaseCache:
+			w.releases = append(w.releases, f)
 		}
 	}
 }
@@ -287,6 +296,7 @@
 		for _, m := range d.Messages {
 			u.PromptTokens += int64(len(strings.Fields(m.Content)))
 		}
+		w.hold(d.Call.Program, d.Worker)
 		u.GeneratedTokens = int64(rapid.IntRange(1, d.MaxTokens).Draw(w.t, "tokens"))
 		u.CostTokens = u.PromptTokens + u.GeneratedTokens
 	case api.CallTool:
@@ -298,6 +308,69 @@
 	return u
 }
 
+func (w *world) hold(id ids.Program, worker string) {
+	if w.cache[id] == nil {
+		w.cache[id] = map[string]bool{}
+	}
+	w.cache[id][worker] = true
+}
+
+// finish ends or cancels a program.
+func (w *world) finish() {
+	if len(w.programs) == 0 {
+		return
+	}
+	w.send(program.EndRequested{Program: rapid.SampledFrom(w.programs).Draw(w.t, "program"), Cancel: rapid.Bool().Draw(w.t, "cancel")})
+}
+
+// release lets a worker confirm one release.
+func (w *world) release() {
+	if len(w.releases) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.releases)-1).Draw(w.t, "release")
+	r := w.releases[i]
+	w.releases = slices.Delete(w.releases, i, i+1)
+	delete(w.cache[r.Program], r.Worker)
+	w.send(program.CacheReleased{Program: r.Program, Worker: r.Worker})
+}
+
+// forgetUnknownCache drops what the journal cannot know after a crash: the worker of a run whose turn was not
+// committed. The reconciliation with the engines' reports finds that.
+func (w *world) forgetUnknownCache() {
+	known := map[ids.Program]map[string]bool{}
+	for _, rec := range w.durable {
+		if rec.Op != program.OpTurn && rec.Op != program.OpOpened && rec.Op != program.OpEnded {
+			continue
+		}
+		workers := slices.Clone(rec.Workers)
+		if rec.Turn != nil {
+			workers = append(workers, rec.Turn.Worker)
+		}
+		if rec.Header != nil {
+			workers = append(workers, rec.Header.Workers...)
+		}
+		for _, worker := range workers {
+			if known[rec.Program] == nil {
+				known[rec.Program] = map[string]bool{}
+			}
+			known[rec.Program][worker] = true
+		}
+	}
+	for id, workers := range w.cache {
+		maps.DeleteFunc(workers, func(worker string, _ bool) bool { return !known[id][worker] })
+	}
+}
+
+// checkCache checks that each worker that holds cache of an ended program is being asked to release it.
+func (w *world) checkCache(id ids.Program) {
+	for worker := range w.cache[id] {
+		if !slices.ContainsFunc(w.releases, func(r program.ReleaseCache) bool { return r.Program == id && r.Worker == worker }) {
+			w.t.Fatalf("worker %s holds cache of the ended program %s and nobody releases it", worker, id)
+		}
+	}
+}
+
 // crash ends the home at a point where some of its last commits took effect, and dispatches that were
 // under way may still run.
 func (w *world) crash() {
@@ -309,6 +382,7 @@
 			w.execute(d)
 		}
 	}
+	w.forgetUnknownCache()
 	w.restart()
 }
 
@@ -326,6 +400,9 @@
 			w.t.Fatalf("program %s was billed %d of %d", id, w.billed[id], budget)
 		}
 		w.checkHistory(id, history)
+		if status.State != program.StateOpen {
+			w.checkCache(id)
+		}
 	}
 }
 
@@ -375,19 +452,21 @@
 	}
 }
 
-// Guards against a lost or mixed history, a call that ran twice, a refused call that ran, an answer at the
+// Guards against cache that stays held for ended programs, a lost or mixed history, a call that ran twice, a refused call that ran, an answer at the
 // wrong caller and an overspent budget, under crashes between any two steps, a store that comes and goes,
 // servers that refuse or break, and repeated requests.
 func TestRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"open":   func(t *rapid.T) { w.t = t; w.open() },
-			"submit": func(t *rapid.T) { w.t = t; w.submit() },
-			"commit": func(t *rapid.T) { w.t = t; w.commit(min(1, len(w.pending))) },
-			"grant":  func(t *rapid.T) { w.t = t; w.grant() },
-			"end":    func(t *rapid.T) { w.t = t; w.end() },
-			"crash":  func(t *rapid.T) { w.t = t; w.crash() },
+			"open":    func(t *rapid.T) { w.t = t; w.open() },
+			"submit":  func(t *rapid.T) { w.t = t; w.submit() },
+			"commit":  func(t *rapid.T) { w.t = t; w.commit(min(1, len(w.pending))) },
+			"grant":   func(t *rapid.T) { w.t = t; w.grant() },
+			"end":     func(t *rapid.T) { w.t = t; w.end() },
+			"crash":   func(t *rapid.T) { w.t = t; w.crash() },
+			"finish":  func(t *rapid.T) { w.t = t; w.finish() },
+			"release": func(t *rapid.T) { w.t = t; w.release() },
 			"store": func(t *rapid.T) {
 				w.t = t
 				w.storeDown = !w.storeDown
--- a/service/home/journal_test.go
+++ b/service/home/journal_test.go
@@ -214,4 +214,20 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(keys(read)).To(Equal([]string{"whole", "state", "after"}))
 	})
+
+	// Guards against a takeover that reads the journal of another incarnation whose name begins alike.
+	It("reads no other journal whose name begins alike", func() {
+		store := objectapi.NewMemory()
+		for _, other := range []ids.Journal{"almaty-a-1.11", "almaty-a-11.1"} {
+			records, err := home.Seal(ctx, store, other, heir)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(records).To(BeEmpty())
+		}
+		j, r := start(store)
+		j.Append(commitOf(1, turn("a", "x")))
+		Eventually(r.upTo, testWait).Should(Equal(program.Token(1)))
+		records, err := home.Seal(ctx, store, self, heir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(records)).To(Equal([]string{"a"}))
+	})
 })
