Run 1,500 random histories of programs

Cause: a takeover without the releases of ended programs is found only after 650 histories; 400 were run. Before: that mutation passed. After: it fails; 1,500 histories take about 2 s.

--- a/core/program/random_test.go
+++ b/core/program/random_test.go
@@ -27,7 +27,7 @@
 // TestMain fixes the seed and the number of histories, so that the verdict is the same on each run. Flags on
 // the command line override them.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400", "rapid.steps": "120", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1500", "rapid.steps": "120", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
