Do not follow redirects of backend servers

Cause: net/http follows a 307 with the same method and body, which sends a request that may not be repeated a second time; found by reading in the input checks. Ruled out: refusing redirects as errors, because the request did run at the server that answered.

--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -85,8 +85,8 @@
 	return &dispatcher{
 		backends: backends, leaseValid: leaseValid, publish: publish, hub: h,
 		tracer: otel.Tracer(tracerName), propagator: propagation.TraceContext{},
-		client:     &http.Client{Transport: transport(true)},
-		onceClient: &http.Client{Transport: transport(false)},
+		client:     &http.Client{Transport: transport(true), CheckRedirect: noRedirect},
+		onceClient: &http.Client{Transport: transport(false), CheckRedirect: noRedirect},
 		active:     map[sched.CallID]context.CancelFunc{},
 	}
 }
@@ -99,6 +99,10 @@
 	return propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{"traceparent": traceparent})
 }
 
+// noRedirect gives a redirect to the caller as the answer: following a 307 would send a request that may not be
+// repeated a second time.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // start begins a dispatch on a goroutine of its own.
 func (d *dispatcher) start(e program.Dispatch) {
 	ctx, cancel := context.WithCancel(withTrace(e.Trace))
