Ignore the timer of a write that has ended

Cause: found by reading. The timer that reports a slow write could fire in the instant in which the write ended, and its report could overtake the one that the store is back; the host then refused calls that may not be repeated until its next commit. Ruled out: stopping the timer, which does not wait for a timer that fires. Reports are now made under the lock and carry the write's number. Before: the new test's call sets the store down. After: it does not; the package's tests pass with the race detector.

--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -91,8 +91,8 @@
 	if len(p.waiting) >= r.limits.MaxQueuedCalls {
 		return fault.New(fault.CodeLimit, stepSubmit, "%d calls of the program wait already", len(p.waiting)).RetryAfter(r.limits.OrderWait)
 	}
-	if max := r.agent(p).MaxTurns; len(p.turns)+len(p.liveCalls()) >= max {
-		return fault.New(fault.CodeTurnLimit, stepSubmit, "the program has reached its limit of %d turns", max)
+	if limit := r.agent(p).MaxTurns; len(p.turns)+len(p.liveCalls()) >= limit {
+		return fault.New(fault.CodeTurnLimit, stepSubmit, "the program has reached its limit of %d turns", limit)
 	}
 	if r.storeDown && r.unsaved >= r.limits.MaxUnsaved {
 		return errStoreDown(stepSubmit)
--- a/service/home/journal.go
+++ b/service/home/journal.go
@@ -131,6 +131,7 @@
 	queue   []commit
 	wake    chan struct{}
 	down    bool
+	write   uint64 // number of the write under way
 	unsaved int
 	next    uint64 // seq of the next segment
 	// firstSegment is the first segment that no snapshot covers.
@@ -265,7 +266,8 @@
 		j.events.Deposed(err.Error())
 		return false
 	}
-	slow := time.AfterFunc(storeWait, func() { j.setDown(true) })
+	write := j.nextWrite()
+	slow := time.AfterFunc(storeWait, func() { j.slowWrite(write) })
 	defer slow.Stop()
 	for pause := minRetry; ; pause = min(2*pause, maxRetry) {
 		done, err := j.tryWrite(ctx, value)
@@ -280,7 +282,7 @@
 			return false
 		}
 	}
-	slow.Stop()
+	j.nextWrite()
 	snapshot := j.drop(taken)
 	j.setDown(false)
 	if snapshot {
@@ -403,16 +405,40 @@
 	return true, nil
 }
 
+// setDown reports a change of the access to the store. The report is made under the lock, so that reports come in
+// the order of the changes.
 func (j *Journal) setDown(down bool) {
 	j.mu.Lock()
-	changed := j.down != down
-	j.down = down
-	j.mu.Unlock()
-	if changed {
+	defer j.mu.Unlock()
+	j.changeDown(down)
+}
+
+// slowWrite reports the store as down if the write is still under way. The timer of a write can fire in the
+// instant in which the write ends.
+func (j *Journal) slowWrite(write uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.write == write {
+		j.changeDown(true)
+	}
+}
+
+// changeDown needs the lock.
+func (j *Journal) changeDown(down bool) {
+	if j.down != down {
+		j.down = down
 		j.events.StoreChanged(down)
 	}
 }
 
+// nextWrite begins a write and returns its number; a timer of an earlier write has no effect any more.
+func (j *Journal) nextWrite() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.write++
+	return j.write
+}
+
 // Seal closes another incarnation's journal on behalf of the heir and returns its records. After it has
 // returned without error, the former home can commit nothing more. It can be repeated.
 func Seal(ctx context.Context, store objectapi.Store, dead, heir ids.Journal) ([]program.Record, error) {
--- a/service/home/journal_interval_test.go
+++ b/service/home/journal_interval_test.go
@@ -104,3 +104,21 @@
 		t.Error("no snapshot is due after twice its length in new segments")
 	}
 }
+
+// TestLateTimerOfAnEndedWrite guards against a store that counts as down until the next commit: the timer of a slow write
+// fired in the instant in which the write ended.
+func TestLateTimerOfAnEndedWrite(t *testing.T) {
+	var reports []bool
+	j, err := NewJournal("a-1.1", objectapi.NewMemory(), time.Millisecond, JournalEvents{
+		Committed: func(program.Token) {}, StoreChanged: func(down bool) { reports = append(reports, down) }, Deposed: func(string) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := j.nextWrite()
+	j.nextWrite()
+	j.slowWrite(ended)
+	if len(reports) > 0 || j.Down() {
+		t.Errorf("a write that has ended reports the store as down: %v", reports)
+	}
+}
