--- a/service/home/home.go
+++ b/service/home/home.go
@@ -206,9 +206,6 @@
 // StoreUp says whether commits get through.
 func (h *Home) StoreUp() bool { return !h.journal.Down() }
 
-// Unsaved returns the bytes of records that are not durable yet.
-func (h *Home) Unsaved() int { return h.journal.Unsaved() }
-
 // release drops the cache of an ended program; the record that it is released lets a later home forget it.
 func (h *Home) release(e program.ReleaseCache) {
 	h.opts.Backends.Release(e.Worker, e.Program, func() {
