--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -34,12 +34,20 @@
 	var o options
 	parser := flags.NewParser(&o, flags.Default)
 	parser.LongDescription = "Example: hyssopreeld --settings /etc/hyssopreel/almaty-a-1.ini"
+	parser.SubcommandsOptional = true
+	entry := &entryCommand{run: runEntry}
+	disk := &entryCommand{run: runDisk}
+	mustAddCommand(parser, "entry", "Serve callers on the platform", entry)
+	mustAddCommand(parser, "disk", "Hold a host with a disk on the platform", disk)
 	if _, err := parser.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
 		return exitUsage
 	}
+	if parser.Active != nil {
+		return max(entry.code, disk.code)
+	}
 	path := o.Settings
 	if o.CheckSettings != "" {
 		path = o.CheckSettings
@@ -62,6 +70,12 @@
 	return serve(s)
 }
 
+func mustAddCommand(p *flags.Parser, name, help string, c flags.Commander) {
+	if _, err := p.AddCommand(name, help, "", c); err != nil {
+		panic(err) // only a faulty struct tag can cause it
+	}
+}
+
 // serve runs the host until a signal ends it.
 func serve(s *settings.Settings) int {
 	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name}); err != nil {
--- a/common/objectapi/objectapi.go
+++ b/common/objectapi/objectapi.go
@@ -49,6 +49,8 @@
 	ErrUnavailable = errors.New("object store unavailable")
 	// ErrOutcomeUnknown means that the answer to a write was lost; it may have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome of the object store write unknown")
+	// ErrHistoryGone means that the store no longer has the changes after the revision of a watch; list again.
+	ErrHistoryGone = errors.New("object store history is gone")
 	// ErrTooLarge means that the value is larger than MaxValueBytes.
 	ErrTooLarge = errors.New("object value too large")
 )
--- /dev/null
+++ b/common/settings/entry.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Entry are the settings of an entry host that serves callers on the platform, or of a host with a disk there.
+// Sizes are in bytes.
+type Entry struct {
+	Host struct {
+		Name          string
+		FailureDomain string
+		Region        string
+	}
+	Listen struct {
+		// Callers, Ready and Directory are empty on a host that serves no callers.
+		Callers   string
+		Ready     string
+		Directory string
+		Peer      string
+		Metrics   string
+	}
+	Platform struct {
+		Address string
+		Timeout time.Duration
+		// Watch is the longest wait for changes in one call.
+		Watch time.Duration
+	}
+	Limits struct {
+		Memory int64
+	}
+	Shutdown struct {
+		// Grace is the time between the signal and the end that the platform forces.
+		Grace time.Duration
+	}
+	Log struct {
+		Level  string
+		Format string
+	}
+}
+
+// LoadEntry reads the settings of an entry host. The settings are complete and valid only if there are no problems.
+func LoadEntry(path string) (*Entry, []Problem) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
+	if err != nil {
+		return &Entry{}, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
+	}
+	r := &reader{path: path, file: file, known: map[string]map[string]bool{}}
+	s := &Entry{}
+	r.readEntry(s)
+	r.reportUnknown()
+	return s, r.problems
+}
+
+func (r *reader) readEntry(s *Entry) {
+	s.Host.Name = r.hostName("host", "name")
+	s.Host.FailureDomain = r.hostName("host", "failure_domain")
+	s.Host.Region = r.hostName("host", "region")
+
+	s.Listen.Callers = r.address("listen", "callers", optional, "")
+	s.Listen.Ready = r.address("listen", "ready", optional, "")
+	s.Listen.Directory = r.address("listen", "directory", optional, "")
+	s.Listen.Peer = r.address("listen", "peer", required, "")
+	s.Listen.Metrics = r.address("listen", "metrics", required, "")
+
+	s.Platform.Address = r.address("platform", "address", required, "")
+	s.Platform.Timeout = r.duration("platform", "timeout", time.Second)
+	s.Platform.Watch = r.duration("platform", "watch", 25*time.Second)
+
+	s.Limits.Memory = r.size("limits", "memory", 128*megabyte, 1<<40)
+	s.Shutdown.Grace = r.duration("shutdown", "grace", 8*time.Second)
+
+	s.Log.Level = r.oneOf("log", "level", "info", "debug", "info", "warn", "error")
+	s.Log.Format = r.oneOf("log", "format", "json", "json", "text")
+}
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,157 @@
+// Package placement decides which backend server runs a request. It is pure: policies see a snapshot of the
+// servers and return a choice.
+package placement
+
+import (
+	"time"
+)
+
+// Server is one backend server as its entry in the store describes it.
+type Server struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	Draining      bool
+	// ColdFor is how long the server was to stay slow, as of the entry.
+	ColdFor time.Duration
+	// Born is the start of the server in Unix milliseconds; 0 if it does not say. An ID may be used again by a
+	// later start.
+	Born int64
+}
+
+// Candidate is a server with what this host knows of its load.
+type Candidate struct {
+	Server Server
+	// InFlight is the number of requests that this host has at the server.
+	InFlight int
+	// Load is the estimate of all requests at the server, those of this host included.
+	Load float64
+	// Cached is the number of the request's prompt tokens that the server is believed to keep.
+	Cached int
+	// Suspect servers failed lately; they are used only if all are suspect.
+	Suspect bool
+	// Busy servers have no free connection for this host.
+	Busy bool
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	PromptTokens  int
+	FailureDomain string // of this host
+	// Excluded are servers that refused or failed this request.
+	Excluded map[string]bool
+}
+
+// Score rates a candidate for a request; the lowest total wins.
+type Score func(r Request, c Candidate) float64
+
+// Policy is a list of filters and scores.
+type Policy struct {
+	Filters []func(r Request, c Candidate) bool
+	Scores  []Score
+}
+
+// Choose returns the index of the best candidate, or -1 if no candidate passes the filters. Ties go to the earlier
+// candidate, so callers shuffle.
+func (p Policy) Choose(r Request, candidates []Candidate) int {
+	best, bestScore := -1, 0.0
+	for i, c := range candidates {
+		if !p.passes(r, c) {
+			continue
+		}
+		total := 0.0
+		for _, s := range p.Scores {
+			total += s(r, c)
+		}
+		if best < 0 || total < bestScore {
+			best, bestScore = i, total
+		}
+	}
+	return best
+}
+
+func (p Policy) passes(r Request, c Candidate) bool {
+	for _, f := range p.Filters {
+		if !f(r, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// NotExcluded passes servers that have not refused or failed the request.
+func NotExcluded(r Request, c Candidate) bool { return !r.Excluded[c.Server.ID] }
+
+// NotDraining passes servers that are not about to leave.
+func NotDraining(_ Request, c Candidate) bool { return !c.Server.Draining }
+
+// HasConnection passes servers to which this host may send one more request.
+func HasConnection(_ Request, c Candidate) bool { return !c.Busy }
+
+// NotSuspect passes servers that have not failed lately.
+func NotSuspect(_ Request, c Candidate) bool { return !c.Suspect }
+
+// FreeSlot passes servers that are believed to run one more request at once.
+func FreeSlot(_ Request, c Candidate) bool { return c.Load < float64(c.Server.Slots) }
+
+// Weights of the scores, in milliseconds of expected delay.
+const (
+	// remoteMS is the cost of another failure domain: its round trip on the wider of the two deployments, 2.8 ms,
+	// and the price of the bytes between domains.
+	remoteMS = 3.0
+	// prefillTokensPerMS is the rate at which an engine reads a prompt that it does not keep; the deployments'
+	// pages say 85 and 101.
+	prefillTokensPerMS = 85.0
+	// slotMS is the delay that one more running request adds to an engine's answer of about 10 steps.
+	slotMS = 3.0
+	// queueMS is the delay that one request in the server's queue adds.
+	queueMS = 25.0
+)
+
+// Load scores the expected delay from the server's load.
+func Load(_ Request, c Candidate) float64 {
+	slots := float64(c.Server.Slots)
+	if c.Load < slots {
+		return c.Load * slotMS * 6 / slots
+	}
+	return slotMS*6 + (c.Load-slots+1)*queueMS*6/slots
+}
+
+// Prefill scores the time to read the part of the prompt that the server does not keep.
+func Prefill(r Request, c Candidate) float64 {
+	return float64(r.PromptTokens-c.Cached) / prefillTokensPerMS
+}
+
+// Distance scores servers in other failure domains.
+func Distance(r Request, c Candidate) float64 {
+	if r.FailureDomain == c.Server.FailureDomain {
+		return 0
+	}
+	return remoteMS
+}
+
+// Cold scores servers that were started lately.
+func Cold(_ Request, c Candidate) float64 {
+	if c.Server.ColdFor > 0 {
+		return queueMS
+	}
+	return 0
+}
+
+// Default returns the policy of engines and plain services: sound servers that are not about to leave, by expected
+// delay.
+func Default() Policy {
+	return Policy{
+		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, HasConnection, NotSuspect},
+		Scores:  []Score{Load, Prefill, Distance, Cold},
+	}
+}
+
+// LastResort returns the policy for when Default has no candidate: suspect servers are allowed.
+func LastResort() Policy {
+	p := Default()
+	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, HasConnection}
+	return p
+}
--- /dev/null
+++ b/core/routing/routing.go
@@ -0,0 +1,179 @@
+// Package routing holds the configuration that callers' requests are routed by. Tables are immutable.
+package routing
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says whether a request of a route may run more than once.
+type Kind int
+
+const (
+	// Once is a request that must not run twice.
+	Once Kind = iota
+	// Repeatable is an idempotent request.
+	Repeatable
+	// Stream is a request that is answered by events. It is handled like Once unless its route is resumable.
+	Stream
+)
+
+// String returns the name of the kind in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case Stream:
+		return "stream"
+	default:
+		return "once"
+	}
+}
+
+// Target is one of the services between which a route splits its requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests go and what is allowed with them.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string // begins and ends with a slash
+	Kind       Kind
+	// Timeout is the longest time that a caller is kept waiting; 0 is no limit.
+	Timeout time.Duration
+	// Objective is the time to the first byte of the answer that the operator aims at.
+	Objective time.Duration
+	// PauseObjective is the longest pause between two events of a stream that the operator aims at.
+	PauseObjective time.Duration
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority int
+	Targets  []Target
+	// MaxWorkers bounds the backend servers on which one request may run; 0 is no limit.
+	MaxWorkers int
+	// Resumable streams may go on at another backend server after the last event that arrived.
+	Resumable bool
+	// Retention is how long a program may pause between turns.
+	Retention time.Duration
+}
+
+// MayRepeat reports whether a request may be sent again after it may have run.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || (r.Kind == Stream && r.Resumable)
+}
+
+// Pick returns the service for a request; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := draw * float64(total)
+	for _, t := range r.Targets {
+		left -= float64(t.Weight)
+		if left < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Engine describes the model workers of a service.
+type Engine struct {
+	// Slots is the number of requests that run at once.
+	Slots int
+	// CacheTokens is the size of a worker's KV cache in tokens.
+	CacheTokens int
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+}
+
+// Service is a group of backend servers.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections that one backend server accepts from all hosts together.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+
+	routes map[string]map[string]*Route // by host, then by path prefix
+}
+
+// NewTable returns a table of the routes and services.
+func NewTable(version uint64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version:  version,
+		Limits:   limits,
+		Services: make(map[string]Service, len(services)),
+		routes:   map[string]map[string]*Route{},
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for i := range routes {
+		r := &routes[i]
+		host := strings.ToLower(r.Host)
+		if t.routes[host] == nil {
+			t.routes[host] = map[string]*Route{}
+		}
+		t.routes[host][r.PathPrefix] = r
+	}
+	return t
+}
+
+// Match returns the route of the host whose prefix is the longest that begins the path, or nil. A port in host
+// is ignored.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := t.routes[strings.ToLower(host)]
+	for end := len(path); end > 0; end-- {
+		if path[end-1] != '/' {
+			continue
+		}
+		if r, ok := routes[path[:end]]; ok {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	n := 0
+	for _, byPrefix := range t.routes {
+		n += len(byPrefix)
+	}
+	return n
+}
+
+// EventTokens returns the tokens in one event of the service's streams; 1 if the service does not say.
+func (t *Table) EventTokens(service string) int {
+	s, ok := t.Services[service]
+	if !ok || s.Engine == nil || s.Engine.EventTokens < 1 {
+		return 1
+	}
+	return s.Engine.EventTokens
+}
--- /dev/null
+++ b/service/ingress/feed.go
@@ -0,0 +1,91 @@
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+)
+
+const (
+	// feedRetryFirst and feedRetryMost bound the pause after a failed call to the store: a call costs its price even
+	// if it is refused, and a change must be seen within the operator's bound of 2 s after the store is back.
+	feedRetryFirst = 200 * time.Millisecond
+	feedRetryMost  = 800 * time.Millisecond
+)
+
+// Feed keeps a host's view of the objects of one kind.
+type Feed struct {
+	Kind  string
+	Store objectapi.Store
+	// Replace gets the whole list. afterOutage is set if the store was away since the last change.
+	Replace func(objects []objectapi.Object, afterOutage bool)
+	// Apply gets one change.
+	Apply func(c objectapi.Change)
+
+	failedSince time.Time
+	pause       time.Duration
+}
+
+// Run follows the kind until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		objects, revision, err := f.Store.List(ctx, f.Kind, "")
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		logging.Emit(logging.FeedListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
+		f.Replace(objects, f.recovered())
+		f.watch(ctx, revision)
+	}
+}
+
+// watch follows changes until the list must be read again.
+func (f *Feed) watch(ctx context.Context, revision objectapi.Version) {
+	for ctx.Err() == nil {
+		changes, next, err := f.Store.Watch(ctx, f.Kind, "", revision)
+		switch {
+		case errors.Is(err, objectapi.ErrHistoryGone):
+			return
+		case err != nil:
+			f.failed(ctx, err)
+			return
+		}
+		for _, c := range changes {
+			f.Apply(c)
+		}
+		revision = max(next, revision)
+	}
+}
+
+func (f *Feed) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.failedSince.IsZero() {
+		f.failedSince = time.Now()
+		f.pause = feedRetryFirst
+		logging.Emit(logging.FeedFailed, logging.Fields{"kind": f.Kind, "error": err})
+	}
+	jitter := time.Duration(rand.Int64N(int64(f.pause) / 2))
+	select {
+	case <-time.After(f.pause/2 + jitter):
+	case <-ctx.Done():
+	}
+	f.pause = min(2*f.pause, feedRetryMost)
+}
+
+// recovered ends a failure and reports whether there was one.
+func (f *Feed) recovered() bool {
+	if f.failedSince.IsZero() {
+		return false
+	}
+	logging.Emit(logging.FeedResumed, logging.Fields{"kind": f.Kind, "after": time.Since(f.failedSince)})
+	f.failedSince = time.Time{}
+	return true
+}
--- /dev/null
+++ b/service/ingress/forward.go
@@ -0,0 +1,272 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/upstream"
+)
+
+const (
+	// maxSends bounds the servers that one request is offered to, those that refused it included.
+	maxSends = 6
+	// repeatableRuns is the number of servers on which a repeatable request may run if its route does not say.
+	repeatableRuns = 3
+	// maxAnswerBytes bounds the answer of a plain service, which is read whole before it is passed on.
+	maxAnswerBytes = 4 << 20
+	// placeRetry is the pause before a server is looked for again while all are full.
+	placeRetry = 5 * time.Millisecond
+	// placeWait bounds the wait for a place: a share of the time that the request has.
+	placeWait = 0.25
+)
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	in      *Ingress
+	request *http.Request
+	body    []byte
+	call    Call
+	table   *routing.Table
+	route   *routing.Route
+	service string
+	began   time.Time
+	// deadline is the end of the caller's time or of the route's, whichever is first.
+	deadline time.Time
+
+	sends    int
+	runs     int
+	excluded map[string]bool
+	// last is what became of the last send.
+	last error
+	// server, load and loadAge describe the last placement, for the log.
+	server  string
+	load    float64
+	loadAge time.Duration
+	waited  time.Duration
+}
+
+// failure is a request that ends without a backend server's answer.
+type failure struct {
+	status int
+	reason string
+	// retryAfter is set only if the request has not run.
+	retryAfter time.Duration
+	cause      error
+}
+
+var errNoServer = errors.New("no backend server takes the request")
+
+// maxRuns returns the number of servers on which the request may run.
+func (x *exchange) maxRuns() int {
+	switch {
+	case !x.route.MayRepeat():
+		return 1
+	case x.route.MaxWorkers > 0:
+		return x.route.MaxWorkers
+	}
+	return repeatableRuns
+}
+
+// place waits for a server that takes the request.
+func (x *exchange) place(ctx context.Context) (*Lease, error) {
+	began := x.in.now()
+	limit := time.Duration(float64(x.deadline.Sub(began)) * placeWait)
+	defer func() { x.waited += x.in.now().Sub(began) }()
+	for {
+		if lease := x.acquire(); lease != nil {
+			return lease, nil
+		}
+		if x.in.now().Sub(began) >= limit {
+			return nil, errNoServer
+		}
+		timer := time.NewTimer(placeRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (x *exchange) acquire() *Lease {
+	q := Query{
+		Service: x.service,
+		Request: placement.Request{
+			PromptTokens:  x.call.PromptTokens,
+			FailureDomain: x.in.options.FailureDomain,
+			Excluded:      x.excluded,
+		},
+		MaxConns: x.table.Services[x.service].MaxConns,
+	}
+	if x.route.Kind == routing.Stream && x.call.Session != "" {
+		q.Session = x.call.Session
+		q.CachedTokens = x.call.PromptTokens
+		if r, ok := x.in.sessions.get(x.call.Session); ok {
+			q.Resident, q.CachedTokens = r.server, r.tokens
+		}
+	}
+	lease := x.in.servers.Acquire(q, placement.Default(), placement.LastResort())
+	if lease != nil {
+		x.server, x.load, x.loadAge = lease.ID(), lease.Load, lease.LoadAge
+	}
+	return lease
+}
+
+// send offers the request to one server. The answer belongs to the request; lease and answer must be ended by the
+// caller.
+func (x *exchange) send(ctx context.Context, lease *Lease, lastEvent string) (*upstream.Response, Answer, error) {
+	h := x.request.Header.Clone()
+	removeHopHeaders(h)
+	x.in.headers.Encode(h, Forwarded{
+		Server:    lease.ID(),
+		Wait:      x.deadline.Sub(x.in.now()),
+		LastEvent: lastEvent,
+	})
+	x.sends++
+	r := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body}
+	var answer Answer
+	resp, err := lease.Pool().Send(ctx, r, func(h http.Header) bool {
+		answer = x.in.headers.Answer(0, h)
+		return answer.Attempt == "" || answer.Attempt == x.call.Attempt
+	})
+	if err != nil {
+		return nil, answer, err
+	}
+	answer = x.in.headers.Answer(resp.Status, resp.Header)
+	if answer.Load != nil {
+		lease.Report(*answer.Load)
+	}
+	return resp, answer, nil
+}
+
+// mayGoOn reports whether the request may be offered to another server.
+func (x *exchange) mayGoOn(ctx context.Context) bool {
+	return ctx.Err() == nil && x.sends < maxSends && x.runs < x.maxRuns()
+}
+
+// noteFailure records a send that brought no answer. It reports whether the request may have run.
+func (x *exchange) noteFailure(ctx context.Context, lease *Lease, err error) {
+	x.last = err
+	x.exclude(lease.ID())
+	var f *upstream.Failure
+	if !errors.As(err, &f) || f.Sent {
+		x.runs++
+	}
+	if ctx.Err() == nil {
+		lease.Failed(err)
+	}
+}
+
+func (x *exchange) exclude(server string) {
+	if x.excluded == nil {
+		x.excluded = map[string]bool{}
+	}
+	x.excluded[server] = true
+}
+
+// complete runs a request of a plain service: it returns the whole answer of a backend server, or why there is
+// none.
+func (x *exchange) complete(ctx context.Context) (*upstream.Response, []byte, *failure) {
+	for x.mayGoOn(ctx) {
+		lease, err := x.place(ctx)
+		if err != nil {
+			return nil, nil, x.noPlace(ctx, err)
+		}
+		resp, body, done := x.completeAt(ctx, lease)
+		lease.Release()
+		if done {
+			return resp, body, nil
+		}
+	}
+	return nil, nil, x.givenUp(ctx)
+}
+
+func (x *exchange) completeAt(ctx context.Context, lease *Lease) (*upstream.Response, []byte, bool) {
+	resp, answer, err := x.send(ctx, lease, "")
+	if err != nil {
+		x.noteFailure(ctx, lease, err)
+		return nil, nil, false
+	}
+	defer resp.Close()
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	switch {
+	case answer.NotRun:
+		x.last = errors.Newf("backend server %s answered %d: not run", lease.ID(), resp.Status)
+		x.exclude(lease.ID())
+		return nil, nil, false
+	case err != nil:
+		x.noteFailure(ctx, lease, errors.Wrapf(err, "body of the answer of backend server %s", lease.ID()))
+		return nil, nil, false
+	}
+	if err := x.checkAnswer(resp, answer, len(body)); err != nil {
+		x.noteFailure(ctx, lease, errors.Wrapf(err, "answer of backend server %s", lease.ID()))
+		return nil, nil, false
+	}
+	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() && x.runs+1 < x.maxRuns() {
+		x.runs++
+		x.exclude(lease.ID())
+		x.last = errors.Newf("backend server %s answered %d", lease.ID(), resp.Status)
+		return nil, nil, false
+	}
+	return resp, body, true
+}
+
+// checkAnswer reports an answer that cannot be the server's own.
+func (x *exchange) checkAnswer(resp *upstream.Response, answer Answer, size int) error {
+	switch {
+	case size > maxAnswerBytes:
+		return errors.Newf("more than %d bytes", maxAnswerBytes)
+	case resp.Header.Get("Content-Encoding") != "":
+		return errors.Newf("content encoding %q", resp.Header.Get("Content-Encoding"))
+	case resp.Status < http.StatusMultipleChoices && !answer.Proof:
+		return errors.New("no proof of origin")
+	}
+	return nil
+}
+
+// noPlace explains why no server was found.
+func (x *exchange) noPlace(ctx context.Context, err error) *failure {
+	if x.runs > 0 || ctx.Err() != nil {
+		return x.givenUp(ctx)
+	}
+	return &failure{status: http.StatusServiceUnavailable, reason: "no place", retryAfter: x.in.retryAfter(x.service), cause: err}
+}
+
+// givenUp explains a request whose sends brought no answer.
+func (x *exchange) givenUp(ctx context.Context) *failure {
+	switch {
+	case x.runs == 0 && ctx.Err() == nil:
+		return &failure{status: http.StatusServiceUnavailable, reason: "refused by backend servers", retryAfter: x.in.retryAfter(x.service), cause: x.last}
+	case x.runs == 0 && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &failure{status: http.StatusServiceUnavailable, reason: "deadline passed before it ran", cause: x.last}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &failure{status: http.StatusGatewayTimeout, reason: "deadline passed", cause: x.last}
+	case ctx.Err() != nil:
+		return &failure{reason: "caller left", cause: ctx.Err()}
+	}
+	return &failure{status: http.StatusBadGateway, reason: "outcome unknown", cause: x.last}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, v := range h.Values("Connection") {
+		for name := range splitList(v) {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/service/ingress/hosts.go
@@ -0,0 +1,175 @@
+package ingress
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+)
+
+// KindHosts is the kind of the entries that entry hosts write of themselves.
+const KindHosts = "entry-hosts"
+
+// Hosts is the list of entry hosts. All methods may be called from any goroutine.
+type Hosts struct {
+	self    fleet.Host
+	changed func(n int)
+
+	mu     sync.Mutex
+	listed map[string]fleet.Host
+	// silent holds when a host was found to be unreachable.
+	silent map[string]time.Time
+}
+
+// NewHosts returns a list that holds this host only. changed is called with the number of hosts.
+func NewHosts(self fleet.Host, changed func(n int)) *Hosts {
+	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}}
+}
+
+func decodeHost(o objectapi.Object) (fleet.Host, error) {
+	var h fleet.Host
+	if err := json.Unmarshal(o.Value, &h); err != nil {
+		return h, errors.Wrapf(err, "entry of host %q", o.Name)
+	}
+	if h.Name != o.Name || h.Address == "" || h.Peer == "" {
+		return h, errors.Newf("entry of host %q: name %q, address %q, peer %q", o.Name, h.Name, h.Address, h.Peer)
+	}
+	return h, nil
+}
+
+// Replace makes the objects the whole list.
+func (l *Hosts) Replace(objects []objectapi.Object, _ bool) {
+	present := map[string]bool{}
+	for _, o := range objects {
+		present[o.Name] = true
+		l.put(o)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.listed {
+		if !present[name] {
+			l.remove(name, "not in the list")
+		}
+	}
+	l.notify()
+}
+
+// Apply applies one change.
+func (l *Hosts) Apply(c objectapi.Change) {
+	if !c.Deleted {
+		l.put(c.Object)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.Deleted {
+		l.remove(c.Name, "entry deleted")
+	}
+	l.notify()
+}
+
+func (l *Hosts) put(o objectapi.Object) {
+	h, err := decodeHost(o)
+	if err != nil {
+		logging.Emit(logging.HostRejected, logging.Fields{"host": o.Name, "error": err})
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, known := l.listed[h.Name]
+	if known && old == h {
+		return
+	}
+	if old.Incarnation != h.Incarnation {
+		delete(l.silent, h.Name)
+	}
+	l.listed[h.Name] = h
+	logging.Emit(logging.HostListed, logging.Fields{
+		"host": h.Name, "incarnation": h.Incarnation, "address": h.Address, "draining": h.Draining,
+	})
+}
+
+func (l *Hosts) remove(name, reason string) {
+	if _, ok := l.listed[name]; !ok {
+		return
+	}
+	delete(l.listed, name)
+	delete(l.silent, name)
+	logging.Emit(logging.HostUnlisted, logging.Fields{"host": name, "reason": reason})
+}
+
+func (l *Hosts) notify() {
+	n := len(l.listed)
+	if _, ok := l.listed[l.self.Name]; !ok {
+		n++
+	}
+	l.changed(n)
+}
+
+// Reachable records whether a host answered.
+func (l *Hosts) Reachable(name string, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, silent := l.silent[name]
+	switch {
+	case cause != nil && !silent:
+		l.silent[name] = time.Now()
+		logging.Emit(logging.HostUnreachable, logging.Fields{"host": name, "error": cause})
+	case cause == nil && silent:
+		delete(l.silent, name)
+		logging.Emit(logging.HostReachable, logging.Fields{"host": name, "unreachable_for": time.Since(since)})
+	}
+}
+
+// All returns the listed hosts and this one, by name.
+func (l *Hosts) All() []fleet.Host { return l.list(false) }
+
+// Live returns the hosts that answer, and this one.
+func (l *Hosts) Live() []fleet.Host { return l.list(true) }
+
+func (l *Hosts) list(live bool) []fleet.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []fleet.Host{l.self}
+	for name, h := range l.listed {
+		if _, silent := l.silent[name]; name == l.self.Name || (live && silent) {
+			continue
+		}
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b fleet.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// SetDraining marks this host as leaving.
+func (l *Hosts) SetDraining() fleet.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.self.Draining = true
+	return l.self
+}
+
+const (
+	// directoryTTL is how long callers may keep an answer: a host that leaves is out of use within a few of them.
+	directoryTTL = 1 * time.Second
+	// directoryLimit is the most addresses that callers read from an answer.
+	directoryLimit = 64
+	// directoryMinLocal is the least number of hosts of the caller's failure domain that are returned alone: with
+	// two, the loss of one leaves a caller with an address that works.
+	directoryMinLocal = 2
+)
+
+// Directory answers callers that ask which hosts to use.
+func (l *Hosts) Directory(at fleet.Place) ([]string, time.Duration) {
+	return fleet.Directory(l.Live(), at, directoryMinLocal, directoryLimit), directoryTTL
+}
+
+// PlaceOf returns where a caller of the directory is.
+type PlaceOf func(r *http.Request) fleet.Place
--- /dev/null
+++ b/service/ingress/run.go
@@ -0,0 +1,309 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/metrics"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/core/routing"
+)
+
+const (
+	// sweepEvery is how often idle connections and lapsed servers are looked at.
+	sweepEvery = 500 * time.Millisecond
+	// listenAfterDrain is how long a leaving host still accepts connections: callers keep the directory's answer for
+	// up to three times directoryTTL.
+	listenAfterDrain = 3*directoryTTL + 300*time.Millisecond
+	// exitMargin is how long before the forced end the last connections are cut.
+	exitMargin = 700 * time.Millisecond
+	// headerTimeout and idleTimeout hold until the operator's limits are known.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 20 * time.Second
+	// maxRequestHeader bounds the header of a caller's request.
+	maxRequestHeader = 32 << 10
+	// sweepLapse is the time after an outage in which a deleted entry may have lapsed because of it.
+	sweepLapse = 2 * time.Second
+)
+
+// Adapter is what the platform brings: documents, headers and the paths of its own calls.
+type Adapter struct {
+	Headers   Headers
+	Store     objectapi.Store
+	Server    func(id string, value []byte) (placement.Server, error)
+	Table     func(value []byte) (*routing.Table, error)
+	Directory func(lookup func(fleet.Place) ([]string, time.Duration)) http.Handler
+	Ready     func(ready func() bool) http.Handler
+	// KindServers, KindConfig and NameConfig are where the servers' entries and the configuration are kept.
+	KindServers, KindConfig, NameConfig string
+}
+
+// Host is a running entry host.
+type Host struct {
+	settings *settings.Entry
+	adapter  Adapter
+	self     fleet.Host
+	metrics  *metrics.Metrics
+	ingress  *Ingress
+	servers  *Servers
+	hosts    *Hosts
+	node     *wire.Node
+
+	// storeBack is when the servers' feed resumed after an outage.
+	storeBack time.Time
+}
+
+// NewHost returns an entry host that does not listen yet.
+func NewHost(s *settings.Entry, a Adapter) *Host {
+	h := &Host{settings: s, adapter: a}
+	h.self = fleet.Host{
+		Name:          s.Host.Name,
+		Incarnation:   newIncarnation(),
+		FailureDomain: s.Host.FailureDomain,
+		Region:        s.Host.Region,
+		Address:       s.Listen.Callers,
+		Peer:          s.Listen.Peer,
+	}
+	h.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
+	scope := h.metrics.Scope()
+	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
+	h.hosts = NewHosts(h.self, h.servers.SetHosts)
+	h.node = wire.NewNode(wire.Options{Self: s.Host.Name + "." + h.self.Incarnation})
+	h.ingress = New(Options{
+		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Region: s.Host.Region, MemoryBytes: s.Limits.Memory,
+	}, a.Headers, h.servers, unlimited{}, scope)
+	return h
+}
+
+type unlimited struct{}
+
+func (unlimited) Reserve(context.Context, Reservation) error { return nil }
+func (unlimited) Settle(Reservation, int)                    {}
+
+// Run serves until ctx ends, and then for as long as a graceful shutdown takes.
+func (h *Host) Run(ctx context.Context) error {
+	began := time.Now()
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	group, work := errgroup.WithContext(work)
+	callers := &http.Server{
+		Handler:           h.ingress,
+		ConnContext:       ConnContext,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxRequestHeader,
+	}
+	l := h.settings.Listen
+	others := []*http.Server{
+		{Addr: l.Ready, Handler: h.adapter.Ready(h.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		{Addr: l.Directory, Handler: h.adapter.Directory(h.hosts.Directory), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		{Addr: l.Metrics, Handler: h.metrics.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+	}
+	callers.Addr = l.Callers
+	if _, err := h.node.Listen(l.Peer); err != nil {
+		return err
+	}
+	for _, s := range append(others, callers) {
+		if err := serve(group, s); err != nil {
+			return err
+		}
+	}
+	for _, f := range h.feeds() {
+		group.Go(func() error { f.Run(work); return nil })
+	}
+	group.Go(func() error { h.sweep(work); return nil })
+	group.Go(func() error { h.register(work, h.self); return nil })
+	logging.Emit(logging.IngressStarted, logging.Fields{
+		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
+	})
+
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	cut := h.drain(work, callers)
+	stopWork()
+	for _, s := range others {
+		_ = s.Close()
+	}
+	_ = h.node.Close()
+	err := group.Wait()
+	logging.Emit(logging.IngressStopped, logging.Fields{"ms": time.Since(began).Milliseconds(), "cut": cut})
+	return err
+}
+
+func serve(group *errgroup.Group, s *http.Server) error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", s.Addr)
+	}
+	group.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrapf(err, "serve at %s", s.Addr)
+		}
+		return nil
+	})
+	return nil
+}
+
+// drain leaves the fleet without cutting requests. It reports whether requests were cut at the end.
+func (h *Host) drain(ctx context.Context, callers *http.Server) bool {
+	logging.Emit(logging.IngressDraining, logging.Fields{"signal": "TERM"})
+	end := time.Now().Add(h.settings.Shutdown.Grace - exitMargin)
+	h.ingress.Drain()
+	h.hosts.SetDraining()
+	unregister, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go h.unregister(unregister)
+	select {
+	case <-time.After(listenAfterDrain):
+	case <-ctx.Done():
+	}
+	shutdown, stop := context.WithDeadline(context.Background(), end)
+	defer stop()
+	if err := callers.Shutdown(shutdown); err != nil {
+		_ = callers.Close()
+		return true
+	}
+	return false
+}
+
+func (h *Host) ready() bool {
+	return !h.ingress.draining.Load() && h.ingress.table.Load() != nil
+}
+
+func (h *Host) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			h.servers.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// feeds returns the feeds of everything that the host follows.
+func (h *Host) feeds() []*Feed {
+	return []*Feed{
+		{Kind: h.adapter.KindConfig, Store: h.adapter.Store, Replace: h.replaceConfig, Apply: h.applyConfig},
+		{Kind: h.adapter.KindServers, Store: h.adapter.Store, Replace: h.replaceServers, Apply: h.applyServer},
+		{Kind: KindHosts, Store: h.adapter.Store, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
+	}
+}
+
+func (h *Host) replaceConfig(objects []objectapi.Object, _ bool) {
+	for _, o := range objects {
+		h.applyConfig(objectapi.Change{Object: o})
+	}
+}
+
+func (h *Host) applyConfig(c objectapi.Change) {
+	if c.Name != h.adapter.NameConfig || c.Deleted {
+		return
+	}
+	t, err := h.adapter.Table(c.Value)
+	if err != nil {
+		logging.Emit(logging.TableRejected, logging.Fields{"revision": c.Version, "error": err})
+		return
+	}
+	h.ingress.SetTable(t, "store")
+}
+
+func (h *Host) replaceServers(objects []objectapi.Object, afterOutage bool) {
+	if afterOutage {
+		h.storeBack = time.Now()
+	}
+	var infos []placement.Server
+	for _, o := range objects {
+		if info, ok := h.decodeServer(o); ok {
+			infos = append(infos, info)
+		}
+	}
+	h.servers.Replace(infos, afterOutage)
+}
+
+func (h *Host) applyServer(c objectapi.Change) {
+	switch {
+	case c.Deleted && time.Since(h.storeBack) < sweepLapse:
+		h.servers.Lapse(c.Name)
+	case c.Deleted:
+		h.servers.Remove(c.Name, "entry deleted")
+	default:
+		if info, ok := h.decodeServer(c.Object); ok {
+			h.servers.Put(info)
+		} else {
+			h.servers.Remove(c.Name, "entry cannot be used")
+		}
+	}
+}
+
+func (h *Host) decodeServer(o objectapi.Object) (placement.Server, bool) {
+	info, err := h.adapter.Server(o.Name, o.Value)
+	if err != nil {
+		logging.Emit(logging.ServerRejected, logging.Fields{"server": o.Name, "error": err})
+	}
+	return info, err == nil
+}
+
+// registerRetry is the pause after the own entry could not be written.
+const registerRetry = 500 * time.Millisecond
+
+// register writes this host's entry, over the one of an earlier incarnation.
+func (h *Host) register(ctx context.Context, self fleet.Host) {
+	for ctx.Err() == nil {
+		err := h.writeEntry(ctx, self)
+		if err == nil {
+			return
+		}
+		logging.Emit(logging.HostNotListed, logging.Fields{"error": err})
+		select {
+		case <-time.After(registerRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (h *Host) writeEntry(ctx context.Context, self fleet.Host) error {
+	value, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "encode own entry")
+	}
+	_, err = objectapi.CreateConfirmed(ctx, h.adapter.Store, KindHosts, self.Name, value)
+	if !errors.Is(err, objectapi.ErrConflict) {
+		return err
+	}
+	present, err := h.adapter.Store.Get(ctx, KindHosts, self.Name)
+	if err != nil {
+		return err
+	}
+	_, err = objectapi.UpdateConfirmed(ctx, h.adapter.Store, KindHosts, self.Name, value, present.Version)
+	return err
+}
+
+// unregister deletes this host's entry, so that other hosts no longer send callers here.
+func (h *Host) unregister(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := h.adapter.Store.Delete(ctx, KindHosts, h.self.Name, 0)
+		if err == nil || errors.Is(err, objectapi.ErrNotFound) {
+			return
+		}
+		select {
+		case <-time.After(registerRetry):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/service/ingress/servers.go
@@ -0,0 +1,329 @@
+package ingress
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/service/upstream"
+)
+
+const (
+	// suspectFor is how long a server that failed is left out: a few beats of the platform's list.
+	suspectFor = 1500 * time.Millisecond
+	// connectionReserve is the share of a server's connections that stays free for hosts that join or restart.
+	connectionReserve = 0.15
+	// minConnections is the least number of connections to one server that a host may hold.
+	minConnections = 2
+	// loadHalfLife is the age at which a load report of other hosts' requests counts half: a typical request's time.
+	loadHalfLife = 150 * time.Millisecond
+	// lapsedGrace is how long an entry that is missing after an outage of the store is still used; the platform's
+	// page says that living servers are back within about 2 s.
+	lapsedGrace = 2 * time.Second
+)
+
+// backend is one backend server in use.
+type backend struct {
+	info placement.Server
+	pool *upstream.Pool
+	seen time.Time // when the entry was received
+
+	inFlight int
+	// others is the load that other hosts caused at the last report, made at reported.
+	others   float64
+	reported time.Time
+	// suspectUntil is the end of the time in which the server is left out after a failure.
+	suspectUntil time.Time
+	// lapsed is when the entry was found missing after an outage; zero while it is present.
+	lapsed time.Time
+}
+
+// Servers are the backend servers in use. All methods may be called from any goroutine.
+type Servers struct {
+	now    func() time.Time
+	opened func()
+
+	mu        sync.Mutex
+	byID      map[string]*backend
+	byService map[string][]*backend
+	hosts     int // hosts that share a server's connections
+}
+
+// NewServers returns an empty set. opened is called for each new connection to a backend server.
+func NewServers(now func() time.Time, opened func()) *Servers {
+	return &Servers{now: now, opened: opened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hosts: 1}
+}
+
+// SetHosts sets the number of hosts that share the servers' connections.
+func (s *Servers) SetHosts(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = max(n, 1)
+}
+
+// Put adds or replaces a server's entry.
+func (s *Servers) Put(info placement.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(info)
+}
+
+func (s *Servers) put(info placement.Server) {
+	b, ok := s.byID[info.ID]
+	if ok && b.info.Address == info.Address && b.info.Service == info.Service && b.info.Born == info.Born {
+		if b.info.Draining != info.Draining {
+			logging.Emit(logging.ServerState, logging.Fields{"server": info.ID, "service": info.Service, "draining": info.Draining})
+		}
+		b.info, b.seen, b.lapsed = info, s.now(), time.Time{}
+		return
+	}
+	if ok {
+		s.remove(b, "restarted")
+	}
+	b = &backend{info: info, seen: s.now(), pool: upstream.NewPool(info.Address, s.opened)}
+	s.byID[info.ID] = b
+	s.byService[info.Service] = append(s.byService[info.Service], b)
+	logging.Emit(logging.ServerAdded, logging.Fields{
+		"server": info.ID, "service": info.Service, "address": info.Address, "draining": info.Draining,
+	})
+}
+
+// Remove removes a server. Requests in flight go on.
+func (s *Servers) Remove(id, reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.byID[id]; ok {
+		s.remove(b, reason)
+	}
+}
+
+func (s *Servers) remove(b *backend, reason string) {
+	delete(s.byID, b.info.ID)
+	list := s.byService[b.info.Service]
+	for i, other := range list {
+		if other == b {
+			s.byService[b.info.Service] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	b.pool.Close()
+	logging.Emit(logging.ServerRemoved, logging.Fields{"server": b.info.ID, "service": b.info.Service, "reason": reason})
+}
+
+// Replace makes the entries the whole set. After an outage of the store, entries that are missing stay in use for
+// lapsedGrace, because the platform drops entries while its store is away.
+func (s *Servers) Replace(infos []placement.Server, afterOutage bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	present := make(map[string]bool, len(infos))
+	for _, info := range infos {
+		present[info.ID] = true
+		s.put(info)
+	}
+	for id, b := range s.byID {
+		switch {
+		case present[id]:
+		case !afterOutage:
+			s.remove(b, "not in the list")
+		case b.lapsed.IsZero():
+			b.lapsed = s.now()
+			logging.Emit(logging.ServerLapsed, logging.Fields{"server": id, "service": b.info.Service})
+		}
+	}
+}
+
+// Lapse is Remove soon after an outage of the store: the entry may have lapsed only because of it.
+func (s *Servers) Lapse(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.byID[id]; ok && b.lapsed.IsZero() {
+		b.lapsed = s.now()
+		logging.Emit(logging.ServerLapsed, logging.Fields{"server": id, "service": b.info.Service})
+	}
+}
+
+// Sweep removes lapsed servers and closes idle connections that have expired.
+func (s *Servers) Sweep() {
+	s.mu.Lock()
+	now := s.now()
+	pools := make([]*upstream.Pool, 0, len(s.byID))
+	for _, b := range s.byID {
+		if !b.lapsed.IsZero() && now.Sub(b.lapsed) >= lapsedGrace {
+			s.remove(b, "missing after an outage of the store")
+			continue
+		}
+		pools = append(pools, b.pool)
+	}
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.Sweep(now)
+	}
+}
+
+// Count returns the number of servers of a service that take requests.
+func (s *Servers) Count(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, b := range s.byService[service] {
+		if !b.info.Draining {
+			n++
+		}
+	}
+	return n
+}
+
+// load returns the estimate of all requests at the server.
+func (b *backend) load(now time.Time) float64 {
+	age := now.Sub(b.reported)
+	others := 0.0
+	if age < 10*loadHalfLife {
+		others = b.others / (1 + float64(age)/float64(loadHalfLife))
+	}
+	return float64(b.inFlight) + others
+}
+
+// Query is a request for a server.
+type Query struct {
+	Service string
+	Request placement.Request
+	// Session places the turns of one session at the same server; empty for other requests.
+	Session string
+	// Resident is the server that ran the session's last turn, if this host knows it.
+	Resident string
+	// CachedTokens is the part of the prompt that the session's server is believed to keep.
+	CachedTokens int
+	// MaxConns is the number of connections that one server accepts from all hosts; 0 is no limit.
+	MaxConns int
+}
+
+// Acquire chooses a server and counts the request there until Release. It returns nil if no server can take the
+// request.
+func (s *Servers) Acquire(q Query, policies ...placement.Policy) *Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.byService[q.Service]
+	if len(list) == 0 {
+		return nil
+	}
+	now := s.now()
+	// The order is random, so that hosts with the same view do not all choose the same server.
+	offset := rand.IntN(len(list))
+	candidates := make([]placement.Candidate, len(list))
+	rotated := make([]*backend, len(list))
+	home := sessionServer(list, q, now)
+	for i := range list {
+		b := list[(i+offset)%len(list)]
+		rotated[i] = b
+		candidates[i] = s.candidate(b, q, now)
+		if b == home {
+			candidates[i].Cached = min(q.CachedTokens, q.Request.PromptTokens)
+		}
+	}
+	for _, p := range policies {
+		if i := p.Choose(q.Request, candidates); i >= 0 {
+			rotated[i].inFlight++
+			return &Lease{servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reported)}
+		}
+	}
+	return nil
+}
+
+// AcquireServer takes one server if it is in use and not about to leave.
+func (s *Servers) AcquireServer(id string) *Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.byID[id]
+	if !ok || b.info.Draining {
+		return nil
+	}
+	now := s.now()
+	load := b.load(now)
+	b.inFlight++
+	return &Lease{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reported)}
+}
+
+func (s *Servers) candidate(b *backend, q Query, now time.Time) placement.Candidate {
+	c := placement.Candidate{
+		Server:   b.info,
+		InFlight: b.inFlight,
+		Load:     b.load(now),
+		Suspect:  now.Before(b.suspectUntil),
+		Busy:     q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
+	}
+	c.Server.ColdFor = max(b.info.ColdFor-now.Sub(b.seen), 0)
+	return c
+}
+
+// sessionServer returns the server that is believed to keep the session's prompt: the one that ran its last turn,
+// or the one on which all hosts agree by hashing.
+func sessionServer(list []*backend, q Query, now time.Time) *backend {
+	if q.Session == "" {
+		return nil
+	}
+	var best *backend
+	bestRank := -1.0
+	for _, b := range list {
+		if b.info.ID == q.Resident {
+			return b
+		}
+		if b.info.Draining || now.Before(b.suspectUntil) {
+			continue
+		}
+		if rank := affinity(q.Session, b.info.ID); rank > bestRank {
+			best, bestRank = b, rank
+		}
+	}
+	return best
+}
+
+// connectionShare returns how many connections to one server this host may use.
+func (s *Servers) connectionShare(maxConns int) int {
+	return max(int(float64(maxConns)*(1-connectionReserve))/s.hosts, minConnections)
+}
+
+// Lease is the use of a server for one request.
+type Lease struct {
+	servers *Servers
+	backend *backend
+	// Load is the estimate of the server's load by which it was chosen, and LoadAge the age of its last report.
+	Load    float64
+	LoadAge time.Duration
+}
+
+// ID returns the server's ID.
+func (l *Lease) ID() string { return l.backend.info.ID }
+
+// Pool returns the connections to the server.
+func (l *Lease) Pool() *upstream.Pool { return l.backend.pool }
+
+// Report records the load that the server told.
+func (l *Lease) Report(load Load) {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.backend.others = max(float64(load.Running+load.Waiting-l.backend.inFlight), 0)
+	l.backend.reported = s.now()
+}
+
+// Release ends the use of the server.
+func (l *Lease) Release() {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.backend.inFlight--
+}
+
+// Failed marks the server as suspect.
+func (l *Lease) Failed(cause error) {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if now.After(l.backend.suspectUntil) {
+		logging.Emit(logging.ServerSuspect, logging.Fields{"server": l.backend.info.ID, "service": l.backend.info.Service, "error": cause})
+	}
+	l.backend.suspectUntil = now.Add(suspectFor)
+}
--- /dev/null
+++ b/service/ingress/stream.go
@@ -0,0 +1,235 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/service/upstream"
+)
+
+const (
+	// maxResumes bounds how often one stream is continued after it broke off.
+	maxResumes = 3
+	// streamBufferBytes is the most that is read from a stream at once; an event is about 100 bytes.
+	streamBufferBytes = 4 << 10
+	// writeSlack is how long after the request's deadline a write to a slow caller may still take.
+	writeSlack = 200 * time.Millisecond
+)
+
+// stream is the answer of a streaming request on its way to the caller.
+type stream struct {
+	*exchange
+	w  http.ResponseWriter
+	rc *http.ResponseController
+
+	reader  eventReader
+	started bool
+	// resumes counts the continuations after a break.
+	resumes int
+	// same is the server that ran the stream before it broke off; it is asked first, because it may be alive.
+	same string
+	// firstEvent is when the first event was passed on.
+	firstEvent time.Time
+}
+
+// errCallerGone means that the answer cannot be written to the caller.
+var errCallerGone = errors.New("caller's connection failed")
+
+// run streams the answer of a backend server to the caller, and continues it at another server if the route allows
+// that. It returns nil if the answer was passed on whole.
+func (s *stream) run(ctx context.Context) *failure {
+	s.reader.last = s.call.LastEvent
+	for ctx.Err() == nil && s.sends < maxSends {
+		lease, err := s.placeStream(ctx)
+		if err != nil {
+			return s.noPlace(ctx, err)
+		}
+		done, err := s.runAt(ctx, lease)
+		lease.Release()
+		switch {
+		case errors.Is(err, errCallerGone):
+			return &failure{reason: "caller left", cause: err}
+		case done:
+			return nil
+		case !s.mayResume():
+			return s.givenUp(ctx)
+		}
+	}
+	return s.givenUp(ctx)
+}
+
+// placeStream finds a server; a stream that broke off goes on at the same server if that still takes connections.
+func (s *stream) placeStream(ctx context.Context) (*Lease, error) {
+	if s.same != "" {
+		server := s.same
+		s.same = ""
+		if lease := s.in.servers.AcquireServer(server); lease != nil {
+			s.server, s.load, s.loadAge = lease.ID(), lease.Load, lease.LoadAge
+			return lease, nil
+		}
+	}
+	return s.place(ctx)
+}
+
+// mayResume reports whether the stream may be sent to a server after the last send failed.
+func (s *stream) mayResume() bool {
+	if s.runs == 0 {
+		return true
+	}
+	return s.route.MayRepeat() && s.resumes <= maxResumes
+}
+
+// runAt passes on what one server streams. done is set if the answer is whole.
+func (s *stream) runAt(ctx context.Context, lease *Lease) (done bool, err error) {
+	resp, answer, err := s.send(ctx, lease, s.reader.last)
+	if err != nil {
+		s.broke(ctx, lease, err)
+		return false, err
+	}
+	defer resp.Close()
+	if answer.NotRun {
+		_, err := io.Copy(io.Discard, io.LimitReader(resp, maxAnswerBytes))
+		s.last = errors.Newf("backend server %s answered %d: not run (%v)", lease.ID(), resp.Status, err)
+		s.exclude(lease.ID())
+		return false, s.last
+	}
+	if resp.Status != http.StatusOK {
+		return s.passFailure(ctx, lease, resp, answer)
+	}
+	if err := s.checkAnswer(resp, answer, 0); err != nil {
+		s.broke(ctx, lease, err)
+		return false, err
+	}
+	return s.pass(ctx, lease, resp)
+}
+
+// passFailure passes on an answer that is no stream.
+func (s *stream) passFailure(ctx context.Context, lease *Lease, resp *upstream.Response, answer Answer) (bool, error) {
+	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	if err == nil {
+		err = s.checkAnswer(resp, answer, len(body))
+	}
+	if err == nil && s.started {
+		err = errors.Newf("backend server %s answered the continuation with %d", lease.ID(), resp.Status)
+	}
+	if err != nil {
+		s.broke(ctx, lease, err)
+		return false, err
+	}
+	s.runs++
+	if err := writeAnswer(s.w, resp, body); err != nil {
+		return false, errors.Mark(err, errCallerGone)
+	}
+	return true, nil
+}
+
+// broke records a send that ended before the answer was whole.
+func (s *stream) broke(ctx context.Context, lease *Lease, err error) {
+	var f *upstream.Failure
+	dialFailed := errors.As(err, &f) && f.Dial
+	s.last = err
+	s.reader.reset()
+	if ctx.Err() != nil {
+		if !dialFailed {
+			s.runs++
+		}
+		return
+	}
+	s.resumes++
+	if dialFailed {
+		s.exclude(lease.ID())
+		lease.Failed(err)
+	} else {
+		s.runs++
+		s.same = lease.ID()
+	}
+	logging.Emit(logging.StreamBroke, logging.Fields{
+		"request": s.call.Attempt, "server": lease.ID(), "after_event": s.reader.last, "resumes": s.resumes, "error": err,
+	})
+}
+
+func (s *stream) pass(ctx context.Context, lease *Lease, resp *upstream.Response) (bool, error) {
+	buffer := make([]byte, streamBufferBytes)
+	first := s.reader.last
+	check := s.resumes > 0 && first != ""
+	for {
+		n, readErr := resp.Read(buffer)
+		events, err := s.reader.take(buffer[:n])
+		if err != nil {
+			s.broke(ctx, lease, err)
+			return false, err
+		}
+		if check && len(events) > 0 {
+			check = false
+			if !follows(first, firstID(events)) {
+				s.reader.last = first
+				err := errors.Newf("backend server %s did not continue after event %s", lease.ID(), first)
+				s.broke(ctx, lease, err)
+				return false, err
+			}
+		}
+		if len(events) > 0 {
+			if err := s.write(resp, events); err != nil {
+				return false, err
+			}
+		}
+		switch {
+		case readErr == io.EOF && len(s.reader.rest()) == 0:
+			s.runs++
+			s.in.sessions.put(s.call.Session, residence{server: lease.ID(), tokens: s.call.PromptTokens, at: s.in.now()})
+			return true, s.start(resp)
+		case readErr != nil:
+			err := errors.Wrapf(readErr, "stream of backend server %s", lease.ID())
+			s.broke(ctx, lease, err)
+			return false, err
+		}
+	}
+}
+
+// start sends the header of the answer if that has not happened.
+func (s *stream) start(resp *upstream.Response) error {
+	if s.started {
+		return nil
+	}
+	s.started = true
+	copyAnswerHeader(s.w.Header(), resp.Header)
+	s.w.WriteHeader(resp.Status)
+	return nil
+}
+
+func (s *stream) write(resp *upstream.Response, events []byte) error {
+	if err := s.start(resp); err != nil {
+		return err
+	}
+	if s.firstEvent.IsZero() {
+		s.firstEvent = s.in.now()
+		// A caller that does not read must not hold the request beyond its time.
+		if err := s.rc.SetWriteDeadline(s.deadline.Add(writeSlack)); err != nil {
+			return errors.Mark(err, errCallerGone)
+		}
+	}
+	if _, err := s.w.Write(events); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	if err := s.rc.Flush(); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	return nil
+}
+
+// firstID returns the ID of the first event in b that has one.
+func firstID(b []byte) string {
+	var r eventReader
+	n := eventEnd(b)
+	for n > 0 && r.last == "" {
+		r.note(b[:n])
+		b = b[n:]
+		n = eventEnd(b)
+	}
+	return r.last
+}
--- /dev/null
+++ b/service/ingress/types.go
@@ -0,0 +1,81 @@
+// Package ingress serves callers whose requests go to backend servers as they are: turns of agent programs that
+// bring their whole prompt, and calls of plain services. It routes them by the operator's configuration, keeps
+// programs within their budgets, and tells callers which host to use.
+package ingress
+
+import (
+	"net/http"
+	"time"
+)
+
+// PromptPart is one part of a prompt that engines keep in their KV cache; requests share parts.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
+// Call is what a caller says of a request beside its method, path and body.
+type Call struct {
+	// Attempt identifies this attempt of the caller.
+	Attempt string
+	// Program is empty for requests that belong to no program.
+	Program string
+	// Session is one line of turns within a program.
+	Session string
+	// LastEvent is the ID of the last event that the caller has, if it resumes a stream.
+	LastEvent string
+	// Wait is how long the caller waits for the answer; 0 if it does not say.
+	Wait time.Duration
+	// ProgramWait is the time left until the whole program should be finished; 0 if the caller does not say.
+	ProgramWait time.Duration
+	// Budget is the number of tokens that all turns of the program may generate together; 0 is no budget.
+	Budget int
+	// PromptTokens is the size of the prompt.
+	PromptTokens int
+	// MaxTokens is the most tokens that this turn generates.
+	MaxTokens int
+	// LengthHint is the caller's estimate of the tokens that the turn generates; 0 if there is none.
+	LengthHint int
+	Prefix     []PromptPart
+}
+
+// Forwarded is what the system tells the backend server about a request.
+type Forwarded struct {
+	// Server is the ID of the backend server that is meant; another one at the same address refuses the request.
+	Server string
+	// Wait is the time that is left for the answer; 0 is no limit.
+	Wait time.Duration
+	// Urgency ranks the request at an engine, from 1 (first) to 9; 0 leaves the engine's default.
+	Urgency int
+	// LastEvent is the ID of the event after which a stream goes on; empty for its start.
+	LastEvent string
+}
+
+// Load is what a backend server says of its load.
+type Load struct {
+	Running int
+	Waiting int
+}
+
+// Answer is what a backend server says about a request beside its status and body.
+type Answer struct {
+	// Attempt is the attempt that the answer belongs to.
+	Attempt string
+	// NotRun is set if the server says that it did not run the request.
+	NotRun bool
+	// Proof is set if the answer carries the server's proof of origin.
+	Proof bool
+	// Load is nil if the server does not tell it.
+	Load *Load
+}
+
+// Headers translates the headers of callers and backend servers.
+type Headers interface {
+	// Decode reads a caller's request. The error names the header that is wrong.
+	Decode(h http.Header) (Call, error)
+	// Encode sets the system's headers on a request to a backend server and removes those that only the system may
+	// set.
+	Encode(h http.Header, f Forwarded)
+	// Answer reads the header of a backend server's answer.
+	Answer(status int, h http.Header) Answer
+}
