Keep programs within their budgets with shares and recorded grants

Ruled out: one record a program (23 writes/s, and no new programs while the store is away); exact counting at every host.

--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -35,6 +35,10 @@
 	TypeLeaving:     "leaving",
 	TypeWorkerState: "worker_state",
 	TypeOperate:     "operate",
+	TypeReserve:     "reserve",
+	TypeSettle:      "settle",
+	TypeAccounts:    "accounts",
+	TypeBeat:        "beat",
 }
 
 // String returns the name of the type in docs/design.md, section 9.
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -23,6 +23,10 @@
 	TypeLeaving     // backend servers that are leaving
 	TypeWorkerState // order manager to group schedulers: whether a worker may get calls
 	TypeOperate     // status of a host, and its drain
+	TypeReserve     // a turn of a program asks the host that accounts for it
+	TypeSettle      // what a turn handed to its caller
+	TypeAccounts    // accounts of programs that another host takes over
+	TypeBeat        // state of an entry host, and what it has at backend servers
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,383 @@
+// Package ledger accounts for the tokens that programs generate. It is a reducer: events go in, and effects come
+// out as data.
+//
+// Each host accounts for the programs that hash to it. What it hands out without asking the store is bounded by the
+// share of a program, so that hosts that lost their memory, or that do not know of each other, stay within the
+// budget and one turn together: the share is a third of both. More than its share is handed out only under a grant
+// recorded in the store by a conditional update, and grants leave room for the share of one other host. A program
+// that is refused for good is recorded too, so that it stays refused when it returns to a host without memory.
+package ledger
+
+import (
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+)
+
+const (
+	// shares is the number of hosts that may each hand out a share of a program without a record.
+	shares = 3
+	// grantTurns is the number of turns that a grant covers beyond what is needed, so that few programs need two.
+	grantTurns = 3
+	// closeRetry is the pause before the record of a refused program is written again.
+	closeRetry = clock.Millis(500)
+	// forgetSlack is added to a program's retention before its account is dropped.
+	forgetSlack = clock.Millis(10_000)
+)
+
+// Record is what the store knows of a program's budget.
+type Record struct {
+	// Granted is the number of tokens that hosts may have handed out under grants.
+	Granted int `json:"granted"`
+	// Tag is unique to the write.
+	Tag string `json:"tag"`
+}
+
+// Turn is one turn of a program that wants to run.
+type Turn struct {
+	Program string
+	Attempt string
+	// Budget is the program's budget in tokens.
+	Budget int
+	// Most is the most tokens that the turn generates.
+	Most      int
+	Retention time.Duration
+}
+
+// Verdict is the answer to a turn.
+type Verdict int
+
+const (
+	// Allowed means that the turn may run.
+	Allowed Verdict = iota
+	// Spent means that the budget does not hold the turn, now or later.
+	Spent
+	// Unavailable means that the turn needs a grant and that the store does not give one now.
+	Unavailable
+	// NotReady means that this host has not read the records yet.
+	NotReady
+)
+
+// String returns the name of the verdict in logs.
+func (v Verdict) String() string {
+	return [...]string{"allowed", "spent", "unavailable", "not ready"}[v]
+}
+
+// Outcome is what became of a Write.
+type Outcome int
+
+const (
+	// Stored means that the store holds exactly what was asked for.
+	Stored Outcome = iota
+	// Conflict means that another host wrote first. Its record was reported with Seen.
+	Conflict
+	// Failed means that the store does not answer; the write may have taken effect.
+	Failed
+)
+
+// Effect is something that the host must do.
+type Effect interface{ effect() }
+
+// Answer answers the turn that was asked for with Ticket.
+type Answer struct {
+	Ticket  uint64
+	Verdict Verdict
+}
+
+// Write asks for a conditional write of a program's record; its outcome comes back as Written. Version 0 creates
+// the record.
+type Write struct {
+	Program string
+	Granted int
+	Version uint64
+}
+
+// Remove asks for the deletion of a record that has outlived its program.
+type Remove struct {
+	Program string
+	Version uint64
+}
+
+func (Answer) effect() {}
+func (Write) effect()  {}
+func (Remove) effect() {}
+
+type waiting struct {
+	ticket uint64
+	turn   Turn
+}
+
+// account is what this host knows of one program.
+type account struct {
+	budget, most int
+	// spent is what was handed to callers under this host's account.
+	spent int
+	// held is the most that running turns generate, by attempt.
+	held map[string]int
+	// limit is what this host may hand out: its share, or what was granted to it.
+	limit int
+	// granted is the part of the record's grants that is this host's.
+	granted int
+
+	writing bool
+	// closed is set once the program was refused for good; closing until that is recorded.
+	closed, closing bool
+	retryAt         clock.Millis
+	waiting         []waiting
+	lastUse         clock.Millis
+	retention       clock.Millis
+}
+
+type record struct {
+	Record
+	version uint64
+	seen    clock.Millis
+}
+
+// Ledger is the state of the reducer. It is not safe for concurrent use.
+type Ledger struct {
+	accounts map[string]*account
+	records  map[string]record
+	ready    bool
+}
+
+// New returns a ledger that is not ready: it refuses turns until the records were listed.
+func New() *Ledger {
+	return &Ledger{accounts: map[string]*account{}, records: map[string]record{}}
+}
+
+// share returns what one host may hand out without a record.
+func share(budget, most int) int { return max((budget+most)/shares, most) }
+
+// cap returns the most that records may grant: the budget and one turn, less the share of one other host.
+func (a *account) cap() int { return a.budget + a.most - share(a.budget, a.most) }
+
+func (a *account) heldTokens() int {
+	n := 0
+	for _, t := range a.held {
+		n += t
+	}
+	return n
+}
+
+// Reserve asks whether a turn may run.
+func (l *Ledger) Reserve(at clock.Millis, ticket uint64, t Turn) []Effect {
+	a, ok := l.accounts[t.Program]
+	if !ok {
+		if !l.ready {
+			return []Effect{Answer{ticket, NotReady}}
+		}
+		a = l.open(t)
+	}
+	a.lastUse = at
+	a.most = max(a.most, t.Most)
+	return l.admit(at, a, waiting{ticket, t})
+}
+
+func (l *Ledger) open(t Turn) *account {
+	a := &account{
+		budget: t.Budget, most: t.Most, held: map[string]int{},
+		retention: clock.Millis(t.Retention.Milliseconds()),
+	}
+	if _, recorded := l.records[t.Program]; !recorded {
+		a.limit = share(t.Budget, t.Most)
+	}
+	l.accounts[t.Program] = a
+	return a
+}
+
+func (l *Ledger) admit(at clock.Millis, a *account, w waiting) []Effect {
+	t := w.turn
+	if _, again := a.held[t.Attempt]; again {
+		return []Effect{Answer{w.ticket, Allowed}}
+	}
+	need := a.spent + a.heldTokens() + t.Most
+	foreign := l.records[t.Program].Granted - a.granted
+	switch {
+	case a.closed || foreign+need > a.budget || need > a.limit && need+foreign > a.cap():
+		return append(l.close(at, t.Program, a), Answer{w.ticket, Spent})
+	case need <= a.limit:
+		a.held[t.Attempt] = t.Most
+		return []Effect{Answer{w.ticket, Allowed}}
+	}
+	a.waiting = append(a.waiting, w)
+	if a.writing {
+		return nil
+	}
+	return l.raise(t.Program, a, need)
+}
+
+// raise asks for a grant that covers need tokens of this host.
+func (l *Ledger) raise(program string, a *account, need int) []Effect {
+	r := l.records[program]
+	foreign := r.Granted - a.granted
+	want := min(foreign+need+grantTurns*a.most, a.cap())
+	a.writing = true
+	return []Effect{Write{Program: program, Granted: want, Version: r.version}}
+}
+
+// close records that the program is refused for good.
+func (l *Ledger) close(at clock.Millis, program string, a *account) []Effect {
+	a.closed = true
+	r := l.records[program]
+	if a.writing || a.closing && at < a.retryAt || r.Granted >= a.cap() {
+		return nil
+	}
+	a.closing, a.writing = true, true
+	return []Effect{Write{Program: program, Granted: a.cap(), Version: r.version}}
+}
+
+// Written reports the outcome of a Write and, if it was stored, the record's new version.
+func (l *Ledger) Written(at clock.Millis, program string, o Outcome, granted int, version uint64) []Effect {
+	a, known := l.accounts[program]
+	if !known {
+		return nil
+	}
+	a.writing = false
+	a.retryAt = at + closeRetry
+	if o == Stored {
+		foreign := l.records[program].Granted - a.granted
+		l.records[program] = record{Record: Record{Granted: granted}, version: version, seen: at}
+		a.granted = granted - foreign
+		a.limit = max(a.limit, a.granted)
+		a.closing = false
+	}
+	return l.resume(at, program, a, o != Failed)
+}
+
+// resume decides on the turns that waited for a write; answered is set if the store took or refused it.
+func (l *Ledger) resume(at clock.Millis, program string, a *account, answered bool) []Effect {
+	var out []Effect
+	turns := a.waiting
+	a.waiting = nil
+	for _, w := range turns {
+		if !answered {
+			out = append(out, Answer{w.ticket, Unavailable})
+			continue
+		}
+		out = append(out, l.admit(at, a, w)...)
+	}
+	if a.closed && !a.writing {
+		out = append(out, l.close(at, program, a)...)
+	}
+	return out
+}
+
+// Settle replaces the most of a turn by what was handed to its caller.
+func (l *Ledger) Settle(at clock.Millis, program, attempt string, tokens int) {
+	a, ok := l.accounts[program]
+	if !ok {
+		return
+	}
+	if _, held := a.held[attempt]; !held {
+		return
+	}
+	delete(a.held, attempt)
+	a.spent += tokens
+	a.lastUse = at
+}
+
+// Listed sets the records of all programs, by name, and makes the ledger ready.
+func (l *Ledger) Listed(at clock.Millis, records map[string]Record, versions map[string]uint64) {
+	for program := range l.records {
+		if _, ok := records[program]; !ok {
+			delete(l.records, program)
+		}
+	}
+	for program, r := range records {
+		l.Seen(at, program, r, versions[program])
+	}
+	l.ready = true
+}
+
+// Seen sets the record of one program. Records never shrink.
+func (l *Ledger) Seen(at clock.Millis, program string, r Record, version uint64) {
+	if old, ok := l.records[program]; ok && old.version >= version {
+		return
+	}
+	l.records[program] = record{Record: r, version: version, seen: at}
+}
+
+// Forget drops the record of one program, which was deleted from the store.
+func (l *Ledger) Forget(program string) { delete(l.records, program) }
+
+// Account is what one host hands another that accounts for a program from now on.
+type Account struct {
+	Program   string
+	Budget    int
+	Most      int
+	Spent     int
+	Held      map[string]int
+	Limit     int
+	Granted   int
+	Closed    bool
+	Retention int64 // in milliseconds
+}
+
+// Release removes and returns the accounts for which moves reports true. Those with a write under way stay.
+func (l *Ledger) Release(moves func(program string) bool) []Account {
+	var out []Account
+	for program, a := range l.accounts {
+		if a.writing || !moves(program) {
+			continue
+		}
+		out = append(out, Account{
+			Program: program, Budget: a.budget, Most: a.most, Spent: a.spent, Held: a.held, Limit: a.limit,
+			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention),
+		})
+		delete(l.accounts, program)
+	}
+	return out
+}
+
+// Adopt takes over accounts of another host. A program that this host accounts for already is charged with both
+// accounts and keeps the larger limit only.
+func (l *Ledger) Adopt(at clock.Millis, accounts []Account) {
+	for _, m := range accounts {
+		a, ok := l.accounts[m.Program]
+		if !ok {
+			a = &account{held: map[string]int{}}
+			l.accounts[m.Program] = a
+		}
+		a.budget, a.most = max(a.budget, m.Budget), max(a.most, m.Most)
+		a.spent += m.Spent
+		for attempt, tokens := range m.Held {
+			a.held[attempt] = tokens
+		}
+		a.limit = max(a.limit, m.Limit)
+		a.granted += m.Granted
+		a.closed = a.closed || m.Closed
+		a.retention = max(a.retention, clock.Millis(m.Retention))
+		a.lastUse = at
+	}
+}
+
+// Tick drops accounts that have outlived their programs, and repeats writes of refusals. owns reports whether this
+// host accounts for a program.
+func (l *Ledger) Tick(at clock.Millis, owns func(program string) bool) []Effect {
+	var out []Effect
+	longest := clock.Millis(0)
+	for program, a := range l.accounts {
+		longest = max(longest, a.retention)
+		switch {
+		case at-a.lastUse > a.retention+forgetSlack && !a.writing:
+			delete(l.accounts, program)
+		case a.closed && !a.writing && a.closing && at >= a.retryAt:
+			out = append(out, l.close(at, program, a)...)
+		}
+	}
+	for program, r := range l.records {
+		if _, used := l.accounts[program]; used || at-r.seen <= longest+forgetSlack || longest == 0 || !owns(program) {
+			continue
+		}
+		out = append(out, Remove{Program: program, Version: r.version})
+		delete(l.records, program)
+	}
+	return out
+}
+
+// Knows reports whether this host has an account of the program.
+func (l *Ledger) Knows(program string) bool {
+	_, ok := l.accounts[program]
+	return ok
+}
--- /dev/null
+++ b/service/ingress/budget.go
@@ -0,0 +1,406 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/ledger"
+)
+
+// KindBudgets is the kind of the records of programs that were granted more than one host's share.
+const KindBudgets = "program-budgets"
+
+const (
+	// reserveTimeout bounds the question to the host that accounts for a program: the round trip between failure
+	// domains with one retransmission of a lost packet, 200 ms.
+	reserveTimeout = 250 * time.Millisecond
+	// reserveHosts is how many hosts are asked in turn. The ledger's shares allow for three.
+	reserveHosts = 3
+	// settleTries and settlePause bound how often a settlement is sent; it must arrive within the second after which
+	// an ended turn no longer counts at its most.
+	settleTries = 4
+	settlePause = 200 * time.Millisecond
+	// recordTimeout bounds a write of a record, reads of its outcome included.
+	recordTimeout = 1500 * time.Millisecond
+	// budgetTick is how often accounts and records are looked at.
+	budgetTick = time.Second
+)
+
+// accounts is this host's part of the budgets: the ledger, and the questions to other hosts.
+type accounts struct {
+	self  fleet.Host
+	hosts *Hosts
+	node  *wire.Node
+	store objectapi.Store
+	clock clock.Clock
+
+	mu      sync.Mutex
+	ledger  *ledger.Ledger
+	tickets uint64
+	answers map[uint64]chan ledger.Verdict
+	// homes remembers which host granted a running turn, by attempt.
+	homes map[string]fleet.Host
+	// leaving is set once this host hands its accounts over.
+	leaving bool
+}
+
+func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store) *accounts {
+	a := &accounts{
+		self: self, hosts: hosts, node: node, store: store, clock: clock.System(),
+		ledger: ledger.New(), answers: map[uint64]chan ledger.Verdict{}, homes: map[string]fleet.Host{},
+	}
+	node.Handle(wire.TypeReserve, a.serveReserve)
+	node.Handle(wire.TypeSettle, a.serveSettle)
+	node.Handle(wire.TypeAccounts, a.serveAccounts)
+	return a
+}
+
+type settlement struct {
+	Program string
+	Attempt string
+	Tokens  int
+	// Forwarded is set on a settlement that a former home passed on.
+	Forwarded bool
+}
+
+var errNoHome = errors.New("no host accounts for the program now")
+
+// Reserve implements Budgets.
+func (a *accounts) Reserve(ctx context.Context, r Reservation) error {
+	turn := ledger.Turn{Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention}
+	asked := 0
+	for _, h := range fleet.Ranked(a.homesOf(), r.Program) {
+		if asked == reserveHosts {
+			break
+		}
+		asked++
+		v, err := a.ask(ctx, h, turn)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			a.hosts.Reachable(h.Name, err)
+			continue
+		}
+		switch v {
+		case ledger.Allowed:
+			a.mu.Lock()
+			a.homes[r.Attempt] = h
+			a.mu.Unlock()
+			return nil
+		case ledger.Spent:
+			logging.Emit(logging.BudgetSpent, logging.Fields{
+				"request": r.Attempt, "program": r.Program, "budget": r.Budget, "most_tokens": r.Tokens, "home": h.Name,
+			})
+			return ErrBudgetSpent
+		case ledger.Unavailable:
+			return errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
+		}
+	}
+	return errNoHome
+}
+
+// homesOf returns the hosts that may account for programs.
+func (a *accounts) homesOf() []fleet.Host {
+	live := a.hosts.Live()
+	out := live[:0]
+	for _, h := range live {
+		if !h.Draining {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (a *accounts) ask(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Verdict, error) {
+	if h.Name == a.self.Name {
+		return a.decide(ctx, turn)
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	var v ledger.Verdict
+	err := a.node.Call(ctx, h.Peer, wire.TypeReserve, turn, &v)
+	return v, err
+}
+
+// decide asks the ledger of this host.
+func (a *accounts) decide(ctx context.Context, turn ledger.Turn) (ledger.Verdict, error) {
+	a.mu.Lock()
+	if a.leaving {
+		a.mu.Unlock()
+		return ledger.NotReady, nil
+	}
+	a.tickets++
+	ticket := a.tickets
+	answer := make(chan ledger.Verdict, 1)
+	a.answers[ticket] = answer
+	effects := a.ledger.Reserve(a.clock.Now(), ticket, turn)
+	a.run(effects)
+	a.mu.Unlock()
+	select {
+	case v := <-answer:
+		return v, nil
+	case <-ctx.Done():
+		a.mu.Lock()
+		delete(a.answers, ticket)
+		a.mu.Unlock()
+		return ledger.Unavailable, ctx.Err()
+	}
+}
+
+// run carries out effects; a.mu is held.
+func (a *accounts) run(effects []ledger.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case ledger.Answer:
+			if c, ok := a.answers[e.Ticket]; ok {
+				delete(a.answers, e.Ticket)
+				c <- e.Verdict
+			}
+		case ledger.Write:
+			go a.write(e)
+		case ledger.Remove:
+			go a.remove(e)
+		}
+	}
+}
+
+// write stores a record and reports the outcome to the ledger.
+func (a *accounts) write(w ledger.Write) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	value, err := json.Marshal(ledger.Record{Granted: w.Granted, Tag: newIncarnation()})
+	var version objectapi.Version
+	if err == nil {
+		if w.Version == 0 {
+			version, err = objectapi.CreateConfirmed(ctx, a.store, KindBudgets, w.Program, value)
+		} else {
+			version, err = objectapi.UpdateConfirmed(ctx, a.store, KindBudgets, w.Program, value, objectapi.Version(w.Version))
+		}
+	}
+	outcome := ledger.Stored
+	switch {
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
+		outcome = a.reread(ctx, w.Program)
+	case err != nil:
+		outcome = ledger.Failed
+	}
+	fields := logging.Fields{"program": w.Program, "granted": w.Granted, "revision": version, "error": err}
+	if err != nil {
+		logging.Emit(logging.GrantFailed, fields)
+	} else {
+		logging.Emit(logging.GrantRecorded, fields)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.run(a.ledger.Written(a.clock.Now(), w.Program, outcome, w.Granted, uint64(version)))
+}
+
+// reread reads a record that another host wrote.
+func (a *accounts) reread(ctx context.Context, program string) ledger.Outcome {
+	o, err := a.store.Get(ctx, KindBudgets, program)
+	switch {
+	case errors.Is(err, objectapi.ErrNotFound):
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.ledger.Forget(program)
+		return ledger.Conflict
+	case err != nil:
+		return ledger.Failed
+	}
+	a.seen(o)
+	return ledger.Conflict
+}
+
+func (a *accounts) remove(r ledger.Remove) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	err := a.store.Delete(ctx, KindBudgets, r.Program, objectapi.Version(r.Version))
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		logging.Emit(logging.RecordNotRemoved, logging.Fields{"program": r.Program, "error": err})
+	}
+}
+
+func (a *accounts) seen(o objectapi.Object) {
+	var r ledger.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		logging.Emit(logging.RecordRejected, logging.Fields{"program": o.Name, "error": err})
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Seen(a.clock.Now(), o.Name, r, uint64(o.Version))
+}
+
+// Replace takes the list of all records.
+func (a *accounts) Replace(objects []objectapi.Object, _ bool) {
+	records, versions := map[string]ledger.Record{}, map[string]uint64{}
+	for _, o := range objects {
+		var r ledger.Record
+		if err := json.Unmarshal(o.Value, &r); err != nil {
+			logging.Emit(logging.RecordRejected, logging.Fields{"program": o.Name, "error": err})
+			continue
+		}
+		records[o.Name], versions[o.Name] = r, uint64(o.Version)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Listed(a.clock.Now(), records, versions)
+}
+
+// Apply takes one change of the records.
+func (a *accounts) Apply(c objectapi.Change) {
+	if !c.Deleted {
+		a.seen(c.Object)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Forget(c.Name)
+}
+
+// Settle implements Budgets. It does not wait for the home.
+func (a *accounts) Settle(r Reservation, tokens int) {
+	a.mu.Lock()
+	home, ok := a.homes[r.Attempt]
+	delete(a.homes, r.Attempt)
+	a.mu.Unlock()
+	if !ok {
+		return
+	}
+	s := settlement{Program: r.Program, Attempt: r.Attempt, Tokens: tokens}
+	if home.Name == a.self.Name {
+		a.settle(s)
+		return
+	}
+	go a.sendSettlement(home.Peer, s)
+}
+
+func (a *accounts) sendSettlement(peer string, s settlement) {
+	var err error
+	for range settleTries {
+		ctx, cancel := context.WithTimeout(context.Background(), reserveTimeout)
+		err = a.node.Call(ctx, peer, wire.TypeSettle, s, nil)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(settlePause)
+	}
+	logging.Emit(logging.SettleFailed, logging.Fields{"request": s.Attempt, "program": s.Program, "tokens": s.Tokens, "peer": peer, "error": err})
+}
+
+// settle books a settlement, or passes it on to the host that took the program over.
+func (a *accounts) settle(s settlement) {
+	a.mu.Lock()
+	known := a.ledger.Knows(s.Program)
+	if known {
+		a.ledger.Settle(a.clock.Now(), s.Program, s.Attempt, s.Tokens)
+	}
+	a.mu.Unlock()
+	if known || s.Forwarded {
+		return
+	}
+	s.Forwarded = true
+	for _, h := range fleet.Ranked(a.homesOf(), s.Program) {
+		if h.Name != a.self.Name {
+			go a.sendSettlement(h.Peer, s)
+			return
+		}
+	}
+}
+
+func (a *accounts) serveReserve(ctx context.Context, r *wire.Request) {
+	var turn ledger.Turn
+	if err := r.Decode(&turn); err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	v, err := a.decide(ctx, turn)
+	if err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	_ = r.Answer(v) // the asker is gone if this fails; its next attempt has another ID
+}
+
+func (a *accounts) serveSettle(_ context.Context, r *wire.Request) {
+	var s settlement
+	if err := r.Decode(&s); err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	a.settle(s)
+	_ = r.Answer(nil) // a settlement that is sent again finds its turn settled
+}
+
+func (a *accounts) serveAccounts(_ context.Context, r *wire.Request) {
+	var moved []ledger.Account
+	if err := r.Decode(&moved); err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	a.mu.Lock()
+	a.ledger.Adopt(a.clock.Now(), moved)
+	a.mu.Unlock()
+	logging.Emit(logging.AccountsAdopted, logging.Fields{"from": r.From, "programs": len(moved)})
+	_ = r.Answer(nil) // the sender drops the accounts in any case
+}
+
+// move hands accounts to the hosts that account for the programs now. A host that leaves hands over all.
+func (a *accounts) move(ctx context.Context, leaving bool) {
+	homes := a.homesOf()
+	target := func(program string) fleet.Host {
+		for _, h := range fleet.Ranked(homes, program) {
+			if !leaving || h.Name != a.self.Name {
+				return h
+			}
+		}
+		return a.self
+	}
+	a.mu.Lock()
+	a.leaving = a.leaving || leaving
+	moved := a.ledger.Release(func(program string) bool { return target(program).Name != a.self.Name })
+	a.mu.Unlock()
+	byPeer := map[string][]ledger.Account{}
+	for _, m := range moved {
+		peer := target(m.Program).Peer
+		byPeer[peer] = append(byPeer[peer], m)
+	}
+	for peer, list := range byPeer {
+		ctx, cancel := context.WithTimeout(ctx, settleTries*reserveTimeout)
+		err := a.node.Call(ctx, peer, wire.TypeAccounts, list, nil)
+		cancel()
+		logging.Emit(logging.AccountsMoved, logging.Fields{"peer": peer, "programs": len(list), "error": err})
+	}
+}
+
+// run looks at accounts and records from time to time.
+func (a *accounts) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(budgetTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		homes := a.homesOf()
+		owns := func(program string) bool {
+			ranked := fleet.Ranked(homes, program)
+			return len(ranked) > 0 && ranked[0].Name == a.self.Name
+		}
+		a.mu.Lock()
+		a.run(a.ledger.Tick(a.clock.Now(), owns))
+		a.mu.Unlock()
+	}
+}
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -39,6 +39,8 @@
 	// deadline is the end of the caller's time or of the route's, whichever is first.
 	deadline time.Time
 
+	// tokens is what was handed to the caller.
+	tokens   int
 	sends    int
 	runs     int
 	excluded map[string]bool
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -221,8 +221,9 @@
 		}
 	}
 	f := s.run(ctx)
+	x.tokens = s.reader.events * x.table.EventTokens(x.service)
 	if reservation.Budget > 0 {
-		x.in.budgets.Settle(reservation, s.reader.events*x.table.EventTokens(x.service))
+		x.in.budgets.Settle(reservation, x.tokens)
 	}
 	if f != nil && s.started {
 		f.status = 0
@@ -289,6 +290,9 @@
 	if x.call.Program != "" {
 		fields["program"] = x.call.Program
 	}
+	if x.call.Budget > 0 {
+		fields["budget"], fields["most_tokens"], fields["tokens"] = x.call.Budget, x.call.MaxTokens, x.tokens
+	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
 	}
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -59,6 +59,7 @@
 	servers  *Servers
 	hosts    *Hosts
 	node     *wire.Node
+	accounts *accounts
 
 	// storeBack is when the servers' feed resumed after an outage.
 	storeBack time.Time
@@ -80,17 +81,13 @@
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
 	h.hosts = NewHosts(h.self, h.servers.SetHosts)
 	h.node = wire.NewNode(wire.Options{Self: s.Host.Name + "." + h.self.Incarnation})
+	h.accounts = newAccounts(h.self, h.hosts, h.node, a.Store)
 	h.ingress = New(Options{
 		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Region: s.Host.Region, MemoryBytes: s.Limits.Memory,
-	}, a.Headers, h.servers, unlimited{}, scope)
+	}, a.Headers, h.servers, h.accounts, scope)
 	return h
 }
 
-type unlimited struct{}
-
-func (unlimited) Reserve(context.Context, Reservation) error { return nil }
-func (unlimited) Settle(Reservation, int)                    {}
-
 // Run serves until ctx ends, and then for as long as a graceful shutdown takes.
 func (h *Host) Run(ctx context.Context) error {
 	began := time.Now()
@@ -123,6 +120,7 @@
 		group.Go(func() error { f.Run(work); return nil })
 	}
 	group.Go(func() error { h.sweep(work); return nil })
+	group.Go(func() error { h.accounts.runTicks(work); return nil })
 	group.Go(func() error { h.register(work, h.self); return nil })
 	logging.Emit(logging.IngressStarted, logging.Fields{
 		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
@@ -202,6 +200,7 @@
 		{Kind: h.adapter.KindConfig, Store: h.adapter.Store, Replace: h.replaceConfig, Apply: h.applyConfig},
 		{Kind: h.adapter.KindServers, Store: h.adapter.Store, Replace: h.replaceServers, Apply: h.applyServer},
 		{Kind: KindHosts, Store: h.adapter.Store, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
+		{Kind: KindBudgets, Store: h.adapter.Store, Replace: h.accounts.Replace, Apply: h.accounts.Apply},
 	}
 }
 
