--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -54,16 +54,19 @@
 }
 
 func runEntry(ctx context.Context, s *settings.Entry) error {
+	store := platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.Watch)
 	return ingress.NewHost(s, ingress.Adapter{
-		Headers:     platform.Headers{},
-		Store:       platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.Watch),
-		Server:      platform.DecodeServer,
-		Table:       platform.DecodeConfig,
-		Directory:   platform.Directory,
-		Ready:       platform.Ready,
-		KindServers: platform.KindServers,
-		KindConfig:  platform.KindConfig,
-		NameConfig:  platform.NameConfig,
+		Headers:        platform.Headers{},
+		Store:          store,
+		Prompt:         store.WithWait(s.Platform.PromptWatch),
+		StoreAvailable: store.Available,
+		Server:         platform.DecodeServer,
+		Table:          platform.DecodeConfig,
+		Directory:      platform.Directory,
+		Ready:          platform.Ready,
+		KindServers:    platform.KindServers,
+		KindConfig:     platform.KindConfig,
+		NameConfig:     platform.NameConfig,
 	}).Run(ctx)
 }
 
--- a/common/objectapi/client.go
+++ b/common/objectapi/client.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Available reports whether the last call was answered.
+func (s *Client) Available() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down.IsZero()
+}
+
 // Call is one HTTP call to the platform.
 type Call struct {
 	Method, Path string
--- a/common/objectapi/relay.go
+++ b/common/objectapi/relay.go
@@ -103,6 +103,19 @@
 	Local Store
 	// Peers may be nil; then nothing is relayed.
 	Peers Peers
+	// PeersFirst, if set, reports whether the local store is known to be away: then a call goes to a peer at once
+	// instead of after the local time-out, and to the local store only if no peer takes it.
+	PeersFirst func() bool
+}
+
+// peersFirst makes the call through a peer if the local store is known to be away. done is false if the call ran
+// nowhere.
+func (s *Relay) peersFirst(ctx context.Context, r RelayRequest, write bool) (a RelayAnswer, done bool, err error) {
+	if s.PeersFirst == nil || s.Peers == nil || !s.PeersFirst() {
+		return a, false, nil
+	}
+	a, err = s.send(ctx, r, write)
+	return a, !errors.Is(err, ErrUnavailable), err
 }
 
 var _ Store = (*Relay)(nil)
@@ -132,11 +145,15 @@
 
 // Get implements Store.
 func (s *Relay) Get(ctx context.Context, kind, name string) (Object, error) {
-	o, err := s.Local.Get(ctx, kind, name)
-	if !s.relayed(ctx, err) {
-		return o, err
+	r := RelayRequest{Op: RelayGet, Kind: kind, Name: name}
+	a, done, err := s.peersFirst(ctx, r, false)
+	if !done {
+		var o Object
+		if o, err = s.Local.Get(ctx, kind, name); !s.relayed(ctx, err) {
+			return o, err
+		}
+		a, err = s.send(ctx, r, false)
 	}
-	a, err := s.send(ctx, RelayRequest{Op: RelayGet, Kind: kind, Name: name}, false)
 	if err != nil {
 		return Object{}, err
 	}
@@ -146,44 +163,51 @@
 	return a.Objects[0], nil
 }
 
-// Create implements Store.
-func (s *Relay) Create(ctx context.Context, kind, name string, value []byte) (Version, error) {
-	v, err := s.Local.Create(ctx, kind, name, value)
+// relayWrite makes a write at the local store or through a peer.
+func (s *Relay) relayWrite(ctx context.Context, r RelayRequest, local func() (Version, error)) (Version, error) {
+	a, done, err := s.peersFirst(ctx, r, true)
+	if done {
+		return a.Version, err
+	}
+	v, err := local()
 	if !s.relayed(ctx, err) {
 		return v, err
 	}
-	a, err := s.send(ctx, RelayRequest{Op: RelayCreate, Kind: kind, Name: name, Value: value}, true)
+	a, err = s.send(ctx, r, true)
 	return a.Version, err
 }
 
+// Create implements Store.
+func (s *Relay) Create(ctx context.Context, kind, name string, value []byte) (Version, error) {
+	r := RelayRequest{Op: RelayCreate, Kind: kind, Name: name, Value: value}
+	return s.relayWrite(ctx, r, func() (Version, error) { return s.Local.Create(ctx, kind, name, value) })
+}
+
 // Update implements Store.
 func (s *Relay) Update(ctx context.Context, kind, name string, value []byte, expected Version) (Version, error) {
-	v, err := s.Local.Update(ctx, kind, name, value, expected)
-	if !s.relayed(ctx, err) {
-		return v, err
-	}
 	r := RelayRequest{Op: RelayUpdate, Kind: kind, Name: name, Value: value, Expected: expected}
-	a, err := s.send(ctx, r, true)
-	return a.Version, err
+	return s.relayWrite(ctx, r, func() (Version, error) { return s.Local.Update(ctx, kind, name, value, expected) })
 }
 
 // Delete implements Store.
 func (s *Relay) Delete(ctx context.Context, kind, name string, expected Version) error {
-	err := s.Local.Delete(ctx, kind, name, expected)
-	if !s.relayed(ctx, err) {
-		return err
-	}
-	_, err = s.send(ctx, RelayRequest{Op: RelayDelete, Kind: kind, Name: name, Expected: expected}, true)
+	r := RelayRequest{Op: RelayDelete, Kind: kind, Name: name, Expected: expected}
+	_, err := s.relayWrite(ctx, r, func() (Version, error) { return 0, s.Local.Delete(ctx, kind, name, expected) })
 	return err
 }
 
 // List implements Store. A relayed list must fit into one frame.
 func (s *Relay) List(ctx context.Context, kind, prefix string) ([]Object, Version, error) {
-	o, v, err := s.Local.List(ctx, kind, prefix)
-	if !s.relayed(ctx, err) {
-		return o, v, err
+	r := RelayRequest{Op: RelayList, Kind: kind, Name: prefix}
+	a, done, err := s.peersFirst(ctx, r, false)
+	if !done {
+		o, v, err := s.Local.List(ctx, kind, prefix)
+		if !s.relayed(ctx, err) {
+			return o, v, err
+		}
+		a, err = s.send(ctx, r, false)
+		return a.Objects, a.Version, err
 	}
-	a, err := s.send(ctx, RelayRequest{Op: RelayList, Kind: kind, Name: prefix}, false)
 	return a.Objects, a.Version, err
 }
 
--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -27,6 +27,9 @@
 		Timeout time.Duration
 		// Watch is the longest wait for changes in one call.
 		Watch time.Duration
+		// PromptWatch is that wait at the host that watches for the fleet: a watch that went deaf is noticed after it,
+		// within the operator's bound of 2 s.
+		PromptWatch time.Duration
 	}
 	Limits struct {
 		Memory int64
@@ -69,6 +72,7 @@
 	s.Platform.Timeout = r.duration("platform", "timeout", time.Second)
 	s.Platform.Watch = r.duration("platform", "watch", 25*time.Second)
 
+	s.Platform.PromptWatch = r.duration("platform", "prompt_watch", time.Second)
 	s.Limits.Memory = r.size("limits", "memory", 128*megabyte, 1<<40)
 	s.Shutdown.Grace = r.duration("shutdown", "grace", 8*time.Second)
 
--- a/service/daemon/wiring.go
+++ b/service/daemon/wiring.go
@@ -7,9 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 
-	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
@@ -22,6 +20,7 @@
 	"github.com/hyssopreel/hyssopreel/service/configuration"
 	"github.com/hyssopreel/hyssopreel/service/home"
 	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/relay"
 )
 
 // processName tells this process from earlier ones of the same host in the hello frames.
@@ -120,31 +119,13 @@
 // may have run at one peer is not offered to the next.
 func (d *Daemon) relay(ctx context.Context, q objectapi.RelayRequest) (objectapi.RelayAnswer, error) {
 	self := d.members.Self()
-	tried := 0
+	var peers []string
 	for _, m := range d.members.Rank("relay:" + string(self.Name)) {
-		if m.Name == self.Name {
-			continue
+		if m.Name != self.Name && len(peers) < relayPeers {
+			peers = append(peers, m.PeerAddress)
 		}
-		if tried++; tried > relayPeers {
-			break
-		}
-		var answer objectapi.RelayAnswer
-		err := d.node.Call(ctx, m.PeerAddress, wire.TypeRelay, q, &answer)
-		switch {
-		case err == nil && !errors.Is(answer.Err(), objectapi.ErrUnavailable):
-			return answer, nil
-		case err != nil && fault.From(err, "relay").Outcome != fault.NotRun:
-			return answer, err
-		}
-	}
-	return objectapi.RelayAnswer{}, objectapi.ErrUnavailable
-}
-
-func (d *Daemon) serveRelay(ctx context.Context, r *wire.Request) {
-	var q objectapi.RelayRequest
-	if r.Decode(&q) == nil {
-		_ = r.Answer(objectapi.ServeRelay(ctx, d.local, q))
 	}
+	return relay.Call(ctx, d.node, peers, q)
 }
 
 // leavingPeers exchanges leaving notices with peers.
@@ -199,7 +180,7 @@
 		}
 		_ = r.Answer(lookupAnswer{Alive: alive})
 	})
-	d.node.Handle(wire.TypeRelay, d.serveRelay)
+	d.node.Handle(wire.TypeRelay, relay.Serve(d.local))
 }
 
 // programStates asks a home, which may be this host, which programs are open. Programs are missing from the
--- /dev/null
+++ b/service/ingress/beats.go
@@ -0,0 +1,209 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/service/relay"
+)
+
+const (
+	// beatEvery is the interval of beats in a small fleet. A loss is noticed, and a lagging feed is found, well
+	// within the operator's bound of 2 s.
+	beatEvery = 250 * time.Millisecond
+	// beatHosts is the size of a fleet up to which the interval holds; above it, the interval grows with the fleet,
+	// so that a host's work for beats stays the same.
+	beatHosts = 10
+	// missedBeats is the number of intervals without a beat after which a host counts as unreachable.
+	missedBeats = 4
+	// beatTimeout bounds the sending of one beat.
+	beatTimeout = 400 * time.Millisecond
+	// feedLag is how much longer than a peer a feed may take to see a change before it is read again.
+	feedLag = 300 * time.Millisecond
+)
+
+// beat is what a host tells the others at intervals.
+type beat struct {
+	Host        string
+	Incarnation string
+	Draining    bool
+	// StoreUp is set if the host's last call to the store was answered.
+	StoreUp bool
+	// Seen is the revision of the newest object of each kind that the host has seen.
+	Seen map[string]uint64
+	// InFlight is the number of requests that the host has at each backend server.
+	InFlight map[string]int
+}
+
+// heard is the last beat of a host.
+type heard struct {
+	beat beat
+	at   time.Time
+}
+
+// beats exchanges beats with the other hosts.
+type beats struct {
+	self    fleet.Host
+	hosts   *Hosts
+	node    *wire.Node
+	servers *Servers
+	feeds   map[string]*Feed
+	storeUp func() bool
+
+	mu     sync.Mutex
+	last   map[string]heard
+	behind map[string]time.Time
+}
+
+func newBeats(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeUp func() bool) *beats {
+	b := &beats{
+		self: self, hosts: hosts, node: node, servers: servers, storeUp: storeUp,
+		feeds: map[string]*Feed{}, last: map[string]heard{}, behind: map[string]time.Time{},
+	}
+	node.Handle(wire.TypeBeat, b.receive)
+	return b
+}
+
+// interval returns the time between beats in the fleet as it is.
+func (b *beats) interval() time.Duration {
+	n := len(b.hosts.All())
+	return beatEvery * time.Duration(max(n, beatHosts)) / beatHosts
+}
+
+func (b *beats) run(ctx context.Context) {
+	started := time.Now()
+	for {
+		interval := b.interval()
+		b.send(ctx)
+		b.check(started, interval)
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send tells all hosts how this one is.
+func (b *beats) send(ctx context.Context) {
+	own := beat{
+		Host:        b.self.Name,
+		Incarnation: b.self.Incarnation,
+		Draining:    b.hosts.Draining(),
+		StoreUp:     b.storeUp(),
+		Seen:        map[string]uint64{},
+		InFlight:    b.servers.InFlight(),
+	}
+	for kind, f := range b.feeds {
+		own.Seen[kind] = uint64(f.Changed())
+	}
+	for _, h := range b.hosts.All() {
+		if h.Name == b.self.Name {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+			defer cancel()
+			if err := b.node.Send(ctx, h.Peer, wire.TypeBeat, own); err != nil && ctx.Err() == nil {
+				b.hosts.Reachable(h.Name, err)
+			}
+		}()
+	}
+}
+
+func (b *beats) receive(_ context.Context, r *wire.Request) {
+	var m beat
+	if err := r.Decode(&m); err != nil {
+		logging.Emit(logging.BeatRejected, logging.Fields{"from": r.From, "error": err})
+		return
+	}
+	now := time.Now()
+	b.mu.Lock()
+	b.last[m.Host] = heard{beat: m, at: now}
+	b.mu.Unlock()
+	b.hosts.Reachable(m.Host, nil)
+	b.hosts.Leaving(m.Host, m.Draining)
+	b.servers.SetRemote(m.Host, m.InFlight, now)
+	b.compare(m, now)
+}
+
+// compare reads feeds again that lag behind a peer: a watch can go deaf while its connection lives.
+func (b *beats) compare(m beat, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for kind, revision := range m.Seen {
+		f, ok := b.feeds[kind]
+		if !ok {
+			continue
+		}
+		if uint64(f.Current()) >= revision {
+			delete(b.behind, kind)
+			continue
+		}
+		since, lagging := b.behind[kind]
+		switch {
+		case !lagging:
+			b.behind[kind] = now
+		case now.Sub(since) >= feedLag:
+			delete(b.behind, kind)
+			logging.Emit(logging.FeedLags, logging.Fields{"kind": kind, "peer": m.Host, "seen": f.Current(), "peer_seen": revision})
+			f.Reread()
+		}
+	}
+}
+
+// check marks hosts from which no beat arrives.
+func (b *beats) check(started time.Time, interval time.Duration) {
+	now := time.Now()
+	limit := missedBeats * interval
+	if now.Sub(started) < limit {
+		return
+	}
+	for _, h := range b.hosts.All() {
+		if h.Name == b.self.Name || b.hosts.Age(h.Name) < limit {
+			continue
+		}
+		b.mu.Lock()
+		last, ok := b.last[h.Name]
+		b.mu.Unlock()
+		if !ok || now.Sub(last.at) > limit {
+			b.hosts.Reachable(h.Name, errors.Newf("no beat for %s", limit))
+		}
+	}
+}
+
+const (
+	// relayTimeout bounds a store call through a peer.
+	relayTimeout = time.Second
+	// relayPeers is how many peers are asked.
+	relayPeers = 2
+)
+
+// relay makes a store call through a peer that has the store.
+func (b *beats) relay(ctx context.Context, q objectapi.RelayRequest) (objectapi.RelayAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return relay.Call(ctx, b.node, b.storePeers(), q)
+}
+
+// storePeers returns the addresses of hosts that said lately that they have the store.
+func (b *beats) storePeers() []string {
+	var out []string
+	for _, h := range fleet.Ranked(b.hosts.Live(), b.self.Name) {
+		b.mu.Lock()
+		last, ok := b.last[h.Name]
+		b.mu.Unlock()
+		fresh := ok && last.beat.StoreUp && time.Since(last.at) < missedBeats*beatEvery
+		if fresh && h.Name != b.self.Name && len(out) < relayPeers {
+			out = append(out, h.Peer)
+		}
+	}
+	return out
+}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -144,7 +145,7 @@
 	answer := make(chan ledger.Verdict, 1)
 	a.answers[ticket] = answer
 	effects := a.ledger.Reserve(a.clock.Now(), ticket, turn)
-	a.run(effects)
+	a.apply(effects)
 	a.mu.Unlock()
 	select {
 	case v := <-answer:
@@ -157,8 +158,8 @@
 	}
 }
 
-// run carries out effects; a.mu is held.
-func (a *accounts) run(effects []ledger.Effect) {
+// apply carries out effects; a.mu is held.
+func (a *accounts) apply(effects []ledger.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case ledger.Answer:
@@ -202,7 +203,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.run(a.ledger.Written(a.clock.Now(), w.Program, outcome, w.Granted, uint64(version)))
+	a.apply(a.ledger.Written(a.clock.Now(), w.Program, outcome, w.Granted, uint64(version)))
 }
 
 // reread reads a record that another host wrote.
@@ -241,8 +242,12 @@
 	a.ledger.Seen(a.clock.Now(), o.Name, r, uint64(o.Version))
 }
 
-// Replace takes the list of all records.
-func (a *accounts) Replace(objects []objectapi.Object, _ bool) {
+// list reads all records. Records need no watch: a host that misses one hands out no more than its share.
+func (a *accounts) list(ctx context.Context) error {
+	objects, _, err := a.store.List(ctx, KindBudgets, "")
+	if err != nil {
+		return err
+	}
 	records, versions := map[string]ledger.Record{}, map[string]uint64{}
 	for _, o := range objects {
 		var r ledger.Record
@@ -255,17 +260,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ledger.Listed(a.clock.Now(), records, versions)
-}
-
-// Apply takes one change of the records.
-func (a *accounts) Apply(c objectapi.Change) {
-	if !c.Deleted {
-		a.seen(c.Object)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ledger.Forget(c.Name)
+	return nil
 }
 
 // Settle implements Budgets. It does not wait for the home.
@@ -384,23 +379,46 @@
 	}
 }
 
-// run looks at accounts and records from time to time.
-func (a *accounts) runTicks(ctx context.Context) {
+// run reads the records at the start and whenever the hosts change, moves accounts to the hosts that keep them now,
+// and looks at accounts and records from time to time.
+func (a *accounts) run(ctx context.Context) {
 	ticker := time.NewTicker(budgetTick)
 	defer ticker.Stop()
+	known := ""
 	for {
+		homes := a.homesOf()
+		if present := incarnations(homes); present != known {
+			if err := a.list(ctx); err != nil {
+				logging.Emit(logging.RecordsNotRead, logging.Fields{"error": err})
+			} else {
+				known = present
+			}
+			a.move(ctx, false)
+		}
+		a.tick(homes)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		homes := a.homesOf()
-		owns := func(program string) bool {
-			ranked := fleet.Ranked(homes, program)
-			return len(ranked) > 0 && ranked[0].Name == a.self.Name
-		}
-		a.mu.Lock()
-		a.run(a.ledger.Tick(a.clock.Now(), owns))
-		a.mu.Unlock()
 	}
 }
+
+// incarnations names a set of hosts and their starts.
+func incarnations(hosts []fleet.Host) string {
+	var b strings.Builder
+	for _, h := range hosts {
+		b.WriteString(h.Name + " " + h.Incarnation + "\n")
+	}
+	return b.String()
+}
+
+func (a *accounts) tick(homes []fleet.Host) {
+	owns := func(program string) bool {
+		ranked := fleet.Ranked(homes, program)
+		return len(ranked) > 0 && ranked[0].Name == a.self.Name
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(a.ledger.Tick(a.clock.Now(), owns))
+}
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,9 +27,30 @@
 	Replace func(objects []objectapi.Object, afterOutage bool)
 	// Apply gets one change.
 	Apply func(c objectapi.Change)
+	// Prompt is the store with short waits. It is used while Elected is true: a watch can go deaf, and one host of
+	// the fleet must notice that by itself.
+	Prompt  objectapi.Store
+	Elected func() bool
 
-	failedSince time.Time
-	pause       time.Duration
+	// current is the revision up to which the view is complete, and changed that of the newest object in it.
+	current, changed atomic.Uint64
+	reread           chan struct{}
+	failedSince      time.Time
+	pause            time.Duration
+}
+
+// Current returns the store's revision up to which the view is complete.
+func (f *Feed) Current() objectapi.Version { return objectapi.Version(f.current.Load()) }
+
+// Changed returns the revision of the newest object that was seen.
+func (f *Feed) Changed() objectapi.Version { return objectapi.Version(f.changed.Load()) }
+
+// Reread ends the running watch and lists the objects again.
+func (f *Feed) Reread() {
+	select {
+	case f.reread <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows the kind until ctx ends.
@@ -41,14 +63,43 @@
 		}
 		logging.Emit(logging.FeedListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
 		f.Replace(objects, f.recovered())
+		for _, o := range objects {
+			f.note(o.Version)
+		}
+		f.advance(revision)
 		f.watch(ctx, revision)
 	}
 }
 
+func (f *Feed) note(v objectapi.Version) {
+	if uint64(v) > f.changed.Load() {
+		f.changed.Store(uint64(v))
+	}
+}
+
+func (f *Feed) advance(v objectapi.Version) {
+	if uint64(v) > f.current.Load() {
+		f.current.Store(uint64(v))
+	}
+}
+
 // watch follows changes until the list must be read again.
 func (f *Feed) watch(ctx context.Context, revision objectapi.Version) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-f.reread:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
-		changes, next, err := f.Store.Watch(ctx, f.Kind, "", revision)
+		store := f.Store
+		if f.Elected() {
+			store = f.Prompt
+		}
+		changes, next, err := store.Watch(ctx, f.Kind, "", revision)
 		switch {
 		case errors.Is(err, objectapi.ErrHistoryGone):
 			return
@@ -58,8 +109,10 @@
 		}
 		for _, c := range changes {
 			f.Apply(c)
+			f.note(c.Version)
 		}
 		revision = max(next, revision)
+		f.advance(revision)
 	}
 }
 
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -27,11 +27,15 @@
 	listed map[string]fleet.Host
 	// silent holds when a host was found to be unreachable.
 	silent map[string]time.Time
+	// since holds when a host's present incarnation was listed.
+	since map[string]time.Time
+	// moved is called without the lock when the hosts that account for programs may have changed.
+	moved func()
 }
 
 // NewHosts returns a list that holds this host only. changed is called with the number of hosts.
 func NewHosts(self fleet.Host, changed func(n int)) *Hosts {
-	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}}
+	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}, since: map[string]time.Time{}, moved: func() {}}
 }
 
 func decodeHost(o objectapi.Object) (fleet.Host, error) {
@@ -89,6 +93,7 @@
 	}
 	if old.Incarnation != h.Incarnation {
 		delete(l.silent, h.Name)
+		l.since[h.Name] = time.Now()
 	}
 	l.listed[h.Name] = h
 	logging.Emit(logging.HostListed, logging.Fields{
@@ -102,6 +107,7 @@
 	}
 	delete(l.listed, name)
 	delete(l.silent, name)
+	delete(l.since, name)
 	logging.Emit(logging.HostUnlisted, logging.Fields{"host": name, "reason": reason})
 }
 
@@ -113,6 +119,39 @@
 	l.changed(n)
 }
 
+// Age returns how long the present incarnation of a host has been listed.
+func (l *Hosts) Age(name string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, ok := l.since[name]
+	if !ok {
+		return 0
+	}
+	return time.Since(since)
+}
+
+// Leaving records whether a host said that it is leaving.
+func (l *Hosts) Leaving(name string, draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, ok := l.listed[name]
+	if !ok || h.Draining == draining {
+		return
+	}
+	h.Draining = draining
+	l.listed[name] = h
+	logging.Emit(logging.HostListed, logging.Fields{
+		"host": h.Name, "incarnation": h.Incarnation, "address": h.Address, "draining": draining,
+	})
+}
+
+// Draining reports whether this host is leaving.
+func (l *Hosts) Draining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.self.Draining
+}
+
 // Reachable records whether a host answered.
 func (l *Hosts) Reachable(name string, cause error) {
 	l.mu.Lock()
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -18,6 +18,7 @@
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/relay"
 )
 
 const (
@@ -39,12 +40,16 @@
 
 // Adapter is what the platform brings: documents, headers and the paths of its own calls.
 type Adapter struct {
-	Headers   Headers
-	Store     objectapi.Store
-	Server    func(id string, value []byte) (placement.Server, error)
-	Table     func(value []byte) (*routing.Table, error)
-	Directory func(lookup func(fleet.Place) ([]string, time.Duration)) http.Handler
-	Ready     func(ready func() bool) http.Handler
+	Headers Headers
+	Store   objectapi.Store
+	// Prompt is Store with short waits for changes.
+	Prompt objectapi.Store
+	// StoreAvailable reports whether the last call to the store was answered.
+	StoreAvailable func() bool
+	Server         func(id string, value []byte) (placement.Server, error)
+	Table          func(value []byte) (*routing.Table, error)
+	Directory      func(lookup func(fleet.Place) ([]string, time.Duration)) http.Handler
+	Ready          func(ready func() bool) http.Handler
 	// KindServers, KindConfig and NameConfig are where the servers' entries and the configuration are kept.
 	KindServers, KindConfig, NameConfig string
 }
@@ -60,6 +65,8 @@
 	hosts    *Hosts
 	node     *wire.Node
 	accounts *accounts
+	beats    *beats
+	store    objectapi.Store // the platform's, or a peer's while this host has no access to it
 
 	// storeBack is when the servers' feed resumed after an outage.
 	storeBack time.Time
@@ -81,7 +88,14 @@
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
 	h.hosts = NewHosts(h.self, h.servers.SetHosts)
 	h.node = wire.NewNode(wire.Options{Self: s.Host.Name + "." + h.self.Incarnation})
-	h.accounts = newAccounts(h.self, h.hosts, h.node, a.Store)
+	h.beats = newBeats(h.self, h.hosts, h.node, h.servers, a.StoreAvailable)
+	h.store = &objectapi.Relay{
+		Local:      a.Store,
+		Peers:      h.beats.relay,
+		PeersFirst: func() bool { return !a.StoreAvailable() },
+	}
+	h.node.Handle(wire.TypeRelay, relay.Serve(a.Store))
+	h.accounts = newAccounts(h.self, h.hosts, h.node, h.store)
 	h.ingress = New(Options{
 		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Region: s.Host.Region, MemoryBytes: s.Limits.Memory,
 	}, a.Headers, h.servers, h.accounts, scope)
@@ -120,7 +134,8 @@
 		group.Go(func() error { f.Run(work); return nil })
 	}
 	group.Go(func() error { h.sweep(work); return nil })
-	group.Go(func() error { h.accounts.runTicks(work); return nil })
+	group.Go(func() error { h.accounts.run(work); return nil })
+	group.Go(func() error { h.beats.run(work); return nil })
 	group.Go(func() error { h.register(work, h.self); return nil })
 	logging.Emit(logging.IngressStarted, logging.Fields{
 		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
@@ -164,6 +179,8 @@
 	unregister, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go h.unregister(unregister)
+	h.beats.send(ctx)
+	h.accounts.move(ctx, true)
 	select {
 	case <-time.After(listenAfterDrain):
 	case <-ctx.Done():
@@ -196,11 +213,24 @@
 
 // feeds returns the feeds of everything that the host follows.
 func (h *Host) feeds() []*Feed {
-	return []*Feed{
-		{Kind: h.adapter.KindConfig, Store: h.adapter.Store, Replace: h.replaceConfig, Apply: h.applyConfig},
-		{Kind: h.adapter.KindServers, Store: h.adapter.Store, Replace: h.replaceServers, Apply: h.applyServer},
-		{Kind: KindHosts, Store: h.adapter.Store, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
-		{Kind: KindBudgets, Store: h.adapter.Store, Replace: h.accounts.Replace, Apply: h.accounts.Apply},
+	feeds := []*Feed{
+		{Kind: h.adapter.KindConfig, Replace: h.replaceConfig, Apply: h.applyConfig},
+		{Kind: h.adapter.KindServers, Replace: h.replaceServers, Apply: h.applyServer},
+		{Kind: KindHosts, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
+	}
+	for _, f := range feeds {
+		f.Store, f.Prompt, f.Elected = h.store, h.adapter.Prompt, h.elected(f.Kind)
+		f.reread = make(chan struct{}, 1)
+		h.beats.feeds[f.Kind] = f
+	}
+	return feeds
+}
+
+// elected reports whether this host watches a kind with short waits for the fleet.
+func (h *Host) elected(kind string) func() bool {
+	return func() bool {
+		ranked := fleet.Ranked(h.hosts.Live(), kind)
+		return len(ranked) > 0 && ranked[0].Name == h.self.Name
 	}
 }
 
@@ -281,22 +311,22 @@
 	if err != nil {
 		return errors.Wrap(err, "encode own entry")
 	}
-	_, err = objectapi.CreateConfirmed(ctx, h.adapter.Store, KindHosts, self.Name, value)
+	_, err = objectapi.CreateConfirmed(ctx, h.store, KindHosts, self.Name, value)
 	if !errors.Is(err, objectapi.ErrConflict) {
 		return err
 	}
-	present, err := h.adapter.Store.Get(ctx, KindHosts, self.Name)
+	present, err := h.store.Get(ctx, KindHosts, self.Name)
 	if err != nil {
 		return err
 	}
-	_, err = objectapi.UpdateConfirmed(ctx, h.adapter.Store, KindHosts, self.Name, value, present.Version)
+	_, err = objectapi.UpdateConfirmed(ctx, h.store, KindHosts, self.Name, value, present.Version)
 	return err
 }
 
 // unregister deletes this host's entry, so that other hosts no longer send callers here.
 func (h *Host) unregister(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := h.adapter.Store.Delete(ctx, KindHosts, h.self.Name, 0)
+		err := h.store.Delete(ctx, KindHosts, h.self.Name, 0)
 		if err == nil || errors.Is(err, objectapi.ErrNotFound) {
 			return
 		}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -49,11 +49,26 @@
 	byID      map[string]*backend
 	byService map[string][]*backend
 	hosts     int // hosts that share a server's connections
+	// remote holds what the other hosts said of their requests at each server, by host.
+	remote map[string]remoteLoad
 }
 
+// remoteLoad is what another host has at the servers.
+type remoteLoad struct {
+	inFlight map[string]int
+	at       time.Time
+}
+
+const (
+	// remoteFresh is the age up to which another host's word counts: a few of its beats.
+	remoteFresh = time.Second
+	// reportFresh is the age up to which a server's own word on its load is better than the sum of the hosts'.
+	reportFresh = 60 * time.Millisecond
+)
+
 // NewServers returns an empty set. opened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, opened func()) *Servers {
-	return &Servers{now: now, opened: opened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hosts: 1}
+	return &Servers{now: now, opened: opened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hosts: 1, remote: map[string]remoteLoad{}}
 }
 
 // SetHosts sets the number of hosts that share the servers' connections.
@@ -175,12 +190,41 @@
 	return n
 }
 
+// InFlight returns the number of this host's requests at each server that has any.
+func (s *Servers) InFlight() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int{}
+	for id, b := range s.byID {
+		if b.inFlight > 0 {
+			out[id] = b.inFlight
+		}
+	}
+	return out
+}
+
+// SetRemote records what another host has at the servers.
+func (s *Servers) SetRemote(host string, inFlight map[string]int, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remote[host] = remoteLoad{inFlight: inFlight, at: at}
+}
+
 // load returns the estimate of all requests at the server.
-func (b *backend) load(now time.Time) float64 {
+func (s *Servers) load(b *backend, now time.Time) float64 {
 	age := now.Sub(b.reported)
-	others := 0.0
-	if age < 10*loadHalfLife {
-		others = b.others / (1 + float64(age)/float64(loadHalfLife))
+	if age < reportFresh {
+		return float64(b.inFlight) + b.others
+	}
+	others, known := 0.0, 0
+	for _, r := range s.remote {
+		if now.Sub(r.at) < remoteFresh {
+			others += float64(r.inFlight[b.info.ID])
+			known++
+		}
+	}
+	if known < s.hosts-1 && age < 10*loadHalfLife {
+		others = max(others, b.others/(1+float64(age)/float64(loadHalfLife)))
 	}
 	return float64(b.inFlight) + others
 }
@@ -240,7 +284,7 @@
 		return nil
 	}
 	now := s.now()
-	load := b.load(now)
+	load := s.load(b, now)
 	b.inFlight++
 	return &Lease{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reported)}
 }
@@ -249,7 +293,7 @@
 	c := placement.Candidate{
 		Server:   b.info,
 		InFlight: b.inFlight,
-		Load:     b.load(now),
+		Load:     s.load(b, now),
 		Suspect:  now.Before(b.suspectUntil),
 		Busy:     q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
 	}
