Keep a feed's lag until the change has arrived

Cause: a beat of a peer that had not seen a change either cleared the lag, so a deaf watch stayed for 25 s; and a deaf watch reports newer revisions without their events. Conclusion: what a watch says of the store's revision is no proof of completeness; only a list is.

--- a/service/daemon/wiring.go
+++ b/service/daemon/wiring.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -59,13 +59,13 @@
 
 	mu     sync.Mutex
 	last   map[string]heard
-	behind map[string]time.Time
+	behind map[string]lag
 }
 
 func newBeats(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeUp func() bool) *beats {
 	b := &beats{
 		self: self, hosts: hosts, node: node, servers: servers, storeUp: storeUp,
-		feeds: map[string]*Feed{}, last: map[string]heard{}, behind: map[string]time.Time{},
+		feeds: map[string]*Feed{}, last: map[string]heard{}, behind: map[string]lag{},
 	}
 	node.Handle(wire.TypeBeat, b.receive)
 	return b
@@ -134,6 +134,12 @@
 	b.compare(m, now)
 }
 
+// lag is a change that a peer has seen and this host has not.
+type lag struct {
+	revision uint64
+	since    time.Time
+}
+
 // compare reads feeds again that lag behind a peer: a watch can go deaf while its connection lives.
 func (b *beats) compare(m beat, now time.Time) {
 	b.mu.Lock()
@@ -143,17 +149,18 @@
 		if !ok {
 			continue
 		}
-		if uint64(f.Current()) >= revision {
+		l, lagging := b.behind[kind]
+		if lagging && f.Complete(l.revision) {
 			delete(b.behind, kind)
-			continue
+			lagging = false
 		}
-		since, lagging := b.behind[kind]
 		switch {
+		case f.Complete(revision):
 		case !lagging:
-			b.behind[kind] = now
-		case now.Sub(since) >= feedLag:
+			b.behind[kind] = lag{revision: revision, since: now}
+		case now.Sub(l.since) >= feedLag:
 			delete(b.behind, kind)
-			logging.Emit(logging.FeedLags, logging.Fields{"kind": kind, "peer": m.Host, "seen": f.Current(), "peer_seen": revision})
+			logging.Emit(logging.FeedLags, logging.Fields{"kind": kind, "peer": m.Host, "seen": f.Changed(), "peer_seen": revision})
 			f.Reread()
 		}
 	}
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -32,15 +32,18 @@
 	Prompt  objectapi.Store
 	Elected func() bool
 
-	// current is the revision up to which the view is complete, and changed that of the newest object in it.
-	current, changed atomic.Uint64
-	reread           chan struct{}
-	failedSince      time.Time
-	pause            time.Duration
+	// listed is the revision of the last list, and changed that of the newest object that was seen.
+	listed, changed atomic.Uint64
+	reread          chan struct{}
+	failedSince     time.Time
+	pause           time.Duration
 }
 
-// Current returns the store's revision up to which the view is complete.
-func (f *Feed) Current() objectapi.Version { return objectapi.Version(f.current.Load()) }
+// Complete reports whether an object of that revision has been seen, or is known to be gone. What a watch says of the
+// store's revision is no proof: a deaf watch tells newer ones.
+func (f *Feed) Complete(revision uint64) bool {
+	return f.changed.Load() >= revision || f.listed.Load() >= revision
+}
 
 // Changed returns the revision of the newest object that was seen.
 func (f *Feed) Changed() objectapi.Version { return objectapi.Version(f.changed.Load()) }
@@ -66,7 +69,7 @@
 		for _, o := range objects {
 			f.note(o.Version)
 		}
-		f.advance(revision)
+		f.listed.Store(uint64(revision))
 		f.watch(ctx, revision)
 	}
 }
@@ -77,12 +80,6 @@
 	}
 }
 
-func (f *Feed) advance(v objectapi.Version) {
-	if uint64(v) > f.current.Load() {
-		f.current.Store(uint64(v))
-	}
-}
-
 // watch follows changes until the list must be read again.
 func (f *Feed) watch(ctx context.Context, revision objectapi.Version) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -109,10 +106,11 @@
 		}
 		for _, c := range changes {
 			f.Apply(c)
-			f.note(c.Version)
+			if !c.Deleted {
+				f.note(c.Version)
+			}
 		}
 		revision = max(next, revision)
-		f.advance(revision)
 	}
 }
 
