Let hosts without memory of a program take a grant before they use a share

Ruled out: fewer hosts asked in turn alone, because a restarted host has no memory either. Conclusion: only the first-ranked listed host that is settled uses a share at once; the second while the store is away.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -4,11 +4,13 @@
 // Each host accounts for the programs that hash to it. What it hands out without asking the store is bounded by the
 // share of a program, so that hosts that lost their memory, or that do not know of each other, stay within the
 // budget and one turn together: the share is a third of both. More than its share is handed out only under a grant
-// recorded in the store by a conditional update, and grants leave room for the share of one other host. A program
+// recorded in the store by a conditional update, and grants leave room for the share of one other host. A host that
+// may lack memory of the program takes a grant at once and uses its share only while the store is away. A program
 // that is refused for good is recorded too, so that it stays refused when it returns to a host without memory.
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
@@ -44,6 +46,18 @@
 	Retention time.Duration
 }
 
+// Trust says what a host may assume about a program that it has no account of.
+type Trust int
+
+const (
+	// Known is for programs that this host would know if they had begun before: they may use its share.
+	Known Trust = iota
+	// Doubtful programs need a grant; while the store is away they may use the share.
+	Doubtful
+	// Foreign programs need a grant.
+	Foreign
+)
+
 // Verdict is the answer to a turn.
 type Verdict int
 
@@ -120,6 +134,8 @@
 	granted int
 
 	writing bool
+	// fallback is set while the host may still take its share because the store is away.
+	fallback bool
 	// closed is set once the program was refused for good; closing until that is recorded.
 	closed, closing bool
 	retryAt         clock.Millis
@@ -160,26 +176,31 @@
 	return n
 }
 
-// Reserve asks whether a turn may run.
-func (l *Ledger) Reserve(at clock.Millis, ticket uint64, t Turn) []Effect {
+// Reserve asks whether a turn may run. trust applies if this host has no account of the program.
+func (l *Ledger) Reserve(at clock.Millis, ticket uint64, t Turn, trust Trust) []Effect {
 	a, ok := l.accounts[t.Program]
 	if !ok {
 		if !l.ready {
 			return []Effect{Answer{ticket, NotReady}}
 		}
-		a = l.open(t)
+		a = l.open(t, trust)
 	}
 	a.lastUse = at
 	a.most = max(a.most, t.Most)
 	return l.admit(at, a, waiting{ticket, t})
 }
 
-func (l *Ledger) open(t Turn) *account {
+func (l *Ledger) open(t Turn, trust Trust) *account {
 	a := &account{
 		budget: t.Budget, most: t.Most, held: map[string]int{},
 		retention: clock.Millis(t.Retention.Milliseconds()),
 	}
-	if _, recorded := l.records[t.Program]; !recorded {
+	_, recorded := l.records[t.Program]
+	switch {
+	case recorded || trust == Foreign:
+	case trust == Doubtful:
+		a.fallback = true
+	default:
 		a.limit = share(t.Budget, t.Most)
 	}
 	l.accounts[t.Program] = a
@@ -242,6 +263,12 @@
 		a.limit = max(a.limit, a.granted)
 		a.closing = false
 	}
+	if o != Failed {
+		a.fallback = false
+	} else if a.fallback {
+		a.fallback, a.limit = false, share(a.budget, a.most)
+		return l.resume(at, program, a, true)
+	}
 	return l.resume(at, program, a, o != Failed)
 }
 
@@ -263,6 +290,15 @@
 	return out
 }
 
+// Abandon forgets a turn whose asker no longer waits for the answer.
+func (l *Ledger) Abandon(ticket uint64, program string) {
+	a, ok := l.accounts[program]
+	if !ok {
+		return
+	}
+	a.waiting = slices.DeleteFunc(a.waiting, func(w waiting) bool { return w.ticket == ticket })
+}
+
 // Settle replaces the most of a turn by what was handed to its caller.
 func (l *Ledger) Settle(at clock.Millis, program, attempt string, tokens int) {
 	a, ok := l.accounts[program]
--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -200,6 +200,9 @@
 	return relay.Call(ctx, b.node, b.storePeers(), q)
 }
 
+// storeReachable reports whether this host or a peer has the store.
+func (b *beats) storeReachable() bool { return b.storeUp() || len(b.storePeers()) > 0 }
+
 // storePeers returns the addresses of hosts that said lately that they have the store.
 func (b *beats) storePeers() []string {
 	var out []string
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -26,6 +26,14 @@
 	reserveTimeout = 250 * time.Millisecond
 	// reserveHosts is how many hosts are asked in turn. The ledger's shares allow for three.
 	reserveHosts = 3
+	// decideTimeout bounds how long the host that accounts for a program waits for the store, so that its answer
+	// arrives within reserveTimeout.
+	decideTimeout = 180 * time.Millisecond
+	// reserveTries and reservePause bound how often a host is asked that waits for the store.
+	reserveTries = 3
+	reservePause = 60 * time.Millisecond
+	// settledAfter is how long after its start a host trusts that the others have handed their accounts over.
+	settledAfter = 3 * time.Second
 	// settleTries and settlePause bound how often a settlement is sent; it must arrive within the second after which
 	// an ended turn no longer counts at its most.
 	settleTries = 4
@@ -43,6 +51,8 @@
 	node  *wire.Node
 	store objectapi.Store
 	clock clock.Clock
+	// available reports whether this host or a peer has the store.
+	available func() bool
 
 	mu      sync.Mutex
 	ledger  *ledger.Ledger
@@ -50,13 +60,15 @@
 	answers map[uint64]chan ledger.Verdict
 	// homes remembers which host granted a running turn, by attempt.
 	homes map[string]fleet.Host
+	// readyAt is when the records were first read.
+	readyAt time.Time
 	// leaving is set once this host hands its accounts over.
 	leaving bool
 }
 
-func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store) *accounts {
+func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, available func() bool) *accounts {
 	a := &accounts{
-		self: self, hosts: hosts, node: node, store: store, clock: clock.System(),
+		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), available: available,
 		ledger: ledger.New(), answers: map[uint64]chan ledger.Verdict{}, homes: map[string]fleet.Host{},
 	}
 	node.Handle(wire.TypeReserve, a.serveReserve)
@@ -76,7 +88,7 @@
 var errNoHome = errors.New("no host accounts for the program now")
 
 // Reserve implements Budgets.
-func (a *accounts) Reserve(ctx context.Context, r Reservation) error {
+func (a *accounts) Reserve(ctx context.Context, r Reservation) (string, error) {
 	turn := ledger.Turn{Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention}
 	asked := 0
 	for _, h := range fleet.Ranked(a.homesOf(), r.Program) {
@@ -84,9 +96,9 @@
 			break
 		}
 		asked++
-		v, err := a.ask(ctx, h, turn)
+		v, err := a.askPatiently(ctx, h, turn)
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return h.Name, ctx.Err()
 		}
 		if err != nil {
 			a.hosts.Reachable(h.Name, err)
@@ -97,17 +109,17 @@
 			a.mu.Lock()
 			a.homes[r.Attempt] = h
 			a.mu.Unlock()
-			return nil
+			return h.Name, nil
 		case ledger.Spent:
 			logging.Emit(logging.BudgetSpent, logging.Fields{
 				"request": r.Attempt, "program": r.Program, "budget": r.Budget, "most_tokens": r.Tokens, "home": h.Name,
 			})
-			return ErrBudgetSpent
+			return h.Name, ErrBudgetSpent
 		case ledger.Unavailable:
-			return errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
+			return h.Name, errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
 		}
 	}
-	return errNoHome
+	return "", errNoHome
 }
 
 // homesOf returns the hosts that may account for programs.
@@ -122,9 +134,24 @@
 	return out
 }
 
+// askPatiently asks a host again that waits for the store.
+func (a *accounts) askPatiently(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Verdict, error) {
+	for try := 1; ; try++ {
+		v, err := a.ask(ctx, h, turn)
+		if err != nil || v != ledger.Unavailable || try == reserveTries {
+			return v, err
+		}
+		select {
+		case <-time.After(reservePause):
+		case <-ctx.Done():
+			return v, ctx.Err()
+		}
+	}
+}
+
 func (a *accounts) ask(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Verdict, error) {
 	if h.Name == a.self.Name {
-		return a.decide(ctx, turn)
+		return a.decide(ctx, turn), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
@@ -133,29 +160,58 @@
 	return v, err
 }
 
+// trust returns what this host may assume about a program of which it has no account. Ranks count all listed hosts,
+// reachable or not, so that they change only with the store's list.
+func (a *accounts) trust(program string) ledger.Trust {
+	var listed []fleet.Host
+	for _, h := range a.hosts.All() {
+		if !h.Draining {
+			listed = append(listed, h)
+		}
+	}
+	a.mu.Lock()
+	settled := !a.readyAt.IsZero() && time.Since(a.readyAt) > settledAfter
+	a.mu.Unlock()
+	for i, h := range fleet.Ranked(listed, program) {
+		switch {
+		case h.Name != a.self.Name:
+		case i == 0 && settled:
+			return ledger.Known
+		case i <= 1:
+			return ledger.Doubtful
+		}
+	}
+	return ledger.Foreign
+}
+
 // decide asks the ledger of this host.
-func (a *accounts) decide(ctx context.Context, turn ledger.Turn) (ledger.Verdict, error) {
+func (a *accounts) decide(ctx context.Context, turn ledger.Turn) ledger.Verdict {
+	trust := a.trust(turn.Program)
 	a.mu.Lock()
 	if a.leaving {
 		a.mu.Unlock()
-		return ledger.NotReady, nil
+		return ledger.NotReady
 	}
 	a.tickets++
 	ticket := a.tickets
 	answer := make(chan ledger.Verdict, 1)
 	a.answers[ticket] = answer
-	effects := a.ledger.Reserve(a.clock.Now(), ticket, turn)
+	effects := a.ledger.Reserve(a.clock.Now(), ticket, turn, trust)
 	a.apply(effects)
 	a.mu.Unlock()
+	limit := time.NewTimer(decideTimeout)
+	defer limit.Stop()
 	select {
 	case v := <-answer:
-		return v, nil
+		return v
+	case <-limit.C:
 	case <-ctx.Done():
-		a.mu.Lock()
-		delete(a.answers, ticket)
-		a.mu.Unlock()
-		return ledger.Unavailable, ctx.Err()
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.answers, ticket)
+	a.ledger.Abandon(ticket, turn.Program)
+	return ledger.Unavailable
 }
 
 // apply carries out effects; a.mu is held.
@@ -181,6 +237,9 @@
 	defer cancel()
 	value, err := json.Marshal(ledger.Record{Granted: w.Granted, Tag: newIncarnation()})
 	var version objectapi.Version
+	if err == nil && !a.available() {
+		err = objectapi.ErrUnavailable
+	}
 	if err == nil {
 		if w.Version == 0 {
 			version, err = objectapi.CreateConfirmed(ctx, a.store, KindBudgets, w.Program, value)
@@ -260,6 +319,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ledger.Listed(a.clock.Now(), records, versions)
+	if a.readyAt.IsZero() {
+		a.readyAt = time.Now()
+	}
 	return nil
 }
 
@@ -320,12 +382,7 @@
 		_ = r.Fail(err)
 		return
 	}
-	v, err := a.decide(ctx, turn)
-	if err != nil {
-		_ = r.Fail(err)
-		return
-	}
-	_ = r.Answer(v) // the asker is gone if this fails; its next attempt has another ID
+	_ = r.Answer(a.decide(ctx, turn)) // the asker is gone if this fails; its next attempt has another ID
 }
 
 func (a *accounts) serveSettle(_ context.Context, r *wire.Request) {
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -39,6 +39,8 @@
 	// deadline is the end of the caller's time or of the route's, whichever is first.
 	deadline time.Time
 
+	// home is the host that accounts for the program.
+	home string
 	// tokens is what was handed to the caller.
 	tokens   int
 	sends    int
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -62,7 +62,8 @@
 type Budgets interface {
 	// Reserve counts a turn at its most. A nil error allows the turn to run; ErrBudgetSpent refuses it for good, and
 	// any other error for now.
-	Reserve(ctx context.Context, r Reservation) error
+	// home names the host that accounts for the program.
+	Reserve(ctx context.Context, r Reservation) (home string, err error)
 	// Settle replaces the most of a reserved turn by what was handed to the caller.
 	Settle(r Reservation, tokens int)
 }
@@ -238,7 +239,8 @@
 }
 
 func (x *exchange) reserve(ctx context.Context, r Reservation) *failure {
-	err := x.in.budgets.Reserve(ctx, r)
+	home, err := x.in.budgets.Reserve(ctx, r)
+	x.home = home
 	switch {
 	case err == nil:
 		return nil
@@ -292,6 +294,7 @@
 	}
 	if x.call.Budget > 0 {
 		fields["budget"], fields["most_tokens"], fields["tokens"] = x.call.Budget, x.call.MaxTokens, x.tokens
+		fields["home"] = x.home
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
