--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/settings"
@@ -22,7 +23,7 @@
 // is given.
 type entryCommand struct {
 	Settings string `long:"settings" description:"INI file of this host" value-name:"FILE"`
-	run      func(ctx context.Context, s *settings.Entry) error
+	run      func(ctx context.Context, s *settings.Entry, reload <-chan *settings.Entry) error
 	code     int
 }
 
@@ -46,16 +47,67 @@
 	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * heapShare))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := c.run(ctx, s); err != nil {
+	reload := make(chan *settings.Entry, 1)
+	go watchSettings(ctx, path, reload)
+	if err := c.run(ctx, s, reload); err != nil {
 		logging.Emit(logging.DaemonFailed, logging.Fields{"error": err})
 		c.code = exitFailed
 	}
 	return nil
 }
 
-func runEntry(ctx context.Context, s *settings.Entry) error {
+// settingsPoll is how often the settings file is looked at: it may change without a signal.
+const settingsPoll = 2 * time.Second
+
+// watchSettings reads the settings again after SIGHUP, or when the file has changed, until ctx ends.
+func watchSettings(ctx context.Context, path string, reload chan<- *settings.Entry) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-hup:
+		case <-ticker.C:
+			if modified(path).Equal(last) {
+				continue
+			}
+		case <-ctx.Done():
+			return
+		}
+		last = modified(path)
+		s, problems := settings.LoadEntry(path)
+		for _, p := range problems {
+			logging.Emit(logging.SettingsRejected, logging.Fields{"problem": p.String()})
+		}
+		if len(problems) > 0 {
+			continue
+		}
+		debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * heapShare))
+		select {
+		case reload <- s:
+		case <-ctx.Done():
+			return
+		default: // the host has not taken the last change yet; the next look at the file repeats this one
+			last = time.Time{}
+		}
+	}
+}
+
+// modified returns the time of the file's last change; zero if it cannot be told, which counts as a change.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+func runEntry(ctx context.Context, s *settings.Entry, reload <-chan *settings.Entry) error {
 	store := platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.Watch)
-	return ingress.NewHost(s, ingress.Adapter{
+	host := ingress.NewHost(s, ingress.Adapter{
 		Headers:        platform.Headers{},
 		Store:          store,
 		Prompt:         store.WithWait(s.Platform.PromptWatch),
@@ -67,12 +119,13 @@
 		KindServers:    platform.KindServers,
 		KindConfig:     platform.KindConfig,
 		NameConfig:     platform.NameConfig,
-	}).Run(ctx)
+	}, reload)
+	return host.Run(ctx)
 }
 
 // runDisk runs a host with a disk. The platform keeps all state, so the host holds nothing and can be taken away at
 // any time.
-func runDisk(ctx context.Context, s *settings.Entry) error {
+func runDisk(ctx context.Context, s *settings.Entry, _ <-chan *settings.Entry) error {
 	store := platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.Watch)
 	platform.Retire(ctx, store, s.Host.Name)
 	return nil
--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -5,6 +5,8 @@
 	IngressStarted   = Declare(1100, Info, "entry host started", "host", "incarnation", "callers", "directory", "peer")
 	IngressDraining  = Declare(1101, Info, "entry host takes no new callers and ends open connections", "signal")
 	IngressStopped   = Declare(1102, Info, "entry host stopped", "ms", "cut")
+	SettingsReloaded = Declare(1103, Info, "settings read again", "host", "memory", "grace")
+	SettingsRejected = Declare(1104, Warning, "changed settings cannot be used; the old ones hold", "problem")
 	RequestAnswered  = Declare(1110, Info, "request answered", "request", "program", "budget", "most_tokens", "tokens", "home", "route", "table", "server", "load", "load_age_ms", "waited_ms", "sends", "took_ms")
 	RequestFailed    = Declare(1111, Info, "request failed", "request", "program", "budget", "most_tokens", "tokens", "home", "route", "table", "server", "load", "load_age_ms", "waited_ms", "sends", "runs", "took_ms", "status", "reason", "retry_after_ms", "error")
 	StreamBroke      = Declare(1112, Info, "stream broke off", "request", "server", "after_event", "resumes", "error")
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -17,6 +17,12 @@
 	// if it is refused, and a change must be seen within the operator's bound of 2 s after the store is back.
 	feedRetryFirst = 200 * time.Millisecond
 	feedRetryMost  = 800 * time.Millisecond
+	// feedPoll is the pause between lists through a peer while this host has no access to the store. Beats tell of
+	// changes in between.
+	feedPoll = 700 * time.Millisecond
+	// outageAfter is the time without any word from the store after which entries of living servers may have lapsed:
+	// less than three of their heartbeats of 1.2 s.
+	outageAfter = 2 * time.Second
 )
 
 // Feed keeps a host's view of the objects of one kind.
@@ -37,6 +43,8 @@
 	reread          chan struct{}
 	failedSince     time.Time
 	pause           time.Duration
+	// heard is when the store last answered, to this host or through a peer.
+	heard time.Time
 }
 
 // Complete reports whether an object of that revision has been seen, or is known to be gone. What a watch says of the
@@ -65,7 +73,7 @@
 			continue
 		}
 		logging.Emit(logging.FeedListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
-		f.Replace(objects, f.recovered())
+		f.Replace(objects, f.outage())
 		for _, o := range objects {
 			f.note(o.Version)
 		}
@@ -74,6 +82,14 @@
 	}
 }
 
+// outage reports whether the store was away for so long that entries may have lapsed, and notes that it answers.
+func (f *Feed) outage() bool {
+	now := time.Now()
+	away := !f.failedSince.IsZero() && now.Sub(f.failedSince) > outageAfter && now.Sub(f.heard) > outageAfter
+	f.heard = now
+	return away
+}
+
 func (f *Feed) note(v objectapi.Version) {
 	if uint64(v) > f.changed.Load() {
 		f.changed.Store(uint64(v))
@@ -82,28 +98,32 @@
 
 // watch follows changes until the list must be read again.
 func (f *Feed) watch(ctx context.Context, revision objectapi.Version) {
-	ctx, cancel := context.WithCancel(ctx)
+	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		select {
 		case <-f.reread:
 			cancel()
-		case <-ctx.Done():
+		case <-watching.Done():
 		}
 	}()
-	for ctx.Err() == nil {
+	for watching.Err() == nil {
 		store := f.Store
 		if f.Elected() {
 			store = f.Prompt
 		}
-		changes, next, err := store.Watch(ctx, f.Kind, "", revision)
+		changes, next, err := store.Watch(watching, f.Kind, "", revision)
 		switch {
+		case watching.Err() != nil:
+			return
 		case errors.Is(err, objectapi.ErrHistoryGone):
 			return
 		case err != nil:
-			f.failed(ctx, err)
+			f.failed(watching, err)
 			return
 		}
+		f.recovered()
+		f.heard = time.Now()
 		for _, c := range changes {
 			f.Apply(c)
 			if !c.Deleted {
@@ -114,29 +134,30 @@
 	}
 }
 
+// failed notes a call that failed and waits before the next one; the end of ctx ends the wait.
 func (f *Feed) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
 	if f.failedSince.IsZero() {
 		f.failedSince = time.Now()
 		f.pause = feedRetryFirst
 		logging.Emit(logging.FeedFailed, logging.Fields{"kind": f.Kind, "error": err})
 	}
-	jitter := time.Duration(rand.Int64N(int64(f.pause) / 2))
+	pause := f.pause
+	if time.Since(f.heard) < outageAfter {
+		pause = max(pause, feedPoll)
+	}
+	jitter := time.Duration(rand.Int64N(int64(pause) / 2))
 	select {
-	case <-time.After(f.pause/2 + jitter):
+	case <-time.After(pause*3/4 + jitter):
 	case <-ctx.Done():
 	}
 	f.pause = min(2*f.pause, feedRetryMost)
 }
 
-// recovered ends a failure and reports whether there was one.
-func (f *Feed) recovered() bool {
+// recovered ends a failure: a watch was answered.
+func (f *Feed) recovered() {
 	if f.failedSince.IsZero() {
-		return false
+		return
 	}
 	logging.Emit(logging.FeedResumed, logging.Fields{"kind": f.Kind, "after": time.Since(f.failedSince)})
 	f.failedSince = time.Time{}
-	return true
 }
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -53,6 +53,8 @@
 	now      func() time.Time
 	scope    tally.Scope
 	draining atomic.Bool
+	// memory is Options.MemoryBytes as last set.
+	memory atomic.Int64
 	// held is the size of all bodies in memory.
 	held    atomic.Int64
 	budgets Budgets
@@ -83,7 +85,9 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h Headers, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	return &Ingress{options: o, headers: h, servers: servers, sessions: newSessions(), now: time.Now, scope: scope, budgets: budgets}
+	in := &Ingress{options: o, headers: h, servers: servers, sessions: newSessions(), now: time.Now, scope: scope, budgets: budgets}
+	in.memory.Store(o.MemoryBytes)
+	return in
 }
 
 // SetTable puts a configuration in force unless the one in force is newer.
@@ -162,7 +166,7 @@
 	if limit > 0 && r.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	most := int64(float64(x.in.options.MemoryBytes) * bodyMemoryShare)
+	most := int64(float64(x.in.memory.Load()) * bodyMemoryShare)
 	if most > 0 && x.in.held.Load()+max(r.ContentLength, 0) > most {
 		return &failure{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: x.in.retryAfter("")}
 	}
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,10 +57,11 @@
 
 // Host is a running entry host.
 type Host struct {
-	settings *settings.Entry
+	settings atomic.Pointer[settings.Entry]
 	adapter  Adapter
 	self     fleet.Host
 	metrics  *metrics.Metrics
+	reload   <-chan *settings.Entry
 	ingress  *Ingress
 	servers  *Servers
 	hosts    *Hosts
@@ -72,9 +74,10 @@
 	storeBack time.Time
 }
 
-// NewHost returns an entry host that does not listen yet.
-func NewHost(s *settings.Entry, a Adapter) *Host {
-	h := &Host{settings: s, adapter: a}
+// NewHost returns an entry host that does not listen yet. Changed settings arrive on reload.
+func NewHost(s *settings.Entry, a Adapter, reload <-chan *settings.Entry) *Host {
+	h := &Host{adapter: a, reload: reload}
+	h.settings.Store(s)
 	h.self = fleet.Host{
 		Name:          s.Host.Name,
 		Incarnation:   newIncarnation(),
@@ -115,7 +118,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxRequestHeader,
 	}
-	l := h.settings.Listen
+	l := h.settings.Load().Listen
 	others := []*http.Server{
 		{Addr: l.Ready, Handler: h.adapter.Ready(h.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		{Addr: l.Directory, Handler: h.adapter.Directory(h.hosts.Directory), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
@@ -141,6 +144,7 @@
 		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
 	})
 
+	group.Go(func() error { h.reloads(work); return nil })
 	select {
 	case <-ctx.Done():
 	case <-work.Done():
@@ -173,7 +177,7 @@
 // drain leaves the fleet without cutting requests. It reports whether requests were cut at the end.
 func (h *Host) drain(ctx context.Context, callers *http.Server) bool {
 	logging.Emit(logging.IngressDraining, logging.Fields{"signal": "TERM"})
-	end := time.Now().Add(h.settings.Shutdown.Grace - exitMargin)
+	end := time.Now().Add(h.settings.Load().Shutdown.Grace - exitMargin)
 	h.ingress.Drain()
 	h.hosts.SetDraining()
 	unregister, cancel := context.WithCancel(ctx)
@@ -194,6 +198,22 @@
 	return false
 }
 
+// reloads takes over changed settings. Addresses hold until the next start.
+func (h *Host) reloads(ctx context.Context) {
+	for {
+		select {
+		case s := <-h.reload:
+			h.settings.Store(s)
+			h.ingress.memory.Store(s.Limits.Memory)
+			logging.Emit(logging.SettingsReloaded, logging.Fields{
+				"host": h.self.Name, "memory": s.Limits.Memory, "grace": s.Shutdown.Grace,
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (h *Host) ready() bool {
 	return !h.ingress.draining.Load() && h.ingress.table.Load() != nil
 }
@@ -256,7 +276,7 @@
 	if afterOutage {
 		h.storeBack = time.Now()
 	}
-	var infos []placement.Server
+	infos := make([]placement.Server, 0, len(objects))
 	for _, o := range objects {
 		if info, ok := h.decodeServer(o); ok {
 			infos = append(infos, info)
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -297,6 +297,9 @@
 		Suspect:  now.Before(b.suspectUntil),
 		Busy:     q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
 	}
+	if !b.lapsed.IsZero() && now.Sub(b.lapsed) >= lapsedGrace {
+		c.Server.Draining = true
+	}
 	c.Server.ColdFor = max(b.info.ColdFor-now.Sub(b.seen), 0)
 	return c
 }
