--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -37,6 +37,7 @@
 	AccountsAdopted  = Declare(1175, Info, "accounts of programs were taken over", "from", "programs")
 	RecordsNotRead   = Declare(1178, Warning, "records of programs' budgets could not be read; it is tried again", "error")
 	SettleFailed     = Declare(1176, Warning, "use of a turn could not be reported; the turn stays counted at its most", "request", "program", "tokens", "peer", "error")
+	AccountRecalled  = Declare(1179, Info, "a former host was asked for its account of a program", "program", "holder", "programs", "error")
 	RecordNotRemoved = Declare(1177, Warning, "record of an ended program could not be deleted", "program", "error")
 	HostRetired      = Declare(1160, Info, "host is empty and may be taken away", "host", "error")
 )
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -38,6 +38,7 @@
 	TypeReserve:     "reserve",
 	TypeSettle:      "settle",
 	TypeAccounts:    "accounts",
+	TypeRecall:      "recall",
 	TypeBeat:        "beat",
 }
 
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -26,6 +26,7 @@
 	TypeReserve     // a turn of a program asks the host that accounts for it
 	TypeSettle      // what a turn handed to its caller
 	TypeAccounts    // accounts of programs that another host takes over
+	TypeRecall      // the host that accounts for a program asks a former one for its account
 	TypeBeat        // state of an entry host, and what it has at backend servers
 )
 
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -19,8 +19,9 @@
 const (
 	// shares is the number of hosts that may each hand out a share of a program without a record.
 	shares = 3
-	// grantTurns is the number of turns that a grant covers beyond what is needed, so that few programs need two.
-	grantTurns = 3
+	// grantTurns is the number of turns that a grant covers beyond what is needed, so that few programs need two and
+	// another host still finds room.
+	grantTurns = 1
 	// closeRetry is the pause before the record of a refused program is written again.
 	closeRetry = clock.Millis(500)
 	// forgetSlack is added to a program's retention before its account is dropped.
@@ -31,6 +32,8 @@
 type Record struct {
 	// Granted is the number of tokens that hosts may have handed out under grants.
 	Granted int `json:"granted"`
+	// Holder is the host that was granted last.
+	Holder string `json:"holder"`
 	// Tag is unique to the write.
 	Tag string `json:"tag"`
 }
@@ -106,6 +109,12 @@
 	Version uint64
 }
 
+// Recall asks the holder of a grant for its account of a program; the outcome comes back as Recalled.
+type Recall struct {
+	Program string
+	Holder  string
+}
+
 // Remove asks for the deletion of a record that has outlived its program.
 type Remove struct {
 	Program string
@@ -114,6 +123,7 @@
 
 func (Answer) effect() {}
 func (Write) effect()  {}
+func (Recall) effect() {}
 func (Remove) effect() {}
 
 type waiting struct {
@@ -134,6 +144,9 @@
 	granted int
 
 	writing bool
+	// recalling is set while the holder of a grant is asked; askedFor is the record's version at that time.
+	recalling bool
+	askedFor  uint64
 	// fallback is set while the host may still take its share because the store is away.
 	fallback bool
 	// closed is set once the program was refused for good; closing until that is recorded.
@@ -213,8 +226,16 @@
 		return []Effect{Answer{w.ticket, Allowed}}
 	}
 	need := a.spent + a.heldTokens() + t.Most
-	foreign := l.records[t.Program].Granted - a.granted
+	r := l.records[t.Program]
+	foreign := r.Granted - a.granted
 	switch {
+	case !a.closed && foreign > 0 && need > a.limit && a.askedFor != r.version && !a.writing:
+		a.waiting = append(a.waiting, w)
+		if a.recalling {
+			return nil
+		}
+		a.recalling, a.askedFor = true, r.version
+		return []Effect{Recall{Program: t.Program, Holder: r.Holder}}
 	case a.closed || foreign+need > a.budget || need > a.limit && need+foreign > a.cap():
 		return append(l.close(at, t.Program, a), Answer{w.ticket, Spent})
 	case need <= a.limit:
@@ -222,7 +243,7 @@
 		return []Effect{Answer{w.ticket, Allowed}}
 	}
 	a.waiting = append(a.waiting, w)
-	if a.writing {
+	if a.writing || a.recalling {
 		return nil
 	}
 	return l.raise(t.Program, a, need)
@@ -248,8 +269,8 @@
 	return []Effect{Write{Program: program, Granted: a.cap(), Version: r.version}}
 }
 
-// Written reports the outcome of a Write and, if it was stored, the record's new version.
-func (l *Ledger) Written(at clock.Millis, program string, o Outcome, granted int, version uint64) []Effect {
+// Written reports the outcome of a Write and, if it was stored, this host's name and the record's new version.
+func (l *Ledger) Written(at clock.Millis, program, holder string, o Outcome, granted int, version uint64) []Effect {
 	a, known := l.accounts[program]
 	if !known {
 		return nil
@@ -258,7 +279,8 @@
 	a.retryAt = at + closeRetry
 	if o == Stored {
 		foreign := l.records[program].Granted - a.granted
-		l.records[program] = record{Record: Record{Granted: granted}, version: version, seen: at}
+		l.records[program] = record{Record: Record{Granted: granted, Holder: holder}, version: version, seen: at}
+		a.askedFor = version
 		a.granted = granted - foreign
 		a.limit = max(a.limit, a.granted)
 		a.closing = false
@@ -272,6 +294,16 @@
 	return l.resume(at, program, a, o != Failed)
 }
 
+// Recalled reports the end of a Recall; what the holder had was passed to Adopt before.
+func (l *Ledger) Recalled(at clock.Millis, program string) []Effect {
+	a, ok := l.accounts[program]
+	if !ok {
+		return nil
+	}
+	a.recalling = false
+	return l.resume(at, program, a, true)
+}
+
 // resume decides on the turns that waited for a write; answered is set if the store took or refused it.
 func (l *Ledger) resume(at clock.Millis, program string, a *account, answered bool) []Effect {
 	var out []Effect
@@ -354,7 +386,7 @@
 func (l *Ledger) Release(moves func(program string) bool) []Account {
 	var out []Account
 	for program, a := range l.accounts {
-		if a.writing || !moves(program) {
+		if a.writing || a.recalling || !moves(program) {
 			continue
 		}
 		out = append(out, Account{
@@ -380,8 +412,8 @@
 		for attempt, tokens := range m.Held {
 			a.held[attempt] = tokens
 		}
-		a.limit = max(a.limit, m.Limit)
 		a.granted += m.Granted
+		a.limit = max(a.limit, m.Limit, a.granted)
 		a.closed = a.closed || m.Closed
 		a.retention = max(a.retention, clock.Millis(m.Retention))
 		a.lastUse = at
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -74,6 +74,7 @@
 	node.Handle(wire.TypeReserve, a.serveReserve)
 	node.Handle(wire.TypeSettle, a.serveSettle)
 	node.Handle(wire.TypeAccounts, a.serveAccounts)
+	node.Handle(wire.TypeRecall, a.serveRecall)
 	return a
 }
 
@@ -95,8 +96,10 @@
 		if asked == reserveHosts {
 			break
 		}
-		asked++
 		v, err := a.askPatiently(ctx, h, turn)
+		if v != ledger.NotReady {
+			asked++
+		}
 		if ctx.Err() != nil {
 			return h.Name, ctx.Err()
 		}
@@ -225,6 +228,8 @@
 			}
 		case ledger.Write:
 			go a.write(e)
+		case ledger.Recall:
+			go a.recall(e)
 		case ledger.Remove:
 			go a.remove(e)
 		}
@@ -235,7 +240,7 @@
 func (a *accounts) write(w ledger.Write) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	value, err := json.Marshal(ledger.Record{Granted: w.Granted, Tag: newIncarnation()})
+	value, err := json.Marshal(ledger.Record{Granted: w.Granted, Holder: a.self.Name, Tag: newIncarnation()})
 	var version objectapi.Version
 	if err == nil && !a.available() {
 		err = objectapi.ErrUnavailable
@@ -262,7 +267,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.apply(a.ledger.Written(a.clock.Now(), w.Program, outcome, w.Granted, uint64(version)))
+	a.apply(a.ledger.Written(a.clock.Now(), w.Program, a.self.Name, outcome, w.Granted, uint64(version)))
 }
 
 // reread reads a record that another host wrote.
@@ -281,6 +286,37 @@
 	return ledger.Conflict
 }
 
+// recall asks the holder of a grant for its account. A holder that is gone, or that has started anew, has none.
+func (a *accounts) recall(r ledger.Recall) {
+	var moved []ledger.Account
+	var err error
+	for _, h := range a.hosts.Live() {
+		if h.Name != r.Holder || h.Name == a.self.Name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), decideTimeout)
+		err = a.node.Call(ctx, h.Peer, wire.TypeRecall, r.Program, &moved)
+		cancel()
+	}
+	logging.Emit(logging.AccountRecalled, logging.Fields{"program": r.Program, "holder": r.Holder, "programs": len(moved), "error": err})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Adopt(a.clock.Now(), moved)
+	a.apply(a.ledger.Recalled(a.clock.Now(), r.Program))
+}
+
+func (a *accounts) serveRecall(_ context.Context, r *wire.Request) {
+	var program string
+	if err := r.Decode(&program); err != nil {
+		_ = r.Fail(err)
+		return
+	}
+	a.mu.Lock()
+	moved := a.ledger.Release(func(p string) bool { return p == program })
+	a.mu.Unlock()
+	_ = r.Answer(moved) // if this fails, the account is lost and the asker counts its grant as spent
+}
+
 func (a *accounts) remove(r ledger.Remove) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
