--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -10,6 +10,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -47,6 +48,15 @@
 	// Most is the most tokens that the turn generates.
 	Most      int
 	Retention time.Duration
+	// Session is the line of turns within the program.
+	Session string
+}
+
+// Place is where the prompt of a turn was read last.
+type Place struct {
+	Server string
+	// Tokens is the size of the prompt and of what was generated from it.
+	Tokens int
 }
 
 // Trust says what a host may assume about a program that it has no account of.
@@ -99,6 +109,10 @@
 type Answer struct {
 	Ticket  uint64
 	Verdict Verdict
+	// Place is where the session ran last, or the program if the session is new; empty if neither ran.
+	Place Place
+	// Turns is the number of turns of the program that were allowed before.
+	Turns int
 }
 
 // Write asks for a conditional write of a program's record; its outcome comes back as Written. Version 0 creates
@@ -143,6 +157,10 @@
 	// granted is the part of the record's grants that is this host's.
 	granted int
 
+	// places holds where each session ran last, and under "" where the program did.
+	places map[string]Place
+	turns  int
+
 	writing bool
 	// recalling is set while the holder of a grant is asked; askedFor is the record's version at that time.
 	recalling bool
@@ -194,7 +212,7 @@
 	a, ok := l.accounts[t.Program]
 	if !ok {
 		if !l.ready {
-			return []Effect{Answer{ticket, NotReady}}
+			return []Effect{Answer{Ticket: ticket, Verdict: NotReady}}
 		}
 		a = l.open(t, trust)
 	}
@@ -205,7 +223,7 @@
 
 func (l *Ledger) open(t Turn, trust Trust) *account {
 	a := &account{
-		budget: t.Budget, most: t.Most, held: map[string]int{},
+		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{},
 		retention: clock.Millis(t.Retention.Milliseconds()),
 	}
 	_, recorded := l.records[t.Program]
@@ -223,7 +241,7 @@
 func (l *Ledger) admit(at clock.Millis, a *account, w waiting) []Effect {
 	t := w.turn
 	if _, again := a.held[t.Attempt]; again {
-		return []Effect{Answer{w.ticket, Allowed}}
+		return []Effect{a.allow(w)}
 	}
 	need := a.spent + a.heldTokens() + t.Most
 	r := l.records[t.Program]
@@ -237,10 +255,12 @@
 		a.recalling, a.askedFor = true, r.version
 		return []Effect{Recall{Program: t.Program, Holder: r.Holder}}
 	case a.closed || foreign+need > a.budget || need > a.limit && need+foreign > a.cap():
-		return append(l.close(at, t.Program, a), Answer{w.ticket, Spent})
+		return append(l.close(at, t.Program, a), Answer{Ticket: w.ticket, Verdict: Spent})
 	case need <= a.limit:
 		a.held[t.Attempt] = t.Most
-		return []Effect{Answer{w.ticket, Allowed}}
+		answer := a.allow(w)
+		a.turns++
+		return []Effect{answer}
 	}
 	a.waiting = append(a.waiting, w)
 	if a.writing || a.recalling {
@@ -249,6 +269,14 @@
 	return l.raise(t.Program, a, need)
 }
 
+func (a *account) allow(w waiting) Answer {
+	place, ok := a.places[w.turn.Session]
+	if !ok {
+		place = a.places[""]
+	}
+	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place, Turns: a.turns}
+}
+
 // raise asks for a grant that covers need tokens of this host.
 func (l *Ledger) raise(program string, a *account, need int) []Effect {
 	r := l.records[program]
@@ -311,7 +339,7 @@
 	a.waiting = nil
 	for _, w := range turns {
 		if !answered {
-			out = append(out, Answer{w.ticket, Unavailable})
+			out = append(out, Answer{Ticket: w.ticket, Verdict: Unavailable})
 			continue
 		}
 		out = append(out, l.admit(at, a, w)...)
@@ -331,18 +359,32 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiting) bool { return w.ticket == ticket })
 }
 
+// Settlement is the end of a turn.
+type Settlement struct {
+	Program string
+	Attempt string
+	Session string
+	// Tokens is what was handed to the caller.
+	Tokens int
+	// Place is where the turn ran; empty if it did not run.
+	Place Place
+}
+
 // Settle replaces the most of a turn by what was handed to its caller.
-func (l *Ledger) Settle(at clock.Millis, program, attempt string, tokens int) {
-	a, ok := l.accounts[program]
+func (l *Ledger) Settle(at clock.Millis, s Settlement) {
+	a, ok := l.accounts[s.Program]
 	if !ok {
 		return
 	}
-	if _, held := a.held[attempt]; !held {
+	if _, held := a.held[s.Attempt]; !held {
 		return
 	}
-	delete(a.held, attempt)
-	a.spent += tokens
+	delete(a.held, s.Attempt)
+	a.spent += s.Tokens
 	a.lastUse = at
+	if s.Place.Server != "" {
+		a.places[s.Session], a.places[""] = s.Place, s.Place
+	}
 }
 
 // Listed sets the records of all programs, by name, and makes the ledger ready.
@@ -380,6 +422,8 @@
 	Granted   int
 	Closed    bool
 	Retention int64 // in milliseconds
+	Places    map[string]Place
+	Turns     int
 }
 
 // Release removes and returns the accounts for which moves reports true. Those with a write under way stay.
@@ -391,7 +435,7 @@
 		}
 		out = append(out, Account{
 			Program: program, Budget: a.budget, Most: a.most, Spent: a.spent, Held: a.held, Limit: a.limit,
-			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention),
+			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention), Places: a.places, Turns: a.turns,
 		})
 		delete(l.accounts, program)
 	}
@@ -404,7 +448,7 @@
 	for _, m := range accounts {
 		a, ok := l.accounts[m.Program]
 		if !ok {
-			a = &account{held: map[string]int{}}
+			a = &account{held: map[string]int{}, places: map[string]Place{}}
 			l.accounts[m.Program] = a
 		}
 		a.budget, a.most = max(a.budget, m.Budget), max(a.most, m.Most)
@@ -415,6 +459,8 @@
 		a.granted += m.Granted
 		a.limit = max(a.limit, m.Limit, a.granted)
 		a.closed = a.closed || m.Closed
+		maps.Copy(a.places, m.Places)
+		a.turns += m.Turns
 		a.retention = max(a.retention, clock.Millis(m.Retention))
 		a.lastUse = at
 	}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -57,7 +57,7 @@
 	mu      sync.Mutex
 	ledger  *ledger.Ledger
 	tickets uint64
-	answers map[uint64]chan ledger.Verdict
+	answers map[uint64]chan ledger.Answer
 	// homes remembers which host granted a running turn, by attempt.
 	homes map[string]fleet.Host
 	// readyAt is when the records were first read.
@@ -69,7 +69,7 @@
 func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, available func() bool) *accounts {
 	a := &accounts{
 		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), available: available,
-		ledger: ledger.New(), answers: map[uint64]chan ledger.Verdict{}, homes: map[string]fleet.Host{},
+		ledger: ledger.New(), answers: map[uint64]chan ledger.Answer{}, homes: map[string]fleet.Host{},
 	}
 	node.Handle(wire.TypeReserve, a.serveReserve)
 	node.Handle(wire.TypeSettle, a.serveSettle)
@@ -79,9 +79,7 @@
 }
 
 type settlement struct {
-	Program string
-	Attempt string
-	Tokens  int
+	ledger.Settlement
 	// Forwarded is set on a settlement that a former home passed on.
 	Forwarded bool
 }
@@ -89,40 +87,43 @@
 var errNoHome = errors.New("no host accounts for the program now")
 
 // Reserve implements Budgets.
-func (a *accounts) Reserve(ctx context.Context, r Reservation) (string, error) {
-	turn := ledger.Turn{Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention}
+func (a *accounts) Reserve(ctx context.Context, r Reservation) (Allowance, error) {
+	turn := ledger.Turn{
+		Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention, Session: r.Session,
+	}
 	asked := 0
 	for _, h := range fleet.Ranked(a.homesOf(), r.Program) {
 		if asked == reserveHosts {
 			break
 		}
-		v, err := a.askPatiently(ctx, h, turn)
-		if v != ledger.NotReady {
+		answer, err := a.askPatiently(ctx, h, turn)
+		allowance := Allowance{Home: h.Name, Server: answer.Place.Server, Cached: answer.Place.Tokens, Turns: answer.Turns}
+		if answer.Verdict != ledger.NotReady {
 			asked++
 		}
 		if ctx.Err() != nil {
-			return h.Name, ctx.Err()
+			return allowance, ctx.Err()
 		}
 		if err != nil {
 			a.hosts.Reachable(h.Name, err)
 			continue
 		}
-		switch v {
+		switch answer.Verdict {
 		case ledger.Allowed:
 			a.mu.Lock()
 			a.homes[r.Attempt] = h
 			a.mu.Unlock()
-			return h.Name, nil
+			return allowance, nil
 		case ledger.Spent:
 			logging.Emit(logging.BudgetSpent, logging.Fields{
 				"request": r.Attempt, "program": r.Program, "budget": r.Budget, "most_tokens": r.Tokens, "home": h.Name,
 			})
-			return h.Name, ErrBudgetSpent
+			return allowance, ErrBudgetSpent
 		case ledger.Unavailable:
-			return h.Name, errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
+			return allowance, errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
 		}
 	}
-	return "", errNoHome
+	return Allowance{}, errNoHome
 }
 
 // homesOf returns the hosts that may account for programs.
@@ -138,10 +139,10 @@
 }
 
 // askPatiently asks a host again that waits for the store.
-func (a *accounts) askPatiently(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Verdict, error) {
+func (a *accounts) askPatiently(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Answer, error) {
 	for try := 1; ; try++ {
 		v, err := a.ask(ctx, h, turn)
-		if err != nil || v != ledger.Unavailable || try == reserveTries {
+		if err != nil || v.Verdict != ledger.Unavailable || try == reserveTries {
 			return v, err
 		}
 		select {
@@ -152,13 +153,13 @@
 	}
 }
 
-func (a *accounts) ask(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Verdict, error) {
+func (a *accounts) ask(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.Answer, error) {
 	if h.Name == a.self.Name {
 		return a.decide(ctx, turn), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	var v ledger.Verdict
+	var v ledger.Answer
 	err := a.node.Call(ctx, h.Peer, wire.TypeReserve, turn, &v)
 	return v, err
 }
@@ -188,16 +189,16 @@
 }
 
 // decide asks the ledger of this host.
-func (a *accounts) decide(ctx context.Context, turn ledger.Turn) ledger.Verdict {
+func (a *accounts) decide(ctx context.Context, turn ledger.Turn) ledger.Answer {
 	trust := a.trust(turn.Program)
 	a.mu.Lock()
 	if a.leaving {
 		a.mu.Unlock()
-		return ledger.NotReady
+		return ledger.Answer{Verdict: ledger.NotReady}
 	}
 	a.tickets++
 	ticket := a.tickets
-	answer := make(chan ledger.Verdict, 1)
+	answer := make(chan ledger.Answer, 1)
 	a.answers[ticket] = answer
 	effects := a.ledger.Reserve(a.clock.Now(), ticket, turn, trust)
 	a.apply(effects)
@@ -214,7 +215,7 @@
 	defer a.mu.Unlock()
 	delete(a.answers, ticket)
 	a.ledger.Abandon(ticket, turn.Program)
-	return ledger.Unavailable
+	return ledger.Answer{Verdict: ledger.Unavailable}
 }
 
 // apply carries out effects; a.mu is held.
@@ -224,7 +225,7 @@
 		case ledger.Answer:
 			if c, ok := a.answers[e.Ticket]; ok {
 				delete(a.answers, e.Ticket)
-				c <- e.Verdict
+				c <- e
 			}
 		case ledger.Write:
 			go a.write(e)
@@ -362,7 +363,7 @@
 }
 
 // Settle implements Budgets. It does not wait for the home.
-func (a *accounts) Settle(r Reservation, tokens int) {
+func (a *accounts) Settle(r Reservation, u Use) {
 	a.mu.Lock()
 	home, ok := a.homes[r.Attempt]
 	delete(a.homes, r.Attempt)
@@ -370,7 +371,10 @@
 	if !ok {
 		return
 	}
-	s := settlement{Program: r.Program, Attempt: r.Attempt, Tokens: tokens}
+	s := settlement{Settlement: ledger.Settlement{
+		Program: r.Program, Attempt: r.Attempt, Session: r.Session, Tokens: u.Tokens,
+		Place: ledger.Place{Server: u.Server, Tokens: u.Cached},
+	}}
 	if home.Name == a.self.Name {
 		a.settle(s)
 		return
@@ -397,7 +401,7 @@
 	a.mu.Lock()
 	known := a.ledger.Knows(s.Program)
 	if known {
-		a.ledger.Settle(a.clock.Now(), s.Program, s.Attempt, s.Tokens)
+		a.ledger.Settle(a.clock.Now(), s.Settlement)
 	}
 	a.mu.Unlock()
 	if known || s.Forwarded {
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -39,8 +39,7 @@
 	// deadline is the end of the caller's time or of the route's, whichever is first.
 	deadline time.Time
 
-	// home is the host that accounts for the program.
-	home string
+	allowance Allowance
 	// tokens is what was handed to the caller.
 	tokens   int
 	sends    int
@@ -109,13 +108,7 @@
 		},
 		MaxConns: x.table.Services[x.service].MaxConns,
 	}
-	if x.route.Kind == routing.Stream && x.call.Session != "" {
-		q.Session = x.call.Session
-		q.CachedTokens = x.call.PromptTokens
-		if r, ok := x.in.sessions.get(x.call.Session); ok {
-			q.Resident, q.CachedTokens = r.server, r.tokens
-		}
-	}
+	q.Resident, q.CachedTokens = x.allowance.Server, x.allowance.Cached
 	lease := x.in.servers.Acquire(q, placement.Default(), placement.LastResort())
 	if lease != nil {
 		x.server, x.load, x.loadAge = lease.ID(), lease.Load, lease.LoadAge
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -48,7 +48,6 @@
 	options  Options
 	headers  Headers
 	servers  *Servers
-	sessions *sessions
 	table    atomic.Pointer[routing.Table]
 	now      func() time.Time
 	scope    tally.Scope
@@ -64,16 +63,36 @@
 type Budgets interface {
 	// Reserve counts a turn at its most. A nil error allows the turn to run; ErrBudgetSpent refuses it for good, and
 	// any other error for now.
-	// home names the host that accounts for the program.
-	Reserve(ctx context.Context, r Reservation) (home string, err error)
+	Reserve(ctx context.Context, r Reservation) (Allowance, error)
 	// Settle replaces the most of a reserved turn by what was handed to the caller.
-	Settle(r Reservation, tokens int)
+	Settle(r Reservation, u Use)
+}
+
+// Allowance is what is known of a program when one of its turns is allowed.
+type Allowance struct {
+	// Home is the host that accounts for the program.
+	Home string
+	// Server is the engine that read the prompt so far, and Cached the tokens that it keeps; empty if there is none.
+	Server string
+	Cached int
+	// Turns is the number of turns that were allowed before.
+	Turns int
+}
+
+// Use is what became of a turn.
+type Use struct {
+	// Tokens is what was handed to the caller.
+	Tokens int
+	// Server is the engine that ran the turn whole, and Cached the tokens that it keeps; empty if none did.
+	Server string
+	Cached int
 }
 
 // Reservation is one turn of a program.
 type Reservation struct {
 	Program string
 	Attempt string
+	Session string
 	Budget  int
 	Tokens  int
 	// Retention is how long the program may come back.
@@ -85,7 +104,7 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h Headers, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	in := &Ingress{options: o, headers: h, servers: servers, sessions: newSessions(), now: time.Now, scope: scope, budgets: budgets}
+	in := &Ingress{options: o, headers: h, servers: servers, now: time.Now, scope: scope, budgets: budgets}
 	in.memory.Store(o.MemoryBytes)
 	return in
 }
@@ -228,7 +247,11 @@
 	f := s.run(ctx)
 	x.tokens = s.reader.events * x.table.EventTokens(x.service)
 	if reservation.Budget > 0 {
-		x.in.budgets.Settle(reservation, x.tokens)
+		u := Use{Tokens: x.tokens}
+		if f == nil {
+			u.Server, u.Cached = x.server, x.call.PromptTokens+x.tokens
+		}
+		x.in.budgets.Settle(reservation, u)
 	}
 	if f != nil && s.started {
 		f.status = 0
@@ -238,13 +261,13 @@
 
 func (x *exchange) reservation() Reservation {
 	return Reservation{
-		Program: x.call.Program, Attempt: x.call.Attempt, Budget: x.call.Budget, Tokens: x.call.MaxTokens, Retention: x.route.Retention,
+		Program: x.call.Program, Attempt: x.call.Attempt, Session: x.call.Session, Budget: x.call.Budget, Tokens: x.call.MaxTokens, Retention: x.route.Retention,
 	}
 }
 
 func (x *exchange) reserve(ctx context.Context, r Reservation) *failure {
-	home, err := x.in.budgets.Reserve(ctx, r)
-	x.home = home
+	allowance, err := x.in.budgets.Reserve(ctx, r)
+	x.allowance = allowance
 	switch {
 	case err == nil:
 		return nil
@@ -298,7 +321,7 @@
 	}
 	if x.call.Budget > 0 {
 		fields["budget"], fields["most_tokens"], fields["tokens"] = x.call.Budget, x.call.MaxTokens, x.tokens
-		fields["home"] = x.home
+		fields["home"] = x.allowance.Home
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -233,11 +233,8 @@
 type Query struct {
 	Service string
 	Request placement.Request
-	// Session places the turns of one session at the same server; empty for other requests.
-	Session string
-	// Resident is the server that ran the session's last turn, if this host knows it.
-	Resident string
-	// CachedTokens is the part of the prompt that the session's server is believed to keep.
+	// Resident is the server that is believed to keep CachedTokens of the prompt; empty if there is none.
+	Resident     string
 	CachedTokens int
 	// MaxConns is the number of connections that one server accepts from all hosts; 0 is no limit.
 	MaxConns int
@@ -257,12 +254,11 @@
 	offset := rand.IntN(len(list))
 	candidates := make([]placement.Candidate, len(list))
 	rotated := make([]*backend, len(list))
-	home := sessionServer(list, q, now)
 	for i := range list {
 		b := list[(i+offset)%len(list)]
 		rotated[i] = b
 		candidates[i] = s.candidate(b, q, now)
-		if b == home {
+		if b.info.ID == q.Resident {
 			candidates[i].Cached = min(q.CachedTokens, q.Request.PromptTokens)
 		}
 	}
@@ -304,28 +300,6 @@
 	return c
 }
 
-// sessionServer returns the server that is believed to keep the session's prompt: the one that ran its last turn,
-// or the one on which all hosts agree by hashing.
-func sessionServer(list []*backend, q Query, now time.Time) *backend {
-	if q.Session == "" {
-		return nil
-	}
-	var best *backend
-	bestRank := -1.0
-	for _, b := range list {
-		if b.info.ID == q.Resident {
-			return b
-		}
-		if b.info.Draining || now.Before(b.suspectUntil) {
-			continue
-		}
-		if rank := affinity(q.Session, b.info.ID); rank > bestRank {
-			best, bestRank = b, rank
-		}
-	}
-	return best
-}
-
 // connectionShare returns how many connections to one server this host may use.
 func (s *Servers) connectionShare(maxConns int) int {
 	return max(int(float64(maxConns)*(1-connectionReserve))/s.hosts, minConnections)
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -181,7 +181,6 @@
 		switch {
 		case readErr == io.EOF && len(s.reader.rest()) == 0:
 			s.runs++
-			s.in.sessions.put(s.call.Session, residence{server: lease.ID(), tokens: s.call.PromptTokens, at: s.in.now()})
 			return true, s.start(resp)
 		case readErr != nil:
 			err := errors.Wrapf(readErr, "stream of backend server %s", lease.ID())
