--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -17,6 +17,7 @@
 	ServerRemoved    = Declare(1132, Info, "backend server removed", "server", "service", "reason")
 	ServerLapsed     = Declare(1133, Warning, "backend server is missing after an outage of the store; it stays in use for 2 s", "server", "service")
 	ServerSuspect    = Declare(1134, Info, "backend server is left out after a failure", "server", "service", "error")
+	ServerSilent     = Declare(1136, Warning, "backend server sends nothing and takes no connections; its streams go on elsewhere", "server", "error")
 	ServerRejected   = Declare(1135, Warning, "entry of a backend server cannot be used", "server", "error")
 	HostListed       = Declare(1140, Info, "entry host joined or changed", "host", "incarnation", "address", "draining")
 	HostUnlisted     = Declare(1141, Info, "entry host left", "host", "reason")
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -155,3 +155,10 @@
 	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, HasConnection}
 	return p
 }
+
+// Spare returns the policy for a request's second copy, which must not delay others: sound servers with a free slot.
+func Spare() Policy {
+	p := Default()
+	p.Filters = append(p.Filters, FreeSlot)
+	return p
+}
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -20,6 +21,11 @@
 	repeatableRuns = 3
 	// maxAnswerBytes bounds the answer of a plain service, which is read whole before it is passed on.
 	maxAnswerBytes = 4 << 20
+	// hedgeObjectives is the multiple of a route's objective after which a repeatable request is sent to a second
+	// server: by then a sound server has answered, also a slow one.
+	hedgeObjectives = 1.5
+	// hedgeShare is the part of a request's time after which that happens if the route has no objective.
+	hedgeShare = 0.25
 	// placeRetry is the pause before a server is looked for again while all are full.
 	placeRetry = 5 * time.Millisecond
 	// placeWait bounds the wait for a place: a share of the time that the request has.
@@ -82,7 +88,7 @@
 	limit := time.Duration(float64(x.deadline.Sub(began)) * placeWait)
 	defer func() { x.waited += x.in.now().Sub(began) }()
 	for {
-		if lease := x.acquire(); lease != nil {
+		if lease := x.acquire(placement.Default(), placement.LastResort()); lease != nil {
 			return lease, nil
 		}
 		if x.in.now().Sub(began) >= limit {
@@ -98,7 +104,7 @@
 	}
 }
 
-func (x *exchange) acquire() *Lease {
+func (x *exchange) acquire(policies ...placement.Policy) *Lease {
 	q := Query{
 		Service: x.service,
 		Request: placement.Request{
@@ -109,8 +115,9 @@
 		MaxConns: x.table.Services[x.service].MaxConns,
 	}
 	q.Resident, q.CachedTokens = x.allowance.Server, x.allowance.Cached
-	lease := x.in.servers.Acquire(q, placement.Default(), placement.LastResort())
+	lease := x.in.servers.Acquire(q, policies...)
 	if lease != nil {
+		x.exclude(lease.ID())
 		x.server, x.load, x.loadAge = lease.ID(), lease.Load, lease.LoadAge
 	}
 	return lease
@@ -126,7 +133,6 @@
 		Wait:      x.deadline.Sub(x.in.now()),
 		LastEvent: lastEvent,
 	})
-	x.sends++
 	r := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body}
 	var answer Answer
 	resp, err := lease.Pool().Send(ctx, r, func(h http.Header) bool {
@@ -148,19 +154,6 @@
 	return ctx.Err() == nil && x.sends < maxSends && x.runs < x.maxRuns()
 }
 
-// noteFailure records a send that brought no answer. It reports whether the request may have run.
-func (x *exchange) noteFailure(ctx context.Context, lease *Lease, err error) {
-	x.last = err
-	x.exclude(lease.ID())
-	var f *upstream.Failure
-	if !errors.As(err, &f) || f.Sent {
-		x.runs++
-	}
-	if ctx.Err() == nil {
-		lease.Failed(err)
-	}
-}
-
 func (x *exchange) exclude(server string) {
 	if x.excluded == nil {
 		x.excluded = map[string]bool{}
@@ -168,51 +161,124 @@
 	x.excluded[server] = true
 }
 
+// outcome is what became of one send of a request to a plain service.
+type outcome struct {
+	server string
+	resp   *upstream.Response
+	body   []byte
+	// notRun is set if the server certainly did not run the request.
+	notRun bool
+	err    error
+}
+
 // complete runs a request of a plain service: it returns the whole answer of a backend server, or why there is
-// none.
+// none. A repeatable request that takes long is sent to a second server, and the first answer counts.
 func (x *exchange) complete(ctx context.Context) (*upstream.Response, []byte, *failure) {
-	for x.mayGoOn(ctx) {
-		lease, err := x.place(ctx)
-		if err != nil {
-			return nil, nil, x.noPlace(ctx, err)
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	outcomes := make(chan outcome, maxSends)
+	running := 0
+	launch := func(lease *Lease) {
+		running++
+		x.sends++
+		go func() { outcomes <- x.attempt(sending, lease) }()
+	}
+	hedge := time.NewTimer(x.hedgeAfter())
+	defer hedge.Stop()
+	for {
+		if running == 0 {
+			if !x.mayGoOn(ctx) {
+				return nil, nil, x.givenUp(ctx)
+			}
+			lease, err := x.place(ctx)
+			if err != nil {
+				return nil, nil, x.noPlace(ctx, err)
+			}
+			launch(lease)
 		}
-		resp, body, done := x.completeAt(ctx, lease)
-		lease.Release()
-		if done {
-			return resp, body, nil
+		select {
+		case o := <-outcomes:
+			running--
+			if x.accept(o) {
+				return o.resp, o.body, nil
+			}
+		case <-hedge.C:
+			if x.sends < maxSends && x.runs+running < x.maxRuns() {
+				if lease := x.acquire(placement.Spare()); lease != nil {
+					launch(lease)
+				}
+			}
+		case <-ctx.Done():
+			x.runs += running
+			return nil, nil, x.givenUp(ctx)
 		}
 	}
-	return nil, nil, x.givenUp(ctx)
 }
 
-func (x *exchange) completeAt(ctx context.Context, lease *Lease) (*upstream.Response, []byte, bool) {
+// hedgeAfter returns the time after which a repeatable request is sent to a second server.
+func (x *exchange) hedgeAfter() time.Duration {
+	switch {
+	case x.route.Kind != routing.Repeatable:
+		return math.MaxInt64
+	case x.route.Objective > 0:
+		return time.Duration(float64(x.route.Objective) * hedgeObjectives)
+	}
+	return time.Duration(float64(x.deadline.Sub(x.began)) * hedgeShare)
+}
+
+// attempt sends the request to one server and reads the whole answer.
+func (x *exchange) attempt(ctx context.Context, lease *Lease) outcome {
+	defer lease.Release()
+	o := outcome{server: lease.ID()}
 	resp, answer, err := x.send(ctx, lease, "")
 	if err != nil {
-		x.noteFailure(ctx, lease, err)
-		return nil, nil, false
+		var f *upstream.Failure
+		o.notRun = errors.As(err, &f) && !f.Sent
+		o.err = err
+		x.suspect(ctx, lease, err)
+		return o
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
+	o.resp = resp
+	o.body, err = io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
 	switch {
 	case answer.NotRun:
-		x.last = errors.Newf("backend server %s answered %d: not run", lease.ID(), resp.Status)
-		x.exclude(lease.ID())
-		return nil, nil, false
+		o.notRun = true
+		o.err = errors.Newf("backend server %s answered %d: not run", lease.ID(), resp.Status)
 	case err != nil:
-		x.noteFailure(ctx, lease, errors.Wrapf(err, "body of the answer of backend server %s", lease.ID()))
-		return nil, nil, false
+		o.err = errors.Wrapf(err, "body of the answer of backend server %s", lease.ID())
+		x.suspect(ctx, lease, o.err)
+	default:
+		if err := x.checkAnswer(resp, answer, len(o.body)); err != nil {
+			o.err = errors.Wrapf(err, "answer of backend server %s", lease.ID())
+			x.suspect(ctx, lease, o.err)
+		}
 	}
-	if err := x.checkAnswer(resp, answer, len(body)); err != nil {
-		x.noteFailure(ctx, lease, errors.Wrapf(err, "answer of backend server %s", lease.ID()))
-		return nil, nil, false
+	return o
+}
+
+// suspect marks a server that failed, unless the request was given up.
+func (x *exchange) suspect(ctx context.Context, lease *Lease, err error) {
+	if ctx.Err() == nil {
+		lease.Failed(err)
 	}
-	if resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() && x.runs+1 < x.maxRuns() {
+}
+
+// accept reports whether the outcome is the answer, and notes it otherwise.
+func (x *exchange) accept(o outcome) bool {
+	if !o.notRun {
 		x.runs++
-		x.exclude(lease.ID())
-		x.last = errors.Newf("backend server %s answered %d", lease.ID(), resp.Status)
-		return nil, nil, false
 	}
-	return resp, body, true
+	if o.err == nil && o.resp.Status >= http.StatusInternalServerError && x.route.MayRepeat() && x.runs < x.maxRuns() {
+		o.err = errors.Newf("backend server %s answered %d", o.server, o.resp.Status)
+	}
+	if o.err == nil {
+		x.server = o.server
+		return true
+	}
+	x.last = o.err
+	x.exclude(o.server)
+	return false
 }
 
 // checkAnswer reports an answer that cannot be the server's own.
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -48,6 +48,7 @@
 	options  Options
 	headers  Headers
 	servers  *Servers
+	watchdog *watchdog
 	table    atomic.Pointer[routing.Table]
 	now      func() time.Time
 	scope    tally.Scope
@@ -104,7 +105,7 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h Headers, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	in := &Ingress{options: o, headers: h, servers: servers, now: time.Now, scope: scope, budgets: budgets}
+	in := &Ingress{options: o, headers: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets}
 	in.memory.Store(o.MemoryBytes)
 	return in
 }
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -139,6 +139,7 @@
 	group.Go(func() error { h.sweep(work); return nil })
 	group.Go(func() error { h.accounts.run(work); return nil })
 	group.Go(func() error { h.beats.run(work); return nil })
+	group.Go(func() error { h.ingress.watchdog.run(work); return nil })
 	group.Go(func() error { h.register(work, h.self); return nil })
 	logging.Emit(logging.IngressStarted, logging.Fields{
 		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -30,6 +30,7 @@
 	pool *upstream.Pool
 	seen time.Time // when the entry was received
 
+	progress progress
 	inFlight int
 	// others is the load that other hosts caused at the last report, made at reported.
 	others   float64
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -15,6 +15,8 @@
 const (
 	// maxResumes bounds how often one stream is continued after it broke off.
 	maxResumes = 3
+	// defaultUrgency is the rank that an engine gives a request that names none.
+	defaultUrgency = 5
 	// streamBufferBytes is the most that is read from a stream at once; an event is about 100 bytes.
 	streamBufferBytes = 4 << 10
 	// writeSlack is how long after the request's deadline a write to a slow caller may still take.
@@ -33,10 +35,15 @@
 	resumes int
 	// same is the server that ran the stream before it broke off; it is asked first, because it may be alive.
 	same string
+	// watch is the send that is under way.
+	watch *watched
 	// firstEvent is when the first event was passed on.
 	firstEvent time.Time
 }
 
+// errNotRun means that the server said that it did not run the request.
+var errNotRun = errors.New("not run")
+
 // errCallerGone means that the answer cannot be written to the caller.
 var errCallerGone = errors.New("caller's connection failed")
 
@@ -49,6 +56,7 @@
 		if err != nil {
 			return s.noPlace(ctx, err)
 		}
+		s.sends++
 		done, err := s.runAt(ctx, lease)
 		lease.Release()
 		switch {
@@ -85,31 +93,56 @@
 }
 
 // runAt passes on what one server streams. done is set if the answer is whole.
-func (s *stream) runAt(ctx context.Context, lease *Lease) (done bool, err error) {
+func (s *stream) runAt(caller context.Context, lease *Lease) (done bool, err error) {
+	ctx, cancel := context.WithCancelCause(caller)
+	defer cancel(nil)
+	s.watch = s.watched(lease, cancel)
+	s.in.watchdog.add(s.watch)
+	defer s.in.watchdog.remove(s.watch)
+	done, err = s.exchangeAt(ctx, lease)
+	if cause := context.Cause(ctx); caller.Err() == nil && cause != nil {
+		err = errors.Wrapf(cause, "%v", err)
+	}
+	if err != nil && !errors.Is(err, errCallerGone) && !errors.Is(err, errNotRun) {
+		s.broke(caller, lease, err)
+	}
+	return done, err
+}
+
+// watched returns the entry of a send for the watchdog. Only a stream that may be asked for again is ended by it.
+func (s *stream) watched(lease *Lease, cancel context.CancelCauseFunc) *watched {
+	w := &watched{lease: lease, urgency: defaultUrgency, pause: s.route.PauseObjective, sent: s.in.now(), cancel: cancel}
+	if w.pause <= 0 {
+		w.pause = pauseDefault
+	}
+	if !s.route.MayRepeat() || s.resumes >= maxResumes {
+		w.cancel = func(error) {}
+	}
+	return w
+}
+
+func (s *stream) exchangeAt(ctx context.Context, lease *Lease) (done bool, err error) {
 	resp, answer, err := s.send(ctx, lease, s.reader.last)
 	if err != nil {
-		s.broke(ctx, lease, err)
 		return false, err
 	}
 	defer resp.Close()
 	if answer.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(resp, maxAnswerBytes))
 		s.last = errors.Newf("backend server %s answered %d: not run (%v)", lease.ID(), resp.Status, err)
-		s.exclude(lease.ID())
-		return false, s.last
+		return false, errors.Mark(s.last, errNotRun)
 	}
 	if resp.Status != http.StatusOK {
-		return s.passFailure(ctx, lease, resp, answer)
+		return s.passFailure(lease, resp, answer)
 	}
 	if err := s.checkAnswer(resp, answer, 0); err != nil {
-		s.broke(ctx, lease, err)
 		return false, err
 	}
-	return s.pass(ctx, lease, resp)
+	return s.pass(lease, resp)
 }
 
 // passFailure passes on an answer that is no stream.
-func (s *stream) passFailure(ctx context.Context, lease *Lease, resp *upstream.Response, answer Answer) (bool, error) {
+func (s *stream) passFailure(lease *Lease, resp *upstream.Response, answer Answer) (bool, error) {
 	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes+1))
 	if err == nil {
 		err = s.checkAnswer(resp, answer, len(body))
@@ -118,7 +151,6 @@
 		err = errors.Newf("backend server %s answered the continuation with %d", lease.ID(), resp.Status)
 	}
 	if err != nil {
-		s.broke(ctx, lease, err)
 		return false, err
 	}
 	s.runs++
@@ -132,6 +164,7 @@
 func (s *stream) broke(ctx context.Context, lease *Lease, err error) {
 	var f *upstream.Failure
 	dialFailed := errors.As(err, &f) && f.Dial
+	dead := errors.Is(err, errServerSilent)
 	s.last = err
 	s.reader.reset()
 	if ctx.Err() != nil {
@@ -141,10 +174,12 @@
 		return
 	}
 	s.resumes++
-	if dialFailed {
-		s.exclude(lease.ID())
+	switch {
+	case dialFailed:
 		lease.Failed(err)
-	} else {
+	case dead:
+		s.runs++
+	default:
 		s.runs++
 		s.same = lease.ID()
 	}
@@ -153,7 +188,7 @@
 	})
 }
 
-func (s *stream) pass(ctx context.Context, lease *Lease, resp *upstream.Response) (bool, error) {
+func (s *stream) pass(lease *Lease, resp *upstream.Response) (bool, error) {
 	buffer := make([]byte, streamBufferBytes)
 	first := s.reader.last
 	check := s.resumes > 0 && first != ""
@@ -161,19 +196,17 @@
 		n, readErr := resp.Read(buffer)
 		events, err := s.reader.take(buffer[:n])
 		if err != nil {
-			s.broke(ctx, lease, err)
 			return false, err
 		}
 		if check && len(events) > 0 {
 			check = false
 			if !follows(first, firstID(events)) {
 				s.reader.last = first
-				err := errors.Newf("backend server %s did not continue after event %s", lease.ID(), first)
-				s.broke(ctx, lease, err)
-				return false, err
+				return false, errors.Newf("backend server %s did not continue after event %s", lease.ID(), first)
 			}
 		}
 		if len(events) > 0 {
+			s.watch.noteEvent(s.in.now())
 			if err := s.write(resp, events); err != nil {
 				return false, err
 			}
@@ -183,9 +216,7 @@
 			s.runs++
 			return true, s.start(resp)
 		case readErr != nil:
-			err := errors.Wrapf(readErr, "stream of backend server %s", lease.ID())
-			s.broke(ctx, lease, err)
-			return false, err
+			return false, errors.Wrapf(readErr, "stream of backend server %s", lease.ID())
 		}
 	}
 }
