--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -50,6 +50,8 @@
 	Retention time.Duration
 	// Session is the line of turns within the program.
 	Session string
+	// Left is the time until the program should be finished.
+	Left time.Duration
 }
 
 // Place is where the prompt of a turn was read last.
@@ -113,6 +115,9 @@
 	Place Place
 	// Turns is the number of turns of the program that were allowed before.
 	Turns int
+	// Aim is the time that the program had at its first turn, and Lost what its turns took beyond an idle engine's
+	// time.
+	Aim, Lost time.Duration
 }
 
 // Write asks for a conditional write of a program's record; its outcome comes back as Written. Version 0 creates
@@ -160,6 +165,10 @@
 	// places holds where each session ran last, and under "" where the program did.
 	places map[string]Place
 	turns  int
+	// aim is the time left at the first turn. lost is what turns took beyond an idle engine's time; turns of helpers
+	// run side by side, so that only the first session's count.
+	aim, lost time.Duration
+	first     string
 
 	writing bool
 	// recalling is set while the holder of a grant is asked; askedFor is the record's version at that time.
@@ -223,7 +232,7 @@
 
 func (l *Ledger) open(t Turn, trust Trust) *account {
 	a := &account{
-		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{},
+		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{}, aim: t.Left, first: t.Session,
 		retention: clock.Millis(t.Retention.Milliseconds()),
 	}
 	_, recorded := l.records[t.Program]
@@ -274,7 +283,7 @@
 	if !ok {
 		place = a.places[""]
 	}
-	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place, Turns: a.turns}
+	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place, Turns: a.turns, Aim: a.aim, Lost: a.lost}
 }
 
 // raise asks for a grant that covers need tokens of this host.
@@ -368,6 +377,8 @@
 	Tokens int
 	// Place is where the turn ran; empty if it did not run.
 	Place Place
+	// Lost is what the turn took beyond an idle engine's time.
+	Lost time.Duration
 }
 
 // Settle replaces the most of a turn by what was handed to its caller.
@@ -382,6 +393,9 @@
 	delete(a.held, s.Attempt)
 	a.spent += s.Tokens
 	a.lastUse = at
+	if s.Session == a.first {
+		a.lost += s.Lost
+	}
 	if s.Place.Server != "" {
 		a.places[s.Session], a.places[""] = s.Place, s.Place
 	}
@@ -424,6 +438,8 @@
 	Retention int64 // in milliseconds
 	Places    map[string]Place
 	Turns     int
+	Aim, Lost time.Duration
+	First     string
 }
 
 // Release removes and returns the accounts for which moves reports true. Those with a write under way stay.
@@ -436,6 +452,7 @@
 		out = append(out, Account{
 			Program: program, Budget: a.budget, Most: a.most, Spent: a.spent, Held: a.held, Limit: a.limit,
 			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention), Places: a.places, Turns: a.turns,
+			Aim: a.aim, Lost: a.lost, First: a.first,
 		})
 		delete(l.accounts, program)
 	}
@@ -461,6 +478,10 @@
 		a.closed = a.closed || m.Closed
 		maps.Copy(a.places, m.Places)
 		a.turns += m.Turns
+		a.lost += m.Lost
+		if m.Aim > a.aim {
+			a.aim, a.first = m.Aim, m.First
+		}
 		a.retention = max(a.retention, clock.Millis(m.Retention))
 		a.lastUse = at
 	}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -32,6 +32,8 @@
 	// reserveTries and reservePause bound how often a host is asked that waits for the store.
 	reserveTries = 3
 	reservePause = 60 * time.Millisecond
+	// noHomeWait bounds the wait for a host that accounts for a program: a host is ready within it after its start.
+	noHomeWait = 600 * time.Millisecond
 	// settledAfter is how long after its start a host trusts that the others have handed their accounts over.
 	settledAfter = 3 * time.Second
 	// settleTries and settlePause bound how often a settlement is sent; it must arrive within the second after which
@@ -86,46 +88,71 @@
 
 var errNoHome = errors.New("no host accounts for the program now")
 
-// Reserve implements Budgets.
+// Reserve implements Budgets. While no host can account for the program, it asks again for a short time: hosts that
+// start or leave are ready, or known to be gone, soon.
 func (a *accounts) Reserve(ctx context.Context, r Reservation) (Allowance, error) {
 	turn := ledger.Turn{
-		Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention, Session: r.Session,
+		Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention,
+		Session: r.Session, Left: r.Left,
 	}
+	for began := time.Now(); ; {
+		allowance, err := a.reserveOnce(ctx, turn)
+		if !errors.Is(err, errNoHome) || time.Since(began) > noHomeWait {
+			return allowance, err
+		}
+		select {
+		case <-time.After(reservePause):
+		case <-ctx.Done():
+			return allowance, ctx.Err()
+		}
+	}
+}
+
+// reserveOnce asks the hosts that may account for the program, in the order of their ranks.
+func (a *accounts) reserveOnce(ctx context.Context, turn ledger.Turn) (Allowance, error) {
 	asked := 0
-	for _, h := range fleet.Ranked(a.homesOf(), r.Program) {
+	for _, h := range fleet.Ranked(a.homesOf(), turn.Program) {
 		if asked == reserveHosts {
 			break
 		}
 		answer, err := a.askPatiently(ctx, h, turn)
-		allowance := Allowance{Home: h.Name, Server: answer.Place.Server, Cached: answer.Place.Tokens, Turns: answer.Turns}
-		if answer.Verdict != ledger.NotReady {
-			asked++
-		}
 		if ctx.Err() != nil {
-			return allowance, ctx.Err()
+			return Allowance{}, ctx.Err()
 		}
 		if err != nil {
+			asked++
 			a.hosts.Reachable(h.Name, err)
 			continue
 		}
-		switch answer.Verdict {
-		case ledger.Allowed:
-			a.mu.Lock()
-			a.homes[r.Attempt] = h
-			a.mu.Unlock()
-			return allowance, nil
-		case ledger.Spent:
-			logging.Emit(logging.BudgetSpent, logging.Fields{
-				"request": r.Attempt, "program": r.Program, "budget": r.Budget, "most_tokens": r.Tokens, "home": h.Name,
-			})
-			return allowance, ErrBudgetSpent
-		case ledger.Unavailable:
-			return allowance, errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
+		if answer.Verdict != ledger.NotReady {
+			return a.conclude(h, turn, answer)
 		}
 	}
 	return Allowance{}, errNoHome
 }
 
+// conclude turns a home's answer into an allowance or an error.
+func (a *accounts) conclude(h fleet.Host, turn ledger.Turn, answer ledger.Answer) (Allowance, error) {
+	allowance := Allowance{
+		Home: h.Name, Server: answer.Place.Server, Cached: answer.Place.Tokens,
+		Turns: answer.Turns, Aim: answer.Aim, Lost: answer.Lost,
+	}
+	switch answer.Verdict {
+	case ledger.Allowed:
+		a.mu.Lock()
+		a.homes[turn.Attempt] = h
+		a.mu.Unlock()
+		return allowance, nil
+	case ledger.Spent:
+		logging.Emit(logging.BudgetSpent, logging.Fields{
+			"request": turn.Attempt, "program": turn.Program, "budget": turn.Budget, "most_tokens": turn.Most, "home": h.Name,
+		})
+		return allowance, ErrBudgetSpent
+	default:
+		return allowance, errors.Newf("host %s: program needs a grant and the store gives none", h.Name)
+	}
+}
+
 // homesOf returns the hosts that may account for programs.
 func (a *accounts) homesOf() []fleet.Host {
 	live := a.hosts.Live()
@@ -372,7 +399,7 @@
 		return
 	}
 	s := settlement{Settlement: ledger.Settlement{
-		Program: r.Program, Attempt: r.Attempt, Session: r.Session, Tokens: u.Tokens,
+		Program: r.Program, Attempt: r.Attempt, Session: r.Session, Tokens: u.Tokens, Lost: u.Lost,
 		Place: ledger.Place{Server: u.Server, Tokens: u.Cached},
 	}}
 	if home.Name == a.self.Name {
@@ -501,6 +528,13 @@
 	}
 }
 
+// ready reports whether the records have been read.
+func (a *accounts) ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.readyAt.IsZero()
+}
+
 // incarnations names a set of hosts and their starts.
 func incarnations(hosts []fleet.Host) string {
 	var b strings.Builder
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -53,6 +53,9 @@
 	return f.changed.Load() >= revision || f.listed.Load() >= revision
 }
 
+// Listed reports whether the objects were listed at least once.
+func (f *Feed) Listed() bool { return f.listed.Load() > 0 }
+
 // Changed returns the revision of the newest object that was seen.
 func (f *Feed) Changed() objectapi.Version { return objectapi.Version(f.changed.Load()) }
 
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -46,6 +46,7 @@
 	deadline time.Time
 
 	allowance Allowance
+	urgency   int
 	// tokens is what was handed to the caller.
 	tokens   int
 	sends    int
@@ -131,6 +132,7 @@
 	x.in.headers.Encode(h, Forwarded{
 		Server:    lease.ID(),
 		Wait:      x.deadline.Sub(x.in.now()),
+		Urgency:   x.urgency,
 		LastEvent: lastEvent,
 	})
 	r := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
@@ -78,6 +79,9 @@
 	Cached int
 	// Turns is the number of turns that were allowed before.
 	Turns int
+	// Aim is the time that the program had at its first turn, and Lost what its turns took beyond an idle engine's
+	// time.
+	Aim, Lost time.Duration
 }
 
 // Use is what became of a turn.
@@ -87,6 +91,8 @@
 	// Server is the engine that ran the turn whole, and Cached the tokens that it keeps; empty if none did.
 	Server string
 	Cached int
+	// Lost is what the turn took beyond an idle engine's time.
+	Lost time.Duration
 }
 
 // Reservation is one turn of a program.
@@ -98,6 +104,8 @@
 	Tokens  int
 	// Retention is how long the program may come back.
 	Retention time.Duration
+	// Left is the time until the program should be finished.
+	Left time.Duration
 }
 
 // ErrBudgetSpent means that the program's budget does not hold the turn.
@@ -238,17 +246,22 @@
 		}
 		return nil
 	}
+	x.urgency = placement.DefaultUrgency
 	s := &stream{exchange: x, w: w, rc: http.NewResponseController(w)}
 	reservation := x.reservation()
 	if reservation.Budget > 0 {
 		if f := x.reserve(ctx, reservation); f != nil {
 			return f
 		}
+		x.urgency = placement.Urgency(placement.Progress{
+			Turns: x.allowance.Turns, Aim: x.allowance.Aim, Lost: x.allowance.Lost, Left: x.call.ProgramWait,
+			Priority: x.route.Priority,
+		})
 	}
 	f := s.run(ctx)
 	x.tokens = s.reader.events * x.table.EventTokens(x.service)
 	if reservation.Budget > 0 {
-		u := Use{Tokens: x.tokens}
+		u := Use{Tokens: x.tokens, Lost: placement.LostTime(x.in.now().Sub(x.began), x.tokens)}
 		if f == nil {
 			u.Server, u.Cached = x.server, x.call.PromptTokens+x.tokens
 		}
@@ -262,7 +275,8 @@
 
 func (x *exchange) reservation() Reservation {
 	return Reservation{
-		Program: x.call.Program, Attempt: x.call.Attempt, Session: x.call.Session, Budget: x.call.Budget, Tokens: x.call.MaxTokens, Retention: x.route.Retention,
+		Program: x.call.Program, Attempt: x.call.Attempt, Session: x.call.Session, Budget: x.call.Budget, Tokens: x.call.MaxTokens,
+		Retention: x.route.Retention, Left: x.call.ProgramWait,
 	}
 }
 
@@ -331,6 +345,9 @@
 		fields["route"] = x.route.Name
 		tags["kind"] = x.route.Kind.String()
 	}
+	if x.urgency > 0 {
+		fields["urgency"] = x.urgency
+	}
 	if x.server != "" {
 		fields["server"] = x.server
 		fields["load"] = int(x.load)
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -216,7 +216,17 @@
 }
 
 func (h *Host) ready() bool {
-	return !h.ingress.draining.Load() && h.ingress.table.Load() != nil
+	return !h.ingress.draining.Load() && h.complete()
+}
+
+// complete reports whether the host knows all that it needs to serve callers.
+func (h *Host) complete() bool {
+	for _, f := range h.beats.feeds {
+		if !f.Listed() {
+			return false
+		}
+	}
+	return h.ingress.table.Load() != nil && h.accounts.ready()
 }
 
 func (h *Host) sweep(ctx context.Context) {
@@ -312,8 +322,18 @@
 // registerRetry is the pause after the own entry could not be written.
 const registerRetry = 500 * time.Millisecond
 
-// register writes this host's entry, over the one of an earlier incarnation.
+// completePoll is how often a starting host looks whether it can serve callers.
+const completePoll = 20 * time.Millisecond
+
+// register writes this host's entry, over the one of an earlier incarnation, once the host can serve callers.
 func (h *Host) register(ctx context.Context, self fleet.Host) {
+	for !h.complete() {
+		select {
+		case <-time.After(completePoll):
+		case <-ctx.Done():
+			return
+		}
+	}
 	for ctx.Err() == nil {
 		err := h.writeEntry(ctx, self)
 		if err == nil {
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -15,8 +15,6 @@
 const (
 	// maxResumes bounds how often one stream is continued after it broke off.
 	maxResumes = 3
-	// defaultUrgency is the rank that an engine gives a request that names none.
-	defaultUrgency = 5
 	// streamBufferBytes is the most that is read from a stream at once; an event is about 100 bytes.
 	streamBufferBytes = 4 << 10
 	// writeSlack is how long after the request's deadline a write to a slow caller may still take.
@@ -111,7 +109,7 @@
 
 // watched returns the entry of a send for the watchdog. Only a stream that may be asked for again is ended by it.
 func (s *stream) watched(lease *Lease, cancel context.CancelCauseFunc) *watched {
-	w := &watched{lease: lease, urgency: defaultUrgency, pause: s.route.PauseObjective, sent: s.in.now(), cancel: cancel}
+	w := &watched{lease: lease, urgency: s.urgency, pause: s.route.PauseObjective, sent: s.in.now(), cancel: cancel}
 	if w.pause <= 0 {
 		w.pause = pauseDefault
 	}
