Let fresh programs wait at the hosts; weigh the reading of a prompt four times

Cause: saturated engines read 590 tokens a turn where 390 are new: turns moved for a small difference of load. Conclusion: a moved prompt costs the engine as much as the turn itself.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -104,24 +104,25 @@
 	// prefillTokensPerMS is the rate at which an engine reads a prompt that it does not keep; the deployments'
 	// pages say 85 and 101.
 	prefillTokensPerMS = 85.0
-	// slotMS is the delay that one more running request adds to an engine's answer of about 10 steps.
-	slotMS = 3.0
-	// queueMS is the delay that one request in the server's queue adds.
-	queueMS = 25.0
+	// prefillCost counts the reading of a prompt twice: it delays the request, and the others at the server.
+	prefillCost = 4.0
+	// runningMS is the delay by one more running request: on the played days a turn took 210 ms at 2 requests and
+	// 316 ms at 12.
+	runningMS = 1.0
+	// queuedMS is the delay by one more request in a full server's queue: a turn's 400 ms over 16 slots.
+	queuedMS = 10.0
 )
 
 // Load scores the expected delay from the server's load.
 func Load(_ Request, c Candidate) float64 {
-	slots := float64(c.Server.Slots)
-	if c.Load < slots {
-		return c.Load * slotMS * 6 / slots
-	}
-	return slotMS*6 + (c.Load-slots+1)*queueMS*6/slots
+	running := min(c.Load, float64(c.Server.Slots))
+	queued := max(c.Load-float64(c.Server.Slots)+1, 0)
+	return running*runningMS + queued*queuedMS
 }
 
 // Prefill scores the time to read the part of the prompt that the server does not keep.
 func Prefill(r Request, c Candidate) float64 {
-	return float64(r.PromptTokens-c.Cached) / prefillTokensPerMS
+	return prefillCost * float64(r.PromptTokens-c.Cached) / prefillTokensPerMS
 }
 
 // Distance scores servers in other failure domains.
@@ -135,7 +136,7 @@
 // Cold scores servers that were started lately.
 func Cold(_ Request, c Candidate) float64 {
 	if c.Server.ColdFor > 0 {
-		return queueMS
+		return queuedMS
 	}
 	return 0
 }
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -26,10 +26,6 @@
 	hedgeObjectives = 1.5
 	// hedgeShare is the part of a request's time after which that happens if the route has no objective.
 	hedgeShare = 0.25
-	// placeRetry is the pause before a server is looked for again while all are full.
-	placeRetry = 5 * time.Millisecond
-	// placeWait bounds the wait for a place: a share of the time that the request has.
-	placeWait = 0.25
 )
 
 // exchange is one caller's request on its way.
@@ -46,7 +42,8 @@
 	deadline time.Time
 
 	allowance Allowance
-	urgency   int
+	// standing is how the request's program stands; the zero value is a request of a program under way.
+	standing placement.Standing
 	// tokens is what was handed to the caller.
 	tokens   int
 	sends    int
@@ -86,44 +83,55 @@
 // place waits for a server that takes the request.
 func (x *exchange) place(ctx context.Context) (*Lease, error) {
 	began := x.in.now()
-	limit := time.Duration(float64(x.deadline.Sub(began)) * placeWait)
 	defer func() { x.waited += x.in.now().Sub(began) }()
-	for {
-		if lease := x.acquire(placement.Default(), placement.LastResort()); lease != nil {
-			return lease, nil
-		}
-		if x.in.now().Sub(began) >= limit {
-			return nil, errNoServer
-		}
-		timer := time.NewTimer(placeRetry)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, ctx.Err()
-		}
+	left := x.deadline.Sub(began)
+	plan := placement.PlanFor(x.standing, left)
+	lease := x.acquire(plan.Policies...)
+	if lease == nil {
+		lease = x.in.servers.Wait(ctx, x.query(), plan, func() int {
+			return placement.Rank(x.standing, x.in.now().Sub(began))
+		})
+		x.note(lease)
+	}
+	switch {
+	case lease != nil:
+		return lease, nil
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
 	}
+	return nil, errNoServer
 }
 
-func (x *exchange) acquire(policies ...placement.Policy) *Lease {
-	q := Query{
+// query describes the request to the servers.
+func (x *exchange) query() Query {
+	return Query{
 		Service: x.service,
 		Request: placement.Request{
 			PromptTokens:  x.call.PromptTokens,
 			FailureDomain: x.in.options.FailureDomain,
 			Excluded:      x.excluded,
 		},
-		MaxConns: x.table.Services[x.service].MaxConns,
-	}
-	q.Resident, q.CachedTokens = x.allowance.Server, x.allowance.Cached
-	lease := x.in.servers.Acquire(q, policies...)
-	if lease != nil {
-		x.exclude(lease.ID())
-		x.server, x.load, x.loadAge = lease.ID(), lease.Load, lease.LoadAge
+		MaxConns:     x.table.Services[x.service].MaxConns,
+		Resident:     x.allowance.Server,
+		CachedTokens: x.allowance.Cached,
 	}
+}
+
+func (x *exchange) acquire(policies ...placement.Policy) *Lease {
+	lease := x.in.servers.Acquire(x.query(), policies...)
+	x.note(lease)
 	return lease
 }
 
+// note records the server that was chosen; it is not chosen again for this request.
+func (x *exchange) note(lease *Lease) {
+	if lease == nil {
+		return
+	}
+	x.exclude(lease.ID())
+	x.server, x.load, x.loadAge = lease.ID(), lease.Load, lease.LoadAge
+}
+
 // send offers the request to one server. The answer belongs to the request; lease and answer must be ended by the
 // caller.
 func (x *exchange) send(ctx context.Context, lease *Lease, lastEvent string) (*upstream.Response, Answer, error) {
@@ -132,7 +140,6 @@
 	x.in.headers.Encode(h, Forwarded{
 		Server:    lease.ID(),
 		Wait:      x.deadline.Sub(x.in.now()),
-		Urgency:   x.urgency,
 		LastEvent: lastEvent,
 	})
 	r := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: h, Body: x.body}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -246,16 +246,14 @@
 		}
 		return nil
 	}
-	x.urgency = placement.DefaultUrgency
 	s := &stream{exchange: x, w: w, rc: http.NewResponseController(w)}
 	reservation := x.reservation()
 	if reservation.Budget > 0 {
 		if f := x.reserve(ctx, reservation); f != nil {
 			return f
 		}
-		x.urgency = placement.Urgency(placement.Progress{
+		x.standing = placement.StandingOf(placement.Progress{
 			Turns: x.allowance.Turns, Aim: x.allowance.Aim, Lost: x.allowance.Lost, Left: x.call.ProgramWait,
-			Priority: x.route.Priority,
 		})
 	}
 	f := s.run(ctx)
@@ -337,6 +335,7 @@
 	if x.call.Budget > 0 {
 		fields["budget"], fields["most_tokens"], fields["tokens"] = x.call.Budget, x.call.MaxTokens, x.tokens
 		fields["home"] = x.allowance.Home
+		fields["standing"] = x.standing.Class.String()
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
@@ -345,9 +344,6 @@
 		fields["route"] = x.route.Name
 		tags["kind"] = x.route.Kind.String()
 	}
-	if x.urgency > 0 {
-		fields["urgency"] = x.urgency
-	}
 	if x.server != "" {
 		fields["server"] = x.server
 		fields["load"] = int(x.load)
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -236,6 +236,7 @@
 		select {
 		case <-ticker.C:
 			h.servers.Sweep()
+			h.servers.Dispatch()
 		case <-ctx.Done():
 			return
 		}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -52,6 +52,8 @@
 	hosts     int // hosts that share a server's connections
 	// remote holds what the other hosts said of their requests at each server, by host.
 	remote map[string]remoteLoad
+	// waiting holds the requests that wait for a place, by service.
+	waiting map[string][]*waiter
 }
 
 // remoteLoad is what another host has at the servers.
@@ -69,7 +71,7 @@
 
 // NewServers returns an empty set. opened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, opened func()) *Servers {
-	return &Servers{now: now, opened: opened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hosts: 1, remote: map[string]remoteLoad{}}
+	return &Servers{now: now, opened: opened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hosts: 1, remote: map[string]remoteLoad{}, waiting: map[string][]*waiter{}}
 }
 
 // SetHosts sets the number of hosts that share the servers' connections.
@@ -209,6 +211,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.remote[host] = remoteLoad{inFlight: inFlight, at: at}
+	for service := range s.waiting {
+		s.dispatch(service)
+	}
 }
 
 // load returns the estimate of all requests at the server.
@@ -246,6 +251,10 @@
 func (s *Servers) Acquire(q Query, policies ...placement.Policy) *Lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.acquire(q, policies)
+}
+
+func (s *Servers) acquire(q Query, policies []placement.Policy) *Lease {
 	list := s.byService[q.Service]
 	if len(list) == 0 {
 		return nil
@@ -336,6 +345,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.backend.inFlight--
+	s.dispatch(l.backend.info.Service)
 }
 
 // Failed marks the server as suspect.
