--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -50,8 +50,6 @@
 	Retention time.Duration
 	// Session is the line of turns within the program.
 	Session string
-	// Left is the time until the program should be finished.
-	Left time.Duration
 }
 
 // Place is where the prompt of a turn was read last.
@@ -113,11 +111,6 @@
 	Verdict Verdict
 	// Place is where the session ran last, or the program if the session is new; empty if neither ran.
 	Place Place
-	// Turns is the number of turns of the program that were allowed before.
-	Turns int
-	// Aim is the time that the program had at its first turn, and Lost what its turns took beyond an idle engine's
-	// time.
-	Aim, Lost time.Duration
 }
 
 // Write asks for a conditional write of a program's record; its outcome comes back as Written. Version 0 creates
@@ -164,11 +157,6 @@
 
 	// places holds where each session ran last, and under "" where the program did.
 	places map[string]Place
-	turns  int
-	// aim is the time left at the first turn. lost is what turns took beyond an idle engine's time; turns of helpers
-	// run side by side, so that only the first session's count.
-	aim, lost time.Duration
-	first     string
 
 	writing bool
 	// recalling is set while the holder of a grant is asked; askedFor is the record's version at that time.
@@ -232,7 +220,7 @@
 
 func (l *Ledger) open(t Turn, trust Trust) *account {
 	a := &account{
-		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{}, aim: t.Left, first: t.Session,
+		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{},
 		retention: clock.Millis(t.Retention.Milliseconds()),
 	}
 	_, recorded := l.records[t.Program]
@@ -267,9 +255,7 @@
 		return append(l.close(at, t.Program, a), Answer{Ticket: w.ticket, Verdict: Spent})
 	case need <= a.limit:
 		a.held[t.Attempt] = t.Most
-		answer := a.allow(w)
-		a.turns++
-		return []Effect{answer}
+		return []Effect{a.allow(w)}
 	}
 	a.waiting = append(a.waiting, w)
 	if a.writing || a.recalling {
@@ -283,7 +269,7 @@
 	if !ok {
 		place = a.places[""]
 	}
-	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place, Turns: a.turns, Aim: a.aim, Lost: a.lost}
+	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place}
 }
 
 // raise asks for a grant that covers need tokens of this host.
@@ -377,8 +363,6 @@
 	Tokens int
 	// Place is where the turn ran; empty if it did not run.
 	Place Place
-	// Lost is what the turn took beyond an idle engine's time.
-	Lost time.Duration
 }
 
 // Settle replaces the most of a turn by what was handed to its caller.
@@ -393,9 +377,6 @@
 	delete(a.held, s.Attempt)
 	a.spent += s.Tokens
 	a.lastUse = at
-	if s.Session == a.first {
-		a.lost += s.Lost
-	}
 	if s.Place.Server != "" {
 		a.places[s.Session], a.places[""] = s.Place, s.Place
 	}
@@ -437,9 +418,6 @@
 	Closed    bool
 	Retention int64 // in milliseconds
 	Places    map[string]Place
-	Turns     int
-	Aim, Lost time.Duration
-	First     string
 }
 
 // Release removes and returns the accounts for which moves reports true. Those with a write under way stay.
@@ -451,8 +429,7 @@
 		}
 		out = append(out, Account{
 			Program: program, Budget: a.budget, Most: a.most, Spent: a.spent, Held: a.held, Limit: a.limit,
-			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention), Places: a.places, Turns: a.turns,
-			Aim: a.aim, Lost: a.lost, First: a.first,
+			Granted: a.granted, Closed: a.closed, Retention: int64(a.retention), Places: a.places,
 		})
 		delete(l.accounts, program)
 	}
@@ -477,11 +454,6 @@
 		a.limit = max(a.limit, m.Limit, a.granted)
 		a.closed = a.closed || m.Closed
 		maps.Copy(a.places, m.Places)
-		a.turns += m.Turns
-		a.lost += m.Lost
-		if m.Aim > a.aim {
-			a.aim, a.first = m.Aim, m.First
-		}
 		a.retention = max(a.retention, clock.Millis(m.Retention))
 		a.lastUse = at
 	}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -93,7 +93,7 @@
 func (a *accounts) Reserve(ctx context.Context, r Reservation) (Allowance, error) {
 	turn := ledger.Turn{
 		Program: r.Program, Attempt: r.Attempt, Budget: r.Budget, Most: r.Tokens, Retention: r.Retention,
-		Session: r.Session, Left: r.Left,
+		Session: r.Session,
 	}
 	for began := time.Now(); ; {
 		allowance, err := a.reserveOnce(ctx, turn)
@@ -133,10 +133,7 @@
 
 // conclude turns a home's answer into an allowance or an error.
 func (a *accounts) conclude(h fleet.Host, turn ledger.Turn, answer ledger.Answer) (Allowance, error) {
-	allowance := Allowance{
-		Home: h.Name, Server: answer.Place.Server, Cached: answer.Place.Tokens,
-		Turns: answer.Turns, Aim: answer.Aim, Lost: answer.Lost,
-	}
+	allowance := Allowance{Home: h.Name, Server: answer.Place.Server, Cached: answer.Place.Tokens}
 	switch answer.Verdict {
 	case ledger.Allowed:
 		a.mu.Lock()
@@ -399,7 +396,7 @@
 		return
 	}
 	s := settlement{Settlement: ledger.Settlement{
-		Program: r.Program, Attempt: r.Attempt, Session: r.Session, Tokens: u.Tokens, Lost: u.Lost,
+		Program: r.Program, Attempt: r.Attempt, Session: r.Session, Tokens: u.Tokens,
 		Place: ledger.Place{Server: u.Server, Tokens: u.Cached},
 	}}
 	if home.Name == a.self.Name {
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -21,6 +21,8 @@
 	repeatableRuns = 3
 	// maxAnswerBytes bounds the answer of a plain service, which is read whole before it is passed on.
 	maxAnswerBytes = 4 << 20
+	// holdShare is the part of a request's time that it may wait for a place.
+	holdShare = 0.25
 	// hedgeObjectives is the multiple of a route's objective after which a repeatable request is sent to a second
 	// server: by then a sound server has answered, also a slow one.
 	hedgeObjectives = 1.5
@@ -42,8 +44,6 @@
 	deadline time.Time
 
 	allowance Allowance
-	// standing is how the request's program stands; the zero value is a request of a program under way.
-	standing placement.Standing
 	// tokens is what was handed to the caller.
 	tokens   int
 	sends    int
@@ -84,13 +84,10 @@
 func (x *exchange) place(ctx context.Context) (*Lease, error) {
 	began := x.in.now()
 	defer func() { x.waited += x.in.now().Sub(began) }()
-	left := x.deadline.Sub(began)
-	plan := placement.PlanFor(x.standing, left)
-	lease := x.acquire(plan.Policies...)
+	lease := x.acquire(placement.Default(), placement.LastResort())
 	if lease == nil {
-		lease = x.in.servers.Wait(ctx, x.query(), plan, func() int {
-			return placement.Rank(x.standing, x.in.now().Sub(began))
-		})
+		hold := time.Duration(float64(x.deadline.Sub(began)) * holdShare)
+		lease = x.in.servers.Wait(ctx, x.query(), x.route.Priority, hold)
 		x.note(lease)
 	}
 	switch {
@@ -254,6 +251,7 @@
 	case answer.NotRun:
 		o.notRun = true
 		o.err = errors.Newf("backend server %s answered %d: not run", lease.ID(), resp.Status)
+		lease.Refused()
 	case err != nil:
 		o.err = errors.Wrapf(err, "body of the answer of backend server %s", lease.ID())
 		x.suspect(ctx, lease, o.err)
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -17,7 +17,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
-	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
@@ -77,11 +76,6 @@
 	// Server is the engine that read the prompt so far, and Cached the tokens that it keeps; empty if there is none.
 	Server string
 	Cached int
-	// Turns is the number of turns that were allowed before.
-	Turns int
-	// Aim is the time that the program had at its first turn, and Lost what its turns took beyond an idle engine's
-	// time.
-	Aim, Lost time.Duration
 }
 
 // Use is what became of a turn.
@@ -91,8 +85,6 @@
 	// Server is the engine that ran the turn whole, and Cached the tokens that it keeps; empty if none did.
 	Server string
 	Cached int
-	// Lost is what the turn took beyond an idle engine's time.
-	Lost time.Duration
 }
 
 // Reservation is one turn of a program.
@@ -104,8 +96,6 @@
 	Tokens  int
 	// Retention is how long the program may come back.
 	Retention time.Duration
-	// Left is the time until the program should be finished.
-	Left time.Duration
 }
 
 // ErrBudgetSpent means that the program's budget does not hold the turn.
@@ -252,14 +242,11 @@
 		if f := x.reserve(ctx, reservation); f != nil {
 			return f
 		}
-		x.standing = placement.StandingOf(placement.Progress{
-			Turns: x.allowance.Turns, Aim: x.allowance.Aim, Lost: x.allowance.Lost, Left: x.call.ProgramWait,
-		})
 	}
 	f := s.run(ctx)
 	x.tokens = s.reader.events * x.table.EventTokens(x.service)
 	if reservation.Budget > 0 {
-		u := Use{Tokens: x.tokens, Lost: placement.LostTime(x.in.now().Sub(x.began), x.tokens)}
+		u := Use{Tokens: x.tokens}
 		if f == nil {
 			u.Server, u.Cached = x.server, x.call.PromptTokens+x.tokens
 		}
@@ -274,7 +261,7 @@
 func (x *exchange) reservation() Reservation {
 	return Reservation{
 		Program: x.call.Program, Attempt: x.call.Attempt, Session: x.call.Session, Budget: x.call.Budget, Tokens: x.call.MaxTokens,
-		Retention: x.route.Retention, Left: x.call.ProgramWait,
+		Retention: x.route.Retention,
 	}
 }
 
@@ -335,7 +322,6 @@
 	if x.call.Budget > 0 {
 		fields["budget"], fields["most_tokens"], fields["tokens"] = x.call.Budget, x.call.MaxTokens, x.tokens
 		fields["home"] = x.allowance.Home
-		fields["standing"] = x.standing.Class.String()
 	}
 	if x.table != nil {
 		fields["table"] = x.table.Version
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -13,6 +13,9 @@
 const (
 	// suspectFor is how long a server that failed is left out: a few beats of the platform's list.
 	suspectFor = 1500 * time.Millisecond
+	// fullFor is how long a server that refused a request as full is left out: the time in which a full engine of 16
+	// slots ends a few requests.
+	fullFor = 60 * time.Millisecond
 	// connectionReserve is the share of a server's connections that stays free for hosts that join or restart.
 	connectionReserve = 0.15
 	// minConnections is the least number of connections to one server that a host may hold.
@@ -37,6 +40,8 @@
 	reported time.Time
 	// suspectUntil is the end of the time in which the server is left out after a failure.
 	suspectUntil time.Time
+	// fullUntil is the end of the time in which the server is left out because it refused a request as full.
+	fullUntil time.Time
 	// lapsed is when the entry was found missing after an outage; zero while it is present.
 	lapsed time.Time
 }
@@ -301,7 +306,7 @@
 		InFlight: b.inFlight,
 		Load:     s.load(b, now),
 		Suspect:  now.Before(b.suspectUntil),
-		Busy:     q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
+		Busy:     now.Before(b.fullUntil) || q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
 	}
 	if !b.lapsed.IsZero() && now.Sub(b.lapsed) >= lapsedGrace {
 		c.Server.Draining = true
@@ -348,6 +353,14 @@
 	s.dispatch(l.backend.info.Service)
 }
 
+// Refused leaves the server out for a short time, because it said that it is full.
+func (l *Lease) Refused() {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.backend.fullUntil = s.now().Add(fullFor)
+}
+
 // Failed marks the server as suspect.
 func (l *Lease) Failed(cause error) {
 	s := l.servers
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -129,6 +129,7 @@
 	if answer.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(resp, maxAnswerBytes))
 		s.last = errors.Newf("backend server %s answered %d: not run (%v)", lease.ID(), resp.Status, err)
+		lease.Refused()
 		return false, errors.Mark(s.last, errNotRun)
 	}
 	if resp.Status != http.StatusOK {
--- a/service/ingress/waiting.go
+++ b/service/ingress/waiting.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -10,20 +11,21 @@
 
 // waiter is a request that waits for a place.
 type waiter struct {
-	query Query
-	plan  placement.Plan
-	rank  func() int
-	lease chan *Lease
+	query    Query
+	priority int
+	lease    chan *Lease
 }
 
-// Wait waits until a server takes the request or the plan's hold ends. It returns nil if none does. rank orders the
-// requests that wait for a service.
-func (s *Servers) Wait(ctx context.Context, q Query, plan placement.Plan, rank func() int) *Lease {
-	w := &waiter{query: q, plan: plan, rank: rank, lease: make(chan *Lease, 1)}
+// Wait waits until a server takes the request or the hold ends. It returns nil if none does. Requests of a lower
+// priority number go first, and then those that came first.
+func (s *Servers) Wait(ctx context.Context, q Query, priority int, hold time.Duration) *Lease {
+	w := &waiter{query: q, priority: priority, lease: make(chan *Lease, 1)}
 	s.mu.Lock()
-	s.waiting[q.Service] = append(s.waiting[q.Service], w)
+	list := append(s.waiting[q.Service], w)
+	slices.SortStableFunc(list, func(a, b *waiter) int { return cmp.Compare(a.priority, b.priority) })
+	s.waiting[q.Service] = list
 	s.mu.Unlock()
-	timer := time.NewTimer(plan.Hold)
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	select {
 	case l := <-w.lease:
@@ -40,13 +42,9 @@
 			return l
 		}
 		l.backend.inFlight--
-		return nil
 	default:
 	}
-	if ctx.Err() != nil || plan.Last == nil {
-		return nil
-	}
-	return s.acquire(q, plan.Last)
+	return nil
 }
 
 // leave removes a waiter; s.mu is held.
@@ -67,33 +65,14 @@
 	}
 }
 
-// dispatch gives places of one service to waiting requests, by rank and then by the order of their arrival; s.mu is
-// held. A rank without a place for its first request gets none.
+// dispatch gives places of one service to waiting requests in their order; s.mu is held.
 func (s *Servers) dispatch(service string) {
-	waiters := s.waiting[service]
-	if len(waiters) == 0 {
-		return
-	}
-	full := map[int]bool{}
-	for rank := range int(placement.Late) + 1 {
-		for _, w := range slices.Clone(s.waiting[service]) {
-			if full[rank] || w.rank() != rank {
-				continue
-			}
-			l := s.acquire(w.query, w.plan.Policies)
-			if l == nil {
-				full[rank] = true
-				continue
-			}
-			s.leave(w)
-			w.lease <- l
+	for _, w := range slices.Clone(s.waiting[service]) {
+		l := s.acquire(w.query, []placement.Policy{placement.Default(), placement.LastResort()})
+		if l == nil {
+			return
 		}
+		s.leave(w)
+		w.lease <- l
 	}
 }
-
-// Waiting returns the number of requests that wait for a service.
-func (s *Servers) Waiting(service string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.waiting[service])
-}
