--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -31,6 +31,9 @@
 		// within the operator's bound of 2 s.
 		PromptWatch time.Duration
 	}
+	// Seeds are peers that a starting host may ask while it has no access to the platform's store.
+	Seeds struct{ Peers []string }
+
 	Limits struct {
 		Memory int64
 	}
@@ -65,7 +68,7 @@
 	s.Listen.Callers = r.address("listen", "callers", optional, "")
 	s.Listen.Ready = r.address("listen", "ready", optional, "")
 	s.Listen.Directory = r.address("listen", "directory", optional, "")
-	s.Listen.Peer = r.address("listen", "peer", required, "")
+	s.Listen.Peer = r.address("listen", "peer", optional, "")
 	s.Listen.Metrics = r.address("listen", "metrics", required, "")
 
 	s.Platform.Address = r.address("platform", "address", required, "")
@@ -73,6 +76,7 @@
 	s.Platform.Watch = r.duration("platform", "watch", 25*time.Second)
 
 	s.Platform.PromptWatch = r.duration("platform", "prompt_watch", time.Second)
+	s.Seeds.Peers = r.addresses("seeds", "peers")
 	s.Limits.Memory = r.size("limits", "memory", 128*megabyte, 1<<40)
 	s.Shutdown.Grace = r.duration("shutdown", "grace", 8*time.Second)
 
--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -56,15 +56,17 @@
 	servers *Servers
 	feeds   map[string]*Feed
 	storeUp func() bool
+	// seeds are peers' addresses from the settings, for a host that knows no others yet.
+	seeds []string
 
 	mu     sync.Mutex
 	last   map[string]heard
 	behind map[string]lag
 }
 
-func newBeats(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeUp func() bool) *beats {
+func newBeats(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeUp func() bool, seeds []string) *beats {
 	b := &beats{
-		self: self, hosts: hosts, node: node, servers: servers, storeUp: storeUp,
+		self: self, hosts: hosts, node: node, servers: servers, storeUp: storeUp, seeds: seeds,
 		feeds: map[string]*Feed{}, last: map[string]heard{}, behind: map[string]lag{},
 	}
 	node.Handle(wire.TypeBeat, b.receive)
@@ -215,5 +217,13 @@
 			out = append(out, h.Peer)
 		}
 	}
+	if len(b.hosts.All()) > 1 {
+		return out
+	}
+	for _, seed := range b.seeds {
+		if seed != b.self.Peer {
+			out = append(out, seed)
+		}
+	}
 	return out
 }
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -23,8 +23,10 @@
 	self    fleet.Host
 	changed func(n int)
 
-	mu     sync.Mutex
-	listed map[string]fleet.Host
+	mu sync.Mutex
+	// serving is set once this host serves callers.
+	serving bool
+	listed  map[string]fleet.Host
 	// silent holds when a host was found to be unreachable.
 	silent map[string]time.Time
 	// since holds when a host's present incarnation was listed.
@@ -187,6 +189,13 @@
 	return out
 }
 
+// SetServing marks this host as one that serves callers.
+func (l *Hosts) SetServing() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serving = true
+}
+
 // SetDraining marks this host as leaving.
 func (l *Hosts) SetDraining() fleet.Host {
 	l.mu.Lock()
@@ -207,7 +216,13 @@
 
 // Directory answers callers that ask which hosts to use.
 func (l *Hosts) Directory(at fleet.Place) ([]string, time.Duration) {
-	return fleet.Directory(l.Live(), at, directoryMinLocal, directoryLimit), directoryTTL
+	hosts := l.Live()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.serving {
+		hosts = slices.DeleteFunc(hosts, func(h fleet.Host) bool { return h.Name == l.self.Name })
+	}
+	return fleet.Directory(hosts, at, directoryMinLocal, directoryLimit), directoryTTL
 }
 
 // PlaceOf returns where a caller of the directory is.
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -91,7 +91,7 @@
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
 	h.hosts = NewHosts(h.self, h.servers.SetHosts)
 	h.node = wire.NewNode(wire.Options{Self: s.Host.Name + "." + h.self.Incarnation})
-	h.beats = newBeats(h.self, h.hosts, h.node, h.servers, a.StoreAvailable)
+	h.beats = newBeats(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
 	h.store = &objectapi.Relay{
 		Local:      a.Store,
 		Peers:      h.beats.relay,
@@ -128,7 +128,7 @@
 	if _, err := h.node.Listen(l.Peer); err != nil {
 		return err
 	}
-	for _, s := range append(others, callers) {
+	for _, s := range others {
 		if err := serve(group, s); err != nil {
 			return err
 		}
@@ -140,7 +140,7 @@
 	group.Go(func() error { h.accounts.run(work); return nil })
 	group.Go(func() error { h.beats.run(work); return nil })
 	group.Go(func() error { h.ingress.watchdog.run(work); return nil })
-	group.Go(func() error { h.register(work, h.self); return nil })
+	group.Go(func() error { return h.open(work, group, callers) })
 	logging.Emit(logging.IngressStarted, logging.Fields{
 		"host": h.self.Name, "incarnation": h.self.Incarnation, "callers": l.Callers, "directory": l.Directory, "peer": l.Peer,
 	})
@@ -326,15 +326,25 @@
 // completePoll is how often a starting host looks whether it can serve callers.
 const completePoll = 20 * time.Millisecond
 
-// register writes this host's entry, over the one of an earlier incarnation, once the host can serve callers.
-func (h *Host) register(ctx context.Context, self fleet.Host) {
+// open lets callers in once the host can serve them: until then they go to another host at once.
+func (h *Host) open(ctx context.Context, group *errgroup.Group, callers *http.Server) error {
 	for !h.complete() {
 		select {
 		case <-time.After(completePoll):
 		case <-ctx.Done():
-			return
+			return nil
 		}
 	}
+	if err := serve(group, callers); err != nil {
+		return err
+	}
+	h.hosts.SetServing()
+	h.register(ctx, h.self)
+	return nil
+}
+
+// register writes this host's entry, over the one of an earlier incarnation.
+func (h *Host) register(ctx context.Context, self fleet.Host) {
 	for ctx.Err() == nil {
 		err := h.writeEntry(ctx, self)
 		if err == nil {
