--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -168,11 +168,12 @@
 	}
 }
 
-// check marks hosts from which no beat arrives.
+// check marks hosts from which no beat arrives. Hosts send beats only to those that are listed, so a host that is not
+// listed yet, or no longer, learns nothing from their absence.
 func (b *beats) check(started time.Time, interval time.Duration) {
 	now := time.Now()
 	limit := missedBeats * interval
-	if now.Sub(started) < limit {
+	if now.Sub(started) < limit || b.hosts.Draining() || b.hosts.Age(b.self.Name) < limit {
 		return
 	}
 	for _, h := range b.hosts.All() {
