--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+func hosts(n int) []fleet.Host {
+	var out []fleet.Host
+	for i := range n {
+		out = append(out, fleet.Host{
+			Name: fmt.Sprintf("h%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i),
+			FailureDomain: string(rune('a' + i%3)), Region: "r",
+		})
+	}
+	return out
+}
+
+var _ = Describe("Ranked", func() {
+	It("moves only the keys of a host that is gone", func() {
+		all := hosts(9)
+		for i := range 500 {
+			key := fmt.Sprintf("program-%d", i)
+			before := fleet.Ranked(all, key)
+			after := fleet.Ranked(all[1:], key)
+			if before[0].Name != all[0].Name {
+				Expect(after[0]).To(Equal(before[0]))
+			} else {
+				Expect(after[0]).To(Equal(before[1]))
+			}
+		}
+	})
+
+	It("spreads keys over the hosts", func() {
+		counts := map[string]int{}
+		for i := range 9000 {
+			counts[fleet.Ranked(hosts(9), fmt.Sprintf("program-%d", i))[0].Name]++
+		}
+		for name, n := range counts {
+			Expect(n).To(BeNumerically("~", 1000, 150), name)
+		}
+	})
+})
+
+var _ = Describe("Directory", func() {
+	at := fleet.Place{Region: "r", FailureDomain: "a"}
+
+	It("prefers the caller's failure domain", func() {
+		Expect(fleet.Directory(hosts(9), at, 2, 64)).To(Equal([]string{"10.0.0.0:80", "10.0.0.3:80", "10.0.0.6:80"}))
+	})
+
+	It("returns the region if the failure domain has too few hosts", func() {
+		Expect(fleet.Directory(hosts(3), at, 2, 64)).To(HaveLen(3))
+	})
+
+	It("leaves out hosts that are leaving, unless all are", func() {
+		all := hosts(6)
+		all[0].Draining = true
+		Expect(fleet.Directory(all, at, 1, 64)).To(Equal([]string{"10.0.0.3:80"}))
+		for i := range all {
+			all[i].Draining = true
+		}
+		Expect(fleet.Directory(all, at, 1, 64)).To(HaveLen(2))
+	})
+
+	It("returns no more than callers read", func() {
+		Expect(fleet.Directory(hosts(300), fleet.Place{Region: "x"}, 2, 64)).To(HaveLen(64))
+	})
+})
