--- /dev/null
+++ b/service/ingress/ingress_test.go
@@ -0,0 +1,473 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/platform"
+	"github.com/hyssopreel/hyssopreel/service/ingress"
+)
+
+func TestIngress(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ingress")
+}
+
+const stamp = "Hyssopreel-Server-Stamp"
+
+// backend is a backend server that counts what it runs.
+type backend struct {
+	id      string
+	address string
+	mu      sync.Mutex
+	// ran holds the headers of the requests that it began to work on.
+	ran []http.Header
+}
+
+func (b *backend) runs() []http.Header {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]http.Header{}, b.ran...)
+}
+
+// newBackend starts a backend server whose answers carry the attempt and the proof.
+func newBackend(id string, h func(w http.ResponseWriter, r *http.Request, n int)) *backend {
+	b := &backend{id: id}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Hyssopreel-Attempt-Id", r.Header.Get("Hyssopreel-Attempt-Id"))
+		b.mu.Lock()
+		b.ran = append(b.ran, r.Header.Clone())
+		n := len(b.ran)
+		b.mu.Unlock()
+		w.Header().Set(stamp, b.id)
+		h(w, r, n)
+	}))
+	DeferCleanup(s.CloseClientConnections)
+	b.address = s.Listener.Addr().String()
+	return b
+}
+
+func cut(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	Expect(err).NotTo(HaveOccurred())
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// events streams the events from first to last.
+func events(w http.ResponseWriter, first, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// budgets allows every turn, or none.
+type budgets struct {
+	err     error
+	mu      sync.Mutex
+	settled []ingress.Use
+}
+
+func (b *budgets) Reserve(context.Context, ingress.Reservation) (ingress.Allowance, error) {
+	return ingress.Allowance{}, b.err
+}
+
+func (b *budgets) Settle(_ ingress.Reservation, u ingress.Use) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled = append(b.settled, u)
+}
+
+func (b *budgets) uses() []ingress.Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]ingress.Use{}, b.settled...)
+}
+
+func table(version uint64) *routing.Table {
+	to := []routing.Target{{Service: "s", Weight: 1}}
+	return routing.NewTable(version, []routing.Route{
+		{Name: "once", Host: "h", PathPrefix: "/once/", Kind: routing.Once, Timeout: time.Second, Targets: to},
+		{Name: "many", Host: "h", PathPrefix: "/many/", Kind: routing.Repeatable, Timeout: 2 * time.Second, Objective: 40 * time.Millisecond, Targets: to},
+		{Name: "turns", Host: "h", PathPrefix: "/turns/", Kind: routing.Stream, Timeout: 5 * time.Second, MaxWorkers: 1, Resumable: true, Targets: to},
+		{Name: "fixed", Host: "h", PathPrefix: "/fixed/", Kind: routing.Stream, Timeout: 5 * time.Second, Targets: to},
+	}, []routing.Service{{Name: "s", MaxConns: 100, Engine: &routing.Engine{EventTokens: 10}}}, routing.Limits{BodyBytes: 1000})
+}
+
+// host is an ingress with its servers.
+type host struct {
+	in      *ingress.Ingress
+	servers *ingress.Servers
+	budgets *budgets
+	address string
+}
+
+func newHost(backends ...*backend) *host {
+	h := &host{servers: ingress.NewServers(time.Now, nil), budgets: &budgets{}}
+	for _, b := range backends {
+		h.servers.Put(placement.Server{ID: b.id, Service: "s", Address: b.address, Slots: 4})
+	}
+	h.in = ingress.New(ingress.Options{Host: "a-1", MemoryBytes: 1 << 30}, platform.Headers{}, h.servers, h.budgets, tally.NoopScope)
+	s := &http.Server{Handler: h.in, ConnContext: ingress.ConnContext}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = s.Serve(l) }()
+	DeferCleanup(s.Close)
+	h.address = l.Addr().String()
+	return h
+}
+
+// ready returns a host with a configuration.
+func ready(backends ...*backend) *host {
+	h := newHost(backends...)
+	h.in.SetTable(table(1), "test")
+	return h
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request on a connection of its own; header holds pairs of names and values.
+func (h *host) call(method, path, body string, header ...string) answer {
+	req, err := http.NewRequest(method, "http://"+h.address+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Host = "h"
+	req.Header.Set("Hyssopreel-Attempt-Id", "a1")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+}
+
+func echo(w http.ResponseWriter, r *http.Request, _ int) {
+	b, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, b)
+}
+
+var _ = Describe("Ingress", func() {
+	It("passes method, path, query and body on, and the answer back", func() {
+		b := newBackend("i-1", echo)
+		a := ready(b).call("POST", "/once/x?q=%2F1", "body", "Hyssopreel-Deadline-Ms", "900", "Hyssopreel-Hold", "stolen")
+		Expect(a.status).To(Equal(200))
+		Expect(a.body).To(Equal("POST /once/x?q=%2F1 body"))
+		Expect(a.header.Get(stamp)).To(Equal("i-1"))
+		got := b.runs()[0]
+		Expect(got.Get("Hyssopreel-Expect-Instance")).To(Equal("i-1"))
+		Expect(got.Get("Hyssopreel-Hold")).To(BeEmpty())
+		Expect(got.Get("Hyssopreel-Deadline-Ms")).To(MatchRegexp(`^8\d\d$|^900$`))
+	})
+
+	// Guards against a host that refuses for good what it only does not know yet.
+	It("answers 503 while it has no configuration", func() {
+		a := newHost().call("GET", "/once/", "")
+		Expect(a.status).To(Equal(503))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
+	It("never takes a configuration back", func() {
+		h := ready()
+		h.in.SetTable(table(5), "test")
+		h.in.SetTable(routing.NewTable(4, nil, nil, routing.Limits{}), "stale")
+		Expect(h.call("GET", "/many/", "").status).To(Equal(503), "the route is still there")
+	})
+
+	DescribeTable("refuses bad input before a backend server sees it",
+		func(method, path, body string, status int, header ...string) {
+			b := newBackend("i-1", echo)
+			Expect(ready(b).call(method, path, body, header...).status).To(Equal(status))
+			Expect(b.runs()).To(BeEmpty())
+		},
+		Entry("no route", "GET", "/none/", "", 404),
+		Entry("no attempt ID", "GET", "/many/", "", 400, "Hyssopreel-Attempt-Id", ""),
+		Entry("header that cannot be read", "GET", "/many/", "", 400, "Hyssopreel-Token-Budget", "much"),
+		Entry("body over the limit", "POST", "/once/", strings.Repeat("x", 1001), 413),
+	)
+
+	// Guards against a request that is hidden in the body of another one.
+	It("runs nothing that follows a chunked request on its connection", func() {
+		b := newBackend("i-1", echo)
+		c, err := net.Dial("tcp", ready(b).address)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: h\r\nHyssopreel-Attempt-Id: a1\r\nContent-Length: 60\r\n"+
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /once/hidden HTTP/1.1\r\nHost: h\r\nHyssopreel-Attempt-Id: a2\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		_, _ = io.Copy(io.Discard, c)
+		Expect(len(b.runs())).To(BeNumerically("<=", 1))
+	})
+
+	Describe("a request that may run only once", func() {
+		It("goes to another server if one says that it did not run it", func() {
+			full := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.Header().Set("Hyssopreel-Not-Executed", "1")
+				w.WriteHeader(503)
+			})
+			good := newBackend("i-2", echo)
+			Expect(ready(full, good).call("POST", "/once/", "").status).To(Equal(200))
+		})
+
+		It("is not sent again after its connection broke, and is not called refused", func() {
+			b := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) { cut(w) })
+			other := newBackend("i-2", func(w http.ResponseWriter, _ *http.Request, _ int) { cut(w) })
+			Expect(ready(b, other).call("GET", "/once/", "").status).To(Equal(502))
+			Expect(len(b.runs()) + len(other.runs())).To(Equal(1))
+		})
+
+		It("ends with 504 when its route's time is over", func() {
+			b := newBackend("i-1", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+			began := time.Now()
+			Expect(ready(b).call("POST", "/once/", "").status).To(Equal(504))
+			Expect(time.Since(began)).To(BeNumerically("~", time.Second, 400*time.Millisecond))
+		})
+
+		It("is refused with a time to come back if there is no server", func() {
+			a := ready().call("POST", "/once/", "")
+			Expect(a.status).To(Equal(503))
+			Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		})
+	})
+
+	Describe("a repeatable request", func() {
+		// Guards against callers that wait for an answer that a server lost.
+		It("is sent to a second server when the first one is silent", func() {
+			silent := newBackend("i-1", func(_ http.ResponseWriter, r *http.Request, _ int) { <-r.Context().Done() })
+			good := newBackend("i-2", echo)
+			h := ready(silent, good)
+			for range 6 {
+				began := time.Now()
+				Expect(h.call("GET", "/many/", "").status).To(Equal(200))
+				Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			}
+		})
+
+		DescribeTable("goes to another server after an answer that cannot be the server's",
+			func(bad func(w http.ResponseWriter, r *http.Request, n int)) {
+				spoiled, good := newBackend("i-1", bad), newBackend("i-2", echo)
+				h := ready(spoiled, good)
+				for range 4 {
+					a := h.call("GET", "/many/", "")
+					Expect(a.status).To(Equal(200))
+					Expect(a.header.Get(stamp)).To(Equal("i-2"))
+				}
+			},
+			Entry("reset", func(w http.ResponseWriter, _ *http.Request, _ int) { cut(w) }),
+			Entry("no proof", func(w http.ResponseWriter, _ *http.Request, _ int) { w.Header().Del(stamp) }),
+			Entry("encoded body", func(w http.ResponseWriter, _ *http.Request, _ int) { w.Header().Set("Content-Encoding", "gzip") }),
+			Entry("half a body", func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.Header().Set("Content-Length", "100")
+				_, _ = io.WriteString(w, "half")
+				panic(http.ErrAbortHandler)
+			}),
+			Entry("its own failure", func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(500) }),
+		)
+	})
+
+	Describe("a stream", func() {
+		It("is passed on as it arrives and settled by its events", func() {
+			b := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 3) })
+			h := ready(b)
+			a := h.call("POST", "/turns/", "", "Hyssopreel-Token-Budget", "900", "Hyssopreel-Token-Count", "100,50", "Hyssopreel-Program-Id", "p")
+			Expect(strings.Count(a.body, "id:")).To(Equal(3))
+			Expect(h.budgets.uses()).To(Equal([]ingress.Use{{Tokens: 30, Server: "i-1", Cached: 130}}))
+		})
+
+		// Guards against a caller that sees a piece twice, or not at all, when a server breaks off.
+		It("goes on after the last whole event when the connection breaks", func() {
+			b := newBackend("i-1", func(w http.ResponseWriter, r *http.Request, n int) {
+				if n == 1 {
+					events(w, 1, 2)
+					_, _ = io.WriteString(w, "id: 3\nda")
+					_ = http.NewResponseController(w).Flush()
+					cut(w)
+					return
+				}
+				Expect(r.Header.Get("Last-Event-Id")).To(Equal("2"))
+				events(w, 3, 4)
+			})
+			a := ready(b).call("POST", "/turns/", "")
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(a.body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"))
+		})
+
+		It("does not join pieces of a run that began anew", func() {
+			b := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, n int) {
+				events(w, 1, 2)
+				if n == 1 {
+					cut(w)
+				}
+			})
+			a := ready(b).call("POST", "/turns/", "")
+			Expect(a.err).To(HaveOccurred())
+			Expect(a.body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+		})
+
+		It("that may not be resumed does not look complete when it breaks", func() {
+			b := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+				events(w, 1, 2)
+				cut(w)
+			})
+			a := ready(b).call("POST", "/fixed/", "")
+			Expect(a.err).To(HaveOccurred())
+			Expect(b.runs()).To(HaveLen(1))
+		})
+
+		It("ends at its server when the caller leaves", func() {
+			left := make(chan struct{})
+			b := newBackend("i-1", func(w http.ResponseWriter, r *http.Request, _ int) {
+				events(w, 1, 1)
+				<-r.Context().Done()
+				close(left)
+			})
+			c, err := net.Dial("tcp", ready(b).address)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.WriteString(c, "POST /turns/ HTTP/1.1\r\nHost: h\r\nHyssopreel-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			_, err = bufio.NewReader(c).ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			Expect(c.Close()).To(Succeed())
+			Eventually(left, "2s").Should(BeClosed())
+		})
+
+		It("is refused with 402 if the program's budget is spent, and reaches no server", func() {
+			b := newBackend("i-1", echo)
+			h := ready(b)
+			h.budgets.err = ingress.ErrBudgetSpent
+			a := h.call("POST", "/turns/", "", "Hyssopreel-Token-Budget", "900")
+			Expect(a.status).To(Equal(402))
+			Expect(b.runs()).To(BeEmpty())
+		})
+	})
+
+	It("ends connections with their next answer while it leaves", func() {
+		b := newBackend("i-1", echo)
+		h := ready(b)
+		h.in.Drain()
+		c, err := net.Dial("tcp", h.address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nHyssopreel-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		got, err := io.ReadAll(c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(And(HavePrefix("HTTP/1.1 200"), ContainSubstring("Connection: close")))
+	})
+})
+
+var _ = Describe("Servers", func() {
+	var now time.Time
+	var servers *ingress.Servers
+	info := placement.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 1}
+	query := ingress.Query{Service: "s", MaxConns: 20}
+	take := func() *ingress.Lease { return servers.Acquire(query, placement.Default()) }
+
+	BeforeEach(func() {
+		now = time.Now()
+		servers = ingress.NewServers(func() time.Time { return now }, nil)
+		servers.Put(info)
+	})
+
+	It("uses no server that leaves or that is gone", func() {
+		leaving := info
+		leaving.Draining = true
+		servers.Put(leaving)
+		Expect(take()).To(BeNil())
+		servers.Put(info)
+		servers.Remove("i-1", "test")
+		Expect(take()).To(BeNil())
+	})
+
+	// Guards against refusing all requests because entries lapsed while the store was away.
+	It("keeps entries that are missing after an outage for two seconds", func() {
+		servers.Replace(nil, true)
+		now = now.Add(1900 * time.Millisecond)
+		Expect(take()).NotTo(BeNil())
+		now = now.Add(200 * time.Millisecond)
+		Expect(take()).To(BeNil())
+		servers.Replace(nil, false)
+		Expect(servers.Count("s")).To(BeZero())
+	})
+
+	It("takes an entry that came back as present", func() {
+		servers.Replace(nil, true)
+		servers.Put(info)
+		now = now.Add(5 * time.Second)
+		servers.Sweep()
+		Expect(take()).NotTo(BeNil())
+	})
+
+	It("leaves a server out after a failure, and takes it back", func() {
+		take().Failed(io.ErrUnexpectedEOF)
+		Expect(take()).To(BeNil())
+		now = now.Add(2 * time.Second)
+		Expect(take()).NotTo(BeNil())
+	})
+
+	It("leaves out a server that refused a request as full for a moment", func() {
+		take().Refused()
+		Expect(take()).To(BeNil())
+		now = now.Add(100 * time.Millisecond)
+		Expect(take()).NotTo(BeNil())
+	})
+
+	// Guards against resets, because all hosts together open more connections than a server accepts.
+	It("shares a server's connections between the hosts", func() {
+		servers.SetHosts(4)
+		for range 4 {
+			Expect(take()).NotTo(BeNil())
+		}
+		Expect(take()).To(BeNil())
+	})
+
+	It("gives a waiting request the place that is released", func() {
+		servers.SetHosts(8)
+		first, second := take(), take()
+		Expect(second).NotTo(BeNil())
+		got := make(chan *ingress.Lease)
+		go func() { got <- servers.Wait(context.Background(), query, 0, 5*time.Second) }()
+		Consistently(got, "50ms").ShouldNot(Receive())
+		first.Release()
+		Eventually(got).Should(Receive(Not(BeNil())))
+	})
+
+	It("gives up waiting at the end of the hold", func() {
+		servers.Remove("i-1", "test")
+		Expect(servers.Wait(context.Background(), query, 0, 10*time.Millisecond)).To(BeNil())
+	})
+
+	It("counts what other hosts have at a server", func() {
+		servers.SetHosts(2)
+		servers.Put(placement.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:80", Slots: 4})
+		servers.SetRemote("b", map[string]int{"i-1": 3}, now)
+		for range 2 {
+			Expect(take().ID()).To(Equal("i-2"))
+		}
+	})
+})
--- /dev/null
+++ b/service/upstream/upstream_test.go
@@ -0,0 +1,232 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/service/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+// serve runs script on each connection; it returns the address and the number of connections.
+func serve(script func(c net.Conn, r *bufio.Reader, n int)) (string, *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	var n atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go script(c, bufio.NewReader(c), int(n.Add(1)))
+		}
+	}()
+	return l.Addr().String(), &n
+}
+
+// readRequest reads one request and returns its attempt ID and body.
+func readRequest(r *bufio.Reader) (string, string, bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", "", false
+	}
+	body, err := io.ReadAll(req.Body)
+	return req.Header.Get("Attempt"), string(body), err == nil
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id, body string) *upstream.Request {
+	return &upstream.Request{Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Attempt": {id}}, Body: []byte(body)}
+}
+
+func send(ctx context.Context, p *upstream.Pool, id, body string) (string, error) {
+	resp, err := p.Send(ctx, request(id, body), func(h http.Header) bool { return h.Get("Attempt") == id })
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp)
+	return string(b), err
+}
+
+var _ = Describe("Pool", func() {
+	ctx := context.Background()
+
+	It("sends requests over a kept connection", func() {
+		addr, conns := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			for {
+				id, body, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(c, answerTo(id, "got "+body))
+			}
+		})
+		p := upstream.NewPool(addr, nil)
+		for i := range 5 {
+			Expect(send(ctx, p, fmt.Sprint(i), "b")).To(Equal("got b"))
+		}
+		Expect(conns.Load()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against bytes of one answer that reach another request's caller.
+	It("drops a connection with bytes after the answer", func() {
+		addr, conns := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			id, _, ok := readRequest(r)
+			if ok {
+				_, _ = io.WriteString(c, answerTo(id, "mine")+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+			}
+		})
+		p := upstream.NewPool(addr, nil)
+		Expect(send(ctx, p, "1", "")).To(Equal("mine"))
+		Expect(send(ctx, p, "2", "")).To(Equal("mine"))
+		Expect(conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against an answer to an earlier request that arrives where the next one is expected.
+	It("skips an answer that belongs to an earlier request", func() {
+		addr, _ := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			id, _, ok := readRequest(r)
+			if ok {
+				_, _ = io.WriteString(c, answerTo("earlier", "not yours")+answerTo(id, "yours"))
+			}
+		})
+		Expect(send(ctx, upstream.NewPool(addr, nil), "1", "")).To(Equal("yours"))
+	})
+
+	It("reports a body that is cut short", func() {
+		addr, _ := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			id, _, _ := readRequest(r)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: 10\r\n\r\nhalf", id)
+			_ = c.Close()
+		})
+		_, err := send(ctx, upstream.NewPool(addr, nil), "1", "")
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	// Guards against a request that runs twice because the transport repeats it by itself.
+	It("does not repeat a request whose connection breaks", func() {
+		var got atomic.Int32
+		addr, _ := serve(func(c net.Conn, r *bufio.Reader, n int) {
+			id, _, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			got.Add(1)
+			if n == 1 {
+				_, _ = io.WriteString(c, answerTo(id, "first"))
+				if _, _, ok := readRequest(r); ok {
+					got.Add(1)
+				}
+			}
+			_ = c.Close()
+		})
+		p := upstream.NewPool(addr, nil)
+		Expect(send(ctx, p, "1", "")).To(Equal("first"))
+		_, err := send(ctx, p, "2", "")
+		var f *upstream.Failure
+		Expect(err).To(BeAssignableToTypeOf(f))
+		Expect(err.(*upstream.Failure).Sent).To(BeTrue())
+		Expect(got.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("says that nothing was sent if no connection can be opened", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Close()).To(Succeed())
+		_, err = send(ctx, upstream.NewPool(l.Addr().String(), nil), "1", "")
+		Expect(err.(*upstream.Failure).Sent).To(BeFalse())
+		Expect(err.(*upstream.Failure).Dial).To(BeTrue())
+	})
+
+	// Guards against the rest of a long body that becomes part of the next request.
+	It("does not reuse a connection whose request was answered before it was written", func() {
+		stop := make(chan struct{})
+		DeferCleanup(func() { close(stop) })
+		addr, conns := serve(func(c net.Conn, r *bufio.Reader, n int) {
+			if n == 1 {
+				line, _ := r.ReadString('\n')
+				for line != "\r\n" {
+					line, _ = r.ReadString('\n')
+				}
+				_, _ = io.WriteString(c, answerTo("1", "early"))
+				<-stop
+				return
+			}
+			id, body, ok := readRequest(r)
+			if ok {
+				_, _ = io.WriteString(c, answerTo(id, body))
+			}
+		})
+		p := upstream.NewPool(addr, nil)
+		Expect(send(ctx, p, "1", strings.Repeat("x", 8<<20))).To(Equal("early"))
+		Expect(send(ctx, p, "2", "next")).To(Equal("next"))
+		Expect(conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("ends an exchange with its context", func() {
+		addr, _ := serve(func(_ net.Conn, r *bufio.Reader, _ int) { _, _, _ = readRequest(r) })
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := send(short, upstream.NewPool(addr, nil), "1", "")
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+	})
+
+	It("does not reuse a connection that the server closed or will close", func() {
+		addr, conns := serve(func(c net.Conn, r *bufio.Reader, n int) {
+			id, _, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			if n == 1 {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", id)
+				return
+			}
+			_, _ = io.WriteString(c, answerTo(id, "ok"))
+			_ = c.Close()
+		})
+		p := upstream.NewPool(addr, nil)
+		for i := range 3 {
+			Expect(send(ctx, p, fmt.Sprint(i), "")).To(Equal("ok"))
+			Eventually(func() int { p.Sweep(time.Now()); _, idle := p.Open(); return idle }).Should(BeZero())
+		}
+		Expect(conns.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("gives a connection up before the server's time-out", func() {
+		addr, conns := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt: %s\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", id)
+			}
+		})
+		p := upstream.NewPool(addr, nil)
+		for i := range 2 {
+			Expect(send(ctx, p, fmt.Sprint(i), "")).To(Equal("ok"))
+		}
+		Expect(conns.Load()).To(BeEquivalentTo(2))
+	})
+})
