Run three hosts together in a test; fix what it found

Found: a deaf watch that tells newer revisions hid changes from the host that watches for the fleet, for good: that host now reads the list every second instead, at the same price. A host that the store turns away at its start was ready but never registered, because hosts beat only to listed ones and it asked only hosts it had heard. Ruled out: shorter waits for all hosts, 17 store calls a second.

--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -106,21 +106,7 @@
 }
 
 func runEntry(ctx context.Context, s *settings.Entry, reload <-chan *settings.Entry) error {
-	store := platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.Watch)
-	host := ingress.NewHost(s, ingress.Adapter{
-		Headers:        platform.Headers{},
-		Store:          store,
-		Prompt:         store.WithWait(s.Platform.PromptWatch),
-		StoreAvailable: store.Available,
-		Server:         platform.DecodeServer,
-		Table:          platform.DecodeConfig,
-		Directory:      platform.Directory,
-		Ready:          platform.Ready,
-		KindServers:    platform.KindServers,
-		KindConfig:     platform.KindConfig,
-		NameConfig:     platform.NameConfig,
-	}, reload)
-	return host.Run(ctx)
+	return ingress.NewHost(s, platform.Adapter(s), reload).Run(ctx)
 }
 
 // runDisk runs a host with a disk. The platform keeps all state, so the host holds nothing and can be taken away at
--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -27,9 +27,9 @@
 		Timeout time.Duration
 		// Watch is the longest wait for changes in one call.
 		Watch time.Duration
-		// PromptWatch is that wait at the host that watches for the fleet: a watch that went deaf is noticed after it,
-		// within the operator's bound of 2 s.
-		PromptWatch time.Duration
+		// Poll is the time between the lists of the host that reads them for the fleet: a watch that went deaf is
+		// noticed after it, within the operator's bound of 2 s.
+		Poll time.Duration
 	}
 	// Seeds are peers that a starting host may ask while it has no access to the platform's store.
 	Seeds struct{ Peers []string }
@@ -75,7 +75,7 @@
 	s.Platform.Timeout = r.duration("platform", "timeout", time.Second)
 	s.Platform.Watch = r.duration("platform", "watch", 25*time.Second)
 
-	s.Platform.PromptWatch = r.duration("platform", "prompt_watch", time.Second)
+	s.Platform.Poll = r.duration("platform", "poll", time.Second)
 	s.Seeds.Peers = r.addresses("seeds", "peers")
 	s.Limits.Memory = r.size("limits", "memory", 128*megabyte, 1<<40)
 	s.Shutdown.Grace = r.duration("shutdown", "grace", 8*time.Second)
--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -218,9 +218,10 @@
 			out = append(out, h.Peer)
 		}
 	}
-	if len(b.hosts.All()) > 1 {
+	if len(out) > 0 || b.heardAny() {
 		return out
 	}
+	// A host that has just started, or that is not listed, hears no beats.
 	for _, seed := range b.seeds {
 		if seed != b.self.Peer {
 			out = append(out, seed)
@@ -228,3 +229,15 @@
 	}
 	return out
 }
+
+// heardAny reports whether beats of other hosts arrive.
+func (b *beats) heardAny() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, h := range b.last {
+		if time.Since(h.at) < missedBeats*beatEvery {
+			return true
+		}
+	}
+	return false
+}
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -33,10 +33,10 @@
 	Replace func(objects []objectapi.Object, afterOutage bool)
 	// Apply gets one change.
 	Apply func(c objectapi.Change)
-	// Prompt is the store with short waits. It is used while Elected is true: a watch can go deaf, and one host of
-	// the fleet must notice that by itself.
-	Prompt  objectapi.Store
+	// Elected reports whether this host reads the list again and again for the fleet, because a watch can go deaf.
 	Elected func() bool
+	// Poll is the time between these lists.
+	Poll time.Duration
 
 	// listed is the revision of the last list, and changed that of the newest object that was seen.
 	listed, changed atomic.Uint64
@@ -111,11 +111,15 @@
 		}
 	}()
 	for watching.Err() == nil {
-		store := f.Store
-		if f.Elected() {
-			store = f.Prompt
+		if f.Elected() && f.failedSince.IsZero() {
+			f.heard = time.Now()
+			select {
+			case <-time.After(f.Poll):
+			case <-watching.Done():
+			}
+			return
 		}
-		changes, next, err := store.Watch(watching, f.Kind, "", revision)
+		changes, next, err := f.Store.Watch(watching, f.Kind, "", revision)
 		switch {
 		case watching.Err() != nil:
 			return
--- /dev/null
+++ b/service/ingress/host_test.go
@@ -0,0 +1,230 @@
+package ingress_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/platform"
+	"github.com/hyssopreel/hyssopreel/service/ingress"
+	"github.com/hyssopreel/hyssopreel/standin/objects"
+)
+
+// nextPort is below the range from which the kernel draws the ports of outgoing connections.
+var nextPort atomic.Int32
+
+// freeAddress returns an address of loopback that nothing listens at, and that no other caller gets.
+func freeAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 21000+nextPort.Add(1))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
+	}
+}
+
+// gate stands between one host and the store; while it is shut, the store turns that host away.
+type gate struct {
+	store http.Handler
+	shut  atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.shut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.store.ServeHTTP(w, r)
+}
+
+// running is an entry host that runs in the test's process.
+type running struct {
+	*host
+	s    *settings.Entry
+	gate *gate
+	stop context.CancelFunc
+	done chan error
+}
+
+func startHost(store *objects.Store, name string, seeds ...string) *running {
+	g := &gate{store: store}
+	front := httptest.NewServer(g)
+	DeferCleanup(front.CloseClientConnections)
+	s := &settings.Entry{}
+	s.Host.Name, s.Host.FailureDomain, s.Host.Region = name, name[:1], "r"
+	s.Listen.Callers, s.Listen.Ready, s.Listen.Directory = freeAddress(), freeAddress(), freeAddress()
+	s.Listen.Peer, s.Listen.Metrics = freeAddress(), freeAddress()
+	s.Platform.Address = front.Listener.Addr().String()
+	s.Platform.Timeout, s.Platform.Watch, s.Platform.Poll = 500*time.Millisecond, 20*time.Second, time.Second
+	s.Seeds.Peers = seeds
+	s.Limits.Memory = 128 << 20
+	s.Shutdown.Grace = time.Second
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{host: &host{address: s.Listen.Callers}, s: s, gate: g, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- ingress.NewHost(s, platform.Adapter(s), nil).Run(ctx) }()
+	DeferCleanup(func() {
+		Eventually(r.done, "15s").Should(Receive(BeNil()))
+	})
+	return r
+}
+
+func (r *running) ready() bool {
+	resp, err := http.Get("http://" + r.s.Listen.Ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (r *running) directory() []string {
+	resp, err := http.Get("http://" + r.s.Listen.Directory + "/resolve?name=h&region=r&zone=x")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a struct{ Addresses []string }
+	_ = json.NewDecoder(resp.Body).Decode(&a)
+	return a.Addresses
+}
+
+func putConfig(store *objects.Store, version int) {
+	route := func(name, kind string) map[string]any {
+		return map[string]any{"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 5000, "service": "s", "resumable": true, "retentionS": 60}
+	}
+	store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version": version, "routes": []any{route("turns", "streaming"), route(fmt.Sprintf("v%d", version), "idempotent")},
+		"services": []any{map[string]any{"name": "s", "maxConns": 100, "engine": map[string]any{"strideTokens": 10}}},
+	})
+}
+
+func putServer(store *objects.Store, b *backend, state string) {
+	store.Put(platform.KindServers, b.id, map[string]any{"service": "s", "address": b.address, "zone": "a", "slots": 16, "state": state})
+}
+
+// turn runs one turn of a program that looped: a budget of two turns of 290 tokens, of which each uses 200.
+func (r *running) turn(program, attempt string) int {
+	return r.call("POST", "/turns/", "", "Hyssopreel-Attempt-Id", attempt, "Hyssopreel-Program-Id", program,
+		"Hyssopreel-Session-Id", "s", "Hyssopreel-Token-Budget", "580", "Hyssopreel-Token-Count", "100,290").status
+}
+
+var _ = Describe("Hosts that run together", func() {
+	var store *objects.Store
+	var b *backend
+	var hosts []*running
+
+	BeforeEach(func() {
+		store = objects.New()
+		b = newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 20) })
+		putConfig(store, 1)
+		putServer(store, b, "ready")
+		hosts = nil
+		for _, name := range []string{"a-1", "b-1", "c-1"} {
+			hosts = append(hosts, startHost(store, name))
+		}
+		// All are stopped before the first is waited for.
+		DeferCleanup(func() {
+			for _, h := range hosts {
+				h.stop()
+			}
+		})
+		for _, h := range hosts {
+			Eventually(h.ready, "5s").Should(BeTrue())
+			Eventually(h.directory, "5s").Should(HaveLen(3))
+		}
+	})
+
+	// Guards against programs that loop through several hosts.
+	It("keep a program within its budget, whichever hosts it uses", func() {
+		allowed := 0
+		for i := range 12 {
+			if hosts[i%3].turn("p", fmt.Sprintf("t%d", i)) == 200 {
+				allowed++
+			}
+		}
+		Expect(allowed).To(BeNumerically("<=", 4), "4 turns of 200 tokens are within 580 and one turn of 290")
+		Expect(allowed).To(BeNumerically(">=", 2))
+		Expect(hosts[0].turn("p", "again")).To(Equal(402))
+	})
+
+	// Guards against a program that is stopped and returns after all hosts lost their memory.
+	It("refuse a program that was stopped, after all were started anew", func() {
+		for i := range 6 {
+			hosts[0].turn("p", fmt.Sprintf("t%d", i))
+		}
+		Eventually(func() []string { return store.Names(ingress.KindBudgets) }, "5s").Should(ContainElement("p"))
+		later := startHost(store, "d-1")
+		DeferCleanup(later.stop)
+		Eventually(later.ready, "5s").Should(BeTrue())
+		for _, h := range hosts {
+			h.stop()
+			Eventually(h.done, "15s").Should(Receive(BeNil()))
+			h.done <- nil
+		}
+		ran := len(b.runs())
+		Expect(later.turn("p", "again")).To(Equal(402))
+		Expect(b.runs()).To(HaveLen(ran))
+	})
+
+	It("follow the configuration, also at a host that the store turns away", func() {
+		hosts[1].gate.shut.Store(true)
+		putConfig(store, 2)
+		for _, h := range hosts {
+			Eventually(func() int { return h.call("GET", "/v2/", "").status }, "2s").Should(Equal(200))
+			Expect(h.call("GET", "/v1/", "").status).To(Equal(404))
+		}
+	})
+
+	// Guards against a watch that goes deaf while its connection lives.
+	It("notice a deaf watch within two seconds", func() {
+		store.SetFaults(objects.Faults{Deaf: true})
+		putConfig(store, 2)
+		for _, h := range hosts {
+			Eventually(func() int { return h.call("GET", "/v2/", "").status }, "2s").Should(Equal(200))
+		}
+	})
+
+	It("send nothing to a server that leaves, also at a host that the store turns away", func() {
+		other := newBackend("i-2", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 1) })
+		putServer(store, other, "ready")
+		hosts[2].gate.shut.Store(true)
+		putServer(store, b, "draining")
+		for _, h := range hosts {
+			Eventually(func() string { return h.call("GET", "/v1/", "").header.Get(stamp) }, "2s").Should(Equal("i-2"))
+		}
+	})
+
+	It("leave the directory at once when they are stopped, and still serve callers", func() {
+		hosts[0].stop()
+		Eventually(hosts[1].directory, "1s").ShouldNot(ContainElement(hosts[0].address))
+		Expect(hosts[0].ready()).To(BeFalse())
+		Expect(hosts[0].turn("q", "t1")).To(Equal(200))
+	})
+
+	It("start without the store if a seed has it", func() {
+		late := startHost(store, "d-1", hosts[0].s.Listen.Peer)
+		DeferCleanup(late.stop)
+		late.gate.shut.Store(true)
+		Eventually(late.ready, "8s").Should(BeTrue())
+		Eventually(hosts[1].directory, "5s").Should(ContainElement(late.address))
+	})
+
+	It("serve programs that begin while the store is away", func() {
+		for _, h := range hosts {
+			h.gate.shut.Store(true)
+		}
+		for i := range 6 {
+			Expect(hosts[i%3].turn(fmt.Sprintf("new-%d", i), fmt.Sprintf("n%d", i))).To(Equal(200))
+		}
+	})
+})
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -28,8 +28,10 @@
 	// listenAfterDrain is how long a leaving host still accepts connections: callers keep the directory's answer for
 	// up to three times directoryTTL.
 	listenAfterDrain = 3*directoryTTL + 300*time.Millisecond
-	// exitMargin is how long before the forced end the last connections are cut.
-	exitMargin = 700 * time.Millisecond
+	// listenShare bounds that to a part of the grace period, so that the last requests have time to end.
+	listenShare = 0.45
+	// exitShare is the part of the grace period after which the last connections are cut.
+	exitShare = 0.91
 	// headerTimeout and idleTimeout hold until the operator's limits are known.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 20 * time.Second
@@ -43,8 +45,6 @@
 type Adapter struct {
 	Headers Headers
 	Store   objectapi.Store
-	// Prompt is Store with short waits for changes.
-	Prompt objectapi.Store
 	// StoreAvailable reports whether the last call to the store was answered.
 	StoreAvailable func() bool
 	Server         func(id string, value []byte) (placement.Server, error)
@@ -178,7 +178,8 @@
 // drain leaves the fleet without cutting requests. It reports whether requests were cut at the end.
 func (h *Host) drain(ctx context.Context, callers *http.Server) bool {
 	logging.Emit(logging.IngressDraining, logging.Fields{"signal": "TERM"})
-	end := time.Now().Add(h.settings.Load().Shutdown.Grace - exitMargin)
+	grace := float64(h.settings.Load().Shutdown.Grace)
+	end := time.Now().Add(time.Duration(grace * exitShare))
 	h.ingress.Drain()
 	h.hosts.SetDraining()
 	unregister, cancel := context.WithCancel(ctx)
@@ -187,7 +188,7 @@
 	h.beats.send(ctx)
 	h.accounts.move(ctx, true)
 	select {
-	case <-time.After(listenAfterDrain):
+	case <-time.After(min(listenAfterDrain, time.Duration(grace*listenShare))):
 	case <-ctx.Done():
 	}
 	shutdown, stop := context.WithDeadline(context.Background(), end)
@@ -251,14 +252,14 @@
 		{Kind: KindHosts, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
 	}
 	for _, f := range feeds {
-		f.Store, f.Prompt, f.Elected = h.store, h.adapter.Prompt, h.elected(f.Kind)
+		f.Store, f.Elected, f.Poll = h.store, h.elected(f.Kind), h.settings.Load().Platform.Poll
 		f.reread = make(chan struct{}, 1)
 		h.beats.feeds[f.Kind] = f
 	}
 	return feeds
 }
 
-// elected reports whether this host watches a kind with short waits for the fleet.
+// elected reports whether this host reads the list of a kind again and again for the fleet.
 func (h *Host) elected(kind string) func() bool {
 	return func() bool {
 		ranked := fleet.Ranked(h.hosts.Live(), kind)
