--- /dev/null
+++ b/cmd/hyssopreelctl/explain.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+type explainCommand struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" description:"ID of a request or of a program"`
+		Files []string `positional-arg-name:"LOG" description:"logs of hosts; - is standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// logLine is one line of a host's log.
+type logLine struct {
+	Time    time.Time                  `json:"timestamp"`
+	Message string                     `json:"message"`
+	Fields  map[string]json.RawMessage `json:"fields"`
+}
+
+// maxLogLine bounds one line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// contextEvents are the numbers of events that concern all requests of a host: configuration in force, hosts that
+// come and go, and access to the store. Those shortly before and during the request are shown with it.
+var contextEvents = []string{"1100", "1101", "1120", "1141", "1143", "1150", "1151", "1171", "1700", "1701"}
+
+// contextBefore is how long before the first line of the request such events are shown.
+const contextBefore = 3 * time.Second
+
+func (c *explainCommand) run(a *app) error {
+	lines, err := c.read(a)
+	if err != nil {
+		return err
+	}
+	about := selectLines(lines, c.Args.ID)
+	if len(about) == 0 {
+		return fmt.Errorf("no line about %q in %d lines of %d logs", c.Args.ID, len(lines), len(c.Args.Files))
+	}
+	return a.print(about, "TIME HOST EVENT WHAT", func(add func(...any)) {
+		for _, l := range about {
+			add(l.Time.Format("15:04:05.000"), l.field("host"), l.field("event"), l.text())
+		}
+	})
+}
+
+func (c *explainCommand) read(a *app) ([]logLine, error) {
+	var out []logLine
+	for _, name := range c.Args.Files {
+		r := a.stdin
+		if name != "-" {
+			f, err := os.Open(name)
+			if err != nil {
+				return nil, err
+			}
+			defer func() { _ = f.Close() }()
+			r = f
+		}
+		lines, err := readLog(r)
+		if err != nil {
+			return nil, errors.Wrapf(err, "log %s", name)
+		}
+		out = append(out, lines...)
+	}
+	slices.SortStableFunc(out, func(x, y logLine) int { return x.Time.Compare(y.Time) })
+	return out, nil
+}
+
+// readLog reads the lines that are events; what stands before the JSON of a line is passed over.
+func readLog(r io.Reader) ([]logLine, error) {
+	var out []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		start := bytes.IndexByte(s.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(s.Bytes()[start:], &l) == nil && l.Fields != nil {
+			out = append(out, l)
+		}
+	}
+	return out, s.Err()
+}
+
+// selectLines returns the lines about the request or program, and those about its hosts at that time.
+func selectLines(lines []logLine, id string) []logLine {
+	hosts := map[string]bool{}
+	var first, last time.Time
+	for _, l := range lines {
+		if !l.about(id) {
+			continue
+		}
+		if first.IsZero() {
+			first = l.Time
+		}
+		last = l.Time
+		hosts[l.field("host")] = true
+		if home := l.field("home"); home != "" {
+			hosts[home] = true
+		}
+	}
+	var out []logLine
+	for _, l := range lines {
+		near := hosts[l.field("host")] && slices.Contains(contextEvents, l.field("event")) &&
+			!l.Time.Before(first.Add(-contextBefore)) && !l.Time.After(last)
+		if l.about(id) || near {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (l logLine) about(id string) bool { return l.field("request") == id || l.field("program") == id }
+
+// field returns a field as text.
+func (l logLine) field(name string) string { return strings.Trim(string(l.Fields[name]), `"`) }
+
+// text returns the message and the fields that have no column of their own.
+func (l logLine) text() string {
+	names := make([]string, 0, len(l.Fields))
+	for n := range l.Fields {
+		if n != "host" && n != "event" {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	b.WriteString(l.Message)
+	for _, n := range names {
+		fmt.Fprintf(&b, " %s=%s", n, l.Fields[n])
+	}
+	return b.String()
+}
--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -209,6 +209,9 @@
 	d.add(backend, "list", "List the backend servers", "", "backend list --pool reel-lm", &backendList{})
 	pool := d.group(p.Command, "pool", "Show pools")
 	d.add(pool, "list", "List the pools and their workers", "", "pool list", &poolList{})
+	d.add(p.Command, "explain", "Show what the hosts' logs say of a request or a program, in order",
+		"The lines of all logs are put in the order of time. What happened at the hosts meanwhile is shown with them: configuration, hosts that come and go, and access to the store.",
+		"explain 9c41d07be2a35f68 a-1.log b-1.log", &explainCommand{})
 	d.add(p.Command, "replay", "Run an event log through the reducer and show its effects",
 		"The log is the one that a daemon writes with the setting event_log. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
 		"replay events.log --expect outcomes.json", &replayCommand{})
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -90,7 +90,7 @@
 	ginkgo.It("has an example in the help of each command", func() {
 		for _, c := range []string{
 			"ticket apply", "ticket show", "ticket list", "program list", "program show", "program history",
-			"program cancel", "host list", "host drain", "backend list", "pool list", "replay",
+			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain",
 		} {
 			r := ctl("", append(strings.Fields(c), "--help")...)
 			gomega.Expect(r.code).To(gomega.Equal(exitOK), c)
@@ -159,6 +159,23 @@
 		gomega.Expect(requests).To(gomega.Equal([]string{"DELETE /v1/programs/a.1-1", "POST /v1/members/a/drain"}))
 	})
 
+	// Guards against a request whose path over several hosts cannot be seen in one place.
+	ginkgo.It("explains a request from the logs of several hosts", func() {
+		line := func(at, host, event, rest string) string {
+			return `-1.5 ` + host + ` {"fields":{"host":"` + host + `","event":` + event + rest + `},"level":"info","timestamp":"2026-04-09T03:34:` + at + `Z","message":"m` + event + `"}` + "\n"
+		}
+		a := file("a.log", line("21.5", "a-1", "1111", `,"request":"r1","program":"p1","home":"b-1","reason":"budget"`)+
+			line("21.2", "a-1", "1120", `,"version":7`)+line("01.0", "a-1", "1120", `,"version":6`)+"no event\n")
+		b := file("b.log", line("21.4", "b-1", "1172", `,"program":"p1","granted":774`)+
+			line("21.3", "b-1", "1110", `,"request":"r2"`)+line("21.1", "b-1", "1150", `,"kind":"config"`))
+		r := ctl("", "explain", "r1", a, b)
+		gomega.Expect(r.code).To(gomega.Equal(exitOK), r.errOut)
+		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)1150.*1120.*version=7.*1111.*reason="budget"`))
+		gomega.Expect(r.out).NotTo(gomega.Or(gomega.ContainSubstring("r2"), gomega.ContainSubstring("version=6")))
+		gomega.Expect(ctl("", "explain", "p1", a, b).out).To(gomega.MatchRegexp(`(?s)granted=774.*1111`))
+		gomega.Expect(ctl("", "explain", "none", a, b).code).To(gomega.Equal(exitNotRun))
+	})
+
 	ginkgo.Describe("replay", func() {
 		var log string
 
--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -41,7 +41,9 @@
 		c.code = exitUsage
 		return nil
 	}
-	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name, Output: os.Stdout}); err != nil {
+	queue := logging.NewQueue(os.Stdout)
+	defer func() { _ = queue.Close() }() // never fails
+	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name, Output: queue}); err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * heapShare))
--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -78,7 +78,9 @@
 
 // serve runs the host until a signal ends it.
 func serve(s *settings.Settings) int {
-	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name}); err != nil {
+	queue := logging.NewQueue(os.Stdout)
+	defer func() { _ = queue.Close() }() // never fails
+	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name, Output: queue}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
--- a/common/logging/events_daemon.go
+++ b/common/logging/events_daemon.go
@@ -9,5 +9,6 @@
 	DaemonDrainFailed    = Declare(1004, Warning, "peers could not be told of the drain", "error")
 	DaemonHandoverFailed = Declare(1005, Warning, "no heir took the programs over; the lease lapses instead", "error")
 	DaemonFailed         = Declare(1006, Error, "host failed", "error")
+	LinesDropped         = Declare(1007, Warning, "log lines were dropped to keep the log's volume bounded", "lines")
 	DaemonUnknownEvent   = Declare(1099, Error, "event without a declaration", "name")
 )
