--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -23,8 +23,8 @@
 	// grantTurns is the number of turns that a grant covers beyond what is needed, so that few programs need two and
 	// another host still finds room.
 	grantTurns = 1
-	// closeRetry is the pause before the record of a refused program is written again.
-	closeRetry = clock.Millis(500)
+	// writeRetry is the pause before a record is written again that could not be written.
+	writeRetry = clock.Millis(500)
 	// forgetSlack is added to a program's retention before its account is dropped.
 	forgetSlack = clock.Millis(10_000)
 )
@@ -258,12 +258,29 @@
 		return []Effect{a.allow(w)}
 	}
 	a.waiting = append(a.waiting, w)
-	if a.writing || a.recalling {
+	switch {
+	case a.writing || a.recalling:
 		return nil
+	case at < a.retryAt:
+		return a.refuseIdle()
 	}
 	return l.raise(t.Program, a, need)
 }
 
+// refuseIdle answers the turns that wait for a grant which the store does not give. While other turns of the program
+// run, they wait on: a turn ends with much less than its most, which leaves room within the limit.
+func (a *account) refuseIdle() []Effect {
+	if len(a.held) > 0 {
+		return nil
+	}
+	out := make([]Effect, 0, len(a.waiting))
+	for _, w := range a.waiting {
+		out = append(out, Answer{Ticket: w.ticket, Verdict: Unavailable})
+	}
+	a.waiting = nil
+	return out
+}
+
 func (a *account) allow(w waiting) Answer {
 	place, ok := a.places[w.turn.Session]
 	if !ok {
@@ -299,7 +316,9 @@
 		return nil
 	}
 	a.writing = false
-	a.retryAt = at + closeRetry
+	if o == Failed {
+		a.retryAt = at + writeRetry
+	}
 	if o == Stored {
 		foreign := l.records[program].Granted - a.granted
 		l.records[program] = record{Record: Record{Granted: granted, Holder: holder}, version: version, seen: at}
@@ -329,16 +348,10 @@
 
 // resume decides on the turns that waited for a write; answered is set if the store took or refused it.
 func (l *Ledger) resume(at clock.Millis, program string, a *account, answered bool) []Effect {
-	var out []Effect
-	turns := a.waiting
-	a.waiting = nil
-	for _, w := range turns {
-		if !answered {
-			out = append(out, Answer{Ticket: w.ticket, Verdict: Unavailable})
-			continue
-		}
-		out = append(out, l.admit(at, a, w)...)
+	if !answered && !a.closed {
+		return a.refuseIdle()
 	}
+	out := l.admitWaiting(at, a)
 	if a.closed && !a.writing {
 		out = append(out, l.close(at, program, a)...)
 	}
@@ -354,6 +367,17 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(w waiting) bool { return w.ticket == ticket })
 }
 
+// admitWaiting decides anew on the turns that wait.
+func (l *Ledger) admitWaiting(at clock.Millis, a *account) []Effect {
+	var out []Effect
+	turns := a.waiting
+	a.waiting = nil
+	for _, w := range turns {
+		out = append(out, l.admit(at, a, w)...)
+	}
+	return out
+}
+
 // Settlement is the end of a turn.
 type Settlement struct {
 	Program string
@@ -366,13 +390,13 @@
 }
 
 // Settle replaces the most of a turn by what was handed to its caller.
-func (l *Ledger) Settle(at clock.Millis, s Settlement) {
+func (l *Ledger) Settle(at clock.Millis, s Settlement) []Effect {
 	a, ok := l.accounts[s.Program]
 	if !ok {
-		return
+		return nil
 	}
 	if _, held := a.held[s.Attempt]; !held {
-		return
+		return nil
 	}
 	delete(a.held, s.Attempt)
 	a.spent += s.Tokens
@@ -380,6 +404,10 @@
 	if s.Place.Server != "" {
 		a.places[s.Session], a.places[""] = s.Place, s.Place
 	}
+	if a.writing || a.recalling {
+		return nil
+	}
+	return l.admitWaiting(at, a)
 }
 
 // Listed sets the records of all programs, by name, and makes the ledger ready.
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -95,6 +95,23 @@
 		Entry("the store is away: a third host may not", ledger.Foreign, ledger.Failed, ledger.Unavailable),
 	)
 
+	// Guards against refusing helpers that run side by side while the store is away: each counts at its most.
+	It("lets a turn wait for the program's other turns while the store gives no grant", func() {
+		l := ready()
+		Expect(verdict(l.Reserve(0, 1, turn("t1"), ledger.Known))).To(Equal(ledger.Allowed))
+		Expect(l.Reserve(0, 2, turn("t2"), ledger.Known)).To(ContainElement(BeAssignableToTypeOf(ledger.Write{})))
+		Expect(l.Written(0, program, "a", ledger.Failed, 0, 0)).To(BeEmpty())
+		Expect(verdict(l.Settle(10, ledger.Settlement{Program: program, Attempt: "t1", Tokens: 70}))).To(Equal(ledger.Allowed))
+	})
+
+	It("refuses a turn for now if nothing runs and the store gives no grant", func() {
+		l := ready()
+		Expect(verdict(l.Reserve(0, 1, turn("t1"), ledger.Known))).To(Equal(ledger.Allowed))
+		l.Settle(0, ledger.Settlement{Program: program, Attempt: "t1", Tokens: 150})
+		Expect(l.Reserve(0, 2, turn("t2"), ledger.Known)).To(ContainElement(BeAssignableToTypeOf(ledger.Write{})))
+		Expect(verdict(l.Written(0, program, "a", ledger.Failed, 0, 0))).To(Equal(ledger.Unavailable))
+	})
+
 	// Guards against a turn that is counted twice when its question is asked again.
 	It("answers a repeated question without counting the turn twice", func() {
 		l := ready()
--- a/core/ledger/random_test.go
+++ b/core/ledger/random_test.go
@@ -188,7 +188,7 @@
 					f.handed += got - f.most
 					delete(f.running, attempt)
 					if l, ok := f.hosts[h]; ok {
-						l.Settle(f.at, ledger.Settlement{Program: program, Attempt: attempt, Tokens: got})
+						f.apply(h, l.Settle(f.at, ledger.Settlement{Program: program, Attempt: attempt, Tokens: got}))
 					}
 					break
 				}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -29,8 +29,9 @@
 	// decideTimeout bounds how long the host that accounts for a program waits for the store, so that its answer
 	// arrives within reserveTimeout.
 	decideTimeout = 180 * time.Millisecond
-	// reserveTries and reservePause bound how often a host is asked that waits for the store.
-	reserveTries = 3
+	// reserveTries and reservePause bound how often a host is asked that waits for the store, or for the program's
+	// other turns: 2 s, within the time after which callers give a stream up.
+	reserveTries = 8
 	reservePause = 60 * time.Millisecond
 	// noHomeWait bounds the wait for a host that accounts for a program: a host is ready within it after its start.
 	noHomeWait = 600 * time.Millisecond
@@ -425,7 +426,7 @@
 	a.mu.Lock()
 	known := a.ledger.Knows(s.Program)
 	if known {
-		a.ledger.Settle(a.clock.Now(), s.Settlement)
+		a.apply(a.ledger.Settle(a.clock.Now(), s.Settlement))
 	}
 	a.mu.Unlock()
 	if known || s.Forwarded {
