End a request with the incarnation that took it

After 5 s of waiting for the last requests the same holds. The front now counts a request before it hands it on, and cancels what is left when the incarnation ends.

--- a/service/daemon/front.go
+++ b/service/daemon/front.go
@@ -5,7 +5,7 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,9 +25,21 @@
 // front is the HTTP listener of the process. It outlives the incarnations, so that a deposition closes no
 // connection of a caller: requests that come between two incarnations are refused as not run.
 type front struct {
-	server  *http.Server
-	handler atomic.Pointer[http.Handler] // of the incarnation that serves
-	failed  chan error
+	server *http.Server
+	failed chan error
+
+	mu sync.Mutex
+	// serving is the incarnation that serves, nil between two; last is the one that served last.
+	serving, last *incarnation
+}
+
+// incarnation is an incarnation of the host as its callers' requests see it.
+type incarnation struct {
+	handler http.Handler
+	// active counts the requests that it has taken and not answered.
+	active int
+	ctx    context.Context
+	end    context.CancelFunc
 }
 
 func newFront(s *settings.Settings) (*front, error) {
@@ -48,17 +60,57 @@
 
 // serve directs requests to an incarnation; nil refuses them.
 func (f *front) serve(h http.Handler) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if h == nil {
-		f.handler.Store(nil)
+		f.serving = nil
 		return
 	}
-	f.handler.Store(&h)
+	ctx, end := context.WithCancel(context.Background())
+	f.serving = &incarnation{handler: h, ctx: ctx, end: end}
+	f.last = f.serving
+}
+
+// enter counts a request in at the incarnation that serves; nil if none does.
+func (f *front) enter() *incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.serving != nil {
+		f.serving.active++
+	}
+	return f.serving
+}
+
+func (f *front) leave(i *incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i.active--
+}
+
+// idle reports whether the incarnation that served last has answered all its requests.
+func (f *front) idle() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last == nil || f.last.active == 0
+}
+
+// end cancels the requests of the incarnation that served last: it ends, and nobody in it would answer them.
+func (f *front) end() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.last != nil {
+		f.last.end()
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h := f.handler.Load(); h != nil {
-		(*h).ServeHTTP(w, r)
+	if i := f.enter(); i != nil {
+		defer f.leave(i)
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(i.ctx, cancel)()
+		i.handler.ServeHTTP(w, r.WithContext(ctx))
 		return
 	}
 	if r.URL.Path == "/healthz" {
--- a/service/daemon/shutdown.go
+++ b/service/daemon/shutdown.go
@@ -67,7 +67,8 @@
 func (d *Daemon) finishForwarded(work context.Context) {
 	const limit = 5 * time.Second
 	d.front.serve(nil)
-	d.waitUntil(work, time.Now().Add(limit), func() bool { return d.entry.Active() == 0 })
+	d.waitUntil(work, time.Now().Add(limit), d.front.idle)
+	d.front.end()
 }
 
 // handover gives the programs to an heir. If there is none, for example because all hosts shut down, the
