Presume a second share after a start in an outage

The first-ranked host is killed in an outage of the store, the second one uses its share, and the first one is back without memory: with its grants, a program could get a share more than its budget and turn. Cost: a program that starts at such a host has its share only, for 70 s.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -154,6 +154,9 @@
 	limit int
 	// granted is the part of the record's grants that is this host's.
 	granted int
+	// presumed is what other hosts may have handed out without a record, beside the one share for which grants leave
+	// room.
+	presumed int
 
 	// places holds where each session ran last, and under "" where the program did.
 	places map[string]Place
@@ -183,8 +186,15 @@
 	accounts map[string]*account
 	records  map[string]record
 	ready    bool
+	// presumeUntil is the end of the time in which programs may have begun before this host started, while the store
+	// was away.
+	presumeUntil clock.Millis
 }
 
+// PresumeShares makes the ledger assume, until then, that two other hosts may have used their shares of a program
+// that has no record: this host lost its memory while the store was away, and the next in rank served in its place.
+func (l *Ledger) PresumeShares(until clock.Millis) { l.presumeUntil = until }
+
 // New returns a ledger that is not ready: it refuses turns until the records were listed.
 func New() *Ledger {
 	return &Ledger{accounts: map[string]*account{}, records: map[string]record{}}
@@ -211,19 +221,22 @@
 		if !l.ready {
 			return []Effect{Answer{Ticket: ticket, Verdict: NotReady}}
 		}
-		a = l.open(t, trust)
+		a = l.open(at, t, trust)
 	}
 	a.lastUse = at
 	a.most = max(a.most, t.Most)
 	return l.admit(at, a, waiting{ticket, t})
 }
 
-func (l *Ledger) open(t Turn, trust Trust) *account {
+func (l *Ledger) open(at clock.Millis, t Turn, trust Trust) *account {
 	a := &account{
 		budget: t.Budget, most: t.Most, held: map[string]int{}, places: map[string]Place{},
 		retention: clock.Millis(t.Retention.Milliseconds()),
 	}
 	_, recorded := l.records[t.Program]
+	if !recorded && at < l.presumeUntil {
+		a.presumed = share(t.Budget, t.Most)
+	}
 	switch {
 	case recorded || trust == Foreign:
 	case trust == Doubtful:
@@ -242,9 +255,9 @@
 	}
 	need := a.spent + a.heldTokens() + t.Most
 	r := l.records[t.Program]
-	foreign := r.Granted - a.granted
+	foreign := l.foreign(t.Program, a)
 	switch {
-	case !a.closed && foreign > 0 && need > a.limit && a.askedFor != r.version && !a.writing:
+	case !a.closed && foreign > 0 && r.version != 0 && need > a.limit && a.askedFor != r.version && !a.writing:
 		a.waiting = append(a.waiting, w)
 		if a.recalling {
 			return nil
@@ -289,11 +302,20 @@
 	return Answer{Ticket: w.ticket, Verdict: Allowed, Place: place}
 }
 
+// foreign returns what other hosts may have handed out of the program under grants, or without a record.
+func (l *Ledger) foreign(program string, a *account) int {
+	r, recorded := l.records[program]
+	if !recorded {
+		return a.presumed
+	}
+	return r.Granted - a.granted
+}
+
 // raise asks for a grant that covers need tokens of this host, and a share at least: the store may be away when the
 // program needs more.
 func (l *Ledger) raise(program string, a *account, need int) []Effect {
 	r := l.records[program]
-	foreign := r.Granted - a.granted
+	foreign := l.foreign(program, a)
 	own := max(need+grantTurns*a.most, share(a.budget, a.most))
 	want := min(foreign+own, a.cap())
 	a.writing = true
@@ -322,7 +344,7 @@
 		a.retryAt = at + writeRetry
 	}
 	if o == Stored {
-		foreign := l.records[program].Granted - a.granted
+		foreign := l.foreign(program, a)
 		l.records[program] = record{Record: Record{Granted: granted, Holder: holder}, version: version, seen: at}
 		a.askedFor = version
 		a.granted = granted - foreign
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,6 +105,33 @@
 		Expect(w.Granted).To(Equal((9000 + 290) / 3))
 	})
 
+	// Guards against a program that loops while its first host is killed in an outage of the store: the second host uses
+	// its share, and the first one is back, without memory, before it hears of that.
+	It("stays within the bound when two shares were used and lost in an outage", func() {
+		handed := 0
+		spend := func(l *ledger.Ledger, host string, trust ledger.Trust, store ledger.Outcome) {
+			for i := range 20 {
+				attempt := fmt.Sprintf("%s-%d", host, i)
+				t := turn(attempt)
+				t.Budget = 9000
+				effects := l.Reserve(0, uint64(i), t, trust)
+				if w, ok := effects[0].(ledger.Write); ok {
+					effects = l.Written(0, program, host, store, w.Granted, uint64(i+1))
+				}
+				if len(effects) > 0 && verdict(effects) == ledger.Allowed {
+					handed += 290
+					l.Settle(0, ledger.Settlement{Program: program, Attempt: attempt, Tokens: 290})
+				}
+			}
+		}
+		spend(ready(), "first", ledger.Known, ledger.Failed)
+		spend(ready(), "second", ledger.Doubtful, ledger.Failed)
+		back := ready()
+		back.PresumeShares(60_000)
+		spend(back, "first again", ledger.Doubtful, ledger.Stored)
+		Expect(handed).To(BeNumerically("<=", 9000+290))
+	})
+
 	// Guards against refusing helpers that run side by side while the store is away: each counts at its most.
 	It("lets a turn wait for the program's other turns while the store gives no grant", func() {
 		l := ready()
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -37,6 +37,11 @@
 	noHomeWait = 600 * time.Millisecond
 	// settledAfter is how long after its start a host trusts that the others have handed their accounts over.
 	settledAfter = 3 * time.Second
+	// startedInOutage is the time from a start to the first read of the records after which the store was away: three
+	// calls that time out take longer, calls of a slow store do not.
+	startedInOutage = 2 * time.Second
+	// presumeFor is the longest retention of programs, 60 s, and the time after which accounts are dropped.
+	presumeFor = 70 * time.Second
 	// settleTries and settlePause bound how often a settlement is sent; it must arrive within the second after which
 	// an ended turn no longer counts at its most.
 	settleTries = 4
@@ -62,7 +67,8 @@
 	tickets uint64
 	answers map[uint64]chan ledger.Answer
 	// homes remembers which host granted a running turn, by attempt.
-	homes map[string]fleet.Host
+	homes   map[string]fleet.Host
+	started time.Time
 	// readyAt is when the records were first read.
 	readyAt time.Time
 	// leaving is set once this host hands its accounts over.
@@ -71,7 +77,7 @@
 
 func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, available func() bool) *accounts {
 	a := &accounts{
-		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), available: available,
+		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), started: time.Now(), available: available,
 		ledger: ledger.New(), answers: map[uint64]chan ledger.Answer{}, homes: map[string]fleet.Host{},
 	}
 	node.Handle(wire.TypeReserve, a.serveReserve)
@@ -383,6 +389,9 @@
 	a.ledger.Listed(a.clock.Now(), records, versions)
 	if a.readyAt.IsZero() {
 		a.readyAt = time.Now()
+		if a.readyAt.Sub(a.started) > startedInOutage {
+			a.ledger.PresumeShares(a.clock.Now().Add(presumeFor))
+		}
 	}
 	return nil
 }
