--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -163,6 +163,3 @@
 	p.Filters = append(p.Filters, FreeSlot)
 	return p
 }
-
-// DefaultUrgency is the rank that an engine gives a request that names none.
-const DefaultUrgency = 5
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -85,18 +85,13 @@
 
 // Engine describes the model workers of a service.
 type Engine struct {
-	// Slots is the number of requests that run at once.
-	Slots int
-	// CacheTokens is the size of a worker's KV cache in tokens.
-	CacheTokens int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
 }
 
 // Service is a group of backend servers.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConns is the number of connections that one backend server accepts from all hosts together.
 	MaxConns int
 	// Engine is nil for plain services.
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -31,13 +30,11 @@
 	silent map[string]time.Time
 	// since holds when a host's present incarnation was listed.
 	since map[string]time.Time
-	// moved is called without the lock when the hosts that account for programs may have changed.
-	moved func()
 }
 
 // NewHosts returns a list that holds this host only. changed is called with the number of hosts.
 func NewHosts(self fleet.Host, changed func(n int)) *Hosts {
-	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}, since: map[string]time.Time{}, moved: func() {}}
+	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}, since: map[string]time.Time{}}
 }
 
 func decodeHost(o objectapi.Object) (fleet.Host, error) {
@@ -224,6 +221,3 @@
 	}
 	return fleet.Directory(hosts, at, directoryMinLocal, directoryLimit), directoryTTL
 }
-
-// PlaceOf returns where a caller of the directory is.
-type PlaceOf func(r *http.Request) fleet.Place
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -23,9 +23,7 @@
 
 // Options describe the host of an ingress.
 type Options struct {
-	Host          string
 	FailureDomain string
-	Region        string
 	// MemoryBytes is the memory that the process may use; a part of it bounds the bodies that are held.
 	MemoryBytes int64
 }
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -124,7 +124,7 @@
 	for _, b := range backends {
 		h.servers.Put(placement.Server{ID: b.id, Service: "s", Address: b.address, Slots: 4})
 	}
-	h.in = ingress.New(ingress.Options{Host: "a-1", MemoryBytes: 1 << 30}, platform.Headers{}, h.servers, h.budgets, tally.NoopScope)
+	h.in = ingress.New(ingress.Options{FailureDomain: "a", MemoryBytes: 1 << 30}, platform.Headers{}, h.servers, h.budgets, tally.NoopScope)
 	s := &http.Server{Handler: h.in, ConnContext: ingress.ConnContext}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -99,9 +99,7 @@
 	}
 	h.node.Handle(wire.TypeRelay, relay.Serve(a.Store))
 	h.accounts = newAccounts(h.self, h.hosts, h.node, h.store, h.beats.storeReachable)
-	h.ingress = New(Options{
-		Host: s.Host.Name, FailureDomain: s.Host.FailureDomain, Region: s.Host.Region, MemoryBytes: s.Limits.Memory,
-	}, a.Headers, h.servers, h.accounts, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryBytes: s.Limits.Memory}, a.Headers, h.servers, h.accounts, scope)
 	return h
 }
 
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
-	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -110,7 +109,7 @@
 
 // watched returns the entry of a send for the watchdog. Only a stream that may be asked for again is ended by it.
 func (s *stream) watched(lease *Lease, cancel context.CancelCauseFunc) *watched {
-	w := &watched{lease: lease, urgency: placement.DefaultUrgency, pause: s.route.PauseObjective, sent: s.in.now(), cancel: cancel}
+	w := &watched{lease: lease, pause: s.route.PauseObjective, sent: s.in.now(), cancel: cancel}
 	if w.pause <= 0 {
 		w.pause = pauseDefault
 	}
--- a/service/ingress/types.go
+++ b/service/ingress/types.go
@@ -8,12 +8,6 @@
 	"time"
 )
 
-// PromptPart is one part of a prompt that engines keep in their KV cache; requests share parts.
-type PromptPart struct {
-	ID     string
-	Tokens int
-}
-
 // Call is what a caller says of a request beside its method, path and body.
 type Call struct {
 	// Attempt identifies this attempt of the caller.
@@ -26,17 +20,12 @@
 	LastEvent string
 	// Wait is how long the caller waits for the answer; 0 if it does not say.
 	Wait time.Duration
-	// ProgramWait is the time left until the whole program should be finished; 0 if the caller does not say.
-	ProgramWait time.Duration
 	// Budget is the number of tokens that all turns of the program may generate together; 0 is no budget.
 	Budget int
 	// PromptTokens is the size of the prompt.
 	PromptTokens int
 	// MaxTokens is the most tokens that this turn generates.
 	MaxTokens int
-	// LengthHint is the caller's estimate of the tokens that the turn generates; 0 if there is none.
-	LengthHint int
-	Prefix     []PromptPart
 }
 
 // Forwarded is what the system tells the backend server about a request.
@@ -45,8 +34,6 @@
 	Server string
 	// Wait is the time that is left for the answer; 0 is no limit.
 	Wait time.Duration
-	// Urgency ranks the request at an engine, from 1 (first) to 9; 0 leaves the engine's default.
-	Urgency int
 	// LastEvent is the ID of the event after which a stream goes on; empty for its start.
 	LastEvent string
 }
--- a/service/ingress/watchdog.go
+++ b/service/ingress/watchdog.go
@@ -30,8 +30,6 @@
 	probeTimeout = 300 * time.Millisecond
 	// pauseDefault stands for a route's pause if it does not say.
 	pauseDefault = 200 * time.Millisecond
-	// urgencies is the number of ranks that an engine knows.
-	urgencies = 10
 )
 
 var (
@@ -44,22 +42,21 @@
 // progress is what an engine has shown lately.
 type progress struct {
 	mu sync.Mutex
-	// begun holds, by urgency, when the last streams were sent that have begun.
-	begun [urgencies][overtakers]time.Time
+	// begun holds when the last streams were sent that have begun, the latest first.
+	begun [overtakers]time.Time
 	// event is when the last event of any stream arrived.
 	event time.Time
 	// probed is when the last probe began.
 	probed time.Time
 }
 
-func (p *progress) noteBegun(urgency int, sent time.Time) {
+func (p *progress) noteBegun(sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	times := &p.begun[urgency]
-	for i, t := range times {
+	for i, t := range p.begun {
 		if sent.After(t) {
-			copy(times[i+1:], times[i:])
-			times[i] = sent
+			copy(p.begun[i+1:], p.begun[i:])
+			p.begun[i] = sent
 			return
 		}
 	}
@@ -71,19 +68,16 @@
 	p.event = now
 }
 
-// overtook reports whether enough streams that are not more urgent were sent later and have begun.
-func (p *progress) overtook(urgency int, sent time.Time) bool {
+// overtook reports whether enough streams were sent later and have begun.
+func (p *progress) overtook(sent time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
-	for _, times := range p.begun[urgency:] {
-		for _, t := range times {
-			if t.Sub(sent) > overtaken {
-				n++
-			}
+	for _, t := range p.begun {
+		if t.Sub(sent) <= overtaken {
+			return false
 		}
 	}
-	return n >= overtakers
+	return true
 }
 
 // lastEvent returns when the last event arrived.
@@ -106,11 +100,10 @@
 
 // watched is one running stream.
 type watched struct {
-	lease   *Lease
-	urgency int
-	pause   time.Duration
-	sent    time.Time
-	begun   atomic.Bool
+	lease *Lease
+	pause time.Duration
+	sent  time.Time
+	begun atomic.Bool
 	// last is when the last event arrived, in Unix nanoseconds.
 	last   atomic.Int64
 	cancel context.CancelCauseFunc
@@ -121,7 +114,7 @@
 	w.last.Store(now.UnixNano())
 	p := &w.lease.backend.progress
 	if w.begun.CompareAndSwap(false, true) {
-		p.noteBegun(w.urgency, w.sent)
+		p.noteBegun(w.sent)
 	}
 	p.noteEvent(now)
 }
@@ -172,7 +165,7 @@
 		silent := now.Sub(time.Unix(0, w.last.Load()))
 		p := &w.lease.backend.progress
 		switch {
-		case !w.begun.Load() && silent > silentFirst && p.overtook(w.urgency, w.sent),
+		case !w.begun.Load() && silent > silentFirst && p.overtook(w.sent),
 			w.begun.Load() && silent > silentPauses*w.pause && now.Sub(p.lastEvent()) < w.pause:
 			w.cancel(errLost)
 		case silent > silentServer && now.Sub(p.lastEvent()) > silentServer && p.mayProbe(now):
