--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -1,10 +1,6 @@
 package settings
 
-import (
-	"time"
-
-	"gopkg.in/ini.v1"
-)
+import "time"
 
 // Entry are the settings of an entry host that serves callers on the platform, or of a host with a disk there.
 // Sizes are in bytes.
@@ -49,12 +45,11 @@
 
 // LoadEntry reads the settings of an entry host. The settings are complete and valid only if there are no problems.
 func LoadEntry(path string) (*Entry, []Problem) {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
-	if err != nil {
-		return &Entry{}, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
-	}
-	r := &reader{path: path, file: file, known: map[string]map[string]bool{}}
 	s := &Entry{}
+	r, problems := newReader(path)
+	if len(problems) > 0 {
+		return s, problems
+	}
 	r.readEntry(s)
 	r.reportUnknown()
 	return s, r.problems
--- /dev/null
+++ b/common/settings/entry_test.go
@@ -0,0 +1,49 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/common/settings"
+)
+
+var _ = Describe("LoadEntry", func() {
+	write := func(text string) string {
+		path := filepath.Join(GinkgoT().TempDir(), "entry.ini")
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+		return path
+	}
+
+	It("reads the example, which shows the defaults", func() {
+		s, problems := settings.LoadEntry("../../docs/entry.example.ini")
+		Expect(problems).To(BeEmpty())
+		Expect(s.Shutdown.Grace).To(Equal(8 * time.Second))
+		Expect(s.Seeds.Peers).To(HaveLen(2))
+		few, problems := settings.LoadEntry(write("[host]\nname=a-1\nfailure_domain=a\nregion=r\n[listen]\nmetrics=10.0.0.1:1\n[platform]\naddress=10.0.0.2:1\n"))
+		Expect(problems).To(BeEmpty())
+		Expect(few.Platform.Timeout).To(Equal(s.Platform.Timeout))
+		Expect(few.Platform.Watch).To(Equal(s.Platform.Watch))
+		Expect(few.Platform.Poll).To(Equal(s.Platform.Poll))
+		Expect(few.Limits).To(Equal(s.Limits))
+		Expect(few.Shutdown).To(Equal(s.Shutdown))
+		Expect(few.Log).To(Equal(s.Log))
+	})
+
+	It("reports every wrong setting at once", func() {
+		_, problems := settings.LoadEntry(write("[host]\nname=A\nfailure_domain=a\nregion=r\n[listen]\ncallers=here\nmetrics=10.0.0.1:1\n[platform]\naddress=10.0.0.2:1\nwatch=soon\n[limits]\nmemory=much\nother=1\n"))
+		var keys []string
+		for _, p := range problems {
+			keys = append(keys, p.Key)
+		}
+		Expect(keys).To(ConsistOf("name", "callers", "watch", "memory", "other"))
+	})
+
+	It("reports a file that cannot be read", func() {
+		_, problems := settings.LoadEntry("/none")
+		Expect(problems).To(HaveLen(1))
+	})
+})
--- a/common/settings/reader.go
+++ b/common/settings/reader.go
@@ -25,6 +25,15 @@
 	problems []Problem
 }
 
+// newReader opens a settings file.
+func newReader(path string) (*reader, []Problem) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
+	if err != nil {
+		return nil, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
+	}
+	return &reader{path: path, file: file, known: map[string]map[string]bool{}}, nil
+}
+
 func (r *reader) problem(section, key, value, allowed string) {
 	r.problems = append(r.problems, Problem{File: r.path, Section: section, Key: key, Value: value, Allowed: allowed})
 }
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -4,8 +4,6 @@
 import (
 	"fmt"
 	"time"
-
-	"gopkg.in/ini.v1"
 )
 
 // Settings are the settings of one daemon. Sizes are in bytes.
@@ -92,12 +90,11 @@
 
 // Load reads the settings file. The settings are complete and valid only if there are no problems.
 func Load(path string) (*Settings, []Problem) {
-	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, AllowDuplicateShadowValues: true}, path)
-	if err != nil {
-		return &Settings{}, []Problem{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
-	}
-	r := &reader{path: path, file: file, known: map[string]map[string]bool{}}
 	s := &Settings{}
+	r, problems := newReader(path)
+	if len(problems) > 0 {
+		return s, problems
+	}
 	r.readAll(s)
 	r.checkAcross(s)
 	r.reportUnknown()
