--- a/service/daemon/front.go
+++ b/service/daemon/front.go
@@ -22,6 +22,9 @@
 // betweenRetry is when a caller should ask again while the host has no incarnation that serves.
 const betweenRetry = 500 * time.Millisecond
 
+// errTakenOver answers the requests that are left when an incarnation ends; their callers ask the new home.
+var errTakenOver = fault.New(fault.CodeMoved, "home", "the programs of this incarnation were taken over").With(fault.Unknown)
+
 // front is the HTTP listener of the process. It outlives the incarnations, so that a deposition closes no
 // connection of a caller: requests that come between two incarnations are refused as not run.
 type front struct {
@@ -39,7 +42,7 @@
 	// active counts the requests that it has taken and not answered.
 	active int
 	ctx    context.Context
-	end    context.CancelFunc
+	end    context.CancelCauseFunc
 }
 
 func newFront(s *settings.Settings) (*front, error) {
@@ -66,7 +69,7 @@
 		f.serving = nil
 		return
 	}
-	ctx, end := context.WithCancel(context.Background())
+	ctx, end := context.WithCancelCause(context.Background())
 	f.serving = &incarnation{handler: h, ctx: ctx, end: end}
 	f.last = f.serving
 }
@@ -99,7 +102,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.last != nil {
-		f.last.end()
+		f.last.end(errTakenOver)
 	}
 }
 
@@ -107,9 +110,9 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if i := f.enter(); i != nil {
 		defer f.leave(i)
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		defer context.AfterFunc(i.ctx, cancel)()
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(i.ctx, func() { cancel(context.Cause(i.ctx)) })()
 		i.handler.ServeHTTP(w, r.WithContext(ctx))
 		return
 	}
--- a/service/daemon/front_test.go
+++ b/service/daemon/front_test.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/fault"
 )
 
 // Guards against a request that an incarnation took when it ended: nobody in it answers any more.
@@ -14,6 +17,9 @@
 	f.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(entered)
 		<-r.Context().Done()
+		if fault.From(context.Cause(r.Context()), "test").Code != fault.CodeMoved {
+			t.Error("callers are not told to ask the new home")
+		}
 		w.WriteHeader(http.StatusConflict)
 	}))
 	answered := make(chan int, 1)
--- a/service/home/hub.go
+++ b/service/home/hub.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
@@ -44,11 +46,20 @@
 		case <-w.ready:
 		case <-ctx.Done():
 			w.hub.abandon(w)
-			return nil, nil, fault.New(fault.CodeCanceled, "wait for answer", "%v", ctx.Err()).With(fault.Unknown)
+			return nil, nil, ended(ctx)
 		}
 	}
 }
 
+// ended returns the error of a waiter whose context ended: the cause, if the host gave one.
+func ended(ctx context.Context) error {
+	var cause *fault.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return cause
+	}
+	return fault.New(fault.CodeCanceled, "wait for answer", "%v", ctx.Err()).With(fault.Unknown)
+}
+
 func (w *Waiter) signal() {
 	select {
 	case w.ready <- struct{}{}:
