Split the budgets' service by concern; build the feeds before peers can be heard

Found while reading the diff: a beat that arrived during the start was compared with feeds that were still being added. The race detector finds nothing in service/ingress, service/upstream and core/ledger after it; it was not run before.

--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"sync"
 	"time"
 
@@ -269,133 +267,9 @@
 }
 
 // write stores a record and reports the outcome to the ledger.
-func (a *accounts) write(w ledger.Write) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	value, err := json.Marshal(ledger.Record{Granted: w.Granted, Holder: a.self.Name, Tag: newIncarnation()})
-	var version objectapi.Version
-	if err == nil && !a.available() {
-		err = objectapi.ErrUnavailable
-	}
-	if err == nil {
-		if w.Version == 0 {
-			version, err = objectapi.CreateConfirmed(ctx, a.store, KindBudgets, w.Program, value)
-		} else {
-			version, err = objectapi.UpdateConfirmed(ctx, a.store, KindBudgets, w.Program, value, objectapi.Version(w.Version))
-		}
-	}
-	outcome := ledger.Stored
-	switch {
-	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
-		outcome = a.reread(ctx, w.Program)
-	case err != nil:
-		outcome = ledger.Failed
-	}
-	fields := logging.Fields{"program": w.Program, "granted": w.Granted, "revision": version, "error": err}
-	if err != nil {
-		logging.Emit(logging.GrantFailed, fields)
-	} else {
-		logging.Emit(logging.GrantRecorded, fields)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.apply(a.ledger.Written(a.clock.Now(), w.Program, a.self.Name, outcome, w.Granted, uint64(version)))
-}
-
 // reread reads a record that another host wrote.
-func (a *accounts) reread(ctx context.Context, program string) ledger.Outcome {
-	o, err := a.store.Get(ctx, KindBudgets, program)
-	switch {
-	case errors.Is(err, objectapi.ErrNotFound):
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.ledger.Forget(program)
-		return ledger.Conflict
-	case err != nil:
-		return ledger.Failed
-	}
-	a.seen(o)
-	return ledger.Conflict
-}
-
 // recall asks the holder of a grant for its account. A holder that is gone, or that has started anew, has none.
-func (a *accounts) recall(r ledger.Recall) {
-	var moved []ledger.Account
-	var err error
-	for _, h := range a.hosts.Live() {
-		if h.Name != r.Holder || h.Name == a.self.Name {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), decideTimeout)
-		err = a.node.Call(ctx, h.Peer, wire.TypeRecall, r.Program, &moved)
-		cancel()
-	}
-	logging.Emit(logging.AccountRecalled, logging.Fields{"program": r.Program, "holder": r.Holder, "programs": len(moved), "error": err})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ledger.Adopt(a.clock.Now(), moved)
-	a.apply(a.ledger.Recalled(a.clock.Now(), r.Program))
-}
-
-func (a *accounts) serveRecall(_ context.Context, r *wire.Request) {
-	var program string
-	if err := r.Decode(&program); err != nil {
-		_ = r.Fail(err)
-		return
-	}
-	a.mu.Lock()
-	moved := a.ledger.Release(func(p string) bool { return p == program })
-	a.mu.Unlock()
-	_ = r.Answer(moved) // if this fails, the account is lost and the asker counts its grant as spent
-}
-
-func (a *accounts) remove(r ledger.Remove) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	err := a.store.Delete(ctx, KindBudgets, r.Program, objectapi.Version(r.Version))
-	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
-		logging.Emit(logging.RecordNotRemoved, logging.Fields{"program": r.Program, "error": err})
-	}
-}
-
-func (a *accounts) seen(o objectapi.Object) {
-	var r ledger.Record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		logging.Emit(logging.RecordRejected, logging.Fields{"program": o.Name, "error": err})
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ledger.Seen(a.clock.Now(), o.Name, r, uint64(o.Version))
-}
-
 // list reads all records. Records need no watch: a host that misses one hands out no more than its share.
-func (a *accounts) list(ctx context.Context) error {
-	objects, _, err := a.store.List(ctx, KindBudgets, "")
-	if err != nil {
-		return err
-	}
-	records, versions := map[string]ledger.Record{}, map[string]uint64{}
-	for _, o := range objects {
-		var r ledger.Record
-		if err := json.Unmarshal(o.Value, &r); err != nil {
-			logging.Emit(logging.RecordRejected, logging.Fields{"program": o.Name, "error": err})
-			continue
-		}
-		records[o.Name], versions[o.Name] = r, uint64(o.Version)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ledger.Listed(a.clock.Now(), records, versions)
-	if a.readyAt.IsZero() {
-		a.readyAt = time.Now()
-		if a.readyAt.Sub(a.started) > startedInOutage {
-			a.ledger.PresumeShares(a.clock.Now().Add(presumeFor))
-		}
-	}
-	return nil
-}
-
 // Settle implements Budgets. It does not wait for the home.
 func (a *accounts) Settle(r Reservation, u Use) {
 	a.mu.Lock()
@@ -469,94 +343,8 @@
 	_ = r.Answer(nil) // a settlement that is sent again finds its turn settled
 }
 
-func (a *accounts) serveAccounts(_ context.Context, r *wire.Request) {
-	var moved []ledger.Account
-	if err := r.Decode(&moved); err != nil {
-		_ = r.Fail(err)
-		return
-	}
-	a.mu.Lock()
-	a.ledger.Adopt(a.clock.Now(), moved)
-	a.mu.Unlock()
-	logging.Emit(logging.AccountsAdopted, logging.Fields{"from": r.From, "programs": len(moved)})
-	_ = r.Answer(nil) // the sender drops the accounts in any case
-}
-
 // move hands accounts to the hosts that account for the programs now. A host that leaves hands over all.
-func (a *accounts) move(ctx context.Context, leaving bool) {
-	homes := a.homesOf()
-	target := func(program string) fleet.Host {
-		for _, h := range fleet.Ranked(homes, program) {
-			if !leaving || h.Name != a.self.Name {
-				return h
-			}
-		}
-		return a.self
-	}
-	a.mu.Lock()
-	a.leaving = a.leaving || leaving
-	moved := a.ledger.Release(func(program string) bool { return target(program).Name != a.self.Name })
-	a.mu.Unlock()
-	byPeer := map[string][]ledger.Account{}
-	for _, m := range moved {
-		peer := target(m.Program).Peer
-		byPeer[peer] = append(byPeer[peer], m)
-	}
-	for peer, list := range byPeer {
-		ctx, cancel := context.WithTimeout(ctx, settleTries*reserveTimeout)
-		err := a.node.Call(ctx, peer, wire.TypeAccounts, list, nil)
-		cancel()
-		logging.Emit(logging.AccountsMoved, logging.Fields{"peer": peer, "programs": len(list), "error": err})
-	}
-}
-
 // run reads the records at the start and whenever the hosts change, moves accounts to the hosts that keep them now,
 // and looks at accounts and records from time to time.
-func (a *accounts) run(ctx context.Context) {
-	ticker := time.NewTicker(budgetTick)
-	defer ticker.Stop()
-	known := ""
-	for {
-		homes := a.homesOf()
-		if present := incarnations(homes); present != known {
-			if err := a.list(ctx); err != nil {
-				logging.Emit(logging.RecordsNotRead, logging.Fields{"error": err})
-			} else {
-				known = present
-			}
-			a.move(ctx, false)
-		}
-		a.tick(homes)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // ready reports whether the records have been read.
-func (a *accounts) ready() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.readyAt.IsZero()
-}
-
 // incarnations names a set of hosts and their starts.
-func incarnations(hosts []fleet.Host) string {
-	var b strings.Builder
-	for _, h := range hosts {
-		b.WriteString(h.Name + " " + h.Incarnation + "\n")
-	}
-	return b.String()
-}
-
-func (a *accounts) tick(homes []fleet.Host) {
-	owns := func(program string) bool {
-		ranked := fleet.Ranked(homes, program)
-		return len(ranked) > 0 && ranked[0].Name == a.self.Name
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.apply(a.ledger.Tick(a.clock.Now(), owns))
-}
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -123,6 +123,8 @@
 		{Addr: l.Metrics, Handler: h.metrics.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 	}
 	callers.Addr = l.Callers
+	// Beats of other hosts are compared with the feeds, so these come first.
+	feeds := h.feeds()
 	if _, err := h.node.Listen(l.Peer); err != nil {
 		return err
 	}
@@ -131,7 +133,7 @@
 			return err
 		}
 	}
-	for _, f := range h.feeds() {
+	for _, f := range feeds {
 		group.Go(func() error { f.Run(work); return nil })
 	}
 	group.Go(func() error { h.sweep(work); return nil })
