Answer the requests that wait when an incarnation's runtime ends

Cause: the runtime drops events that are published after it has ended, and those still in its queue. A request whose event was dropped had a waiter that nobody would ever answer, and its caller got a time-out after 60 s.

Ruled out: the reducer. Every waiter that it holds is answered in deposedFrom, by its pending commit or its call; the two new tests fail with a reducer that never sees the event.

Change: the home answers all waiters, and later ones, with "moved, outcome unknown" when it ends (event 1008), and reports a deposition once. Both tests failed before.

The history with one call too few, seen once before, was not seen again; it fits a caller that gave up after the time-out, which no log of that run proves.

--- a/common/logging/events_daemon.go
+++ b/common/logging/events_daemon.go
@@ -10,5 +10,6 @@
 	DaemonHandoverFailed = Declare(1005, Warning, "no heir took the programs over; the lease lapses instead", "error")
 	DaemonFailed         = Declare(1006, Error, "host failed", "error")
 	LinesDropped         = Declare(1007, Warning, "log lines were dropped to keep the log's volume bounded", "lines")
+	HomeLeftRequests     = Declare(1008, Warning, "requests that waited when the incarnation ended were answered as moved", "journal", "requests")
 	DaemonUnknownEvent   = Declare(1099, Error, "event without a declaration", "name")
 )
--- /dev/null
+++ b/service/home/end_test.go
@@ -0,0 +1,82 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/fault"
+	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/host"
+	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/runtime"
+)
+
+// aloneView is a host without peers.
+type aloneView struct{}
+
+func (aloneView) Self() membership.Member                      { return membership.Member{Name: "a-1", Journal: "a-1.1"} }
+func (aloneView) Members() []membership.Member                 { return nil }
+func (aloneView) Epoch() uint64                                { return 1 }
+func (aloneView) HomeOf(ids.Journal) (membership.Member, bool) { return membership.Member{}, false }
+func (aloneView) Rank(string) []membership.Member              { return nil }
+func (aloneView) LeaseValid() bool                             { return true }
+
+// Guards against a request that waits for ever because the runtime of its incarnation ended between the request and
+// its event, or with the event still in its queue.
+func TestRequestsAreAnsweredWhenTheRuntimeHasEnded(t *testing.T) {
+	for name, late := range map[string]bool{"submitted before the end": false, "submitted after the end": true} {
+		t.Run(name, func(t *testing.T) {
+			rt := runtime.New(clock.System(), host.NewState(), nil)
+			node := wire.NewNode(wire.Options{Self: "a-1"})
+			defer func() { _ = node.Close() }()
+			h := New(Options{View: aloneView{}, Node: node, Runtime: rt, Store: nil, BatchInterval: time.Hour})
+			if err := h.Start("a-1.1"); err != nil {
+				t.Fatal(err)
+			}
+			ended, end := context.WithCancel(context.Background())
+			end()
+			// The runtime never gets to the events: its context ended first.
+			if err := rt.Run(ended); err != nil {
+				t.Fatal(err)
+			}
+			asked := make(chan error, 1)
+			ask := func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				_, err := h.Open(ctx, api.OpenProgram{Team: "north", Agent: "judge", BudgetTokens: 10})
+				asked <- err
+			}
+			if late {
+				h.Run(ended)
+				go ask()
+			} else {
+				go ask()
+				for h.hub.waiting() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				h.Run(ended)
+			}
+			if got := fault.From(<-asked, "test"); got.Code != fault.CodeMoved || got.Outcome != fault.Unknown {
+				t.Fatalf("the request was answered %v, not that its program moved", got)
+			}
+		})
+	}
+}
+
+// Guards against a wait for requests under way that a second report of the same deposition cuts short.
+func TestDeposedIsReportedOnce(t *testing.T) {
+	rt := runtime.New(clock.System(), host.NewState(), nil)
+	node := wire.NewNode(wire.Options{Self: "a-1"})
+	defer func() { _ = node.Close() }()
+	var reports []string
+	h := New(Options{View: aloneView{}, Node: node, Runtime: rt, Deposed: func(reason string) { reports = append(reports, reason) }})
+	h.Deposed("the journal is sealed")
+	h.Deposed("the lease was taken over")
+	if len(reports) != 1 || reports[0] != "the journal is sealed" {
+		t.Fatalf("reports %q", reports)
+	}
+}
--- a/service/home/home.go
+++ b/service/home/home.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/event"
@@ -47,6 +50,7 @@
 	dispatcher *dispatcher
 	link       *schedLink
 	propagator propagation.TextMapPropagator
+	deposed    sync.Once
 }
 
 // New registers the home's effect handlers at the runtime. It is called before the runtime runs.
@@ -84,8 +88,12 @@
 	h.rt.Handle(program.KindReleaseCache, func(_ clock.Millis, e event.Effect) { h.release(e.(program.ReleaseCache)) })
 }
 
-// Run writes the journal and lets time pass until ctx is done.
+// errEnded answers the requests that are left when the incarnation ends. They may have been dispatched.
+var errEnded = fault.New(fault.CodeMoved, "home", "this incarnation of the host has ended").With(fault.Unknown)
+
+// Run writes the journal and lets time pass until ctx is done. Then it answers the requests that still wait.
 func (h *Home) Run(ctx context.Context) {
+	defer h.answerLeft()
 	go h.journal.Run(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -109,10 +117,20 @@
 	}
 }
 
-// Deposed gives up all programs of this incarnation.
+// answerLeft answers the requests whose events the runtime has dropped because it ended.
+func (h *Home) answerLeft() {
+	if n := h.hub.end(errEnded); n > 0 {
+		logging.Emit(logging.HomeLeftRequests, logging.Fields{"journal": string(h.id), "requests": n})
+	}
+}
+
+// Deposed gives up all programs of this incarnation. The journal and the membership both find out; only the first
+// report counts, because a second one would cut short the wait for requests that are under way.
 func (h *Home) Deposed(reason string) {
-	h.rt.Publish(program.Deposed{Reason: reason})
-	h.opts.Deposed(reason)
+	h.deposed.Do(func() {
+		h.rt.Publish(program.Deposed{Reason: reason})
+		h.opts.Deposed(reason)
+	})
 }
 
 // Adopt takes over the programs of a dead incarnation. It returns when they are durable in this host's
--- a/service/home/hub.go
+++ b/service/home/hub.go
@@ -105,6 +105,8 @@
 	mu      sync.Mutex
 	waiters map[program.WaiterID]*Waiter
 	streams map[streamKey]*stream
+	// over answers every waiter once nothing reduces events any more; nil until then.
+	over *fault.Error
 }
 
 func newHub(publish func(program.WaiterGone)) *hub {
@@ -114,11 +116,28 @@
 func (h *hub) newWaiter() *Waiter {
 	w := &Waiter{id: program.WaiterID(h.lastID.Add(1)), hub: h, ready: make(chan struct{}, 1)}
 	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.over != nil {
+		w.setReply(program.Reply{Waiter: w.id, Error: h.over})
+		return w
+	}
 	h.waiters[w.id] = w
-	h.mu.Unlock()
 	return w
 }
 
+// end answers the waiters that are left, and all later ones, with err: the runtime has ended, and it drops the events
+// that would have answered them. It returns how many were left.
+func (h *hub) end(err *fault.Error) int {
+	h.mu.Lock()
+	left := h.waiters
+	h.waiters, h.over = map[program.WaiterID]*Waiter{}, err
+	h.mu.Unlock()
+	for id, w := range left {
+		w.setReply(program.Reply{Waiter: id, Error: err})
+	}
+	return len(left)
+}
+
 func (h *hub) abandon(w *Waiter) {
 	h.mu.Lock()
 	_, live := h.waiters[w.id]
