Leave out servers that reset connections; judge servers by their failures

Cause: a backend server that accepts connections and resets them (or answers with its own error) looks idle, so every host sent its turns there, four times each, because a stream that breaks off goes on at the same server first, and a break was no evidence against the server.

Ruled out: full engines as the cause of the 502s.

Change: core/evidence keeps what became of the requests at each server. Two breaks in a row without an answer leave it out for 1.5 s, then 3 s; at its return it gets one request at a time until it answers. The rate of failures is a score of placement, ten times heavier for requests that may run only once. A stream asks the same server again once, and again only if the server has shown an event of it. A server's own error on a stream that may be sent again is not passed on but sent elsewhere. Both stream tests failed before.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -34,12 +34,16 @@
 	Suspect bool
 	// Busy servers have no free connection for this host.
 	Busy bool
+	// Failing is the share of this host's recent requests to the server that failed, from 0 to 1.
+	Failing float64
 }
 
 // Request is what placement needs to know of a request.
 type Request struct {
 	PromptTokens  int
 	FailureDomain string // of this host
+	// Once is set if the request may run only once, so that a failure is its end.
+	Once bool
 	// Excluded are servers that refused or failed this request.
 	Excluded map[string]bool
 }
@@ -111,6 +115,10 @@
 	runningMS = 1.0
 	// queuedMS is the delay by one more request in a full server's queue: a turn's 400 ms over 16 slots.
 	queuedMS = 10.0
+	// failureMS is the delay by a failure of a request that is then sent again: a turn's objective.
+	failureMS = 200.0
+	// onceFailureMS is the cost of a failure of a request that may run only once: its whole time.
+	onceFailureMS = 2000.0
 )
 
 // Load scores the expected delay from the server's load.
@@ -133,6 +141,14 @@
 	return remoteMS
 }
 
+// Failing scores servers that failed lately by the expected cost of one more failure.
+func Failing(r Request, c Candidate) float64 {
+	if r.Once {
+		return c.Failing * onceFailureMS
+	}
+	return c.Failing * failureMS
+}
+
 // Cold scores servers that were started lately.
 func Cold(_ Request, c Candidate) float64 {
 	if c.Server.ColdFor > 0 {
@@ -146,7 +162,7 @@
 func Default() Policy {
 	return Policy{
 		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, HasConnection, NotSuspect},
-		Scores:  []Score{Load, Prefill, Distance, Cold},
+		Scores:  []Score{Load, Prefill, Distance, Cold, Failing},
 	}
 }
 
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -92,3 +92,22 @@
 		Expect(choose(placement.Spare(), placement.Request{}, engine("x", 15, 0))).To(Equal("x"))
 	})
 })
+
+var _ = Describe("Failing", func() {
+	failing := func(id string, rate, load float64) placement.Candidate {
+		c := engine(id, load, 0)
+		c.Failing = rate
+		return c
+	}
+
+	// Servers that fail part of their requests at once have the least load of all.
+	It("grey failures: a request goes to a busier server rather than to one that fails two in five", func() {
+		Expect(choose(placement.Default(), placement.Request{}, failing("grey", 0.4, 0), engine("sound", 15, 0))).To(Equal("sound"))
+	})
+
+	It("grey failures: a request that may run only once avoids a server that fails one in twenty", func() {
+		once := placement.Request{Once: true}
+		Expect(choose(placement.Default(), once, failing("grey", 0.05, 0), engine("sound", 15, 0))).To(Equal("sound"))
+		Expect(choose(placement.Default(), placement.Request{}, failing("grey", 0.05, 0), engine("sound", 15, 0))).To(Equal("grey"))
+	})
+})
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -106,6 +106,7 @@
 		Request: placement.Request{
 			PromptTokens:  x.call.PromptTokens,
 			FailureDomain: x.in.options.FailureDomain,
+			Once:          !x.route.MayRepeat(),
 			Excluded:      x.excluded,
 		},
 		MaxConns:     x.table.Services[x.service].MaxConns,
@@ -259,15 +260,31 @@
 		if err := x.checkAnswer(resp, answer, len(o.body)); err != nil {
 			o.err = errors.Wrapf(err, "answer of backend server %s", lease.ID())
 			x.suspect(ctx, lease, o.err)
+			break
 		}
+		judge(lease, resp.Status)
 	}
 	return o
 }
 
-// suspect marks a server that failed, unless the request was given up.
+// judge records what the status of a whole answer tells of its server.
+func judge(lease *Lease, status int) {
+	if status >= http.StatusInternalServerError {
+		lease.Broke(errors.Newf("answered %d", status))
+		return
+	}
+	lease.Answered()
+}
+
+// suspect records a failure of a server, unless the request was given up.
 func (x *exchange) suspect(ctx context.Context, lease *Lease, err error) {
-	if ctx.Err() == nil {
+	var f *upstream.Failure
+	switch {
+	case ctx.Err() != nil:
+	case errors.As(err, &f) && f.Dial:
 		lease.Failed(err)
+	default:
+		lease.Broke(err)
 	}
 }
 
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -330,6 +330,28 @@
 			Expect(a.body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
 		})
 
+		// Guards against a server that accepts connections and resets them: it looks idle, and without evidence every
+		// stream went there four times and ended.
+		It("goes to another server if one resets every connection, and soon none goes there", func() {
+			bad := newBackend("a", func(w http.ResponseWriter, _ *http.Request, _ int) { cut(w) })
+			good := newBackend("b", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 3) })
+			h := ready(bad, good)
+			for range 40 {
+				Expect(h.call("POST", "/turns/", "").status).To(Equal(200))
+			}
+			// One first send, perhaps a second at the same server, then left out.
+			Expect(len(bad.runs())).To(BeNumerically("<=", 3))
+		})
+
+		It("goes to another server if one answers with an error of its own", func() {
+			bad := newBackend("a", func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(500) })
+			good := newBackend("b", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 3) })
+			h := ready(bad, good)
+			for range 10 {
+				Expect(h.call("POST", "/turns/", "").status).To(Equal(200))
+			}
+		})
+
 		It("that may not be resumed does not look complete when it breaks", func() {
 			b := newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) {
 				events(w, 1, 2)
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -6,13 +6,12 @@
 	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/evidence"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
 const (
-	// suspectFor is how long a server that failed is left out: a few beats of the platform's list.
-	suspectFor = 1500 * time.Millisecond
 	// fullFor is how long a server that refused a request as full is left out: the time in which a full engine of 16
 	// slots ends a few requests.
 	fullFor = 60 * time.Millisecond
@@ -38,8 +37,8 @@
 	// others is the load that other hosts caused at the last report, made at reported.
 	others   float64
 	reported time.Time
-	// suspectUntil is the end of the time in which the server is left out after a failure.
-	suspectUntil time.Time
+	// evidence is what became of the requests that this host sent to the server.
+	evidence evidence.Record
 	// fullUntil is the end of the time in which the server is left out because it refused a request as full.
 	fullUntil time.Time
 	// lapsed is when the entry was found missing after an outage; zero while it is present.
@@ -280,6 +279,7 @@
 	for _, p := range policies {
 		if i := p.Choose(q.Request, candidates); i >= 0 {
 			rotated[i].inFlight++
+			rotated[i].evidence.Chosen(now)
 			return &Lease{servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reported)}
 		}
 	}
@@ -305,8 +305,9 @@
 		Server:   b.info,
 		InFlight: b.inFlight,
 		Load:     s.load(b, now),
-		Suspect:  now.Before(b.suspectUntil),
+		Suspect:  b.evidence.Out(now),
 		Busy:     now.Before(b.fullUntil) || q.MaxConns > 0 && b.inFlight >= s.connectionShare(q.MaxConns),
+		Failing:  b.evidence.Rate(now),
 	}
 	if !b.lapsed.IsZero() && now.Sub(b.lapsed) >= lapsedGrace {
 		c.Server.Draining = true
@@ -361,14 +362,37 @@
 	l.backend.fullUntil = s.now().Add(fullFor)
 }
 
-// Failed marks the server as suspect.
+// Failed leaves the server out, because it takes no connections or its answer was not its own.
 func (l *Lease) Failed(cause error) {
+	l.judge(cause, func(r *evidence.Record, now time.Time) bool { return r.Failed(now) })
+}
+
+// Broke records that the answer broke off; the server is left out if that happens again before it answers.
+func (l *Lease) Broke(cause error) {
+	l.judge(cause, func(r *evidence.Record, now time.Time) bool { return r.Broke(now) })
+}
+
+// Answered records that the server answers.
+func (l *Lease) Answered() {
 	s := l.servers
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	if now.After(l.backend.suspectUntil) {
+	l.backend.evidence.Succeeded(s.now())
+}
+
+// Doubtful reports whether the server failed lately and has not answered since.
+func (l *Lease) Doubtful() bool {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.backend.evidence.Doubtful()
+}
+
+func (l *Lease) judge(cause error, record func(*evidence.Record, time.Time) bool) {
+	s := l.servers
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if record(&l.backend.evidence, s.now()) {
 		logging.Emit(logging.ServerSuspect, logging.Fields{"server": l.backend.info.ID, "service": l.backend.info.Service, "error": cause})
 	}
-	l.backend.suspectUntil = now.Add(suspectFor)
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -33,6 +33,8 @@
 	resumes int
 	// same is the server that ran the stream before it broke off; it is asked first, because it may be alive.
 	same string
+	// askedSame is set if the send under way is such a second one; without an event it is the last at that server.
+	askedSame bool
 	// watch is the send that is under way.
 	watch *watched
 	// firstEvent is when the first event was passed on.
@@ -42,6 +44,9 @@
 // errNotRun means that the server said that it did not run the request.
 var errNotRun = errors.New("not run")
 
+// errServerError means that the server answered with an error of its own.
+var errServerError = errors.New("server error")
+
 // errCallerGone means that the answer cannot be written to the caller.
 var errCallerGone = errors.New("caller's connection failed")
 
@@ -71,11 +76,13 @@
 
 // placeStream finds a server; a stream that broke off goes on at the same server if that still takes connections.
 func (s *stream) placeStream(ctx context.Context) (*Lease, error) {
+	s.askedSame = false
 	if s.same != "" {
 		server := s.same
 		s.same = ""
 		if lease := s.in.servers.AcquireServer(server); lease != nil {
 			s.server, s.load, s.loadAge = lease.ID(), lease.Load, lease.LoadAge
+			s.askedSame = true
 			return lease, nil
 		}
 	}
@@ -149,6 +156,9 @@
 	if err == nil && s.started {
 		err = errors.Newf("backend server %s answered the continuation with %d", lease.ID(), resp.Status)
 	}
+	if err == nil && resp.Status >= http.StatusInternalServerError && s.route.MayRepeat() && s.resumes < maxResumes {
+		err = errors.Mark(errors.Newf("backend server %s answered %d", lease.ID(), resp.Status), errServerError)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -178,15 +188,27 @@
 		lease.Failed(err)
 	case dead:
 		s.runs++
+	case errors.Is(err, errServerError):
+		s.runs++
+		lease.Broke(err)
 	default:
 		s.runs++
-		s.same = lease.ID()
+		lease.Broke(err)
+		if s.worthAskingAgain(lease) {
+			s.same = lease.ID()
+		}
 	}
 	logging.Emit(logging.StreamBroke, logging.Fields{
 		"request": s.call.Attempt, "server": lease.ID(), "after_event": s.reader.last, "resumes": s.resumes, "error": err,
 	})
 }
 
+// worthAskingAgain reports whether a stream that broke off may go on at the same server: the server has shown that it
+// works on the stream, or only one connection to it has failed so far.
+func (s *stream) worthAskingAgain(lease *Lease) bool {
+	return s.watch.begun.Load() || !s.askedSame && !lease.Doubtful()
+}
+
 func (s *stream) pass(lease *Lease, resp *upstream.Response) (bool, error) {
 	buffer := make([]byte, streamBufferBytes)
 	first := s.reader.last
@@ -205,7 +227,9 @@
 			}
 		}
 		if len(events) > 0 {
-			s.watch.noteEvent(s.in.now())
+			if s.watch.noteEvent(s.in.now()) {
+				lease.Answered()
+			}
 			if err := s.write(resp, events); err != nil {
 				return false, err
 			}
--- a/service/ingress/watchdog.go
+++ b/service/ingress/watchdog.go
@@ -109,14 +109,15 @@
 	cancel context.CancelCauseFunc
 }
 
-// noteEvent records that events arrived.
-func (w *watched) noteEvent(now time.Time) {
+// noteEvent records that events arrived, and reports whether they are the first of this send.
+func (w *watched) noteEvent(now time.Time) (first bool) {
 	w.last.Store(now.UnixNano())
 	p := &w.lease.backend.progress
-	if w.begun.CompareAndSwap(false, true) {
+	if first = w.begun.CompareAndSwap(false, true); first {
 		p.noteBegun(w.sent)
 	}
 	p.noteEvent(now)
+	return first
 }
 
 // watchdog ends streams whose answer is lost, so that they can be asked for again before their callers leave.
