Keep a stream to the number of servers that its route allows

Cause: the change before sent a stream that broke twice at its server, or got the server's own error, to another server. Routes of turns allow one.

Change: a stream counts the servers that may have run it and may be alive, and goes elsewhere only while the route allows one more. A server that is about to leave is not asked again, and does not free a place. Streams that find out about a bad server end at once with 502, and the evidence keeps the next ones away.

--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -286,18 +286,18 @@
 	return nil
 }
 
-// AcquireServer takes one server if it is in use and not about to leave.
-func (s *Servers) AcquireServer(id string) *Lease {
+// AcquireServer takes one server if it is in use and not about to leave; inUse is set also if it is about to leave.
+func (s *Servers) AcquireServer(id string) (lease *Lease, inUse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.byID[id]
-	if !ok || b.info.Draining {
-		return nil
+	b, inUse := s.byID[id]
+	if !inUse || b.info.Draining {
+		return nil, inUse
 	}
 	now := s.now()
 	load := s.load(b, now)
 	b.inFlight++
-	return &Lease{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reported)}
+	return &Lease{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reported)}, true
 }
 
 func (s *Servers) candidate(b *backend, q Query, now time.Time) placement.Candidate {
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -31,6 +31,8 @@
 	started bool
 	// resumes counts the continuations after a break.
 	resumes int
+	// ran holds the servers that may have run the stream and may be alive; a route bounds their number.
+	ran map[string]bool
 	// same is the server that ran the stream before it broke off; it is asked first, because it may be alive.
 	same string
 	// askedSame is set if the send under way is such a second one; without an event it is the last at that server.
@@ -77,24 +79,48 @@
 // placeStream finds a server; a stream that broke off goes on at the same server if that still takes connections.
 func (s *stream) placeStream(ctx context.Context) (*Lease, error) {
 	s.askedSame = false
-	if s.same != "" {
-		server := s.same
-		s.same = ""
-		if lease := s.in.servers.AcquireServer(server); lease != nil {
-			s.server, s.load, s.loadAge = lease.ID(), lease.Load, lease.LoadAge
-			s.askedSame = true
-			return lease, nil
-		}
+	if s.same == "" {
+		return s.place(ctx)
+	}
+	server := s.same
+	s.same = ""
+	lease, inUse := s.in.servers.AcquireServer(server)
+	switch {
+	case lease != nil:
+		s.server, s.load, s.loadAge = lease.ID(), lease.Load, lease.LoadAge
+		s.askedSame = true
+		return lease, nil
+	case !inUse:
+		delete(s.ran, server)
+	}
+	if len(s.ran) >= s.maxRuns() {
+		return nil, errNoServer
 	}
 	return s.place(ctx)
 }
 
 // mayResume reports whether the stream may be sent to a server after the last send failed.
 func (s *stream) mayResume() bool {
-	if s.runs == 0 {
+	switch {
+	case s.runs == 0:
 		return true
+	case !s.route.MayRepeat() || s.resumes > maxResumes:
+		return false
+	}
+	return s.same != "" || len(s.ran) < s.maxRuns()
+}
+
+// noteRun notes that the server may have run the stream. One that is known to have ended does not count.
+func (s *stream) noteRun(server string, ended bool) {
+	s.runs++
+	if ended {
+		delete(s.ran, server)
+		return
+	}
+	if s.ran == nil {
+		s.ran = map[string]bool{}
 	}
-	return s.route.MayRepeat() && s.resumes <= maxResumes
+	s.ran[server] = true
 }
 
 // runAt passes on what one server streams. done is set if the answer is whole.
@@ -156,13 +182,15 @@
 	if err == nil && s.started {
 		err = errors.Newf("backend server %s answered the continuation with %d", lease.ID(), resp.Status)
 	}
-	if err == nil && resp.Status >= http.StatusInternalServerError && s.route.MayRepeat() && s.resumes < maxResumes {
+	// The server has run the stream, so that another one may be asked only if the route allows two.
+	if err == nil && resp.Status >= http.StatusInternalServerError && s.route.MayRepeat() && len(s.ran)+1 < s.maxRuns() {
 		err = errors.Mark(errors.Newf("backend server %s answered %d", lease.ID(), resp.Status), errServerError)
 	}
 	if err != nil {
 		return false, err
 	}
 	s.runs++
+	judge(lease, resp.Status)
 	if err := writeAnswer(s.w, resp, body); err != nil {
 		return false, errors.Mark(err, errCallerGone)
 	}
@@ -185,14 +213,15 @@
 	s.resumes++
 	switch {
 	case dialFailed:
+		delete(s.ran, lease.ID())
 		lease.Failed(err)
 	case dead:
-		s.runs++
+		s.noteRun(lease.ID(), true)
 	case errors.Is(err, errServerError):
-		s.runs++
+		s.noteRun(lease.ID(), false)
 		lease.Broke(err)
 	default:
-		s.runs++
+		s.noteRun(lease.ID(), false)
 		lease.Broke(err)
 		if s.worthAskingAgain(lease) {
 			s.same = lease.ID()
