Refuse new programs in an overload; spread what old beats say

Cause 2: hosts of a fleet of 64 beat every 1.6 s. Words older than 1 s did not count, so that the estimate of load fell to nothing between beats; and when they count, all hosts send to the servers that were idle at the last beat.

Ruled out: the tool services (30 to 37 ms a call throughout), prompt reading as the only cause (21 of 80 million tokens).

Words of hosts count for four beats, and the older they are, the more their requests are taken to be spread over the service (half at 250 ms). The sums are made every 20 ms instead of at each placement. Table tests name the patterns; the one of old beats fails without the spreading.

Conclusion: knowledge that is older than a turn must not place work.

--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -75,8 +75,12 @@
 
 // interval returns the time between beats in the fleet as it is.
 func (b *beats) interval() time.Duration {
-	n := len(b.hosts.All())
-	return beatEvery * time.Duration(max(n, beatHosts)) / beatHosts
+	return beatInterval(len(b.hosts.All()))
+}
+
+// beatInterval returns the time between beats of a fleet.
+func beatInterval(hosts int) time.Duration {
+	return beatEvery * time.Duration(max(hosts, beatHosts)) / beatHosts
 }
 
 func (b *beats) run(ctx context.Context) {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/admission"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
@@ -241,11 +242,15 @@
 			return f
 		}
 	}
-	f := s.run(ctx)
+	f := x.refuseNew()
+	if f == nil {
+		f = s.run(ctx)
+	}
 	x.tokens = s.reader.events * x.table.EventTokens(x.service)
 	if reservation.Budget > 0 {
 		u := Use{Tokens: x.tokens}
 		if f == nil {
+			x.in.servers.Took(x.in.now().Sub(x.began))
 			u.Server, u.Cached = x.server, x.call.PromptTokens+x.tokens
 		}
 		x.in.budgets.Settle(reservation, u)
@@ -256,6 +261,28 @@
 	return f
 }
 
+// refuseNew refuses the first turn of a program while the engines are overloaded.
+func (x *exchange) refuseNew() *failure {
+	if x.call.Program == "" || x.call.LastEvent != "" || x.allowance.Server != "" {
+		return nil
+	}
+	pressure := x.in.servers.Pressure(x.service)
+	retryAfter, refused := admission.Refuse(pressure, mathrand.Float64())
+	if !refused {
+		return nil
+	}
+	x.load = pressure.Load
+	return &failure{
+		status: http.StatusServiceUnavailable, reason: "engines are overloaded", retryAfter: spread(retryAfter),
+		cause: errors.Newf("%.0f requests for %d slots", pressure.Load, pressure.Slots),
+	}
+}
+
+// spread varies a time by a quarter, so that callers do not return together.
+func spread(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(mathrand.Int64N(int64(d/2)+1))
+}
+
 func (x *exchange) reservation() Reservation {
 	return Reservation{
 		Program: x.call.Program, Attempt: x.call.Attempt, Session: x.call.Session, Budget: x.call.Budget, Tokens: x.call.MaxTokens,
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -501,4 +501,27 @@
 			Expect(take().ID()).To(Equal("i-2"))
 		}
 	})
+
+	// Guards against hosts of a large fleet, whose beats are seconds apart, that all send their requests to the servers
+	// that were idle at the last beat.
+	It("takes the requests of an old beat to be spread over the servers", func() {
+		servers.SetHosts(64)
+		servers.Put(placement.Server{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Slots: 16, FailureDomain: "near"})
+		servers.Put(placement.Server{ID: "i-2", Service: "s", Address: "10.0.0.2:80", Slots: 16, FailureDomain: "far"})
+		turn := query
+		turn.Request.FailureDomain = "near"
+		choose := func() string { return servers.Acquire(turn, placement.Default()).ID() }
+		servers.SetRemote("b", map[string]int{"i-1": 8}, now)
+		Expect(choose()).To(Equal("i-2"))
+		now = now.Add(1500 * time.Millisecond)
+		Expect(choose()).To(Equal("i-1"))
+	})
+
+	// Guards against an estimate that forgets other hosts between two of their beats.
+	It("counts the requests of all hosts between beats of a large fleet", func() {
+		servers.SetHosts(64)
+		servers.SetRemote("b", map[string]int{"i-1": 8}, now)
+		now = now.Add(1500 * time.Millisecond)
+		Expect(servers.Pressure("s").Load).To(BeNumerically("~", 8, 0.01))
+	})
 })
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -1,11 +1,13 @@
 package ingress
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/admission"
 	"github.com/hyssopreel/hyssopreel/core/evidence"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
@@ -21,6 +23,8 @@
 	minConnections = 2
 	// loadHalfLife is the age at which a load report of other hosts' requests counts half: a typical request's time.
 	loadHalfLife = 150 * time.Millisecond
+	// turnGain is the weight of one turn in the time of recent turns: about twenty count.
+	turnGain = 0.05
 	// lapsedGrace is how long an entry that is missing after an outage of the store is still used; the platform's
 	// page says that living servers are back within about 2 s.
 	lapsedGrace = 2 * time.Second
@@ -34,6 +38,8 @@
 
 	progress progress
 	inFlight int
+	// remote is the estimate of what the other hosts have there, from their beats.
+	remote float64
 	// others is the load that other hosts caused at the last report, made at reported.
 	others   float64
 	reported time.Time
@@ -56,6 +62,11 @@
 	hosts     int // hosts that share a server's connections
 	// remote holds what the other hosts said of their requests at each server, by host.
 	remote map[string]remoteLoad
+	// estimated is when the hosts' words were last summed up, and known the number of those that counted.
+	estimated time.Time
+	known     int
+	// turn is the time of recent turns.
+	turn time.Duration
 	// waiting holds the requests that wait for a place, by service.
 	waiting map[string][]*waiter
 }
@@ -67,8 +78,12 @@
 }
 
 const (
-	// remoteFresh is the age up to which another host's word counts: a few of its beats.
-	remoteFresh = time.Second
+	// remoteBeats is the number of beats without a word from another host after which its last one counts no more.
+	remoteBeats = 4
+	// placeHalfLife is the age at which half of another host's requests are taken to be elsewhere: a turn's time.
+	placeHalfLife = 250 * time.Millisecond
+	// estimateEvery is how often the words of all hosts are summed up; a few requests come in that time.
+	estimateEvery = 20 * time.Millisecond
 	// reportFresh is the age up to which a server's own word on its load is better than the sum of the hosts'.
 	reportFresh = 60 * time.Millisecond
 )
@@ -226,17 +241,69 @@
 	if age < reportFresh {
 		return float64(b.inFlight) + b.others
 	}
-	others, known := 0.0, 0
+	s.estimate(now)
+	others := b.remote
+	if s.known < s.hosts-1 && age < 10*loadHalfLife {
+		others = max(others, b.others/(1+float64(age)/float64(loadHalfLife)))
+	}
+	return float64(b.inFlight) + others
+}
+
+// estimate sums up what the other hosts have at the servers. The older a host's word, the less it says where the host's
+// requests are now: its part is then spread over the servers of the service. Without that, all hosts send their
+// requests to the servers that were idle at the last beat.
+func (s *Servers) estimate(now time.Time) {
+	if now.Sub(s.estimated) < estimateEvery {
+		return
+	}
+	s.estimated, s.known = now, 0
+	for _, b := range s.byID {
+		b.remote = 0
+	}
+	fresh := remoteBeats * beatInterval(s.hosts)
 	for _, r := range s.remote {
-		if now.Sub(r.at) < remoteFresh {
-			others += float64(r.inFlight[b.info.ID])
-			known++
+		age := now.Sub(r.at)
+		if age >= fresh {
+			continue
+		}
+		s.known++
+		here := math.Exp2(-float64(age) / float64(placeHalfLife))
+		for _, list := range s.byService {
+			total := 0
+			for _, b := range list {
+				total += r.inFlight[b.info.ID]
+			}
+			if total == 0 {
+				continue
+			}
+			anywhere := (1 - here) * float64(total) / float64(len(list))
+			for _, b := range list {
+				b.remote += here*float64(r.inFlight[b.info.ID]) + anywhere
+			}
 		}
 	}
-	if known < s.hosts-1 && age < 10*loadHalfLife {
-		others = max(others, b.others/(1+float64(age)/float64(loadHalfLife)))
+}
+
+// Pressure returns how busy the servers of a service are that take requests.
+func (s *Servers) Pressure(service string) admission.Pressure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := admission.Pressure{Turn: s.turn}
+	now := s.now()
+	for _, b := range s.byService[service] {
+		if !b.info.Draining && !b.evidence.Out(now) {
+			p.Load += s.load(b, now)
+			p.Slots += b.info.Slots
+		}
 	}
-	return float64(b.inFlight) + others
+	return p
+}
+
+// Took records how long a turn took at a server.
+func (s *Servers) Took(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn += time.Duration(turnGain * float64(d-s.turn))
 }
 
 // Query is a request for a server.
