--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/platform"
 	"github.com/hyssopreel/hyssopreel/service/ingress"
 	"github.com/hyssopreel/hyssopreel/standin/objects"
@@ -118,6 +120,15 @@
 		"Hyssopreel-Session-Id", "s", "Hyssopreel-Token-Budget", "580", "Hyssopreel-Token-Count", "100,290").status
 }
 
+// listed returns the hosts as their list has them.
+func listed(hosts []*running) []fleet.Host {
+	var out []fleet.Host
+	for _, h := range hosts {
+		out = append(out, fleet.Host{Name: h.s.Host.Name})
+	}
+	return out
+}
+
 var _ = Describe("Hosts that run together", func() {
 	var store *objects.Store
 	var b *backend
@@ -211,6 +222,41 @@
 		Expect(hosts[0].turn("q", "t1")).To(Equal(200))
 	})
 
+	// Guards against a host that stops while the store is away and takes what programs have used with it: the next one
+	// would give them a share anew.
+	It("know what a program has used when its host was stopped while the store is away", func() {
+		home := hosts[0]
+		first := func(prefix string) func() string {
+			n := 0
+			return func() string {
+				for ; ; n++ {
+					name := fmt.Sprintf("%s-%d", prefix, n)
+					if fleet.Ranked(listed(hosts), name)[0].Name == home.s.Host.Name {
+						n++
+						return name
+					}
+				}
+			}
+		}
+		warm := first("warm")
+		Eventually(func() bool {
+			name := warm()
+			Expect(hosts[1].turn(name, name)).To(Equal(200))
+			return slices.Contains(store.Names(ingress.KindBudgets), name)
+		}, "8s", "200ms").Should(BeFalse(), "the first share needs no record once the hosts trust each other")
+		program := first("p")()
+		Expect(hosts[1].turn(program, "t1")).To(Equal(200))
+		Expect(store.Names(ingress.KindBudgets)).NotTo(ContainElement(program))
+		for _, h := range hosts {
+			h.gate.shut.Store(true)
+		}
+		home.stop()
+		Eventually(home.done, "15s").Should(Receive(BeNil()))
+		home.done <- nil
+		Expect(hosts[1].turn(program, "t2")).To(Equal(503), "200 of a share of 290 are used, and a turn may take 290")
+		Expect(hosts[1].turn("new", "t3")).To(Equal(200))
+	})
+
 	It("start without the store if a seed has it", func() {
 		late := startHost(store, "d-1", hosts[0].s.Listen.Peer)
 		DeferCleanup(late.stop)
--- /dev/null
+++ b/service/ingress/trust_test.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/ledger"
+)
+
+// listedHosts returns a host's list of four hosts, and their names in the order of their ranks for the program.
+func listedHosts(t *testing.T, self string, program string) (*Hosts, []string) {
+	t.Helper()
+	var objects []objectapi.Object
+	var all []fleet.Host
+	for _, name := range []string{"a-1", "b-1", "c-1", "d-1"} {
+		h := fleet.Host{Name: name, Incarnation: "1", Address: name + ":1", Peer: name + ":2"}
+		value, err := json.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		objects = append(objects, objectapi.Object{Name: name, Value: value})
+		all = append(all, h)
+	}
+	hosts := NewHosts(fleet.Host{Name: self, Incarnation: "1", Address: self + ":1", Peer: self + ":2"}, func(int) {})
+	hosts.Replace(objects, false)
+	var ranked []string
+	for _, h := range fleet.Ranked(all, program) {
+		ranked = append(ranked, h.Name)
+	}
+	return hosts, ranked
+}
+
+// Guards against a fleet that is cut in halves, or with frozen hosts: the hosts of each part that reach each other would
+// take themselves for the first two in rank, and more than two would use their shares.
+func TestRanksCountHostsThatCannotBeReached(t *testing.T) {
+	const program = "p"
+	_, ranked := listedHosts(t, "a-1", program)
+	want := []ledger.Trust{ledger.Known, ledger.Doubtful, ledger.Foreign, ledger.Foreign}
+	for rank, self := range ranked {
+		hosts, _ := listedHosts(t, self, program)
+		for _, other := range ranked {
+			if other != self {
+				hosts.Reachable(other, errors.New("cut off"))
+			}
+		}
+		if n := len(hosts.Live()); n != 1 {
+			t.Fatalf("%d hosts are live", n)
+		}
+		a := &accounts{self: hosts.self, hosts: hosts, readyAt: time.Now().Add(-2 * settledAfter)}
+		if got := a.trust(program); got != want[rank] {
+			t.Errorf("rank %d trusts %v, want %v", rank, got, want[rank])
+		}
+	}
+}
+
+// Guards against a first-ranked host that has just started and takes programs for new that another host served.
+func TestFirstRankIsDoubtfulUntilAccountsHaveMoved(t *testing.T) {
+	_, ranked := listedHosts(t, "a-1", "p")
+	hosts, _ := listedHosts(t, ranked[0], "p")
+	a := &accounts{self: hosts.self, hosts: hosts}
+	if got := a.trust("p"); got != ledger.Doubtful {
+		t.Errorf("trust %v before the records were read", got)
+	}
+	a.readyAt = time.Now().Add(-settledAfter / 2)
+	if got := a.trust("p"); got != ledger.Doubtful {
+		t.Errorf("trust %v before accounts have moved", got)
+	}
+	a.readyAt = time.Now().Add(-2 * settledAfter)
+	if got := a.trust("p"); got != ledger.Known {
+		t.Errorf("trust %v later", got)
+	}
+}
