Collect changes of the store in large fleets

Change: above ten hosts, a feed waits 10 ms for each host more, 0.8 s at most, after a change before it asks for the next one; the configuration is not delayed. Peers' words count as lag only beyond that. The test counts the calls in a second of changes every 20 ms.

--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -25,7 +25,8 @@
 	missedBeats = 4
 	// beatTimeout bounds the sending of one beat.
 	beatTimeout = 400 * time.Millisecond
-	// feedLag is how much longer than a peer a feed may take to see a change before it is read again.
+	// feedLag is how much longer than a peer a feed may take to see a change before it is read again, beside the time
+	// in which it collects changes.
 	feedLag = 300 * time.Millisecond
 )
 
@@ -164,7 +165,7 @@
 		case f.Complete(revision):
 		case !lagging:
 			b.behind[kind] = lag{revision: revision, since: now}
-		case now.Sub(l.since) >= feedLag:
+		case now.Sub(l.since) >= f.lag():
 			delete(b.behind, kind)
 			logging.Emit(logging.FeedLags, logging.Fields{"kind": kind, "peer": m.Host, "seen": f.Changed(), "peer_seen": revision})
 			f.Reread()
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -20,6 +20,11 @@
 	// feedPoll is the pause between lists through a peer while this host has no access to the store. Beats tell of
 	// changes in between.
 	feedPoll = 700 * time.Millisecond
+	// pausePerHost is how much longer changes are collected for each host more than in a small fleet.
+	pausePerHost = 10 * time.Millisecond
+	// maxChangePause bounds that time: with the time until a deaf watch is noticed, it is within the operator's bound
+	// of 3 s for backend servers that leave.
+	maxChangePause = 800 * time.Millisecond
 	// outageAfter is the time without any word from the store after which entries of living servers may have lapsed:
 	// less than three of their heartbeats of 1.2 s.
 	outageAfter = 2 * time.Second
@@ -37,6 +42,9 @@
 	Elected func() bool
 	// Poll is the time between these lists.
 	Poll time.Duration
+	// Pause is the time after a change before the next one is asked for, so that the changes of that time cost one
+	// call; nil is none.
+	Pause func() time.Duration
 
 	// listed is the revision of the last list, and changed that of the newest object that was seen.
 	listed, changed atomic.Uint64
@@ -59,6 +67,14 @@
 // Changed returns the revision of the newest object that was seen.
 func (f *Feed) Changed() objectapi.Version { return objectapi.Version(f.changed.Load()) }
 
+// lag returns how much longer than a peer the feed may take to see a change.
+func (f *Feed) lag() time.Duration {
+	if f.Pause == nil {
+		return feedLag
+	}
+	return feedLag + f.Pause()
+}
+
 // Reread ends the running watch and lists the objects again.
 func (f *Feed) Reread() {
 	select {
@@ -113,10 +129,7 @@
 	for watching.Err() == nil {
 		if f.Elected() && f.failedSince.IsZero() {
 			f.heard = time.Now()
-			select {
-			case <-time.After(f.Poll):
-			case <-watching.Done():
-			}
+			wait(watching, f.Poll)
 			return
 		}
 		changes, next, err := f.Store.Watch(watching, f.Kind, "", revision)
@@ -138,9 +151,29 @@
 			}
 		}
 		revision = max(next, revision)
+		if len(changes) > 0 && f.Pause != nil {
+			wait(watching, f.Pause())
+		}
 	}
 }
 
+// wait returns after d, or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// changePause returns the time in which a fleet collects changes of a kind that changes often. Each change is a call of
+// every host, so that the calls of a fleet grow with the square of its size without it.
+func changePause(hosts int) time.Duration {
+	return min(pausePerHost*time.Duration(max(hosts-beatHosts, 0)), maxChangePause)
+}
+
 // failed notes a call that failed and waits before the next one; the end of ctx ends the wait.
 func (f *Feed) failed(ctx context.Context, err error) {
 	if f.failedSince.IsZero() {
@@ -153,10 +186,7 @@
 		pause = max(pause, feedPoll)
 	}
 	jitter := time.Duration(rand.Int64N(int64(pause) / 2))
-	select {
-	case <-time.After(pause*3/4 + jitter):
-	case <-ctx.Done():
-	}
+	wait(ctx, pause*3/4+jitter)
 	f.pause = min(2*f.pause, feedRetryMost)
 }
 
--- a/service/ingress/feed_test.go
+++ b/service/ingress/feed_test.go
@@ -1,8 +1,11 @@
 package ingress
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
 )
 
 // Guards against a deleted server that is kept for two seconds more, because a host that reads through a peer takes the
@@ -24,3 +27,46 @@
 		}
 	}
 }
+
+// changing is a store with a change every 20 ms.
+type changing struct {
+	objectapi.Store
+	calls int
+	began time.Time
+}
+
+func (s *changing) List(context.Context, string, string) ([]objectapi.Object, objectapi.Version, error) {
+	return nil, 1, nil
+}
+
+func (s *changing) Watch(_ context.Context, _, _ string, after objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
+	s.calls++
+	time.Sleep(time.Until(s.began.Add(time.Duration(after) * 20 * time.Millisecond)))
+	next := objectapi.Version(time.Since(s.began)/(20*time.Millisecond)) + 1
+	return make([]objectapi.Change, next-after), next, nil
+}
+
+// A roll-out in a large fleet: each restart changes an entry that every host follows.
+func TestChangesOfALargeFleetAreCollected(t *testing.T) {
+	for hosts, most := range map[int]int{10: 60, 70: 3} {
+		store := &changing{began: time.Now()}
+		changes := 0
+		f := &Feed{
+			Kind: "entry-hosts", Store: store, reread: make(chan struct{}, 1), Elected: func() bool { return false },
+			Replace: func([]objectapi.Object, bool) {}, Apply: func(objectapi.Change) { changes++ },
+			Pause: func() time.Duration { return changePause(hosts) },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		f.Run(ctx)
+		cancel()
+		if store.calls > most {
+			t.Errorf("%d hosts: %d calls in a second, want at most %d", hosts, store.calls, most)
+		}
+		if changes < 15 {
+			t.Errorf("%d hosts: %d changes in a second with 50", hosts, changes)
+		}
+	}
+	if p := changePause(370); p != maxChangePause {
+		t.Errorf("370 hosts collect changes for %v", p)
+	}
+}
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -254,6 +254,9 @@
 	for _, f := range feeds {
 		f.Store, f.Elected, f.Poll = h.store, h.elected(f.Kind), h.settings.Load().Platform.Poll
 		f.reread = make(chan struct{}, 1)
+		if f.Kind != h.adapter.KindConfig {
+			f.Pause = func() time.Duration { return changePause(len(h.hosts.All())) }
+		}
 		h.beats.feeds[f.Kind] = f
 	}
 	return feeds
