Let hosts use shares only when they and the others know of each other

Cause: ranks count the hosts of the store's list. Hosts that start when the store falls silent have lists that lack each other (each knew itself only, for 2 s in the traced run), so that each took itself for the first in rank and used a share of every program: 780 tokens of 600 and one turn of 60.

Ruled out: the ledger (three shares and two grants add up as designed for two shares), streams that begin anew (counted like others), the time until the list is complete alone: counting hosts that are heard of by beats did not mend it, because a host that lists nobody sends no beats either.

Change: a host accounts for programs 250 ms after it has found its own entry of this start in its list. Until then, and while a restarted host cannot be listed, the next in rank accounts for its programs. A host says that it is ready only when it listens for callers; before, it said so up to 20 ms early.

The soak runs three hosts with a store that refuses, loses answers, writes late, goes deaf and forgets its history, and servers of whose answers a third go wrong. The stand-in of the store can refuse every n-th call and write late for it.

--- a/service/ingress/beats.go
+++ b/service/ingress/beats.go
@@ -92,6 +92,7 @@
 		b.check(started, interval)
 		select {
 		case <-time.After(interval):
+		case <-b.hosts.selfListed:
 		case <-ctx.Done():
 			return
 		}
@@ -235,6 +236,19 @@
 	return out
 }
 
+// heardOf returns the hosts that sent beats lately and are not about to leave, listed or not.
+func (b *beats) heardOf() []fleet.Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []fleet.Host
+	for name, h := range b.last {
+		if !h.beat.Draining && time.Since(h.at) < presumeFor {
+			out = append(out, fleet.Host{Name: name, Incarnation: h.beat.Incarnation})
+		}
+	}
+	return out
+}
+
 // heardAny reports whether beats of other hosts arrive.
 func (b *beats) heardAny() bool {
 	b.mu.Lock()
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	noHomeWait = 600 * time.Millisecond
 	// settledAfter is how long after its start a host trusts that the others have handed their accounts over.
 	settledAfter = 3 * time.Second
+	// introducedAfter is how long after a host has found itself in the list it has heard of the hosts that found
+	// themselves there at the same time: they send a beat at once, and its way takes a few ms. It is less than half of
+	// noHomeWait.
+	introducedAfter = 250 * time.Millisecond
 	// startedInOutage is the time from a start to the first read of the records after which the store was away: three
 	// calls that time out take longer, calls of a slow store do not.
 	startedInOutage = 2 * time.Second
@@ -59,6 +64,8 @@
 	clock clock.Clock
 	// available reports whether this host or a peer has the store.
 	available func() bool
+	// heardOf returns the hosts that have been heard of, listed or not.
+	heardOf func() []fleet.Host
 
 	mu      sync.Mutex
 	ledger  *ledger.Ledger
@@ -73,9 +80,9 @@
 	leaving bool
 }
 
-func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, available func() bool) *accounts {
+func newAccounts(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, available func() bool, heardOf func() []fleet.Host) *accounts {
 	a := &accounts{
-		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), started: time.Now(), available: available,
+		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), started: time.Now(), available: available, heardOf: heardOf,
 		ledger: ledger.New(), answers: map[uint64]chan ledger.Answer{}, homes: map[string]fleet.Host{},
 	}
 	node.Handle(wire.TypeReserve, a.serveReserve)
@@ -193,19 +200,23 @@
 	return v, err
 }
 
-// trust returns what this host may assume about a program of which it has no account. Ranks count all listed hosts,
-// reachable or not, so that they change only with the store's list.
+// trust returns what this host may assume about a program of which it has no account. Ranks count all hosts that are
+// listed or have been heard of, reachable or not: a host's list lacks those that started later, if the store fell silent
+// in between, but they send it beats. A host that is not introduced to the others trusts nothing.
 func (a *accounts) trust(program string) ledger.Trust {
-	var listed []fleet.Host
-	for _, h := range a.hosts.All() {
-		if !h.Draining {
-			listed = append(listed, h)
+	if !a.introduced() {
+		return ledger.Foreign
+	}
+	var known []fleet.Host
+	names := map[string]bool{}
+	for _, h := range slices.Concat(a.hosts.All(), a.heardOf()) {
+		if !h.Draining && !names[h.Name] {
+			names[h.Name] = true
+			known = append(known, h)
 		}
 	}
-	a.mu.Lock()
-	settled := !a.readyAt.IsZero() && time.Since(a.readyAt) > settledAfter
-	a.mu.Unlock()
-	for i, h := range fleet.Ranked(listed, program) {
+	settled := a.readyFor() > settledAfter
+	for i, h := range fleet.Ranked(known, program) {
 		switch {
 		case h.Name != a.self.Name:
 		case i == 0 && settled:
@@ -217,8 +228,24 @@
 	return ledger.Foreign
 }
 
+// introduced reports whether this host and the others know of each other.
+func (a *accounts) introduced() bool { return a.hosts.SelfListedFor() >= introducedAfter }
+
+// readyFor returns how long ago the records were first read.
+func (a *accounts) readyFor() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.readyAt.IsZero() {
+		return 0
+	}
+	return time.Since(a.readyAt)
+}
+
 // decide asks the ledger of this host.
 func (a *accounts) decide(ctx context.Context, turn ledger.Turn) ledger.Answer {
+	if !a.introduced() {
+		return ledger.Answer{Verdict: ledger.NotReady}
+	}
 	trust := a.trust(turn.Program)
 	a.mu.Lock()
 	if a.leaving {
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -21,6 +21,8 @@
 type Hosts struct {
 	self    fleet.Host
 	changed func(n int)
+	// selfListed tells that this host has found itself in the list.
+	selfListed chan struct{}
 
 	mu sync.Mutex
 	// serving is set once this host serves callers.
@@ -34,7 +36,7 @@
 
 // NewHosts returns a list that holds this host only. changed is called with the number of hosts.
 func NewHosts(self fleet.Host, changed func(n int)) *Hosts {
-	return &Hosts{self: self, changed: changed, listed: map[string]fleet.Host{}, silent: map[string]time.Time{}, since: map[string]time.Time{}}
+	return &Hosts{self: self, changed: changed, selfListed: make(chan struct{}, 1), listed: map[string]fleet.Host{}, silent: map[string]time.Time{}, since: map[string]time.Time{}}
 }
 
 func decodeHost(o objectapi.Object) (fleet.Host, error) {
@@ -95,6 +97,12 @@
 		l.since[h.Name] = time.Now()
 	}
 	l.listed[h.Name] = h
+	if h.Name == l.self.Name && h.Incarnation == l.self.Incarnation {
+		select {
+		case l.selfListed <- struct{}{}:
+		default:
+		}
+	}
 	logging.Emit(logging.HostListed, logging.Fields{
 		"host": h.Name, "incarnation": h.Incarnation, "address": h.Address, "draining": h.Draining,
 	})
@@ -129,6 +137,17 @@
 	return time.Since(since)
 }
 
+// SelfListedFor returns how long the present incarnation of this host has been in its own list, so that it knows all
+// hosts that were listed before; 0 if it is not.
+func (l *Hosts) SelfListedFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if own, ok := l.listed[l.self.Name]; !ok || own.Incarnation != l.self.Incarnation {
+		return 0
+	}
+	return time.Since(l.since[l.self.Name])
+}
+
 // Leaving records whether a host said that it is leaving.
 func (l *Hosts) Leaving(name string, draining bool) {
 	l.mu.Lock()
@@ -193,6 +212,13 @@
 	l.serving = true
 }
 
+// Serving reports whether this host serves callers.
+func (l *Hosts) Serving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.serving
+}
+
 // SetDraining marks this host as leaving.
 func (l *Hosts) SetDraining() fleet.Host {
 	l.mu.Lock()
--- a/service/ingress/run.go
+++ b/service/ingress/run.go
@@ -98,7 +98,7 @@
 		PeersFirst: func() bool { return !a.StoreAvailable() },
 	}
 	h.node.Handle(wire.TypeRelay, relay.Serve(a.Store))
-	h.accounts = newAccounts(h.self, h.hosts, h.node, h.store, h.beats.storeReachable)
+	h.accounts = newAccounts(h.self, h.hosts, h.node, h.store, h.beats.storeReachable, h.beats.heardOf)
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryBytes: s.Limits.Memory}, a.Headers, h.servers, h.accounts, scope)
 	return h
 }
@@ -217,7 +217,7 @@
 }
 
 func (h *Host) ready() bool {
-	return !h.ingress.draining.Load() && h.complete()
+	return !h.ingress.draining.Load() && h.hosts.Serving()
 }
 
 // complete reports whether the host knows all that it needs to serve callers.
--- /dev/null
+++ b/service/ingress/soak_test.go
@@ -0,0 +1,258 @@
+package ingress_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/platform"
+	"github.com/hyssopreel/hyssopreel/standin/objects"
+)
+
+const (
+	soakTime   = 5 * time.Second
+	soakStep   = 300 * time.Millisecond // between two faults
+	soakPieces = 6                      // events of a whole turn, of 10 tokens each
+	soakMost   = 10 * soakPieces        // tokens that a turn says it may generate
+	soakBudget = 10 * soakMost          // tokens of a program
+)
+
+// soak is a fleet whose store and backend servers misbehave at random, and what its callers saw.
+type soak struct {
+	store    *objects.Store
+	backends []*backend
+	hosts    []*running
+
+	mu  sync.Mutex
+	rng *rand.Rand
+	// executed holds how often each server worked on an attempt.
+	executed map[string]map[string]int
+	answers  map[string]soakAnswer
+}
+
+// soakAnswer is what the caller of an attempt got.
+type soakAnswer struct {
+	kind, program string
+	answer
+}
+
+func (s *soak) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *soak) execute(server string, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	attempt := r.Header.Get("Hyssopreel-Attempt-Id")
+	if s.executed[attempt] == nil {
+		s.executed[attempt] = map[string]int{}
+	}
+	s.executed[attempt][server]++
+}
+
+// serve is a backend server: a third of the requests go wrong.
+func (s *soak) serve(server string) func(w http.ResponseWriter, r *http.Request, _ int) {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		fault := s.draw(24)
+		switch fault {
+		case 0, 1:
+			w.Header().Set("Hyssopreel-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case 2:
+			cut(w) // before the request was looked at
+			return
+		}
+		s.execute(server, r)
+		switch fault {
+		case 3:
+			cut(w)
+		case 4:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 5:
+			time.Sleep(400 * time.Millisecond)
+			s.answer(w, r, soakPieces)
+		case 6, 7:
+			s.answer(w, r, 1+s.draw(soakPieces))
+			_, _ = fmt.Fprintf(w, "id: 9")
+			_ = http.NewResponseController(w).Flush()
+			cut(w)
+		case 8:
+			r.Header.Del("Last-Event-Id") // a run that begins anew instead of going on
+			s.answer(w, r, soakPieces)
+		default:
+			s.answer(w, r, soakPieces)
+		}
+	}
+}
+
+// answer writes the events up to last, or a plain answer.
+func (s *soak) answer(w http.ResponseWriter, r *http.Request, last int) {
+	if !strings.HasPrefix(r.URL.Path, "/turns/") {
+		_, _ = fmt.Fprint(w, "done")
+		return
+	}
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent at the start
+	events(w, from+1, last)
+}
+
+// trouble puts another fault in force.
+func (s *soak) trouble(version *int) {
+	for _, h := range s.hosts {
+		h.gate.shut.Store(s.draw(6) == 0)
+	}
+	s.store.SetFaults([]objects.Faults{
+		{}, {}, {Status: 503}, {RefuseEvery: 3}, {LoseWrites: 3}, {LateWrites: 200 * time.Millisecond}, {Deaf: true},
+	}[s.draw(7)])
+	switch s.draw(4) {
+	case 0:
+		s.store.Compact()
+	case 1:
+		*version++
+		s.putConfig(*version)
+	case 2:
+		putServer(s.store, s.backends[s.draw(len(s.backends)-1)+1], []string{"ready", "draining"}[s.draw(2)])
+	}
+}
+
+func (s *soak) putConfig(version int) {
+	route := func(name, kind string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 2000, "service": "s",
+			"resumable": kind == "streaming", "retentionS": 60, "attempts": attempts,
+		}
+	}
+	s.store.Put(platform.KindConfig, platform.NameConfig, map[string]any{
+		"version":  version,
+		"routes":   []any{route("turns", "streaming", 1), route("once", "non_idempotent", 3), route("many", "idempotent", 3)},
+		"services": []any{map[string]any{"name": "s", "maxConns": 500, "engine": map[string]any{"strideTokens": 10}}},
+	})
+}
+
+// call sends one request of a kind to one host and notes its answer.
+func (s *soak) call(attempt string) {
+	kind := []string{"turns", "turns", "once", "many"}[s.draw(4)]
+	program := "p" + strconv.Itoa(s.draw(8))
+	h := s.hosts[s.draw(len(s.hosts))]
+	header := []string{"Hyssopreel-Attempt-Id", attempt}
+	if kind == "turns" {
+		header = append(header, "Hyssopreel-Program-Id", program, "Hyssopreel-Session-Id", "s",
+			"Hyssopreel-Token-Budget", strconv.Itoa(soakBudget), "Hyssopreel-Token-Count", "100,"+strconv.Itoa(soakMost))
+	}
+	a := h.call("POST", "/"+kind+"/", "x", header...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[attempt] = soakAnswer{kind: kind, program: program, answer: a}
+}
+
+// check compares what callers got with what servers did.
+func (s *soak) check() {
+	tokens := map[string]int{}
+	asked, served := 0, 0 // requests that may be repeated
+	failed := map[string]int{}
+	for attempt, a := range s.answers {
+		runs := 0
+		for _, n := range s.executed[attempt] {
+			runs += n
+		}
+		what := fmt.Sprintf("%s %s: %d %v, executed %v", a.kind, attempt, a.status, a.err, s.executed[attempt])
+		switch a.status {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired:
+			Expect(runs).To(BeZero(), what)
+		case http.StatusOK:
+			Expect(runs).NotTo(BeZero(), what)
+		}
+		switch a.kind {
+		case "many":
+			asked++
+			if a.status == http.StatusOK && a.err == nil {
+				served++
+			} else {
+				failed[fmt.Sprintf("%d %v", a.status, a.err)]++
+			}
+		case "once":
+			Expect(runs).To(BeNumerically("<=", 1), what)
+		case "turns":
+			Expect(len(s.executed[attempt])).To(BeNumerically("<=", 1), what)
+			tokens[a.program] += 10 * s.checkStream(a, what)
+		}
+	}
+	Expect(served).To(BeNumerically(">", asked*3/4), "each of three tries fails once in three times; %v", failed)
+	for program, n := range tokens {
+		Expect(n).To(BeNumerically("<=", soakBudget+soakMost), "tokens of program "+program)
+	}
+}
+
+// checkStream returns the number of events of a stream, which must be the first ones in their order, and all of them if
+// the stream looks whole.
+func (s *soak) checkStream(a soakAnswer, what string) int {
+	n := 0
+	for line := range strings.Lines(a.body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			n++
+			Expect(strings.TrimSpace(id)).To(Equal(strconv.Itoa(n)), what)
+		}
+	}
+	if a.status == http.StatusOK && a.err == nil {
+		Expect(n).To(Equal(soakPieces), what)
+	}
+	return n
+}
+
+var _ = DescribeTable("Under faults drawn at random: nothing runs twice that must not, no answer lies, no budget is passed",
+	func(seed uint64) {
+		s := &soak{
+			store: objects.New(), rng: rand.New(rand.NewPCG(seed, seed)),
+			executed: map[string]map[string]int{}, answers: map[string]soakAnswer{},
+		}
+		for i := range 4 {
+			id := "i-" + strconv.Itoa(i)
+			s.backends = append(s.backends, newBackend(id, s.serve(id)))
+			putServer(s.store, s.backends[i], "ready")
+		}
+		version := 1
+		s.putConfig(version)
+		for _, name := range []string{"a-1", "b-1", "c-1"} {
+			s.hosts = append(s.hosts, startHost(s.store, name))
+		}
+		DeferCleanup(func() {
+			for _, h := range s.hosts {
+				h.stop()
+			}
+		})
+		for _, h := range s.hosts {
+			Eventually(h.ready, "5s").Should(BeTrue())
+		}
+		end := time.Now().Add(soakTime)
+		var callers sync.WaitGroup
+		for c := range 8 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for n := 0; time.Now().Before(end); n++ {
+					s.call(fmt.Sprintf("%d-%d", c, n))
+				}
+			})
+		}
+		for time.Now().Before(end) {
+			s.trouble(&version)
+			time.Sleep(soakStep)
+		}
+		callers.Wait()
+		s.check()
+		s.store.SetFaults(objects.Faults{})
+		for _, h := range s.hosts {
+			h.gate.shut.Store(false)
+			Eventually(func() int { return h.call("POST", "/many/", "x", "Hyssopreel-Attempt-Id", "after").status }, "4s").Should(Equal(200))
+		}
+	},
+	Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)),
+)
--- a/service/ingress/trust_test.go
+++ b/service/ingress/trust_test.go
@@ -28,6 +28,7 @@
 	}
 	hosts := NewHosts(fleet.Host{Name: self, Incarnation: "1", Address: self + ":1", Peer: self + ":2"}, func(int) {})
 	hosts.Replace(objects, false)
+	hosts.since[self] = time.Now().Add(-introducedAfter)
 	var ranked []string
 	for _, h := range fleet.Ranked(all, program) {
 		ranked = append(ranked, h.Name)
@@ -51,7 +52,7 @@
 		if n := len(hosts.Live()); n != 1 {
 			t.Fatalf("%d hosts are live", n)
 		}
-		a := &accounts{self: hosts.self, hosts: hosts, readyAt: time.Now().Add(-2 * settledAfter)}
+		a := &accounts{self: hosts.self, hosts: hosts, heardOf: nobody, readyAt: time.Now().Add(-2 * settledAfter)}
 		if got := a.trust(program); got != want[rank] {
 			t.Errorf("rank %d trusts %v, want %v", rank, got, want[rank])
 		}
@@ -62,7 +63,7 @@
 func TestFirstRankIsDoubtfulUntilAccountsHaveMoved(t *testing.T) {
 	_, ranked := listedHosts(t, "a-1", "p")
 	hosts, _ := listedHosts(t, ranked[0], "p")
-	a := &accounts{self: hosts.self, hosts: hosts}
+	a := &accounts{self: hosts.self, hosts: hosts, heardOf: nobody}
 	if got := a.trust("p"); got != ledger.Doubtful {
 		t.Errorf("trust %v before the records were read", got)
 	}
@@ -75,3 +76,54 @@
 		t.Errorf("trust %v later", got)
 	}
 }
+
+func nobody() []fleet.Host { return nil }
+
+// alone returns a host that lists itself only, for that long.
+func alone(name string, listedFor time.Duration) *Hosts {
+	hosts := NewHosts(fleet.Host{Name: name, Incarnation: "1"}, func(int) {})
+	hosts.listed[name] = hosts.self
+	hosts.since[name] = time.Now().Add(-listedFor)
+	return hosts
+}
+
+// Guards against hosts that started together when the store fell silent: the first of them lists itself only and takes
+// itself for the first in rank of every program.
+func TestRanksCountHostsThatAreHeardOfButNotListed(t *testing.T) {
+	const program = "p"
+	_, ranked := listedHosts(t, "a-1", program)
+	heard := []fleet.Host{{Name: ranked[0]}, {Name: ranked[1]}}
+	hosts := alone(ranked[2], introducedAfter)
+	a := &accounts{
+		self: hosts.self, hosts: hosts, readyAt: time.Now().Add(-2 * settledAfter),
+		heardOf: func() []fleet.Host { return heard },
+	}
+	if got := a.trust(program); got != ledger.Foreign {
+		t.Errorf("third in rank of the hosts that were heard of trusts %v", got)
+	}
+	heard = heard[:1]
+	if got := a.trust(program); got != ledger.Doubtful {
+		t.Errorf("second in rank trusts %v", got)
+	}
+}
+
+// Guards against the same before the first beats, and before the own entry is listed: others may be listed that this
+// host has never heard of.
+func TestHostThatIsNotIntroducedTrustsNothing(t *testing.T) {
+	unlisted := NewHosts(fleet.Host{Name: "a-1", Incarnation: "2"}, func(int) {})
+	unlisted.listed["a-1"] = fleet.Host{Name: "a-1", Incarnation: "1"} // of the start before
+	for name, hosts := range map[string]*Hosts{
+		"not listed":                unlisted,
+		"listed since a moment ago": alone("a-1", introducedAfter/2),
+	} {
+		a := &accounts{
+			self: hosts.self, hosts: hosts, readyAt: time.Now().Add(-2 * settledAfter), heardOf: nobody,
+		}
+		if got := a.trust("p"); got != ledger.Foreign {
+			t.Errorf("%s: trust %v", name, got)
+		}
+		if got := a.decide(t.Context(), ledger.Turn{Program: "p"}); got.Verdict != ledger.NotReady {
+			t.Errorf("%s: %v", name, got.Verdict)
+		}
+	}
+}
--- a/standin/objects/objects.go
+++ b/standin/objects/objects.go
@@ -2,7 +2,10 @@
 package objects
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -22,6 +25,10 @@
 	Status int
 	// LoseWrites lets the next writes take effect and then closes their connections without an answer.
 	LoseWrites int
+	// RefuseEvery, if not 0, answers each call of that number with 429, and nothing is done.
+	RefuseEvery int
+	// LateWrites, if not 0, closes the connections of writes without an answer and does the writes that much later.
+	LateWrites time.Duration
 	// Deaf lets watches wait to their end without telling changes; they still tell newer revisions.
 	Deaf bool
 }
@@ -180,9 +187,16 @@
 
 func (s *Store) faulty(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Value(late{}) != nil {
+			next.ServeHTTP(w, r)
+			return
+		}
 		s.mu.Lock()
 		s.calls++
-		status := s.faults.Status
+		status, delay := s.faults.Status, s.faults.LateWrites
+		if n := s.faults.RefuseEvery; n > 0 && s.calls%n == 0 {
+			status = http.StatusTooManyRequests
+		}
 		lose := r.Method != http.MethodGet && s.faults.LoseWrites > 0
 		if lose {
 			s.faults.LoseWrites--
@@ -192,6 +206,10 @@
 			w.WriteHeader(status)
 			return
 		}
+		if delay > 0 && r.Method != http.MethodGet {
+			s.doLater(r, delay)
+			panic(http.ErrAbortHandler)
+		}
 		if lose {
 			next.ServeHTTP(discard{}, r)
 			panic(http.ErrAbortHandler)
@@ -200,6 +218,20 @@
 	})
 }
 
+// late marks a call that is done after its connection was closed.
+type late struct{}
+
+// doLater does a call after its connection was closed.
+func (s *Store) doLater(r *http.Request, after time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller is gone, and its write with it
+	}
+	later := r.Clone(context.WithValue(context.Background(), late{}, true))
+	later.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(after, func() { s.Handler.ServeHTTP(discard{}, later) })
+}
+
 // discard is the writer of an answer that is lost.
 type discard struct{}
 
