Refuse only programs whose home is known; sum up beats at the pace of the fleet

Cause, found in reading the diff: every turn without a budget looked like the first of its program, because only the home of a program with a budget knows better, so that in an overload turns under way would have been refused. And the words of all hosts were summed up every 20 ms for each server, which at 370 hosts and 6,000 servers is 2.2 million steps each time.

Change: a turn is refused in an overload only if its home is known and knows of no run. The sums are made twelve times a beat (20 ms in a small fleet, 133 ms at 64 hosts) over the requests that hosts have, not over hosts times servers. Tests for both sides of the refusal at the ingress, which had only those of the pure module.

Ruled out: another cost at the target; core/evidence is a few words a server.

--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -261,9 +261,10 @@
 	return f
 }
 
-// refuseNew refuses the first turn of a program while the engines are overloaded.
+// refuseNew refuses the first turn of a program while the engines are overloaded. Only the home of a program with a
+// budget knows whether one has run.
 func (x *exchange) refuseNew() *failure {
-	if x.call.Program == "" || x.call.LastEvent != "" || x.allowance.Server != "" {
+	if x.allowance.Home == "" || x.call.LastEvent != "" || x.allowance.Server != "" {
 		return nil
 	}
 	pressure := x.in.servers.Pressure(x.service)
@@ -271,7 +272,6 @@
 	if !refused {
 		return nil
 	}
-	x.load = pressure.Load
 	return &failure{
 		status: http.StatusServiceUnavailable, reason: "engines are overloaded", retryAfter: spread(retryAfter),
 		cause: errors.Newf("%.0f requests for %d slots", pressure.Load, pressure.Slots),
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -80,13 +81,14 @@
 
 // budgets allows every turn, or none.
 type budgets struct {
-	err     error
-	mu      sync.Mutex
-	settled []ingress.Use
+	err       error
+	allowance ingress.Allowance
+	mu        sync.Mutex
+	settled   []ingress.Use
 }
 
 func (b *budgets) Reserve(context.Context, ingress.Reservation) (ingress.Allowance, error) {
-	return ingress.Allowance{}, b.err
+	return b.allowance, b.err
 }
 
 func (b *budgets) Settle(_ ingress.Reservation, u ingress.Use) {
@@ -398,6 +400,37 @@
 		})
 	})
 
+	// The burst at the start of an event: engines have more turns than they end in the time that callers wait.
+	Describe("while the engines are overloaded", func() {
+		var h *host
+		b := func() *backend {
+			return newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) { events(w, 1, 1) })
+		}
+		turn := []string{"Hyssopreel-Token-Budget", "900", "Hyssopreel-Token-Count", "100,50", "Hyssopreel-Program-Id", "p"}
+
+		BeforeEach(func() {
+			h = ready(b())
+			h.servers.SetHosts(2)
+			h.servers.SetRemote("b", map[string]int{"i-1": 40}, time.Now())
+		})
+
+		It("refuses a new program at once, with a time to come back", func() {
+			h.budgets.allowance = ingress.Allowance{Home: "a"}
+			a := h.call("POST", "/turns/", "", turn...)
+			Expect(a.status).To(Equal(503))
+			wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(wait).To(And(BeNumerically(">=", 0.1), BeNumerically("<=", 1.3)))
+			Expect(h.budgets.uses()).To(Equal([]ingress.Use{{}}))
+		})
+
+		It("serves programs that are under way, and turns of which nobody knows whether they are the first", func() {
+			h.budgets.allowance = ingress.Allowance{Home: "a", Server: "i-1", Cached: 50}
+			Expect(h.call("POST", "/turns/", "", turn...).status).To(Equal(200))
+			Expect(h.call("POST", "/turns/", "", "Hyssopreel-Program-Id", "q").status).To(Equal(200))
+		})
+	})
+
 	It("ends connections with their next answer while it leaves", func() {
 		b := newBackend("i-1", echo)
 		h := ready(b)
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -82,8 +82,9 @@
 	remoteBeats = 4
 	// placeHalfLife is the age at which half of another host's requests are taken to be elsewhere: a turn's time.
 	placeHalfLife = 250 * time.Millisecond
-	// estimateEvery is how often the words of all hosts are summed up; a few requests come in that time.
-	estimateEvery = 20 * time.Millisecond
+	// estimatesPerBeat is how often the words of all hosts are summed up in the time of a beat: every 20 ms in a small
+	// fleet, and more seldom in a large one, where they are old anyway.
+	estimatesPerBeat = 12
 	// reportFresh is the age up to which a server's own word on its load is better than the sum of the hosts'.
 	reportFresh = 60 * time.Millisecond
 )
@@ -253,35 +254,34 @@
 // requests are now: its part is then spread over the servers of the service. Without that, all hosts send their
 // requests to the servers that were idle at the last beat.
 func (s *Servers) estimate(now time.Time) {
-	if now.Sub(s.estimated) < estimateEvery {
+	beat := beatInterval(s.hosts)
+	if now.Sub(s.estimated) < beat/estimatesPerBeat {
 		return
 	}
 	s.estimated, s.known = now, 0
 	for _, b := range s.byID {
 		b.remote = 0
 	}
-	fresh := remoteBeats * beatInterval(s.hosts)
+	anywhere := map[string]float64{} // requests by service
 	for _, r := range s.remote {
 		age := now.Sub(r.at)
-		if age >= fresh {
+		if age >= remoteBeats*beat {
 			continue
 		}
 		s.known++
 		here := math.Exp2(-float64(age) / float64(placeHalfLife))
-		for _, list := range s.byService {
-			total := 0
-			for _, b := range list {
-				total += r.inFlight[b.info.ID]
-			}
-			if total == 0 {
-				continue
-			}
-			anywhere := (1 - here) * float64(total) / float64(len(list))
-			for _, b := range list {
-				b.remote += here*float64(r.inFlight[b.info.ID]) + anywhere
+		for id, n := range r.inFlight {
+			if b, ok := s.byID[id]; ok {
+				b.remote += here * float64(n)
+				anywhere[b.info.Service] += (1 - here) * float64(n)
 			}
 		}
 	}
+	for service, n := range anywhere {
+		for _, b := range s.byService[service] {
+			b.remote += n / float64(len(s.byService[service]))
+		}
+	}
 }
 
 // Pressure returns how busy the servers of a service are that take requests.
@@ -429,7 +429,7 @@
 	l.backend.fullUntil = s.now().Add(fullFor)
 }
 
-// Failed leaves the server out, because it takes no connections or its answer was not its own.
+// Failed leaves the server out, because it takes no connections.
 func (l *Lease) Failed(cause error) {
 	l.judge(cause, func(r *evidence.Record, now time.Time) bool { return r.Failed(now) })
 }
