Let three tests wait for events instead of sleeping

The test of requests left by an ended incarnation now submits and ends in a fixed order, without polling; the soak's faults follow a ticker. Ruled out: a weaker check; with the mend taken out both cases of the first test still fail after 5 s.

--- a/service/home/end_test.go
+++ b/service/home/end_test.go
@@ -43,24 +43,21 @@
 			if err := rt.Run(ended); err != nil {
 				t.Fatal(err)
 			}
-			asked := make(chan error, 1)
-			ask := func() {
-				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				defer cancel()
-				_, err := h.Open(ctx, api.OpenProgram{Team: "north", Agent: "judge", BudgetTokens: 10})
-				asked <- err
-			}
+			var w *Waiter
 			if late {
 				h.Run(ended)
-				go ask()
+				w = h.Call(context.Background(), "p", api.Call{Key: "m1"})
 			} else {
-				go ask()
-				for h.hub.waiting() == 0 {
-					time.Sleep(time.Millisecond)
-				}
+				w = h.Call(context.Background(), "p", api.Call{Key: "m1"})
 				h.Run(ended)
 			}
-			if got := fault.From(<-asked, "test"); got.Code != fault.CodeMoved || got.Outcome != fault.Unknown {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, reply, err := w.Next(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := reply.Error; got == nil || got.Code != fault.CodeMoved || got.Outcome != fault.Unknown {
 				t.Fatalf("the request was answered %v, not that its program moved", got)
 			}
 		})
--- a/service/ingress/feed_test.go
+++ b/service/ingress/feed_test.go
@@ -41,7 +41,7 @@
 
 func (s *changing) Watch(_ context.Context, _, _ string, after objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
 	s.calls++
-	time.Sleep(time.Until(s.began.Add(time.Duration(after) * 20 * time.Millisecond)))
+	<-time.After(time.Until(s.began.Add(time.Duration(after) * 20 * time.Millisecond))) // held until the next change
 	next := objectapi.Version(time.Since(s.began)/(20*time.Millisecond)) + 1
 	return make([]objectapi.Change, next-after), next, nil
 }
--- a/service/ingress/soak_test.go
+++ b/service/ingress/soak_test.go
@@ -79,7 +79,7 @@
 		case 4:
 			w.WriteHeader(http.StatusInternalServerError)
 		case 5:
-			time.Sleep(400 * time.Millisecond)
+			<-time.After(400 * time.Millisecond) // a slow server
 			s.answer(w, r, soakPieces)
 		case 6, 7:
 			s.answer(w, r, 1+s.draw(soakPieces))
@@ -242,9 +242,10 @@
 				}
 			})
 		}
-		for time.Now().Before(end) {
+		step := time.NewTicker(soakStep)
+		defer step.Stop()
+		for now := time.Now(); now.Before(end); now = <-step.C {
 			s.trouble(&version)
-			time.Sleep(soakStep)
 		}
 		callers.Wait()
 		s.check()
