--- a/common/wire/link.go
+++ b/common/wire/link.go
@@ -222,11 +222,11 @@
 	}
 }
 
-// serveConn starts the read and write loops of an accepted connection.
+// serveConn starts the read loop of an accepted connection, which starts the write loop after the hello frames.
 func (n *Node) serveConn(conn net.Conn) {
 	l := newLink(n, conn)
 	l.queue = make(chan *outgoingFrame, n.opts.QueueFrames)
-	if !n.addLink(l) || !n.startGoroutine(l.readLoop) || !n.startGoroutine(l.writeLoop) {
+	if !n.addLink(l) || !n.startGoroutine(l.readLoop) {
 		l.close(errNodeClosed)
 	}
 }
@@ -326,8 +326,14 @@
 	if old != nil && h.ProcessName != "" {
 		old.close(errors.New("replaced by a newer link of the peer"))
 	}
-	_, err := l.writeMessage(TypeHello, helloBody{Version: protocolVersion, ProcessName: n.opts.ProcessName})
-	return err
+	if _, err := l.writeMessage(TypeHello, helloBody{Version: protocolVersion, ProcessName: n.opts.ProcessName}); err != nil {
+		return err
+	}
+	// The write loop sends heartbeats, and the peer rejects a link whose first frame is not the hello.
+	if !n.startGoroutine(l.writeLoop) {
+		return errNodeClosed
+	}
+	return nil
 }
 
 func (l *link) handleFrame(f *frame) error {
--- /dev/null
+++ b/common/wire/link_test.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// Guards against a heartbeat that precedes the reply to a hello frame that arrives late: the peer then closes the link.
+func TestAcceptedLinkSendsNothingBeforeItsHello(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	n := NewNode(Options{ProcessName: "b.1", HeartbeatInterval: interval, KeepAliveTimeout: 5 * time.Second})
+	defer func() { _ = n.Close() }()
+	addr, err := n.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(5 * interval))
+	if size, err := conn.Read(make([]byte, 64)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d bytes before the hello, error %v", size, err)
+	}
+	hello, err := encodeFrame(TypeHello, 0, "", helloBody{Version: protocolVersion, ProcessName: "a.1", DialedAddress: addr.String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(hello); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	reader := bufio.NewReader(conn)
+	for i, want := range []Type{TypeHello, TypeHeartbeat} {
+		f, err := readFrame(reader)
+		if err != nil {
+			t.Fatalf("read frame %d: %v", i, err)
+		}
+		if f.Type != want {
+			t.Errorf("frame %d is %s, want %s", i, f.Type, want)
+		}
+	}
+}
--- a/service/entry/forward.go
+++ b/service/entry/forward.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -77,6 +78,23 @@
 	return home, nil
 }
 
+// awaitHome is findHome, but waits up to homeWait while the program is being taken over: this host may not have
+// received the adopter's record yet.
+func (s *Server) awaitHome(ctx context.Context, request homeRequest) (membership.Member, *fault.Error) {
+	deadline := time.Now().Add(homeWait)
+	for {
+		home, ferr := s.findHome(request)
+		if ferr == nil || ferr.Code != fault.CodePeerUnreachable || time.Now().After(deadline) {
+			return home, ferr
+		}
+		select {
+		case <-time.After(homePollInterval):
+		case <-ctx.Done():
+			return home, ferr
+		}
+	}
+}
+
 // knownJournal reports whether the journal's host is in the member list, in any state, or a member adopted the journal.
 func (s *Server) knownJournal(j ids.Journal) bool {
 	return slices.ContainsFunc(s.opts.View.Members(), func(m membership.Member) bool {
@@ -88,7 +106,7 @@
 // each piece of a streamed response.
 func (s *Server) doAtHome(ctx context.Context, request homeRequest, emit func(api.Piece)) (*homeResult, error) {
 	for {
-		home, ferr := s.findHome(request)
+		home, ferr := s.awaitHome(ctx, request)
 		if ferr != nil {
 			return nil, ferr
 		}
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -36,6 +36,10 @@
 	HostsTTL = 5 * time.Second
 	// takeoverRetryAfter is the retry delay sent to callers while a program is being taken over.
 	takeoverRetryAfter = time.Second
+	// homeWait bounds the wait for the record of the host that takes a program over, which members send to each other as
+	// it changes; homePollInterval is how often the member list is read in that time.
+	homeWait         = 300 * time.Millisecond
+	homePollInterval = 10 * time.Millisecond
 	// maxHostsInAnswer bounds the hosts in a response of GET /v1/hosts: the preferred host and two alternates.
 	maxHostsInAnswer = 3
 	// maxKeyBytes bounds the key of a call.
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -127,12 +127,16 @@
 
 // reserveOnce tries the hosts that may be the program's home, in rendezvous order.
 func (a *budgetService) reserveOnce(ctx context.Context, turn ledger.Turn) (ReservationResult, error) {
-	failedHosts := 0
+	failedHosts, startingHosts := 0, 0
 	for _, h := range fleet.RendezvousOrder(a.homeCandidates(), turn.Program) {
 		if failedHosts == maxReserveHosts {
 			break
 		}
-		reply, err := a.reserveWithRetry(ctx, h, turn)
+		tries := maxReserveTries
+		if startingHosts > 0 {
+			tries = 1
+		}
+		reply, err := a.reserveWithRetry(ctx, h, turn, tries)
 		if ctx.Err() != nil {
 			return ReservationResult{}, ctx.Err()
 		}
@@ -141,7 +145,13 @@
 			a.hosts.RecordContact(h.Name, err)
 			continue
 		}
-		if reply.Decision != ledger.NotReady {
+		switch {
+		case reply.Decision == ledger.NotReady:
+			startingHosts++
+		case reply.Decision == ledger.GrantUnavailable && startingHosts > 0:
+			// A host earlier in the order may use its share without a grant as soon as it is ready.
+			return ReservationResult{}, errNoHome
+		default:
 			return a.resultOf(h, turn, reply)
 		}
 	}
@@ -179,11 +189,11 @@
 	return out
 }
 
-// reserveWithRetry sends a reservation to a host, and again while that host cannot get a grant.
-func (a *budgetService) reserveWithRetry(ctx context.Context, h fleet.Host, turn ledger.Turn) (ledger.ReserveReply, error) {
+// reserveWithRetry sends a reservation to a host, and again, up to maxTries times, while that host cannot get a grant.
+func (a *budgetService) reserveWithRetry(ctx context.Context, h fleet.Host, turn ledger.Turn, maxTries int) (ledger.ReserveReply, error) {
 	for try := 1; ; try++ {
 		reply, err := a.reserveAt(ctx, h, turn)
-		if err != nil || reply.Decision != ledger.GrantUnavailable || try == maxReserveTries {
+		if err != nil || reply.Decision != ledger.GrantUnavailable || try == maxTries {
 			return reply, err
 		}
 		select {
--- a/service/ingress/share_policy_test.go
+++ b/service/ingress/share_policy_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/ledger"
 )
@@ -129,3 +131,44 @@
 		}
 	}
 }
+
+// Guards against refusing a turn because the last host in rendezvous order may use no share, while the first ones have
+// just started and are ready a moment later.
+func TestReserveWaitsForAStartingHome(t *testing.T) {
+	const program = "p"
+	_, ordered := listedHosts(t, "a-1", program)
+	startedAt := time.Now()
+	addresses := map[string]string{}
+	for i, name := range ordered[:3] {
+		n := wire.NewNode(wire.Options{ProcessName: name})
+		t.Cleanup(func() { _ = n.Close() })
+		n.Handle(wire.TypeReserve, func(_ context.Context, r *wire.Request) {
+			switch {
+			case i == 2:
+				_ = r.Answer(ledger.ReserveReply{Decision: ledger.GrantUnavailable})
+			case time.Since(startedAt) < discoveryWait:
+				_ = r.Answer(ledger.ReserveReply{Decision: ledger.NotReady})
+			default:
+				_ = r.Answer(ledger.ReserveReply{Decision: ledger.Allowed})
+			}
+		})
+		addr, err := n.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses[name] = addr.String()
+	}
+	hosts, _ := listedHosts(t, ordered[3], program)
+	for name, address := range addresses {
+		h := hosts.listed[name]
+		h.PeerAddress = address
+		hosts.listed[name] = h
+	}
+	self := wire.NewNode(wire.Options{ProcessName: hosts.self.Name})
+	t.Cleanup(func() { _ = self.Close() })
+	a := newBudgetService(hosts.self, hosts, self, nil, func() bool { return false }, noHosts)
+	result, err := a.Reserve(t.Context(), Reservation{Program: program, Attempt: "1", Budget: 580, MaxTokens: 290})
+	if err != nil || result.Home != ordered[0] {
+		t.Errorf("home %q, error %v, want home %q", result.Home, err, ordered[0])
+	}
+}
