--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -212,6 +212,9 @@
 	d.addCommand(p.Command, "explain", "Show the log lines of all hosts about a request or a program",
 		"The lines of all logs are sorted by time. Events of the hosts from shortly before and during the request are included: configuration in force, hosts that join and leave, and access to the store.",
 		"explain 9c41d07be2a35f68 a-1.log b-1.log", &explainCommand{})
+	d.addCommand(p.Command, "fleet", "Show an entry host's view of the fleet, or compare the views of several",
+		"The table shows each entry host with its state, its roles, and the ages of its last heartbeat and load report. With several addresses, only the hosts on which the views differ are shown.",
+		"fleet 10.1.0.38:9464 10.2.0.40:9464", &fleetCommand{})
 	d.addCommand(p.Command, "replay", "Run an event log through the reducer and show its effects",
 		"A daemon writes the log if the setting event_log is given. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
 		"replay events.log --expect outcomes.json", &replayCommand{})
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -90,7 +90,7 @@
 	ginkgo.It("has an example in the help of each command", func() {
 		for _, c := range []string{
 			"ticket apply", "ticket show", "ticket list", "program list", "program show", "program history",
-			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain",
+			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain", "fleet",
 		} {
 			r := ctl("", append(strings.Fields(c), "--help")...)
 			gomega.Expect(r.code).To(gomega.Equal(exitOK), c)
@@ -160,6 +160,26 @@
 	})
 
 	// Guards against lines of a request that are missing or out of order when several hosts logged them.
+	// Guards against a view that hides a host, and against a comparison that misses a host that only one view lacks.
+	ginkgo.It("shows and compares the views of entry hosts", func() {
+		member := api.FleetMember{Name: "a-1", Incarnation: "1", FailureDomain: "a", State: api.MemberUp, StateForMS: 1500, Active: true, Watcher: true, LoadMS: -1}
+		view := api.FleetView{Host: "a-1", Members: []api.FleetMember{member}, Kinds: []api.FollowedKind{{Kind: "servers", Source: "store", Revision: 7}}}
+		serveView := func(v api.FleetView) string {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) }))
+			ginkgo.DeferCleanup(s.Close)
+			return s.Listener.Addr().String()
+		}
+		first := serveView(view)
+		r := ctl("", "fleet", first)
+		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)servers: revision 7 from store.*a-1 +a +up +1.5s +active,watcher`))
+		gomega.Expect(ctl("", "fleet", first, first).out).To(gomega.ContainSubstring("same view"))
+		member.State = api.MemberUnreachable
+		other := serveView(api.FleetView{Host: "b-1", Members: []api.FleetMember{member, {Name: "b-1", State: api.MemberUp}}})
+		r = ctl("", "fleet", first, other)
+		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)a-1 +a-1 +up.*a-1 +b-1 +unreachable.*b-1 +a-1 +not listed`))
+		gomega.Expect(ctl("", "fleet", "127.0.0.1:1").code).To(gomega.Equal(exitNotRun))
+	})
+
 	ginkgo.It("explains a request from the logs of several hosts", func() {
 		line := func(at, host, event, rest string) string {
 			return `-1.5 ` + host + ` {"fields":{"host":"` + host + `","event":` + event + rest + `},"level":"info","timestamp":"2026-04-09T03:34:` + at + `Z","message":"m` + event + `"}` + "\n"
--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -26,6 +26,7 @@
 	HostReachable           = Declare(1144, Info, "entry host answers again", "host", "unreachable_for")
 	HeartbeatRejected       = Declare(1146, Warning, "heartbeat of an entry host cannot be read", "from", "error")
 	InformerLagging         = Declare(1153, Warning, "a peer has seen newer objects; the kind is listed again", "kind", "peer", "seen", "peer_seen")
+	FollowFailed            = Declare(1154, Info, "a peer's copy of the objects cannot be followed; the next peer or the store is asked", "kind", "peer", "error")
 	HostRegistrationFailed  = Declare(1145, Warning, "own entry could not be written; callers do not learn of this host yet", "error")
 	InformerFailed          = Declare(1150, Warning, "objects of a kind cannot be read", "kind", "error")
 	InformerResumed         = Declare(1151, Info, "objects of a kind can be read again", "kind", "after")
--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -9,6 +9,8 @@
 		Name          string
 		FailureDomain string
 		Region        string
+		// FirstStart is set while the whole deployment starts for the first time.
+		FirstStart bool
 	}
 	Listen struct {
 		// Callers, Ready and Directory are "" on a host that serves no callers.
@@ -32,6 +34,10 @@
 
 	Limits struct {
 		MemoryBytes int64
+		// Cores is the processor time that the process may use, in cores of normal speed.
+		Cores float64
+		// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 if it is unknown.
+		LinkMbps float64
 	}
 	Shutdown struct {
 		// GracePeriod is the time between SIGTERM and the end of the process that the platform forces.
@@ -59,6 +65,7 @@
 	s.Host.Name = r.dnsLabel("host", "name")
 	s.Host.FailureDomain = r.dnsLabel("host", "failure_domain")
 	s.Host.Region = r.dnsLabel("host", "region")
+	s.Host.FirstStart = r.oneOf("host", "first_start", "false", "false", "true") == "true"
 
 	s.Listen.Callers = r.address("listen", "callers", optional, "")
 	s.Listen.Ready = r.address("listen", "ready", optional, "")
@@ -73,6 +80,8 @@
 	s.Platform.ListInterval = r.duration("platform", "poll", time.Second)
 	s.Seeds.Peers = r.addresses("seeds", "peers")
 	s.Limits.MemoryBytes = r.size("limits", "memory", 128*megabyte, 1<<40)
+	s.Limits.Cores = r.number("limits", "cores", 1, 1024) * r.number("limits", "cores_share", 1, 1)
+	s.Limits.LinkMbps = r.number("limits", "link_mbps", 0, 1e6)
 	s.Shutdown.GracePeriod = r.duration("shutdown", "grace", 8*time.Second)
 
 	s.Log.Level = r.oneOf("log", "level", "info", "debug", "info", "warn", "error")
--- a/common/settings/entry_test.go
+++ b/common/settings/entry_test.go
@@ -34,12 +34,12 @@
 	})
 
 	It("reports every wrong setting at once", func() {
-		_, problems := settings.LoadEntryHost(write("[host]\nname=A\nfailure_domain=a\nregion=r\n[listen]\ncallers=here\nmetrics=10.0.0.1:1\n[platform]\naddress=10.0.0.2:1\nwatch=soon\n[limits]\nmemory=much\nother=1\n"))
+		_, problems := settings.LoadEntryHost(write("[host]\nname=A\nfailure_domain=a\nregion=r\n[listen]\ncallers=here\nmetrics=10.0.0.1:1\n[platform]\naddress=10.0.0.2:1\nwatch=soon\n[limits]\nmemory=much\ncores=NaN\ncores_share=1.5\nother=1\n"))
 		var keys []string
 		for _, p := range problems {
 			keys = append(keys, p.Key)
 		}
-		Expect(keys).To(ConsistOf("name", "callers", "watch", "memory", "other"))
+		Expect(keys).To(ConsistOf("name", "callers", "watch", "memory", "cores", "cores_share", "other"))
 	})
 
 	It("reports a file that cannot be read", func() {
--- a/common/settings/reader.go
+++ b/common/settings/reader.go
@@ -170,6 +170,20 @@
 	return n
 }
 
+// number reads a finite number from 0 to maximum.
+func (r *reader) number(section, key string, defaultValue, maximum float64) float64 {
+	v, ok := r.value(section, key)
+	if !ok {
+		return defaultValue
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= 0 && n <= maximum) {
+		r.addProblem(section, key, v, fmt.Sprintf("a number from 0 to %g", maximum))
+		return 0
+	}
+	return n
+}
+
 func (r *reader) oneOf(section, key, defaultValue string, allowed ...string) string {
 	v, ok := r.value(section, key)
 	if !ok {
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -40,6 +40,7 @@
 	TypeTransferAccounts: "accounts",
 	TypeRecallAccount:    "recall",
 	TypeEntryHeartbeat:   "beat",
+	TypeFollow:           "follow",
 }
 
 // String returns the name of the type as in docs/design.md, section 9. Names are topics of PubSub and steps of
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -28,6 +28,7 @@
 	TypeTransferAccounts // accounts of programs, sent to their new home
 	TypeRecallAccount    // request for the account of a program, sent to its former home
 	TypeEntryHeartbeat   // heartbeat of an entry host: its state and its active requests at backend servers
+	TypeFollow           // request of an entry host for changes of a peer's copy of the store's objects
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,5 +1,6 @@
-// Package fleet selects hosts of a deployment: those that a caller should use, and the one that accounts for a
-// program.
+// Package fleet selects hosts of a deployment: those that a caller should use, those that watch the store for the
+// others, and the one that accounts for a program. The number of selected hosts depends on the failure domains and on
+// the load, not on the size of the fleet, so that the work between hosts does not grow with it.
 package fleet
 
 import (
@@ -18,6 +19,10 @@
 	CallerAddress string `json:"address" msgpack:"address"` // for callers
 	PeerAddress   string `json:"peer" msgpack:"peer"`       // for other hosts
 	Draining      bool   `json:"draining,omitempty" msgpack:"draining,omitempty"`
+	// Cores is the processor time that the host may use, in cores; 0 if it is unknown.
+	Cores float64 `json:"cores,omitempty" msgpack:"cores,omitempty"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 if it is unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty" msgpack:"link_mbps,omitempty"`
 }
 
 // RendezvousOrder returns the hosts in rendezvous order for the key. The removal of a host moves only the keys for
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +12,18 @@
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 )
 
+// TestMain fixes the number of checks and the seed of rapid, so that every run has the same result.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.checks": "6", "rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func TestFleet(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "fleet")
--- /dev/null
+++ b/core/fleet/view.go
@@ -0,0 +1,403 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// meshInterval is the heartbeat interval between hosts of the mesh up to maxFastMesh of them. Above that size it
+	// grows with the mesh, so that a host's work for heartbeats stays the same.
+	meshInterval = 250 * time.Millisecond
+	maxFastMesh  = 16
+	// followInterval is the interval at which a host outside the mesh exchanges heartbeats with each host that it follows.
+	followInterval = time.Second
+	// maxMissedInMesh and maxMissedFollowed are the numbers of intervals without a heartbeat after which a host of the
+	// mesh, and one that is followed, counts as unreachable.
+	maxMissedInMesh   = 4
+	maxMissedFollowed = 2
+	// followedHosts is the number of hosts that a host outside the mesh follows.
+	followedHosts = 2
+)
+
+// Heartbeat is what one host reports of itself and of the others.
+type Heartbeat struct {
+	Name string
+	// Incarnation identifies one start of the host; later starts have greater ones.
+	Incarnation string
+	Draining    bool
+	// Unreachable holds the names of the hosts that the sender does not reach.
+	Unreachable []string
+}
+
+// Transition is a change of a host's reachability.
+type Transition struct {
+	Host      string
+	Reachable bool
+	// Cause says why the host became unreachable.
+	Cause string
+	// UnreachableFor is how long a host that became reachable was not.
+	UnreachableFor time.Duration
+}
+
+// member is what a host knows of another one.
+type member struct {
+	host     Host
+	listedAt time.Time
+}
+
+// heard is the last heartbeat of a host.
+type heard struct {
+	Heartbeat
+	at time.Time
+}
+
+// View is what one host knows of the fleet: the listed hosts, which of them it reaches, and the roles that follow from
+// that. It is a state machine without I/O: its owner passes lists and heartbeats to it and exchanges heartbeats with
+// Targets every Interval. It is not safe for concurrent use.
+//
+// The hosts that have a role, now or if all hosts were reachable, are the mesh; they exchange heartbeats with each
+// other. All others follow two hosts of the mesh and take over what these report of the rest. No decision that must
+// be safe depends on it.
+type View struct {
+	self   Host
+	listed map[string]member
+	heard  map[string]heard
+	// left holds the incarnation of each host that left, by name.
+	left             map[string]string
+	unreachableSince map[string]time.Time
+	// expectedSince is since when heartbeats of a host are expected, for the hosts in Targets.
+	expectedSince map[string]time.Time
+	slots         int
+	roles         *Roles // nil after a change
+}
+
+// Roles are the hosts by role. The slices must not be changed.
+type Roles struct {
+	// All holds the listed hosts and this one, Reachable those of them that are reachable, both sorted by name.
+	All, Reachable []Host
+	// Active are the hosts to which callers are directed.
+	Active []Host
+	// Primaries are the largest hosts of each failure domain, reachable or not. Homes are those of them that are
+	// reachable: they account for programs.
+	Primaries, Homes []Host
+	// Watchers are the hosts that watch the store.
+	Watchers []Host
+	// Mesh is the hosts that exchange heartbeats with each other, without this one.
+	Mesh []Host
+	// InMesh reports whether this host is one of them.
+	InMesh bool
+}
+
+// NewView returns a view that holds only the host itself.
+func NewView(self Host) *View {
+	return &View{
+		self: self, listed: map[string]member{}, heard: map[string]heard{}, left: map[string]string{},
+		unreachableSince: map[string]time.Time{}, expectedSince: map[string]time.Time{},
+	}
+}
+
+// Self returns this host.
+func (v *View) Self() Host { return v.self }
+
+// SetSelfDraining records that this host is draining.
+func (v *View) SetSelfDraining() { v.self.Draining, v.roles = true, nil }
+
+// SetSlots sets the number of requests that all backend servers can run at once.
+func (v *View) SetSlots(slots int) {
+	if slots != v.slots {
+		v.slots, v.roles = slots, nil
+	}
+}
+
+// Listed returns the entry of a host.
+func (v *View) Listed(name string) (Host, bool) {
+	m, ok := v.listed[name]
+	return m.host, ok
+}
+
+// ListedNames returns the names of the listed hosts, sorted.
+func (v *View) ListedNames() []string { return slices.Sorted(maps.Keys(v.listed)) }
+
+// ListedAt returns since when the present incarnation of a host has been listed.
+func (v *View) ListedAt(name string) (time.Time, bool) {
+	m, ok := v.listed[name]
+	return m.listedAt, ok
+}
+
+// Put adds a host or replaces its entry, and reports whether that changed anything.
+func (v *View) Put(now time.Time, h Host) bool {
+	previous, known := v.listed[h.Name]
+	if known && previous.host == h {
+		return false
+	}
+	v.roles = nil
+	if known && previous.host.Incarnation == h.Incarnation {
+		v.listed[h.Name] = member{host: h, listedAt: previous.listedAt}
+		return true
+	}
+	if v.heard[h.Name].Incarnation != h.Incarnation && v.heard[h.Name].Incarnation == previous.host.Incarnation {
+		delete(v.heard, h.Name)
+	}
+	delete(v.left, h.Name)
+	delete(v.unreachableSince, h.Name)
+	delete(v.expectedSince, h.Name)
+	v.listed[h.Name] = member{host: h, listedAt: now}
+	return true
+}
+
+// Remove removes a host that left, and reports whether it was listed. Late heartbeats of it are ignored.
+func (v *View) Remove(name string) bool {
+	m, ok := v.listed[name]
+	if !ok {
+		return false
+	}
+	v.roles = nil
+	v.left[name] = m.host.Incarnation
+	if v.heard[name].Incarnation == m.host.Incarnation {
+		delete(v.heard, name)
+	}
+	delete(v.listed, name)
+	delete(v.unreachableSince, name)
+	delete(v.expectedSince, name)
+	return true
+}
+
+// Hear records a heartbeat. It reports false if the heartbeat is of a former incarnation, and the change of
+// reachability that follows from it.
+func (v *View) Hear(now time.Time, b Heartbeat) (accepted bool, transitions []Transition) {
+	left, isGone := v.left[b.Name]
+	if b.Name == v.self.Name || b.Incarnation < max(v.heard[b.Name].Incarnation, v.listed[b.Name].host.Incarnation) || isGone && b.Incarnation <= left {
+		return false, nil
+	}
+	v.heard[b.Name] = heard{Heartbeat: b, at: now}
+	if m, ok := v.listed[b.Name]; ok && m.host.Incarnation == b.Incarnation && m.host.Draining != b.Draining {
+		m.host.Draining = b.Draining
+		v.listed[b.Name], v.roles = m, nil
+	}
+	return true, v.setReachable(now, b.Name)
+}
+
+// Fail records that a host did not accept a message.
+func (v *View) Fail(now time.Time, name, cause string) []Transition {
+	if _, ok := v.listed[name]; !ok || name == v.self.Name {
+		return nil
+	}
+	return v.setUnreachable(now, name, cause)
+}
+
+func (v *View) setReachable(now time.Time, name string) []Transition {
+	since, ok := v.unreachableSince[name]
+	if !ok {
+		return nil
+	}
+	delete(v.unreachableSince, name)
+	v.roles = nil
+	return []Transition{{Host: name, Reachable: true, UnreachableFor: now.Sub(since)}}
+}
+
+func (v *View) setUnreachable(now time.Time, name, cause string) []Transition {
+	if _, ok := v.unreachableSince[name]; ok {
+		return nil
+	}
+	v.unreachableSince[name] = now
+	v.roles = nil
+	return []Transition{{Host: name, Cause: cause}}
+}
+
+// Roles returns the hosts by role.
+func (v *View) Roles() *Roles {
+	if v.roles == nil {
+		v.roles = v.computeRoles()
+	}
+	return v.roles
+}
+
+func (v *View) computeRoles() *Roles {
+	r := &Roles{All: []Host{v.self}}
+	for name, m := range v.listed {
+		if name != v.self.Name {
+			r.All = append(r.All, m.host)
+		}
+	}
+	slices.SortFunc(r.All, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	r.Reachable = filter(r.All, func(h Host) bool { _, unreachable := v.unreachableSince[h.Name]; return !unreachable })
+	r.Active = Active(r.Reachable, v.slots)
+	r.Watchers = Largest(r.Reachable, WatchersPerDomain)
+	r.Primaries = Largest(r.All, PrimariesPerDomain)
+	r.Homes = filter(r.Primaries, func(h Host) bool { _, unreachable := v.unreachableSince[h.Name]; return !unreachable })
+	seen := map[string]bool{}
+	for _, h := range slices.Concat(r.Primaries, Largest(r.Reachable, PrimariesPerDomain), r.Active) {
+		switch {
+		case seen[h.Name]:
+		case h.Name == v.self.Name:
+			r.InMesh = true
+		default:
+			r.Mesh = append(r.Mesh, h)
+		}
+		seen[h.Name] = true
+	}
+	return r
+}
+
+// Followed returns the watchers in the order in which this host should follow them: those of its failure domain in
+// rendezvous order, then the others.
+func (v *View) Followed() []Host {
+	ordered := RendezvousOrder(v.Roles().Watchers, v.self.Name)
+	ordered = slices.DeleteFunc(ordered, func(h Host) bool { return h.Name == v.self.Name })
+	slices.SortStableFunc(ordered, func(a, b Host) int {
+		return cmp.Compare(btoi(a.FailureDomain != v.self.FailureDomain), btoi(b.FailureDomain != v.self.FailureDomain))
+	})
+	return ordered
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// IsWatcher reports whether this host watches the store.
+func (v *View) IsWatcher() bool {
+	return slices.ContainsFunc(v.Roles().Watchers, func(h Host) bool { return h.Name == v.self.Name })
+}
+
+// IsHome reports whether this host accounts for programs.
+func (v *View) IsHome() bool {
+	homes := v.Roles().Homes
+	return len(homes) == 0 || slices.ContainsFunc(homes, func(h Host) bool { return h.Name == v.self.Name })
+}
+
+// Targets returns the hosts with which this one exchanges heartbeats every Interval.
+func (v *View) Targets() []Host {
+	r := v.Roles()
+	if r.InMesh || v.self.Draining {
+		return append(v.unreachableOutside(r.Mesh), r.Mesh...)
+	}
+	followed := v.Followed()
+	if len(followed) == 0 { // none is reachable; the first one that answers is
+		followed = RendezvousOrder(r.Mesh, v.self.Name)
+	}
+	return followed[:min(followedHosts, len(followed))]
+}
+
+// unreachableOutside returns the unreachable hosts that are not among the given ones. Only heartbeats show that such a
+// host is back and may take a role again.
+func (v *View) unreachableOutside(hosts []Host) []Host {
+	var out []Host
+	for name := range v.unreachableSince {
+		if !slices.ContainsFunc(hosts, func(h Host) bool { return h.Name == name }) {
+			out = append(out, v.listed[name].host)
+		}
+	}
+	return out
+}
+
+// Interval returns the time between two exchanges of heartbeats.
+func (v *View) Interval() time.Duration {
+	r := v.Roles()
+	if !r.InMesh {
+		return followInterval
+	}
+	return MeshInterval(len(r.Mesh) + 1)
+}
+
+// MeshInterval returns the heartbeat interval of a mesh of that size.
+func MeshInterval(hosts int) time.Duration {
+	return meshInterval * time.Duration(max(hosts, maxFastMesh)) / maxFastMesh
+}
+
+// HeardWithin reports whether a heartbeat of the host arrived within d.
+func (v *View) HeardWithin(now time.Time, name string, d time.Duration) bool {
+	last, ok := v.heard[name]
+	return ok && now.Sub(last.at) < d
+}
+
+// HeardAt returns when the last heartbeat of a host arrived; zero if none did.
+func (v *View) HeardAt(name string) time.Time { return v.heard[name].at }
+
+// Unlisted returns the hosts that are not listed, of which a heartbeat arrived within d and that are not draining. Only
+// name and incarnation are set.
+func (v *View) Unlisted(now time.Time, d time.Duration) []Host {
+	var out []Host
+	for name, last := range v.heard {
+		if _, listed := v.listed[name]; !listed && !last.Draining && now.Sub(last.at) < d {
+			out = append(out, Host{Name: name, Incarnation: last.Incarnation})
+		}
+	}
+	return out
+}
+
+// Unreachable returns the names of the hosts that this host does not reach, sorted.
+func (v *View) Unreachable() []string { return slices.Sorted(maps.Keys(v.unreachableSince)) }
+
+// UnreachableSince returns since when a host has been unreachable; ok is false if it is reachable.
+func (v *View) UnreachableSince(name string) (since time.Time, ok bool) {
+	since, ok = v.unreachableSince[name]
+	return since, ok
+}
+
+// Timeout returns the time without a heartbeat after which one of Targets counts as unreachable.
+func (v *View) Timeout() time.Duration {
+	if !v.Roles().InMesh {
+		return maxMissedFollowed * v.Interval()
+	}
+	return maxMissedInMesh * v.Interval()
+}
+
+// Tick marks hosts as unreachable from which no heartbeats arrive. A host outside the mesh also takes over what all
+// hosts that it follows report of the rest.
+func (v *View) Tick(now time.Time) []Transition {
+	targets, limit := v.Targets(), v.Timeout()
+	isTarget := make(map[string]bool, len(targets))
+	var out []Transition
+	for _, h := range targets {
+		isTarget[h.Name] = true
+		if v.expectedSince[h.Name].IsZero() {
+			v.expectedSince[h.Name] = now
+		}
+		if now.Sub(v.expectedSince[h.Name]) >= limit && !v.HeardWithin(now, h.Name, limit) {
+			out = append(out, v.setUnreachable(now, h.Name, "no heartbeat for "+limit.String())...)
+		}
+	}
+	maps.DeleteFunc(v.expectedSince, func(name string, _ time.Time) bool { return !isTarget[name] })
+	if !v.Roles().InMesh && !v.self.Draining {
+		out = append(out, v.takeOverReports(now, targets, limit)...)
+	}
+	return out
+}
+
+// takeOverReports sets the reachability of the hosts that this host does not follow: a host is unreachable
+// if all followed hosts say so, so that one that is cut off itself is outvoted.
+func (v *View) takeOverReports(now time.Time, followed []Host, limit time.Duration) []Transition {
+	reports, votes := 0, map[string]int{}
+	for _, h := range followed {
+		if v.HeardWithin(now, h.Name, limit) {
+			reports++
+			for _, name := range v.heard[h.Name].Unreachable {
+				votes[name]++
+			}
+		}
+	}
+	if reports == 0 {
+		return nil
+	}
+	isFollowed := func(name string) bool {
+		return slices.ContainsFunc(followed, func(h Host) bool { return h.Name == name })
+	}
+	var out []Transition
+	for _, name := range slices.Sorted(maps.Keys(v.unreachableSince)) {
+		if !isFollowed(name) && votes[name] < reports {
+			out = append(out, v.setReachable(now, name)...)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(votes)) {
+		if _, listed := v.listed[name]; listed && !isFollowed(name) && name != v.self.Name && votes[name] == reports {
+			out = append(out, v.setUnreachable(now, name, "reported by the followed hosts")...)
+		}
+	}
+	return out
+}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -43,8 +43,8 @@
 	// found themselves there at the same time send a heartbeat at once, which arrives within a few ms. It is less
 	// than half of findHomeTimeout.
 	discoveryWait = 250 * time.Millisecond
-	// startupOutageThreshold is the time from the start to the first read of the records above which the store is
-	// taken to have been unavailable: three calls that time out take longer, calls to a slow store do not.
+	// startupOutageThreshold is the time to the first read of the records above which the store is taken to have been
+	// unavailable: three calls that time out take longer, calls to a slow store do not.
 	startupOutageThreshold = 2 * time.Second
 	// maxAccountLifetime is the longest retention of programs, 60 s, plus the 10 s for which the ledger keeps an
 	// account beyond it.
@@ -69,8 +69,6 @@
 	clock clock.Clock
 	// storeReachable reports whether the store is available to this host or a peer.
 	storeReachable func() bool
-	// recentHosts returns the hosts that sent heartbeats lately, listed or not.
-	recentHosts func() []fleet.Host
 
 	mu            sync.Mutex
 	ledger        *ledger.Ledger
@@ -78,16 +76,17 @@
 	pending       map[uint64]chan ledger.ReserveReply // by request ID
 	// homeByAttempt holds the host that allowed a running turn, by attempt ID.
 	homeByAttempt map[string]fleet.Host
-	startedAt     time.Time
+	// recordsWantedSince is since when the records could have been read: the start, or when this host became a home.
+	recordsWantedSince time.Time
 	// recordsReadAt is when the records were first read; zero before.
 	recordsReadAt time.Time
 	// handingOver is set once this host hands over all accounts because it leaves.
 	handingOver bool
 }
 
-func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeReachable func() bool, recentHosts func() []fleet.Host) *budgetService {
+func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeReachable func() bool) *budgetService {
 	a := &budgetService{
-		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), startedAt: time.Now(), storeReachable: storeReachable, recentHosts: recentHosts,
+		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), recordsWantedSince: time.Now(), storeReachable: storeReachable,
 		ledger: ledger.New(), pending: map[uint64]chan ledger.ReserveReply{}, homeByAttempt: map[string]fleet.Host{},
 	}
 	node.Handle(wire.TypeReserve, a.serveReserve)
@@ -128,7 +127,7 @@
 // reserveOnce tries the hosts that may be the program's home, in rendezvous order.
 func (a *budgetService) reserveOnce(ctx context.Context, turn ledger.Turn) (ReservationResult, error) {
 	failedHosts, startingHosts := 0, 0
-	for _, h := range fleet.RendezvousOrder(a.homeCandidates(), turn.Program) {
+	for _, h := range a.homeOrder(turn.Program) {
 		if failedHosts == maxReserveHosts {
 			break
 		}
@@ -142,7 +141,7 @@
 		}
 		if err != nil {
 			failedHosts++
-			a.hosts.RecordContact(h.Name, err)
+			a.hosts.Fail(h.Name, err)
 			continue
 		}
 		switch {
@@ -177,16 +176,13 @@
 	}
 }
 
-// homeCandidates returns the hosts that may be homes of programs: those that are reachable and not draining.
-func (a *budgetService) homeCandidates() []fleet.Host {
-	reachable := a.hosts.Reachable()
-	out := reachable[:0]
-	for _, h := range reachable {
-		if !h.Draining {
-			out = append(out, h)
-		}
+// homeOrder returns the hosts that may be the program's home, in the order in which they are.
+func (a *budgetService) homeOrder(program string) []fleet.Host {
+	roles := a.hosts.Roles()
+	if len(roles.Homes) == 0 { // no primary host is reachable
+		return fleet.HomeOrder(roles.Reachable, program)
 	}
-	return out
+	return fleet.RendezvousOrder(roles.Homes, program)
 }
 
 // reserveWithRetry sends a reservation to a host, and again, up to maxTries times, while that host cannot get a grant.
@@ -216,21 +212,14 @@
 }
 
 // sharePolicy returns the policy for a program of which this host has no account. The rendezvous order includes all
-// hosts that are listed or sent heartbeats lately, reachable or not: if the store became unavailable, the list
-// lacks hosts that started later, but they send heartbeats. Until this host and the others have discovered each
+// primary hosts, reachable or not, and hosts that sent heartbeats lately and are not listed: if the store became
+// unavailable, the list lacks hosts that started later, and any of them may be a primary host. Until this host and the others have discovered each
 // other, every program needs a grant.
 func (a *budgetService) sharePolicy(program string) ledger.SharePolicy {
 	if !a.hasDiscoveredHosts() {
 		return ledger.GrantRequired
 	}
-	var candidates []fleet.Host
-	added := map[string]bool{}
-	for _, h := range slices.Concat(a.hosts.All(), a.recentHosts()) {
-		if !h.Draining && !added[h.Name] {
-			added[h.Name] = true
-			candidates = append(candidates, h)
-		}
-	}
+	candidates := slices.Concat(a.hosts.Roles().Primaries, a.hosts.Unlisted(maxAccountLifetime))
 	accountsMoved := a.sinceRecordsRead() > handoverWait
 	for i, h := range fleet.RendezvousOrder(candidates, program) {
 		switch {
@@ -264,7 +253,13 @@
 	if !a.hasDiscoveredHosts() {
 		return ledger.ReserveReply{Decision: ledger.NotReady}
 	}
-	policy := a.sharePolicy(turn.Program)
+	a.mu.Lock()
+	hasAccount := a.ledger.HasAccount(turn.Program)
+	a.mu.Unlock()
+	policy := ledger.GrantRequired // not used if this host has an account
+	if !hasAccount {
+		policy = a.sharePolicy(turn.Program)
+	}
 	a.mu.Lock()
 	if a.handingOver {
 		a.mu.Unlock()
@@ -358,7 +353,7 @@
 		return
 	}
 	s.Forwarded = true
-	for _, h := range fleet.RendezvousOrder(a.homeCandidates(), s.Program) {
+	for _, h := range a.homeOrder(s.Program) {
 		if h.Name != a.self.Name {
 			go a.sendSettlement(h.PeerAddress, s)
 			return
--- a/service/ingress/budget_handover.go
+++ b/service/ingress/budget_handover.go
@@ -59,9 +59,8 @@
 // handOver sends accounts to the hosts that are the programs' homes now. A leaving host hands over all its
 // accounts.
 func (a *budgetService) handOver(ctx context.Context, leaving bool) {
-	candidates := a.homeCandidates()
 	newHome := func(program string) fleet.Host {
-		for _, h := range fleet.RendezvousOrder(candidates, program) {
+		for _, h := range a.homeOrder(program) {
 			if !leaving || h.Name != a.self.Name {
 				return h
 			}
@@ -85,31 +84,45 @@
 	}
 }
 
-// run reads the records and hands accounts over at the start and whenever the hosts change, and expires accounts
+// run reads the records and hands accounts over at the start and whenever the homes change, and expires accounts
 // and records at every tick. It returns when ctx ends.
 func (a *budgetService) run(ctx context.Context) {
-	ticker := time.NewTicker(budgetTickInterval)
-	defer ticker.Stop()
 	lastKey := ""
 	for {
-		candidates := a.homeCandidates()
-		if key := incarnationsKey(candidates); key != lastKey {
-			if err := a.listRecords(ctx); err != nil {
+		if key := incarnationsKey(a.hosts.Roles().Homes); key != lastKey && a.hosts.HasSynced() {
+			if err := a.readRecordsIfHome(ctx); err != nil {
 				logging.Emit(logging.GrantRecordsReadFailed, logging.Fields{"error": err})
 			} else {
 				lastKey = key
 			}
 			a.handOver(ctx, false)
 		}
-		a.tick(candidates)
+		a.tick()
+		wait := budgetTickInterval
+		if !a.hosts.HasSynced() {
+			wait = syncPollInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(wait):
 		}
 	}
 }
 
+// readRecordsIfHome reads the records if this host accounts for programs.
+func (a *budgetService) readRecordsIfHome(ctx context.Context) error {
+	if a.hosts.IsHome() {
+		return a.listRecords(ctx)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.recordsReadAt.IsZero() {
+		a.recordsWantedSince = time.Now()
+	}
+	return nil
+}
+
 // hasReadRecords reports whether the records were read at least once.
 func (a *budgetService) hasReadRecords() bool {
 	a.mu.Lock()
@@ -126,9 +139,9 @@
 	return b.String()
 }
 
-func (a *budgetService) tick(candidates []fleet.Host) {
+func (a *budgetService) tick() {
 	isHome := func(program string) bool {
-		ordered := fleet.RendezvousOrder(candidates, program)
+		ordered := a.homeOrder(program)
 		return len(ordered) > 0 && ordered[0].Name == a.self.Name
 	}
 	a.mu.Lock()
--- a/service/ingress/budget_records.go
+++ b/service/ingress/budget_records.go
@@ -103,7 +103,7 @@
 	a.ledger.RecordsListed(a.clock.Now(), records, versions)
 	if a.recordsReadAt.IsZero() {
 		a.recordsReadAt = time.Now()
-		if a.recordsReadAt.Sub(a.startedAt) > startupOutageThreshold {
+		if a.recordsReadAt.Sub(a.recordsWantedSince) > startupOutageThreshold {
 			a.ledger.PresumeSharesUsed(a.clock.Now().Add(maxAccountLifetime))
 		}
 	}
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -15,22 +15,19 @@
 )
 
 const (
-	// minHeartbeatInterval is the heartbeat interval of a small fleet. The loss of a host and a lagging informer
-	// are detected well within the operator's bound of 2 s.
-	minHeartbeatInterval = 250 * time.Millisecond
-	// minIntervalHosts is the fleet size up to which minHeartbeatInterval applies. Above it, the interval grows
-	// with the fleet, so that a host's work for heartbeats stays the same.
-	minIntervalHosts = 10
-	// maxMissedHeartbeats is the number of intervals without a heartbeat after which a host counts as unreachable.
-	maxMissedHeartbeats = 4
-	// heartbeatTimeout bounds the sending of one heartbeat.
+	// heartbeatTimeout bounds one exchange of heartbeats.
 	heartbeatTimeout = 400 * time.Millisecond
+	// answeredIntervals is the number of intervals within which a heartbeat of a host makes one to it unnecessary.
+	answeredIntervals = 1.5
+	// introductionsPerDomain is the number of hosts of each failure domain to which a host that finds itself in the list
+	// introduces itself: twice those that account for programs, in case lists differ.
+	introductionsPerDomain = 2 * fleet.PrimariesPerDomain
 	// maxInformerLag is how much later than a peer an informer may observe a change before it relists, in addition
 	// to its batch delay.
 	maxInformerLag = 300 * time.Millisecond
 )
 
-// heartbeat is the message that each host sends to all others at every interval.
+// heartbeat is the message that two hosts exchange at every interval: one sends it, the other answers with its own.
 type heartbeat struct {
 	Host        string
 	Incarnation string
@@ -39,18 +36,15 @@
 	StoreAvailable bool `msgpack:"StoreUp"`
 	// Revisions holds the revision of the newest object that the host has observed, by kind.
 	Revisions map[string]uint64 `msgpack:"Seen"`
-	// InFlight holds the number of the host's active requests, by backend server.
+	// InFlight holds the number of the host's active requests, by backend server. It is nil unless both hosts may serve
+	// callers.
 	InFlight map[string]int
+	// Unreachable holds the names of the hosts that the host does not reach.
+	Unreachable []string `msgpack:",omitempty"`
 }
 
-// receivedHeartbeat is the last heartbeat of a host.
-type receivedHeartbeat struct {
-	heartbeat  heartbeat
-	receivedAt time.Time
-}
-
-// heartbeater exchanges heartbeats with the other hosts. It detects unreachable hosts and informers that lag
-// behind.
+// heartbeater exchanges heartbeats with other hosts. They show which hosts are reachable, which informers lag behind,
+// and how many requests are in progress at each server.
 type heartbeater struct {
 	self           fleet.Host
 	hosts          *Hosts
@@ -58,88 +52,176 @@
 	servers        *Servers
 	informers      map[string]*Informer // by kind
 	storeAvailable func() bool
-	// seeds are the peer addresses from the settings, used while no heartbeats arrive.
+	// seeds are the peer addresses from the settings, used while no other hosts are known.
 	seeds []string
 
-	mu             sync.Mutex
-	lastHeartbeats map[string]receivedHeartbeat // by host
-	lags           map[string]informerLag       // by kind
+	mu sync.Mutex
+	// storeReported holds whether a host reported the store available in its last heartbeat.
+	storeReported map[string]bool
+	lags          map[string]informerLag // by kind
 }
 
 func newHeartbeater(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeAvailable func() bool, seeds []string) *heartbeater {
 	b := &heartbeater{
 		self: self, hosts: hosts, node: node, servers: servers, storeAvailable: storeAvailable, seeds: seeds,
-		informers: map[string]*Informer{}, lastHeartbeats: map[string]receivedHeartbeat{}, lags: map[string]informerLag{},
+		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{},
 	}
 	node.Handle(wire.TypeEntryHeartbeat, b.receive)
 	return b
 }
 
-// interval returns the heartbeat interval for the present number of hosts.
-func (b *heartbeater) interval() time.Duration {
-	return heartbeatInterval(len(b.hosts.All()))
-}
-
-// heartbeatInterval returns the heartbeat interval of a fleet of that size.
-func heartbeatInterval(hosts int) time.Duration {
-	return minHeartbeatInterval * time.Duration(max(hosts, minIntervalHosts)) / minIntervalHosts
-}
-
 func (b *heartbeater) run(ctx context.Context) {
-	startedAt := time.Now()
 	for {
-		interval := b.interval()
-		b.broadcast(ctx)
-		b.detectUnreachable(startedAt, interval)
+		b.exchangeAll(ctx, b.due())
+		if !b.hosts.SelfDraining() {
+			b.hosts.Tick()
+		}
 		select {
-		case <-time.After(interval):
+		case <-time.After(b.hosts.Interval()):
 		case <-b.hosts.selfListed:
+			b.introduce(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// broadcast sends a heartbeat to all other hosts. It does not wait for the sends.
-func (b *heartbeater) broadcast(ctx context.Context) {
+// due returns the targets except those that have exchanged heartbeats with this host lately: of two hosts of the mesh,
+// the one that is first by name starts the exchange as long as the other one hears of it.
+func (b *heartbeater) due() []fleet.Host {
+	answered := time.Duration(answeredIntervals * float64(b.hosts.Interval()))
+	inMesh := b.hosts.Roles().InMesh
+	var out []fleet.Host
+	for _, h := range b.hosts.Targets() {
+		if !inMesh || h.Name > b.self.Name || !b.hosts.HeardWithin(h.Name, answered) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// introduce sends heartbeats to all hosts that may account for programs by their lists. Without it, a host whose list
+// lacks this one would not know of it while the store is unavailable.
+func (b *heartbeater) introduce(ctx context.Context) {
+	b.exchangeAll(ctx, fleet.Largest(b.hosts.All(), introductionsPerDomain))
+}
+
+// broadcast sends heartbeats to all targets.
+func (b *heartbeater) broadcast(ctx context.Context) { b.exchangeAll(ctx, b.hosts.Targets()) }
+
+// exchangeAll exchanges heartbeats with the hosts. It does not wait for the answers.
+func (b *heartbeater) exchangeAll(ctx context.Context, hosts []fleet.Host) {
+	if len(hosts) == 0 {
+		return
+	}
+	isMesh := b.meshNames()
+	inFlight := b.servers.InFlightByServer()
+	for _, h := range hosts {
+		if h.Name == b.self.Name {
+			continue
+		}
+		message := b.message()
+		if isMesh[h.Name] {
+			message.InFlight = inFlight
+		}
+		go b.exchange(ctx, h, message)
+	}
+}
+
+// exchange sends a heartbeat and handles the answer. A host that accepts no connection is unreachable at once; one that
+// does not answer is only after several intervals.
+func (b *heartbeater) exchange(ctx context.Context, h fleet.Host, message heartbeat) {
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var answer heartbeat
+	err := b.node.Call(callCtx, h.PeerAddress, wire.TypeEntryHeartbeat, message, &answer)
+	switch {
+	case err == nil && answer.validate() == nil:
+		b.handle(answer)
+	case err != nil && callCtx.Err() == nil:
+		b.hosts.Fail(h.Name, err)
+	}
+}
+
+// message returns this host's heartbeat without its active requests.
+func (b *heartbeater) message() heartbeat {
 	message := heartbeat{
 		Host:           b.self.Name,
 		Incarnation:    b.self.Incarnation,
 		Draining:       b.hosts.SelfDraining(),
 		StoreAvailable: b.storeAvailable(),
-		Revisions:      map[string]uint64{},
-		InFlight:       b.servers.InFlightByServer(),
+		Revisions:      make(map[string]uint64, len(b.informers)),
+		Unreachable:    b.hosts.Unreachable(),
 	}
 	for kind, informer := range b.informers {
 		message.Revisions[kind] = uint64(informer.NewestRevision())
 	}
-	for _, h := range b.hosts.All() {
-		if h.Name == b.self.Name {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-			defer cancel()
-			if err := b.node.Send(ctx, h.PeerAddress, wire.TypeEntryHeartbeat, message); err != nil && ctx.Err() == nil {
-				b.hosts.RecordContact(h.Name, err)
-			}
-		}()
+	return message
+}
+
+// meshNames returns the names of the other hosts of the mesh, or nil if this host is not in it.
+func (b *heartbeater) meshNames() map[string]bool {
+	roles := b.hosts.Roles()
+	if !roles.InMesh && !b.hosts.SelfDraining() {
+		return nil
+	}
+	names := make(map[string]bool, len(roles.Mesh))
+	for _, h := range roles.Mesh {
+		names[h.Name] = true
 	}
+	return names
 }
 
+// receive handles another host's heartbeat and answers with this host's.
 func (b *heartbeater) receive(_ context.Context, r *wire.Request) {
 	var message heartbeat
-	if err := r.Decode(&message); err != nil {
+	err := r.Decode(&message)
+	if err == nil {
+		err = message.validate()
+	}
+	if err != nil {
 		logging.Emit(logging.HeartbeatRejected, logging.Fields{"from": r.From, "error": err})
+		if !r.OneWay() {
+			_ = r.Fail(err) // fails only if the sender is gone
+		}
+		return
+	}
+	b.handle(message)
+	if r.OneWay() {
+		return
+	}
+	answer := b.message()
+	if b.meshNames()[message.Host] {
+		answer.InFlight = b.servers.InFlightByServer()
+	}
+	_ = r.Answer(answer) // fails only if the sender no longer waits
+}
+
+// validate rejects a heartbeat that no host sends.
+func (m heartbeat) validate() error {
+	if m.Host == "" || m.Incarnation == "" {
+		return errors.Newf("heartbeat without host %q or incarnation %q", m.Host, m.Incarnation)
+	}
+	for server, n := range m.InFlight {
+		if n < 0 {
+			return errors.Newf("heartbeat of host %q with %d requests at server %q", m.Host, n, server)
+		}
+	}
+	return nil
+}
+
+func (b *heartbeater) handle(message heartbeat) {
+	report := fleet.Heartbeat{Name: message.Host, Incarnation: message.Incarnation, Draining: message.Draining, Unreachable: message.Unreachable}
+	if !b.hosts.Hear(report) {
 		return
 	}
 	now := time.Now()
 	b.mu.Lock()
-	b.lastHeartbeats[message.Host] = receivedHeartbeat{heartbeat: message, receivedAt: now}
+	b.storeReported[message.Host] = message.StoreAvailable
 	b.mu.Unlock()
-	b.hosts.RecordContact(message.Host, nil)
-	b.hosts.SetHostDraining(message.Host, message.Draining)
-	b.servers.SetHostLoad(message.Host, message.InFlight, now)
+	if message.InFlight != nil {
+		b.servers.SetHostLoad(message.Host, message.InFlight, now)
+	}
 	b.detectLag(message, now)
 }
 
@@ -175,27 +257,6 @@
 	}
 }
 
-// detectUnreachable marks hosts from which no heartbeats arrive as unreachable. Hosts send heartbeats to listed
-// hosts only, so missing ones prove nothing until this host and the other have both been listed for long enough.
-func (b *heartbeater) detectUnreachable(startedAt time.Time, interval time.Duration) {
-	now := time.Now()
-	limit := maxMissedHeartbeats * interval
-	if now.Sub(startedAt) < limit || b.hosts.SelfDraining() || b.hosts.ListedFor(b.self.Name) < limit {
-		return
-	}
-	for _, h := range b.hosts.All() {
-		if h.Name == b.self.Name || b.hosts.ListedFor(h.Name) < limit {
-			continue
-		}
-		b.mu.Lock()
-		last, ok := b.lastHeartbeats[h.Name]
-		b.mu.Unlock()
-		if !ok || now.Sub(last.receivedAt) > limit {
-			b.hosts.RecordContact(h.Name, errors.Newf("no heartbeat for %s", limit))
-		}
-	}
-}
-
 const (
 	// relayTimeout bounds a store call through peers, all tries together.
 	relayTimeout = time.Second
@@ -216,20 +277,31 @@
 // storePeers returns the addresses of up to maxRelayPeers hosts that lately reported the store available. If no
 // heartbeats arrive at all, it returns the seeds.
 func (b *heartbeater) storePeers() []string {
+	recent := b.hosts.Timeout()
 	var out []string
-	for _, h := range fleet.RendezvousOrder(b.hosts.Reachable(), b.self.Name) {
+	heardAny := false
+	for _, h := range fleet.RendezvousOrder(b.hosts.Targets(), b.self.Name) {
+		if !b.hosts.HeardWithin(h.Name, recent) {
+			continue
+		}
+		heardAny = true
 		b.mu.Lock()
-		last, ok := b.lastHeartbeats[h.Name]
+		usable := b.storeReported[h.Name]
 		b.mu.Unlock()
-		usable := ok && last.heartbeat.StoreAvailable && time.Since(last.receivedAt) < maxMissedHeartbeats*minHeartbeatInterval
-		if usable && h.Name != b.self.Name && len(out) < maxRelayPeers {
+		if usable && len(out) < maxRelayPeers {
 			out = append(out, h.PeerAddress)
 		}
 	}
-	if len(out) > 0 || b.hasRecentHeartbeat() {
+	if heardAny {
 		return out
 	}
-	// A host that has just started, or that is not listed, receives no heartbeats.
+	// A host that has just started knows no others.
+	return b.otherSeeds()
+}
+
+// otherSeeds returns the seeds without this host.
+func (b *heartbeater) otherSeeds() []string {
+	var out []string
 	for _, seed := range b.seeds {
 		if seed != b.self.PeerAddress {
 			out = append(out, seed)
@@ -237,29 +309,3 @@
 	}
 	return out
 }
-
-// recentHosts returns the hosts that sent a heartbeat within maxAccountLifetime and are not draining, listed or
-// not. Only name and incarnation are set.
-func (b *heartbeater) recentHosts() []fleet.Host {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var out []fleet.Host
-	for name, h := range b.lastHeartbeats {
-		if !h.heartbeat.Draining && time.Since(h.receivedAt) < maxAccountLifetime {
-			out = append(out, fleet.Host{Name: name, Incarnation: h.heartbeat.Incarnation})
-		}
-	}
-	return out
-}
-
-// hasRecentHeartbeat reports whether heartbeats of other hosts arrive.
-func (b *heartbeater) hasRecentHeartbeat() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, h := range b.lastHeartbeats {
-		if time.Since(h.receivedAt) < maxMissedHeartbeats*minHeartbeatInterval {
-			return true
-		}
-	}
-	return false
-}
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -41,6 +40,12 @@
 	outageDeleteWindow = 2 * time.Second
 	// registerRetryInterval is the delay after this host's own entry could not be written or deleted.
 	registerRetryInterval = 500 * time.Millisecond
+	// linkHeartbeatInterval and linkKeepAliveTimeout apply to connections between hosts. The heartbeats of the hosts
+	// themselves are more frequent on most of them.
+	linkHeartbeatInterval = time.Second
+	linkKeepAliveTimeout  = 2500 * time.Millisecond
+	// peerDialTimeout bounds the time to connect to a peer: a connection within the deployment opens in a few ms.
+	peerDialTimeout = 400 * time.Millisecond
 	// syncPollInterval is how often a starting host checks whether it has synced.
 	syncPollInterval = 20 * time.Millisecond
 )
@@ -74,13 +79,12 @@
 	heartbeats *heartbeater
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
-	// storeRecoveredAt is when the servers were first listed after the last outage of the store.
-	storeRecoveredAt time.Time
+	startedAt time.Time
 }
 
 // NewHost returns an entry host that does not listen yet. It receives changed settings from reload.
 func NewHost(s *settings.EntryHost, a Adapter, reload <-chan *settings.EntryHost) *Host {
-	h := &Host{adapter: a, reload: reload}
+	h := &Host{adapter: a, reload: reload, startedAt: time.Now()}
 	h.settings.Store(s)
 	h.self = fleet.Host{
 		Name:          s.Host.Name,
@@ -89,12 +93,18 @@
 		Region:        s.Host.Region,
 		CallerAddress: s.Listen.Callers,
 		PeerAddress:   s.Listen.Peer,
+		Cores:         s.Limits.Cores,
+		LinkMbps:      s.Limits.LinkMbps,
 	}
 	h.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	scope := h.metrics.Scope()
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
 	h.hosts = NewHosts(h.self, h.servers.SetHostCount)
-	h.node = wire.NewNode(wire.Options{ProcessName: s.Host.Name + "." + h.self.Incarnation})
+	h.hosts.onDraining = h.publishDraining
+	h.node = wire.NewNode(wire.Options{
+		ProcessName: s.Host.Name + "." + h.self.Incarnation, HeartbeatInterval: linkHeartbeatInterval,
+		KeepAliveTimeout: linkKeepAliveTimeout, DialTimeout: peerDialTimeout,
+	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
 	h.store = &objectapi.RelayStore{
 		Local:            a.Store,
@@ -102,7 +112,8 @@
 		LocalUnavailable: func() bool { return !a.StoreAvailable() },
 	}
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
-	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable, h.heartbeats.recentHosts)
+	h.node.Handle(wire.TypeFollow, h.serveFollow)
+	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes}, a.HeaderCodec, h.servers, h.budgets, scope)
 	return h
 }
@@ -124,7 +135,7 @@
 	otherServers := []*http.Server{
 		{Addr: listen.Ready, Handler: h.adapter.ReadinessHandler(h.ready), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
 		{Addr: listen.Directory, Handler: h.adapter.DirectoryHandler(h.hosts.Lookup), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
-		{Addr: listen.Metrics, Handler: h.metrics.Handler(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
+		{Addr: listen.Metrics, Handler: h.newOperatorHandler(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
 	}
 	callerServer.Addr = listen.Callers
 	// Heartbeats of other hosts are compared with the informers, so these exist before the node listens.
@@ -232,7 +243,7 @@
 			return false
 		}
 	}
-	return h.ingress.table.Load() != nil && h.budgets.hasReadRecords()
+	return h.ingress.table.Load() != nil && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
 }
 
 func (h *Host) sweep(ctx context.Context) {
@@ -243,6 +254,7 @@
 		case <-ticker.C:
 			h.servers.Sweep()
 			h.servers.DispatchAll()
+			h.hosts.SetSlots(h.servers.TotalSlots())
 		case <-ctx.Done():
 			return
 		}
@@ -251,27 +263,27 @@
 
 // newInformers returns the informers of the configuration, the backend servers and the entry hosts.
 func (h *Host) newInformers() []*Informer {
-	informers := []*Informer{
-		{Kind: h.adapter.KindConfig, Replace: h.replaceConfig, Apply: h.applyConfig},
-		{Kind: h.adapter.KindServers, Replace: h.replaceServers, Apply: h.applyServer},
-		{Kind: KindHosts, Replace: h.hosts.Replace, Apply: h.hosts.Apply},
-	}
+	config, servers, hosts := newInformer(h.adapter.KindConfig), newInformer(h.adapter.KindServers), newInformer(KindHosts)
+	config.Replace, config.Apply = h.replaceConfig, h.applyConfig
+	servers.Replace = h.replaceServers
+	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
+	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
+	hosts.Replace, hosts.Apply = h.hosts.Replace, h.hosts.Apply
+	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.All())) }
+	informers := []*Informer{config, servers, hosts}
 	for _, informer := range informers {
 		informer.Store, informer.ShouldPoll, informer.PollInterval = h.store, h.pollsKind(informer.Kind), h.settings.Load().Platform.ListInterval
-		informer.relist = make(chan struct{}, 1)
-		if informer.Kind != h.adapter.KindConfig {
-			informer.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.All())) }
-		}
+		informer.Sources, informer.Follow, informer.StartupPatience = h.informerSources, h.followPeer, h.startupPatience()
 		h.heartbeats.informers[informer.Kind] = informer
 	}
 	return informers
 }
 
 // pollsKind returns a function that reports whether this host lists the kind at intervals for the fleet: the first
-// reachable host in the kind's rendezvous order does.
+// watcher in the kind's rendezvous order does.
 func (h *Host) pollsKind(kind string) func() bool {
 	return func() bool {
-		ordered := fleet.RendezvousOrder(h.hosts.Reachable(), kind)
+		ordered := fleet.RendezvousOrder(h.hosts.Roles().Watchers, kind)
 		return len(ordered) > 0 && ordered[0].Name == h.self.Name
 	}
 }
@@ -295,9 +307,6 @@
 }
 
 func (h *Host) replaceServers(objects []objectapi.Object, afterOutage bool) {
-	if afterOutage {
-		h.storeRecoveredAt = time.Now()
-	}
 	infos := make([]placement.Server, 0, len(objects))
 	for _, o := range objects {
 		if info, ok := h.decodeServer(o); ok {
@@ -307,9 +316,9 @@
 	h.servers.Replace(infos, afterOutage)
 }
 
-func (h *Host) applyServer(c objectapi.Change) {
+func (h *Host) applyServer(c objectapi.Change, afterOutage bool) {
 	switch {
-	case c.Deleted && time.Since(h.storeRecoveredAt) < outageDeleteWindow:
+	case c.Deleted && afterOutage:
 		h.servers.MarkMissing(c.Name)
 	case c.Deleted:
 		h.servers.Remove(c.Name, "entry deleted")
@@ -376,11 +385,11 @@
 
 // writeHostEntry creates this host's entry, or replaces that of an earlier incarnation.
 func (h *Host) writeHostEntry(ctx context.Context, self fleet.Host) error {
-	value, err := json.Marshal(self)
+	o, err := encodeHost(self)
 	if err != nil {
-		return errors.Wrapf(err, "encode entry of host %q", self.Name)
+		return err
 	}
-	_, err = objectapi.CreateConfirmed(ctx, h.store, KindHosts, self.Name, value)
+	_, err = objectapi.CreateConfirmed(ctx, h.store, KindHosts, self.Name, o.Value)
 	if !errors.Is(err, objectapi.ErrConflict) {
 		return err
 	}
@@ -388,7 +397,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = objectapi.UpdateConfirmed(ctx, h.store, KindHosts, self.Name, value, existing.Version)
+	_, err = objectapi.UpdateConfirmed(ctx, h.store, KindHosts, self.Name, o.Value, existing.Version)
 	return err
 }
 
--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -39,9 +39,11 @@
 type storeGate struct {
 	store  http.Handler
 	closed atomic.Bool
+	calls  atomic.Int64
 }
 
 func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.calls.Add(1)
 	if g.closed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 	"sync"
@@ -19,25 +18,25 @@
 
 // Hosts is the list of entry hosts. It is safe for concurrent use.
 type Hosts struct {
-	self          fleet.Host
-	onCountChange func(n int)
+	self fleet.Host
+	// onMeshChange is called with the number of hosts that serve callers or may at any time, this one included.
+	onMeshChange func(n int)
+	// onDraining is called with a host that reports that it is draining. It may be nil.
+	onDraining func(h fleet.Host)
 	// selfListed receives a value when an entry of this host's present incarnation is put into the list.
 	selfListed chan struct{}
 
-	mu sync.Mutex
+	mu   sync.Mutex
+	view *fleet.View
 	// selfServing is set once this host serves callers.
 	selfServing bool
-	listed      map[string]fleet.Host // by name
-	// unreachableSince holds when a host became unreachable; reachable hosts are not in it.
-	unreachableSince map[string]time.Time
-	// listedSince holds when a host's present incarnation was listed.
-	listedSince map[string]time.Time
+	synced      bool
+	meshSize    int
 }
 
-// NewHosts returns a list that holds this host only. onCountChange is called with the number of hosts after each change;
-// it must not call the list.
-func NewHosts(self fleet.Host, onCountChange func(n int)) *Hosts {
-	return &Hosts{self: self, onCountChange: onCountChange, selfListed: make(chan struct{}, 1), listed: map[string]fleet.Host{}, unreachableSince: map[string]time.Time{}, listedSince: map[string]time.Time{}}
+// NewHosts returns a list that holds this host only. onMeshChange must not call the list.
+func NewHosts(self fleet.Host, onMeshChange func(n int)) *Hosts {
+	return &Hosts{self: self, onMeshChange: onMeshChange, selfListed: make(chan struct{}, 1), view: fleet.NewView(self)}
 }
 
 func decodeHost(o objectapi.Object) (fleet.Host, error) {
@@ -51,59 +50,68 @@
 	return h, nil
 }
 
+func encodeHost(h fleet.Host) (objectapi.Object, error) {
+	value, err := json.Marshal(h)
+	return objectapi.Object{Kind: KindHosts, Name: h.Name, Value: value}, errors.Wrapf(err, "encode entry of host %q", h.Name)
+}
+
 // Replace replaces the list by the objects.
 func (l *Hosts) Replace(objects []objectapi.Object, _ bool) {
 	present := map[string]bool{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, o := range objects {
 		present[o.Name] = true
 		l.put(o)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name := range l.listed {
+	for _, name := range l.view.ListedNames() {
 		if !present[name] {
 			l.remove(name, "not in the list")
 		}
 	}
+	l.synced = true
 	l.notify()
 }
 
+// HasSynced reports whether the hosts have been listed at least once.
+func (l *Hosts) HasSynced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.synced
+}
+
 // Apply applies one change of an entry.
 func (l *Hosts) Apply(c objectapi.Change) {
-	if !c.Deleted {
-		l.put(c.Object)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c.Deleted {
 		l.remove(c.Name, "entry deleted")
+	} else {
+		l.put(c.Object)
 	}
 	l.notify()
 }
 
+// put adds or replaces an entry; l.mu is held.
 func (l *Hosts) put(o objectapi.Object) {
 	h, err := decodeHost(o)
 	if err != nil {
 		logging.Emit(logging.HostRejected, logging.Fields{"host": o.Name, "error": err})
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	previous, listed := l.listed[h.Name]
-	if listed && previous == h {
+	if !l.view.Put(time.Now(), h) {
 		return
 	}
-	if previous.Incarnation != h.Incarnation {
-		delete(l.unreachableSince, h.Name)
-		l.listedSince[h.Name] = time.Now()
-	}
-	l.listed[h.Name] = h
 	if h.Name == l.self.Name && h.Incarnation == l.self.Incarnation {
 		select {
 		case l.selfListed <- struct{}{}:
 		default:
 		}
 	}
+	logHostListed(h)
+}
+
+func logHostListed(h fleet.Host) {
 	logging.Emit(logging.HostListed, logging.Fields{
 		"host": h.Name, "incarnation": h.Incarnation, "address": h.CallerAddress, "draining": h.Draining,
 	})
@@ -111,103 +119,131 @@
 
 // remove removes a host that is listed; l.mu is held.
 func (l *Hosts) remove(name, reason string) {
-	if _, ok := l.listed[name]; !ok {
-		return
+	if l.view.Remove(name) {
+		logging.Emit(logging.HostUnlisted, logging.Fields{"host": name, "reason": reason})
 	}
-	delete(l.listed, name)
-	delete(l.unreachableSince, name)
-	delete(l.listedSince, name)
-	logging.Emit(logging.HostUnlisted, logging.Fields{"host": name, "reason": reason})
 }
 
-// notify reports the number of hosts, this one included; l.mu is held.
+// notify calls onMeshChange if the size of the mesh has changed; l.mu is held.
 func (l *Hosts) notify() {
-	count := len(l.listed)
-	if _, ok := l.listed[l.self.Name]; !ok {
-		count++
+	size := len(l.view.Roles().Mesh) + 1
+	if size != l.meshSize {
+		l.meshSize = size
+		l.onMeshChange(size)
+	}
+}
+
+// logTransitions logs changes of reachability and calls notify; l.mu is held.
+func (l *Hosts) logTransitions(transitions []fleet.Transition) {
+	for _, t := range transitions {
+		if t.Reachable {
+			logging.Emit(logging.HostReachable, logging.Fields{"host": t.Host, "unreachable_for": t.UnreachableFor})
+		} else {
+			logging.Emit(logging.HostUnreachable, logging.Fields{"host": t.Host, "error": t.Cause})
+		}
 	}
-	l.onCountChange(count)
+	l.notify()
 }
 
-// ListedFor returns how long the present incarnation of a host has been listed; 0 if it is not.
-func (l *Hosts) ListedFor(name string) time.Duration {
+// SelfListedFor returns how long the present incarnation of this host has been listed; 0 if it is not. Hosts that were
+// listed earlier are then in the list as well.
+func (l *Hosts) SelfListedFor() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	since, ok := l.listedSince[name]
-	if !ok {
+	if own, ok := l.view.Listed(l.self.Name); !ok || own.Incarnation != l.self.Incarnation {
 		return 0
 	}
+	since, _ := l.view.ListedAt(l.self.Name)
 	return time.Since(since)
 }
 
-// SelfListedFor is ListedFor of this host; 0 if another incarnation is listed. Hosts that were listed earlier are then
-// in the list as well.
-func (l *Hosts) SelfListedFor() time.Duration {
+// Hear records a heartbeat of another host. It reports false if the heartbeat is of a former incarnation.
+func (l *Hosts) Hear(b fleet.Heartbeat) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if own, ok := l.listed[l.self.Name]; !ok || own.Incarnation != l.self.Incarnation {
-		return 0
+	before, _ := l.view.Listed(b.Name)
+	accepted, transitions := l.view.Hear(time.Now(), b)
+	l.logTransitions(transitions)
+	after, _ := l.view.Listed(b.Name)
+	l.mu.Unlock()
+	if before.Draining != after.Draining {
+		logHostListed(after)
+		if after.Draining && l.onDraining != nil {
+			l.onDraining(after)
+		}
 	}
-	return time.Since(l.listedSince[l.self.Name])
+	return accepted
 }
 
-// SetHostDraining records whether a listed host reports that it is draining.
-func (l *Hosts) SetHostDraining(name string, draining bool) {
+// Fail records that a host did not accept a message.
+func (l *Hosts) Fail(name string, cause error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h, ok := l.listed[name]
-	if !ok || h.Draining == draining {
-		return
-	}
-	h.Draining = draining
-	l.listed[name] = h
-	logging.Emit(logging.HostListed, logging.Fields{
-		"host": h.Name, "incarnation": h.Incarnation, "address": h.CallerAddress, "draining": draining,
-	})
+	l.logTransitions(l.view.Fail(time.Now(), name, cause.Error()))
 }
 
-// SelfDraining reports whether this host is draining.
-func (l *Hosts) SelfDraining() bool {
+// Tick marks hosts as unreachable from which no heartbeats arrive.
+func (l *Hosts) Tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.self.Draining
+	l.logTransitions(l.view.Tick(time.Now()))
 }
 
-// RecordContact records that a host was reached, or not if cause is set.
-func (l *Hosts) RecordContact(name string, cause error) {
+// SetSlots sets the number of requests that all backend servers can run at once, which decides how many hosts serve
+// callers.
+func (l *Hosts) SetSlots(slots int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	since, wasUnreachable := l.unreachableSince[name]
-	switch {
-	case cause != nil && !wasUnreachable:
-		l.unreachableSince[name] = time.Now()
-		logging.Emit(logging.HostUnreachable, logging.Fields{"host": name, "error": cause})
-	case cause == nil && wasUnreachable:
-		delete(l.unreachableSince, name)
-		logging.Emit(logging.HostReachable, logging.Fields{"host": name, "unreachable_for": time.Since(since)})
-	}
+	l.view.SetSlots(slots)
+	l.notify()
 }
 
-// All returns the listed hosts and this one, sorted by name.
-func (l *Hosts) All() []fleet.Host { return l.list(false) }
+// Roles returns the hosts by role.
+func (l *Hosts) Roles() *fleet.Roles { return read(l, (*fleet.View).Roles) }
+
+// Targets returns the hosts with which this one exchanges heartbeats.
+func (l *Hosts) Targets() []fleet.Host { return read(l, (*fleet.View).Targets) }
+
+// Interval returns the time between two exchanges of heartbeats.
+func (l *Hosts) Interval() time.Duration { return read(l, (*fleet.View).Interval) }
+
+// Timeout returns the time without a heartbeat after which one of Targets counts as unreachable.
+func (l *Hosts) Timeout() time.Duration { return read(l, (*fleet.View).Timeout) }
+
+// Followed returns the hosts that watch the store, in the order in which this host should follow them.
+func (l *Hosts) Followed() []fleet.Host { return read(l, (*fleet.View).Followed) }
+
+// IsWatcher reports whether this host watches the store.
+func (l *Hosts) IsWatcher() bool { return read(l, (*fleet.View).IsWatcher) }
+
+// IsHome reports whether this host accounts for programs.
+func (l *Hosts) IsHome() bool { return read(l, (*fleet.View).IsHome) }
 
-// Reachable returns All without the unreachable hosts.
-func (l *Hosts) Reachable() []fleet.Host { return l.list(true) }
+// Unreachable returns the names of the hosts that this host does not reach.
+func (l *Hosts) Unreachable() []string { return read(l, (*fleet.View).Unreachable) }
 
-func (l *Hosts) list(reachableOnly bool) []fleet.Host {
+// Unlisted returns the hosts that are not listed, of which a heartbeat arrived within d and that are not draining. Only
+// name and incarnation are set.
+func (l *Hosts) Unlisted(d time.Duration) []fleet.Host {
+	return read(l, func(v *fleet.View) []fleet.Host { return v.Unlisted(time.Now(), d) })
+}
+
+// HeardWithin reports whether a heartbeat of the host arrived within d.
+func (l *Hosts) HeardWithin(name string, d time.Duration) bool {
+	return read(l, func(v *fleet.View) bool { return v.HeardWithin(time.Now(), name, d) })
+}
+
+func read[T any](l *Hosts, f func(v *fleet.View) T) T {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	hosts := []fleet.Host{l.self}
-	for name, h := range l.listed {
-		if _, unreachable := l.unreachableSince[name]; name == l.self.Name || (reachableOnly && unreachable) {
-			continue
-		}
-		hosts = append(hosts, h)
-	}
-	slices.SortFunc(hosts, func(a, b fleet.Host) int { return cmp.Compare(a.Name, b.Name) })
-	return hosts
+	return f(l.view)
 }
 
+// All returns the listed hosts and this one, sorted by name. The slice must not be changed.
+func (l *Hosts) All() []fleet.Host { return l.Roles().All }
+
+// Reachable returns All without the unreachable hosts. The slice must not be changed.
+func (l *Hosts) Reachable() []fleet.Host { return l.Roles().Reachable }
+
 // SetSelfServing records that this host serves callers.
 func (l *Hosts) SetSelfServing() {
 	l.mu.Lock()
@@ -222,12 +258,17 @@
 	return l.selfServing
 }
 
-// SetSelfDraining records that this host is draining, and returns its entry.
-func (l *Hosts) SetSelfDraining() fleet.Host {
+// SelfDraining reports whether this host is draining.
+func (l *Hosts) SelfDraining() bool {
+	return read(l, func(v *fleet.View) bool { return v.Self().Draining })
+}
+
+// SetSelfDraining records that this host is draining.
+func (l *Hosts) SetSelfDraining() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.self.Draining = true
-	return l.self
+	l.view.SetSelfDraining()
+	l.notify()
 }
 
 const (
@@ -243,11 +284,14 @@
 // Lookup returns the addresses that a caller should use, and for how long it may cache them. This host is among them only
 // once it serves callers.
 func (l *Hosts) Lookup(locality fleet.Locality) ([]string, time.Duration) {
-	hosts := l.Reachable()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	hosts := l.view.Roles().Active
+	if len(hosts) == 0 { // all drain
+		hosts = l.view.Roles().Reachable
+	}
 	if !l.selfServing {
-		hosts = slices.DeleteFunc(hosts, func(h fleet.Host) bool { return h.Name == l.self.Name })
+		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.Name == l.self.Name })
 	}
 	return fleet.SelectAddresses(hosts, locality, minLocalAddresses, maxDirectoryAddresses), directoryTTL
 }
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,17 +22,25 @@
 	// peerPollInterval is the least delay between lists through a peer while the store is unavailable to this host.
 	// Heartbeats report changes in between.
 	peerPollInterval = 700 * time.Millisecond
-	// batchDelayPerHost is the batch delay for each host above minIntervalHosts.
-	batchDelayPerHost = 10 * time.Millisecond
+	// batchDelayPerHost is the batch delay for each host that watches the store above maxUnbatchedHosts.
+	batchDelayPerHost = 50 * time.Millisecond
+	maxUnbatchedHosts = 10
 	// maxBatchDelay bounds the batch delay. With the time in which a stale watch is detected, it stays within the
 	// operator's bound of 3 s for backend servers that leave.
 	maxBatchDelay = 800 * time.Millisecond
+	// maxFollowWait is how long a followed host may wait for a change before it answers.
+	maxFollowWait = 20 * time.Second
+	// sourceRetryDelay is the delay before a starting host asks the next source, and stableFollowTime the time after
+	// which the sources are tried from the first one again.
+	sourceRetryDelay = 50 * time.Millisecond
+	stableFollowTime = 5 * time.Second
 	// outageThreshold is the time without a response of the store after which entries of running servers may be
 	// missing from it: less than three of the servers' heartbeat intervals of 1.2 s.
 	outageThreshold = 2 * time.Second
 )
 
-// Informer lists and watches the objects of one kind, and passes them to Replace and Apply.
+// Informer lists and watches the objects of one kind, and passes them to Replace and Apply. It reads them from the store
+// or, if Sources returns other hosts, from their copies. It must be created by newInformer.
 type Informer struct {
 	Kind  string
 	Store objectapi.Store
@@ -48,14 +57,54 @@
 	// one call; nil means no delay.
 	BatchDelay func() time.Duration
 
+	// Sources returns the addresses of the hosts to follow, in order; none if this host watches the store. nil is none.
+	Sources func() []string
+	// Follow requests changes from a host and passes the parts of the answer to handle.
+	Follow func(ctx context.Context, address string, request followRequest, handle func(followAnswer)) error
+	// StartupPatience is how long after the start hosts without a copy are asked again before the store is.
+	StartupPatience time.Duration
+
+	// feed is the copy of the objects that other hosts follow.
+	feed *feed
+	// recoveredAtNanos is when objects were first listed after the last outage of the store, in Unix nanoseconds.
+	recoveredAtNanos atomic.Int64
+
 	// listRevision is the revision of the last list, and newestRevision that of the newest object that was
 	// observed.
 	listRevision, newestRevision atomic.Uint64
 	relist                       chan struct{}
 	failedSince                  time.Time // zero while calls succeed
 	retryDelay                   time.Duration
-	// lastResponse is when the store last answered, directly or through a peer.
-	lastResponse time.Time
+	// lastResponse is when the store last answered, directly or through a peer. Other goroutines read
+	// lastResponseNanos, which is the same in Unix nanoseconds; 0 before the first answer.
+	lastResponse      time.Time
+	lastResponseNanos atomic.Int64
+	// source is the address of the followed host, or "store".
+	source atomic.Value
+}
+
+// storeSource is the source of an informer that watches the store.
+const storeSource = "store"
+
+// currentSource returns the address of the followed host, or "store".
+func (f *Informer) currentSource() string {
+	if s, ok := f.source.Load().(string); ok {
+		return s
+	}
+	return ""
+}
+
+// lastResponseTime returns when the store or the followed host last answered; zero before the first answer.
+func (f *Informer) lastResponseTime() time.Time {
+	if nanos := f.lastResponseNanos.Load(); nanos > 0 {
+		return time.Unix(0, nanos)
+	}
+	return time.Time{}
+}
+
+func (f *Informer) setLastResponse(now time.Time) {
+	f.lastResponse = now
+	f.lastResponseNanos.Store(now.UnixNano())
 }
 
 // HasObserved reports whether an object of that revision was observed, or the last list shows that it no longer
@@ -73,6 +122,11 @@
 	return objectapi.Version(f.newestRevision.Load())
 }
 
+// lastListRevision returns the revision of the last list; 0 before the first one.
+func (f *Informer) lastListRevision() objectapi.Version {
+	return objectapi.Version(f.listRevision.Load())
+}
+
 // maxLag returns how much later than a peer the informer may observe a change.
 func (f *Informer) maxLag() time.Duration {
 	if f.BatchDelay == nil {
@@ -89,22 +143,148 @@
 	}
 }
 
+// newInformer returns an informer whose callbacks are not set yet.
+func newInformer(kind string) *Informer {
+	return &Informer{Kind: kind, relist: make(chan struct{}, 1), feed: newFeed()}
+}
+
 // Run lists and watches until ctx ends. It retries failed calls with a backoff.
 func (f *Informer) Run(ctx context.Context) {
+	startedAt := time.Now()
+	next := 0 // index of the source to follow
 	for ctx.Err() == nil {
-		objects, revision, err := f.Store.List(ctx, f.Kind, "")
-		if err != nil {
-			f.backOff(ctx, err)
+		if sources := f.sources(); next < len(sources) {
+			followedAt := time.Now()
+			notReady := f.follow(ctx, sources[next])
+			next++
+			switch {
+			case notReady && time.Since(startedAt) < f.StartupPatience:
+				sleep(ctx, sourceRetryDelay)
+				next %= len(sources)
+			case time.Since(followedAt) > stableFollowTime:
+				next = 0
+			}
 			continue
 		}
-		logging.Emit(logging.InformerListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
-		f.Replace(objects, f.recoveredFromOutage())
-		for _, o := range objects {
-			f.observe(o.Version)
+		next = 0
+		f.listAndWatch(ctx)
+	}
+}
+
+func (f *Informer) sources() []string {
+	if f.Sources == nil {
+		return nil
+	}
+	return f.Sources()
+}
+
+// listAndWatch lists the objects from the store and watches them until they must be listed again.
+func (f *Informer) listAndWatch(ctx context.Context) {
+	f.source.Store(storeSource)
+	objects, revision, err := f.Store.List(ctx, f.Kind, "")
+	if err != nil {
+		f.backOff(ctx, err)
+		return
+	}
+	logging.Emit(logging.InformerListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
+	f.replace(objects, revision, f.recoveredFromOutage())
+	f.watch(ctx, revision)
+}
+
+// replace passes a list to the callbacks and the followers.
+func (f *Informer) replace(objects []objectapi.Object, revision objectapi.Version, afterOutage bool) {
+	if afterOutage {
+		f.recoveredAtNanos.Store(time.Now().UnixNano())
+	}
+	f.Replace(objects, afterOutage)
+	for _, o := range objects {
+		f.observe(o.Version)
+	}
+	f.feed.replace(objects)
+	f.raiseListRevision(revision)
+}
+
+func (f *Informer) raiseListRevision(revision objectapi.Version) {
+	f.listRevision.Store(max(f.listRevision.Load(), uint64(revision)))
+}
+
+// apply passes changes to the callbacks and the followers.
+func (f *Informer) apply(changes []objectapi.Change) {
+	for _, c := range changes {
+		f.Apply(c)
+		if !c.Deleted {
+			f.observe(c.Version)
+		}
+	}
+	f.feed.apply(changes)
+}
+
+// RecentlyRecovered reports whether the store was unavailable until a moment ago, so that a deleted entry may have been
+// deleted only because of that.
+func (f *Informer) RecentlyRecovered() bool {
+	return time.Since(time.Unix(0, f.recoveredAtNanos.Load())) < outageDeleteWindow
+}
+
+// follow applies the changes of another host's copy until that fails, this host is to watch the store, or the objects
+// must be listed again. It reports whether the host has no copy.
+func (f *Informer) follow(ctx context.Context, address string) (notReady bool) {
+	following, cancel := f.untilRelist(ctx)
+	defer cancel()
+	f.source.Store(address)
+	request := followRequest{Kind: f.Kind, MaxWait: maxFollowWait}
+	for following.Err() == nil {
+		if request.Epoch != "" && !slices.Contains(f.sources(), address) {
+			return false
+		}
+		var answer followAnswer
+		err := f.Follow(following, address, request, func(part followAnswer) {
+			part.Objects = append(answer.Objects, part.Objects...)
+			answer = part
+		})
+		if err != nil || answer.NotReady {
+			if following.Err() == nil {
+				logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": address, "error": err})
+			}
+			return err == nil
 		}
-		f.listRevision.Store(uint64(revision))
-		f.watch(ctx, revision)
+		f.applyAnswer(answer)
+		request.Epoch, request.After = answer.Epoch, answer.Sequence
 	}
+	return false
+}
+
+func (f *Informer) applyAnswer(answer followAnswer) {
+	f.setLastResponse(time.Now())
+	f.recordRecovery()
+	if answer.AfterOutage && !f.RecentlyRecovered() {
+		f.recoveredAtNanos.Store(time.Now().UnixNano())
+	}
+	if answer.Full {
+		f.replace(answer.Objects, answer.ListRevision, answer.AfterOutage)
+		return
+	}
+	changes := make([]objectapi.Change, 0, len(answer.Objects)+len(answer.Deleted))
+	for _, name := range answer.Deleted {
+		changes = append(changes, objectapi.Change{Object: objectapi.Object{Name: name}, Deleted: true})
+	}
+	for _, o := range answer.Objects {
+		changes = append(changes, objectapi.Change{Object: o})
+	}
+	f.apply(changes)
+	f.raiseListRevision(answer.ListRevision)
+}
+
+// untilRelist returns a context that ends when the objects must be listed again.
+func (f *Informer) untilRelist(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-f.relist:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
 
 // recoveredFromOutage reports whether the store was unavailable for so long that entries may be missing from it,
@@ -112,7 +292,7 @@
 func (f *Informer) recoveredFromOutage() bool {
 	now := time.Now()
 	outage := !f.failedSince.IsZero() && now.Sub(f.failedSince) > outageThreshold && now.Sub(f.lastResponse) > outageThreshold
-	f.lastResponse = now
+	f.setLastResponse(now)
 	return outage
 }
 
@@ -124,18 +304,15 @@
 
 // watch applies changes until the objects must be listed again.
 func (f *Informer) watch(ctx context.Context, revision objectapi.Version) {
-	watching, cancel := context.WithCancel(ctx)
+	watching, cancel := f.untilRelist(ctx)
 	defer cancel()
-	go func() {
-		select {
-		case <-f.relist:
-			cancel()
-		case <-watching.Done():
-		}
-	}()
 	for watching.Err() == nil {
+		if len(f.sources()) > 0 {
+			sleep(watching, peerPollInterval) // all sources have failed a moment ago
+			return
+		}
 		if f.ShouldPoll() && f.failedSince.IsZero() {
-			f.lastResponse = time.Now()
+			f.setLastResponse(time.Now())
 			sleep(watching, f.PollInterval)
 			return
 		}
@@ -150,13 +327,8 @@
 			return
 		}
 		f.recordRecovery()
-		f.lastResponse = time.Now()
-		for _, c := range changes {
-			f.Apply(c)
-			if !c.Deleted {
-				f.observe(c.Version)
-			}
-		}
+		f.setLastResponse(time.Now())
+		f.apply(changes)
 		revision = max(next, revision)
 		if len(changes) > 0 && f.BatchDelay != nil {
 			sleep(watching, f.BatchDelay())
@@ -176,9 +348,9 @@
 }
 
 // changeBatchDelay returns the batch delay of a kind whose objects change often. Each change costs a call of every
-// host, so that without the delay the calls of a fleet would grow with the square of its size.
-func changeBatchDelay(hosts int) time.Duration {
-	return min(batchDelayPerHost*time.Duration(max(hosts-minIntervalHosts, 0)), maxBatchDelay)
+// host that watches the store.
+func changeBatchDelay(watchers int) time.Duration {
+	return min(batchDelayPerHost*time.Duration(max(watchers-maxUnbatchedHosts, 0)), maxBatchDelay)
 }
 
 // backOff records a failed call and waits before the next one, or until ctx ends.
--- a/service/ingress/informer_lag_test.go
+++ b/service/ingress/informer_lag_test.go
@@ -12,10 +12,10 @@
 // newLaggingHeartbeater returns a heartbeater, its only informer, which has observed revision 5, and a function
 // that reports whether a relist was requested since its last call.
 func newLaggingHeartbeater() (*heartbeater, *Informer, func() bool) {
-	f := &Informer{Kind: "servers", relist: make(chan struct{}, 1)}
+	f := newInformer("servers")
 	f.observe(5)
 	b := &heartbeater{
-		self: fleet.Host{Name: "a-1"}, informers: map[string]*Informer{"servers": f}, lastHeartbeats: map[string]receivedHeartbeat{}, lags: map[string]informerLag{},
+		self: fleet.Host{Name: "a-1"}, informers: map[string]*Informer{"servers": f}, lags: map[string]informerLag{},
 	}
 	return b, f, func() bool {
 		select {
@@ -87,10 +87,9 @@
 	}}
 	var got []objectapi.Object
 	outage := false
-	f := &Informer{
-		Kind: "servers", Store: store, relist: make(chan struct{}, 1), ShouldPoll: func() bool { return false },
-		Replace: func(o []objectapi.Object, afterOutage bool) { got, outage = o, outage || afterOutage },
-	}
+	f := newInformer("servers")
+	f.Store, f.ShouldPoll = store, func() bool { return false }
+	f.Replace = func(o []objectapi.Object, afterOutage bool) { got, outage = o, outage || afterOutage }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
--- a/service/ingress/informer_test.go
+++ b/service/ingress/informer_test.go
@@ -49,22 +49,21 @@
 // Guards against a roll-out that overloads the store: each restart changes an entry that every host watches, so
 // that the calls grow with the square of the fleet's size unless changes are batched.
 func TestChangesOfALargeFleetAreCollected(t *testing.T) {
-	for hosts, maxCalls := range map[int]int{10: 60, 70: 3} {
+	for watchers, maxCalls := range map[int]int{10: 60, 70: 3} {
 		store := &changingStore{startedAt: time.Now()}
 		changes := 0
-		f := &Informer{
-			Kind: "entry-hosts", Store: store, relist: make(chan struct{}, 1), ShouldPoll: func() bool { return false },
-			Replace: func([]objectapi.Object, bool) {}, Apply: func(objectapi.Change) { changes++ },
-			BatchDelay: func() time.Duration { return changeBatchDelay(hosts) },
-		}
+		f := newInformer("entry-hosts")
+		f.Store, f.ShouldPoll = store, func() bool { return false }
+		f.Replace, f.Apply = func([]objectapi.Object, bool) {}, func(objectapi.Change) { changes++ }
+		f.BatchDelay = func() time.Duration { return changeBatchDelay(watchers) }
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		f.Run(ctx)
 		cancel()
 		if store.calls > maxCalls {
-			t.Errorf("%d hosts: %d calls in a second, want at most %d", hosts, store.calls, maxCalls)
+			t.Errorf("%d watchers: %d calls in a second, want at most %d", watchers, store.calls, maxCalls)
 		}
 		if changes < 15 {
-			t.Errorf("%d hosts: %d of 50 changes applied within a second, want at least 15", hosts, changes)
+			t.Errorf("%d watchers: %d of 50 changes applied within a second, want at least 15", watchers, changes)
 		}
 	}
 	if d := changeBatchDelay(370); d != maxBatchDelay {
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/admission"
+	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/outlier"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
@@ -97,7 +98,19 @@
 	return &Servers{now: now, onConnOpened: onConnOpened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
-// SetHostCount sets the number of hosts, this one included, among which the servers' connections are divided.
+// TotalSlots returns the number of requests that all servers can run at once.
+func (s *Servers) TotalSlots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, b := range s.byID {
+		n += b.info.Slots
+	}
+	return n
+}
+
+// SetHostCount sets the number of hosts that may serve callers, this one included, among which the servers' connections
+// are divided.
 func (s *Servers) SetHostCount(hosts int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -231,6 +244,17 @@
 	return out
 }
 
+// hostLoadTimes returns when the last report of each host's active requests arrived.
+func (s *Servers) hostLoadTimes() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]time.Time, len(s.hostLoads))
+	for host, load := range s.hostLoads {
+		out[host] = load.receivedAt
+	}
+	return out
+}
+
 // SetHostLoad records another host's report of its active requests by server, and dispatches waiting requests.
 func (s *Servers) SetHostLoad(host string, inFlight map[string]int, at time.Time) {
 	s.mu.Lock()
@@ -260,7 +284,7 @@
 // its requests are taken to have moved, and are spread over the servers of the service. Without that, all hosts
 // would send their requests to the servers that were idle at the last heartbeat.
 func (s *Servers) updateEstimates(now time.Time) {
-	interval := heartbeatInterval(s.hostCount)
+	interval := fleet.MeshInterval(s.hostCount)
 	if now.Sub(s.estimatedAt) < interval/estimatesPerHeartbeat {
 		return
 	}
--- a/service/ingress/share_policy_test.go
+++ b/service/ingress/share_policy_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/ledger"
@@ -17,20 +15,14 @@
 // listedHosts returns the host list of self with four hosts, and their names in rendezvous order for the program.
 func listedHosts(t *testing.T, self string, program string) (*Hosts, []string) {
 	t.Helper()
-	var objects []objectapi.Object
+	hosts := NewHosts(fleet.Host{Name: self, Incarnation: "1", CallerAddress: self + ":1", PeerAddress: self + ":2"}, func(int) {})
 	var all []fleet.Host
 	for _, name := range []string{"a-1", "b-1", "c-1", "d-1"} {
 		h := fleet.Host{Name: name, Incarnation: "1", CallerAddress: name + ":1", PeerAddress: name + ":2"}
-		value, err := json.Marshal(h)
-		if err != nil {
-			t.Fatal(err)
-		}
-		objects = append(objects, objectapi.Object{Name: name, Value: value})
+		h.FailureDomain = name[:1]
+		hosts.view.Put(time.Now().Add(-discoveryWait), h)
 		all = append(all, h)
 	}
-	hosts := NewHosts(fleet.Host{Name: self, Incarnation: "1", CallerAddress: self + ":1", PeerAddress: self + ":2"}, func(int) {})
-	hosts.Replace(objects, false)
-	hosts.listedSince[self] = time.Now().Add(-discoveryWait)
 	var ordered []string
 	for _, h := range fleet.RendezvousOrder(all, program) {
 		ordered = append(ordered, h.Name)
@@ -49,13 +41,13 @@
 		hosts, _ := listedHosts(t, self, program)
 		for _, other := range ordered {
 			if other != self {
-				hosts.RecordContact(other, errors.New("unreachable"))
+				hosts.Fail(other, errors.New("unreachable"))
 			}
 		}
 		if n := len(hosts.Reachable()); n != 1 {
 			t.Fatalf("%d hosts are reachable, want 1", n)
 		}
-		a := &budgetService{self: hosts.self, hosts: hosts, recentHosts: noHosts, recordsReadAt: time.Now().Add(-2 * handoverWait)}
+		a := &budgetService{self: hosts.self, hosts: hosts, recordsReadAt: time.Now().Add(-2 * handoverWait)}
 		if got := a.sharePolicy(program); got != want[i] {
 			t.Errorf("host %d in rendezvous order has policy %v, want %v", i, got, want[i])
 		}
@@ -67,7 +59,7 @@
 func TestFirstRankIsDoubtfulUntilAccountsHaveMoved(t *testing.T) {
 	_, ordered := listedHosts(t, "a-1", "p")
 	hosts, _ := listedHosts(t, ordered[0], "p")
-	a := &budgetService{self: hosts.self, hosts: hosts, recentHosts: noHosts}
+	a := &budgetService{self: hosts.self, hosts: hosts}
 	if got := a.sharePolicy("p"); got != ledger.ShareIfStoreDown {
 		t.Errorf("policy %v before the records were read", got)
 	}
@@ -81,13 +73,10 @@
 	}
 }
 
-func noHosts() []fleet.Host { return nil }
-
 // selfListedOnly returns the list of a host that has found only itself there, listedFor ago.
 func selfListedOnly(name string, listedFor time.Duration) *Hosts {
 	hosts := NewHosts(fleet.Host{Name: name, Incarnation: "1"}, func(int) {})
-	hosts.listed[name] = hosts.self
-	hosts.listedSince[name] = time.Now().Add(-listedFor)
+	hosts.view.Put(time.Now().Add(-listedFor), hosts.self)
 	return hosts
 }
 
@@ -96,18 +85,15 @@
 func TestRanksCountHostsThatAreHeardOfButNotListed(t *testing.T) {
 	const program = "p"
 	_, ordered := listedHosts(t, "a-1", program)
-	recent := []fleet.Host{{Name: ordered[0]}, {Name: ordered[1]}}
-	hosts := selfListedOnly(ordered[2], discoveryWait)
-	a := &budgetService{
-		self: hosts.self, hosts: hosts, recordsReadAt: time.Now().Add(-2 * handoverWait),
-		recentHosts: func() []fleet.Host { return recent },
-	}
-	if got := a.sharePolicy(program); got != ledger.GrantRequired {
-		t.Errorf("policy %v at the third host in rendezvous order", got)
-	}
-	recent = recent[:1]
-	if got := a.sharePolicy(program); got != ledger.ShareIfStoreDown {
-		t.Errorf("policy %v at the second host in rendezvous order", got)
+	for heard, want := range map[int]ledger.SharePolicy{2: ledger.GrantRequired, 1: ledger.ShareIfStoreDown} {
+		hosts := selfListedOnly(ordered[2], discoveryWait)
+		for _, name := range ordered[:heard] {
+			hosts.Hear(fleet.Heartbeat{Name: name, Incarnation: "1"})
+		}
+		a := &budgetService{self: hosts.self, hosts: hosts, recordsReadAt: time.Now().Add(-2 * handoverWait)}
+		if got := a.sharePolicy(program); got != want {
+			t.Errorf("policy %v, want %v, at a host that comes after %d others in rendezvous order", got, want, heard)
+		}
 	}
 }
 
@@ -115,13 +101,13 @@
 // other hosts may be listed that this host has not discovered.
 func TestHostThatIsNotIntroducedTrustsNothing(t *testing.T) {
 	unlisted := NewHosts(fleet.Host{Name: "a-1", Incarnation: "2"}, func(int) {})
-	unlisted.listed["a-1"] = fleet.Host{Name: "a-1", Incarnation: "1"} // an earlier incarnation
+	unlisted.view.Put(time.Now(), fleet.Host{Name: "a-1", Incarnation: "1"}) // an earlier incarnation
 	for name, hosts := range map[string]*Hosts{
 		"not listed":                unlisted,
 		"listed since a moment ago": selfListedOnly("a-1", discoveryWait/2),
 	} {
 		a := &budgetService{
-			self: hosts.self, hosts: hosts, recordsReadAt: time.Now().Add(-2 * handoverWait), recentHosts: noHosts,
+			self: hosts.self, hosts: hosts, recordsReadAt: time.Now().Add(-2 * handoverWait),
 		}
 		if got := a.sharePolicy("p"); got != ledger.GrantRequired {
 			t.Errorf("%s: policy %v", name, got)
@@ -160,13 +146,13 @@
 	}
 	hosts, _ := listedHosts(t, ordered[3], program)
 	for name, address := range addresses {
-		h := hosts.listed[name]
+		h, _ := hosts.view.Listed(name)
 		h.PeerAddress = address
-		hosts.listed[name] = h
+		hosts.view.Put(time.Now(), h)
 	}
 	self := wire.NewNode(wire.Options{ProcessName: hosts.self.Name})
 	t.Cleanup(func() { _ = self.Close() })
-	a := newBudgetService(hosts.self, hosts, self, nil, func() bool { return false }, noHosts)
+	a := newBudgetService(hosts.self, hosts, self, nil, func() bool { return false })
 	result, err := a.Reserve(t.Context(), Reservation{Program: program, Attempt: "1", Budget: 580, MaxTokens: 290})
 	if err != nil || result.Home != ordered[0] {
 		t.Errorf("home %q, error %v, want home %q", result.Home, err, ordered[0])
--- a/service/ingress/watchdog.go
+++ b/service/ingress/watchdog.go
@@ -126,12 +126,15 @@
 type watchdog struct {
 	now func() time.Time
 
+	// added receives a value when a stream is added while there is no other.
+	added chan struct{}
+
 	mu      sync.Mutex
 	streams map[*monitoredStream]struct{}
 }
 
 func newWatchdog(now func() time.Time) *watchdog {
-	return &watchdog{now: now, streams: map[*monitoredStream]struct{}{}}
+	return &watchdog{now: now, added: make(chan struct{}, 1), streams: map[*monitoredStream]struct{}{}}
 }
 
 func (d *watchdog) add(monitored *monitoredStream) {
@@ -139,6 +142,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.streams[monitored] = struct{}{}
+	if len(d.streams) == 1 {
+		select {
+		case d.added <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (d *watchdog) isIdle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.streams) == 0
 }
 
 func (d *watchdog) remove(monitored *monitoredStream) {
@@ -147,13 +162,20 @@
 	delete(d.streams, monitored)
 }
 
+// run checks the streams every watchdogInterval while there are any.
 func (d *watchdog) run(ctx context.Context) {
-	ticker := time.NewTicker(watchdogInterval)
-	defer ticker.Stop()
 	for {
+		var added <-chan struct{}
+		var check <-chan time.Time
+		if d.isIdle() {
+			added = d.added
+		} else {
+			check = time.After(watchdogInterval)
+		}
 		select {
-		case <-ticker.C:
+		case <-check:
 			d.check()
+		case <-added:
 		case <-ctx.Done():
 			return
 		}
