End watches when a host's role changes, and keep a fleet under overload from accusing itself

Cause 1: a host decided only after a watch call returned, up to 25 s later, whether it is the one that lists a kind at intervals. Each tick now ends a watch or a followed request that does not fit the host's role (TestWatchEndsWhenTheHostIsToPoll).

Cause 2: a host that switched from the store to a peer's copy took over older objects, and went back and forth. A copy that is older than what this host has observed is not taken over (TestOlderCopyIsNotTakenOver): it could also bring back a server that left.

Cause 5: a host that was frozen or overloaded took all others for lost, and tried all lost hosts at each interval: 300 hosts in one process did not recover from it. It no longer counts heartbeats that were missed while it did not ask itself, tries two lost hosts without a role at a time, and takes only a refused connection as a loss at once.

--- a/common/wire/link.go
+++ b/common/wire/link.go
@@ -205,6 +205,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	writeMu sync.Mutex // one frame is written at a time
+	// hasWritten is set by each written frame; a heartbeat is due only if it is not set at the end of an interval.
+	hasWritten atomic.Bool
 
 	mu            sync.Mutex
 	closed        bool
@@ -237,6 +239,7 @@
 	if err := l.conn.SetWriteDeadline(time.Now().Add(l.node.opts.KeepAliveTimeout)); err != nil {
 		return 0, err
 	}
+	l.hasWritten.Store(true)
 	return l.conn.Write(b)
 }
 
@@ -248,7 +251,11 @@
 	return l.write(b)
 }
 
+// sendHeartbeat sends a heartbeat unless another frame was written since the last call.
 func (l *link) sendHeartbeat() {
+	if l.hasWritten.Swap(false) {
+		return
+	}
 	if _, err := l.writeMessage(TypeHeartbeat, nil); err != nil {
 		l.close(err)
 	}
--- a/common/wire/link_test.go
+++ b/common/wire/link_test.go
@@ -9,6 +9,52 @@
 	"time"
 )
 
+// Guards against heartbeats that add to the traffic of a busy link, and against a link that is silent for longer than two
+// intervals.
+func TestHeartbeatsFillOnlySilentIntervals(t *testing.T) {
+	const interval = 50 * time.Millisecond
+	n := NewNode(Options{ProcessName: "b.1", HeartbeatInterval: interval, KeepAliveTimeout: 5 * time.Second})
+	defer func() { _ = n.Close() }()
+	client, server := net.Pipe()
+	l := newLink(n, server)
+	l.queue = make(chan *outgoingFrame, 64)
+	if !n.startGoroutine(l.writeLoop) {
+		t.Fatal("the node is closed")
+	}
+	defer func() { l.close(errNodeClosed); _ = client.Close() }()
+	frames := make(chan Type, 64)
+	go func() {
+		for reader := bufio.NewReader(client); ; {
+			f, err := readFrame(reader)
+			if err != nil {
+				return
+			}
+			frames <- f.Type
+		}
+	}()
+	answer, err := encodeFrame(TypeAnswer, 1, "", answerBody{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		l.queue <- &outgoingFrame{bytes: answer}
+		time.Sleep(interval / 4)
+	}
+	for len(frames) > 0 {
+		if f := <-frames; f != TypeAnswer {
+			t.Errorf("frame %s while the link is busy", f)
+		}
+	}
+	select {
+	case f := <-frames:
+		if f != TypeHeartbeat {
+			t.Errorf("frame %s, want a heartbeat", f)
+		}
+	case <-time.After(20 * interval):
+		t.Error("no heartbeat on a silent link")
+	}
+}
+
 // Guards against a heartbeat that precedes the reply to a hello frame that arrives late: the peer then closes the link.
 func TestAcceptedLinkSendsNothingBeforeItsHello(t *testing.T) {
 	const interval = 20 * time.Millisecond
--- a/common/wire/node.go
+++ b/common/wire/node.go
@@ -31,7 +31,8 @@
 	// ProcessName identifies the process to its peers. It is sent in the hello frame and is unique to each
 	// incarnation of a host.
 	ProcessName string
-	// HeartbeatInterval is the time between two heartbeats on each open link.
+	// HeartbeatInterval is the interval after which a heartbeat is sent on an open link on which nothing else was sent in
+	// it. At most two intervals pass between two frames.
 	HeartbeatInterval time.Duration
 	// KeepAliveTimeout is the time without a received frame after which a link is closed. It also bounds one write.
 	KeepAliveTimeout time.Duration
--- a/core/fleet/roles.go
+++ b/core/fleet/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -25,7 +26,7 @@
 	defaultCores = 1.0
 )
 
-func (h Host) capacity() float64 {
+func (h *Host) capacity() float64 {
 	if h.Cores <= 0 {
 		return defaultCores
 	}
@@ -33,24 +34,31 @@
 }
 
 // compareCapacity orders hosts by capacity, the largest first, and then by name.
-func compareCapacity(a, b Host) int {
+func compareCapacity(a, b *Host) int {
 	return cmp.Or(cmp.Compare(b.capacity(), a.capacity()), cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.Name, b.Name))
 }
 
 // byDomain returns the hosts of each failure domain that do not drain, ordered by compareCapacity.
-func byDomain(hosts []Host) [][]Host {
-	domains := map[string][]Host{}
-	for _, h := range hosts {
-		if !h.Draining {
+func byDomain(hosts []Host) [][]*Host {
+	domains := map[string][]*Host{}
+	for i := range hosts {
+		if h := &hosts[i]; !h.Draining {
 			domains[h.FailureDomain] = append(domains[h.FailureDomain], h)
 		}
 	}
-	out := make([][]Host, 0, len(domains))
-	for _, domain := range domains {
-		slices.SortFunc(domain, compareCapacity)
-		out = append(out, domain)
+	out := make([][]*Host, 0, len(domains))
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		slices.SortFunc(domains[name], compareCapacity)
+		out = append(out, domains[name])
+	}
+	return out
+}
+
+// first appends the first n hosts to out.
+func first(out []Host, hosts []*Host, n int) []Host {
+	for _, h := range hosts[:min(n, len(hosts))] {
+		out = append(out, *h)
 	}
-	slices.SortFunc(out, func(a, b []Host) int { return cmp.Compare(a[0].FailureDomain, b[0].FailureDomain) })
 	return out
 }
 
@@ -58,7 +66,7 @@
 func Largest(hosts []Host, n int) []Host {
 	var out []Host
 	for _, domain := range byDomain(hosts) {
-		out = append(out, domain[:min(n, len(domain))]...)
+		out = first(out, domain, n)
 	}
 	return out
 }
@@ -81,18 +89,18 @@
 // Callers choose among them at random, so that the smallest one of them limits the others: a few large hosts are
 // preferred to the same hosts with many small ones.
 func Active(hosts []Host, slots int) []Host {
-	neededCores := float64(slots) / slotsPerCore * maxDomainLoad
 	var out []Host
 	for _, domain := range byDomain(hosts) {
-		out = append(out, domain[:activeCount(domain, neededCores)]...)
+		out = first(out, domain, activeCount(domain, slots))
 	}
 	return out
 }
 
 // activeCount returns how many of the hosts, ordered by capacity, are active.
-func activeCount(domain []Host, neededCores float64) int {
+func activeCount(domain []*Host, slots int) int {
+	neededCores := float64(slots) / slotsPerCore * maxDomainLoad
 	count, most := 0, 0.0
-	for n := min(minActivePerDomain, len(domain)); n <= len(domain); n++ {
+	for n := max(min(minActivePerDomain, len(domain)), 1); n <= len(domain); n++ {
 		if cores := float64(n) * domain[n-1].capacity(); cores > most {
 			count, most = n, cores
 		}
@@ -100,7 +108,7 @@
 			break
 		}
 	}
-	for count < min(PrimariesPerDomain, len(domain)) && domain[count].capacity() >= similarCapacity*domain[count-1].capacity() {
+	for count > 0 && count < min(PrimariesPerDomain, len(domain)) && domain[count].capacity() >= similarCapacity*domain[count-1].capacity() {
 		count++
 	}
 	return count
--- a/core/fleet/roles_test.go
+++ b/core/fleet/roles_test.go
@@ -94,6 +94,22 @@
 	})
 })
 
+// Guards against a view that fails when it reaches no host of a failure domain.
+var _ = Describe("A failure domain that is lost", func() {
+	It("gives no host a role, and the callers of the domain get those of the others", func() {
+		hosts := fleetOf(3, 3, 3)
+		v := fleet.NewView(hosts[0])
+		for _, h := range hosts {
+			v.Put(time.Unix(0, 0), h)
+		}
+		for _, h := range hosts[6:12] {
+			v.Fail(time.Unix(1, 0), h.Name, "no route")
+		}
+		Expect(namesInDomain(v.Roles().Active, "b")).To(BeEmpty())
+		Expect(fleet.SelectAddresses(v.Roles().Active, fleet.Locality{Region: "r", FailureDomain: "b"}, 2, 64)).To(HaveLen(6))
+	})
+})
+
 var _ = Describe("HomeOrder", func() {
 	hosts := fleetOf(3, 3, 10)
 
--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -18,6 +18,11 @@
 	// mesh, and one that is followed, counts as unreachable.
 	maxMissedInMesh   = 4
 	maxMissedFollowed = 2
+	// maxProbes is the number of unreachable hosts without a role that are tried at each interval.
+	maxProbes = 2
+	// maxLateIntervals is the number of intervals without Tick after which this host was frozen or overloaded itself, so
+	// that missing heartbeats prove nothing.
+	maxLateIntervals = 2
 	// followedHosts is the number of hosts that a host outside the mesh follows.
 	followedHosts = 2
 )
@@ -64,20 +69,25 @@
 type View struct {
 	self   Host
 	listed map[string]member
+	// domains holds the listed hosts and this one by failure domain, ordered by compareCapacity.
+	domains map[string][]*Host
 	heard  map[string]heard
 	// left holds the incarnation of each host that left, by name.
 	left             map[string]string
 	unreachableSince map[string]time.Time
 	// expectedSince is since when heartbeats of a host are expected, for the hosts in Targets.
 	expectedSince map[string]time.Time
-	slots         int
+	// probes are the unreachable hosts without a role that are tried until the next Tick, and lastProbe the last of them.
+	probes    []Host
+	lastProbe string
+	// tickedAt is when Tick was last called. Before lateUntil, missing heartbeats are not counted.
+	tickedAt, lateUntil time.Time
+	slots               int
 	roles         *Roles // nil after a change
 }
 
 // Roles are the hosts by role. The slices must not be changed.
 type Roles struct {
-	// All holds the listed hosts and this one, Reachable those of them that are reachable, both sorted by name.
-	All, Reachable []Host
 	// Active are the hosts to which callers are directed.
 	Active []Host
 	// Primaries are the largest hosts of each failure domain, reachable or not. Homes are those of them that are
@@ -93,10 +103,38 @@
 
 // NewView returns a view that holds only the host itself.
 func NewView(self Host) *View {
-	return &View{
-		self: self, listed: map[string]member{}, heard: map[string]heard{}, left: map[string]string{},
+	v := &View{
+		self: self, listed: map[string]member{}, domains: map[string][]*Host{}, heard: map[string]heard{}, left: map[string]string{},
 		unreachableSince: map[string]time.Time{}, expectedSince: map[string]time.Time{},
 	}
+	v.insert(&v.self)
+	return v
+}
+
+// insert adds a host to domains.
+func (v *View) insert(h *Host) {
+	domain := v.domains[h.FailureDomain]
+	i, _ := slices.BinarySearchFunc(domain, h, compareCapacity)
+	v.domains[h.FailureDomain] = slices.Insert(domain, i, h)
+}
+
+// set replaces the entry of a listed host, or adds it.
+func (v *View) set(m member) {
+	v.roles = nil
+	v.listed[m.host.Name] = m
+	if m.host.Name == v.self.Name { // domains holds this host as it describes itself
+		return
+	}
+	v.removeFromDomains(m.host.Name)
+	v.insert(&m.host)
+}
+
+func (v *View) removeFromDomains(name string) {
+	for domain, hosts := range v.domains {
+		if i := slices.IndexFunc(hosts, func(h *Host) bool { return h.Name == name }); i >= 0 {
+			v.domains[domain] = slices.Delete(hosts, i, i+1)
+		}
+	}
 }
 
 // Self returns this host.
@@ -118,6 +156,9 @@
 	return m.host, ok
 }
 
+// Count returns the number of listed hosts.
+func (v *View) Count() int { return len(v.listed) }
+
 // ListedNames returns the names of the listed hosts, sorted.
 func (v *View) ListedNames() []string { return slices.Sorted(maps.Keys(v.listed)) }
 
@@ -133,9 +174,8 @@
 	if known && previous.host == h {
 		return false
 	}
-	v.roles = nil
 	if known && previous.host.Incarnation == h.Incarnation {
-		v.listed[h.Name] = member{host: h, listedAt: previous.listedAt}
+		v.set(member{host: h, listedAt: previous.listedAt})
 		return true
 	}
 	if v.heard[h.Name].Incarnation != h.Incarnation && v.heard[h.Name].Incarnation == previous.host.Incarnation {
@@ -144,7 +184,7 @@
 	delete(v.left, h.Name)
 	delete(v.unreachableSince, h.Name)
 	delete(v.expectedSince, h.Name)
-	v.listed[h.Name] = member{host: h, listedAt: now}
+	v.set(member{host: h, listedAt: now})
 	return true
 }
 
@@ -160,6 +200,9 @@
 		delete(v.heard, name)
 	}
 	delete(v.listed, name)
+	if name != v.self.Name {
+		v.removeFromDomains(name)
+	}
 	delete(v.unreachableSince, name)
 	delete(v.expectedSince, name)
 	return true
@@ -175,7 +218,7 @@
 	v.heard[b.Name] = heard{Heartbeat: b, at: now}
 	if m, ok := v.listed[b.Name]; ok && m.host.Incarnation == b.Incarnation && m.host.Draining != b.Draining {
 		m.host.Draining = b.Draining
-		v.listed[b.Name], v.roles = m, nil
+		v.set(m)
 	}
 	return true, v.setReachable(now, b.Name)
 }
@@ -216,20 +259,29 @@
 }
 
 func (v *View) computeRoles() *Roles {
-	r := &Roles{All: []Host{v.self}}
-	for name, m := range v.listed {
-		if name != v.self.Name {
-			r.All = append(r.All, m.host)
+	r := &Roles{}
+	var mesh []Host
+	for _, name := range slices.Sorted(maps.Keys(v.domains)) {
+		var hosts, reachable []*Host
+		for _, h := range v.domains[name] {
+			if h.Draining {
+				continue
+			}
+			hosts = append(hosts, h)
+			if v.isReachable(h.Name) {
+				reachable = append(reachable, h)
+			}
 		}
+		active := activeCount(reachable, v.slots)
+		r.Primaries = first(r.Primaries, hosts, PrimariesPerDomain)
+		r.Active = first(r.Active, reachable, active)
+		r.Watchers = first(r.Watchers, reachable, WatchersPerDomain)
+		mesh = first(mesh, hosts, PrimariesPerDomain)
+		mesh = first(mesh, reachable, max(active, PrimariesPerDomain))
 	}
-	slices.SortFunc(r.All, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	r.Reachable = filter(r.All, func(h Host) bool { _, unreachable := v.unreachableSince[h.Name]; return !unreachable })
-	r.Active = Active(r.Reachable, v.slots)
-	r.Watchers = Largest(r.Reachable, WatchersPerDomain)
-	r.Primaries = Largest(r.All, PrimariesPerDomain)
-	r.Homes = filter(r.Primaries, func(h Host) bool { _, unreachable := v.unreachableSince[h.Name]; return !unreachable })
+	r.Homes = filter(r.Primaries, func(h Host) bool { return v.isReachable(h.Name) })
 	seen := map[string]bool{}
-	for _, h := range slices.Concat(r.Primaries, Largest(r.Reachable, PrimariesPerDomain), r.Active) {
+	for _, h := range mesh {
 		switch {
 		case seen[h.Name]:
 		case h.Name == v.self.Name:
@@ -242,6 +294,28 @@
 	return r
 }
 
+func (v *View) isReachable(name string) bool {
+	_, unreachable := v.unreachableSince[name]
+	return !unreachable
+}
+
+// All returns the listed hosts and this one, sorted by name.
+func (v *View) All() []Host {
+	var out []Host
+	for _, hosts := range v.domains {
+		for _, h := range hosts {
+			out = append(out, *h)
+		}
+	}
+	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Reachable returns All without the unreachable hosts.
+func (v *View) Reachable() []Host {
+	return filter(v.All(), func(h Host) bool { return v.isReachable(h.Name) })
+}
+
 // Followed returns the watchers in the order in which this host should follow them: those of its failure domain in
 // rendezvous order, then the others.
 func (v *View) Followed() []Host {
@@ -275,7 +349,7 @@
 func (v *View) Targets() []Host {
 	r := v.Roles()
 	if r.InMesh || v.self.Draining {
-		return append(v.unreachableOutside(r.Mesh), r.Mesh...)
+		return slices.Concat(v.probes, r.Mesh)
 	}
 	followed := v.Followed()
 	if len(followed) == 0 { // none is reachable; the first one that answers is
@@ -284,16 +358,21 @@
 	return followed[:min(followedHosts, len(followed))]
 }
 
-// unreachableOutside returns the unreachable hosts that are not among the given ones. Only heartbeats show that such a
+// chooseProbes sets the probes to the next unreachable hosts without a role, by name. Only heartbeats show that such a
 // host is back and may take a role again.
-func (v *View) unreachableOutside(hosts []Host) []Host {
-	var out []Host
-	for name := range v.unreachableSince {
-		if !slices.ContainsFunc(hosts, func(h Host) bool { return h.Name == name }) {
-			out = append(out, v.listed[name].host)
+func (v *View) chooseProbes() {
+	var outside []string
+	for _, name := range v.Unreachable() {
+		if !slices.ContainsFunc(v.Roles().Mesh, func(h Host) bool { return h.Name == name }) {
+			outside = append(outside, name)
 		}
 	}
-	return out
+	next, _ := slices.BinarySearch(outside, v.lastProbe+"\x00")
+	v.probes = nil
+	for i := range min(maxProbes, len(outside)) {
+		v.lastProbe = outside[(next+i)%len(outside)]
+		v.probes = append(v.probes, v.listed[v.lastProbe].host)
+	}
 }
 
 // Interval returns the time between two exchanges of heartbeats.
@@ -351,6 +430,11 @@
 // Tick marks hosts as unreachable from which no heartbeats arrive. A host outside the mesh also takes over what all
 // hosts that it follows report of the rest.
 func (v *View) Tick(now time.Time) []Transition {
+	if !v.tickedAt.IsZero() && now.Sub(v.tickedAt) > maxLateIntervals*v.Interval() {
+		v.lateUntil = now.Add(v.Timeout())
+	}
+	v.tickedAt = now
+	v.chooseProbes()
 	targets, limit := v.Targets(), v.Timeout()
 	isTarget := make(map[string]bool, len(targets))
 	var out []Transition
@@ -359,7 +443,7 @@
 		if v.expectedSince[h.Name].IsZero() {
 			v.expectedSince[h.Name] = now
 		}
-		if now.Sub(v.expectedSince[h.Name]) >= limit && !v.HeardWithin(now, h.Name, limit) {
+		if now.Sub(v.expectedSince[h.Name]) >= limit && !now.Before(v.lateUntil) && !v.HeardWithin(now, h.Name, limit) {
 			out = append(out, v.setUnreachable(now, h.Name, "no heartbeat for "+limit.String())...)
 		}
 	}
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -138,7 +138,7 @@
 		if f.hosts[name].killed {
 			continue
 		}
-		for _, h := range f.hosts[name].view.Roles().All {
+		for _, h := range f.hosts[name].view.All() {
 			if f.left[h.Name] && h.Name != name {
 				f.t.Fatalf("host %s still has host %s, which left", name, h.Name)
 			}
@@ -226,3 +226,78 @@
 		f.checkConverged()
 	})
 }
+
+// Guards against a host that was frozen or overloaded and then takes all others for lost: their heartbeats are missing
+// because it did not ask.
+func TestHostThatWasFrozenAccusesNobody(t *testing.T) {
+	hosts := fleetOf(3, 3, 0)
+	v := fleet.NewView(hosts[0])
+	now := time.Unix(1000, 0)
+	for _, h := range hosts {
+		v.Put(now, h)
+	}
+	hearAll := func() {
+		for _, h := range hosts[1:] {
+			v.Hear(now, fleet.Heartbeat{Name: h.Name, Incarnation: "1"})
+		}
+	}
+	for range 20 {
+		now = now.Add(v.Interval())
+		hearAll()
+		if got := v.Tick(now); len(got) > 0 {
+			t.Fatalf("transitions %+v in a calm fleet", got)
+		}
+	}
+	now = now.Add(5 * time.Second)
+	if got := v.Tick(now); len(got) > 0 {
+		t.Errorf("transitions %+v right after a freeze", got)
+	}
+	// Those that really are lost are found nevertheless.
+	var lost []fleet.Transition
+	for range 10 {
+		now = now.Add(v.Interval())
+		v.Hear(now, fleet.Heartbeat{Name: hosts[1].Name, Incarnation: "1"})
+		lost = append(lost, v.Tick(now)...)
+	}
+	if len(lost) != len(hosts)-2 {
+		t.Errorf("%d hosts are unreachable, want %d", len(lost), len(hosts)-2)
+	}
+}
+
+// Guards against a fleet in which many hosts are lost at once and each of the others tries all of them at every
+// interval.
+func TestFewLostHostsAreTriedAtOnce(t *testing.T) {
+	hosts := fleetOf(5, 3, 57)
+	v := fleet.NewView(hosts[0])
+	now := time.Unix(1000, 0)
+	for _, h := range hosts {
+		v.Put(now, h)
+	}
+	tried := map[string]bool{}
+	for i, h := range hosts[1:] {
+		if i%2 == 0 {
+			v.Fail(now, h.Name, "connection refused")
+		}
+	}
+	for range 200 {
+		now = now.Add(v.Interval())
+		for _, h := range v.Roles().Mesh {
+			if _, lost := v.UnreachableSince(h.Name); !lost {
+				v.Hear(now, fleet.Heartbeat{Name: h.Name, Incarnation: "1"})
+			}
+		}
+		v.Tick(now)
+		targets := v.Targets()
+		if extra := len(targets) - len(v.Roles().Mesh); extra > 2 {
+			t.Fatalf("%d hosts without a role are tried at once", extra)
+		}
+		for _, h := range targets {
+			tried[h.Name] = true
+		}
+	}
+	for _, name := range v.Unreachable() {
+		if !tried[name] {
+			t.Errorf("lost host %s is never tried", name)
+		}
+	}
+}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -180,7 +180,7 @@
 func (a *budgetService) homeOrder(program string) []fleet.Host {
 	roles := a.hosts.Roles()
 	if len(roles.Homes) == 0 { // no primary host is reachable
-		return fleet.HomeOrder(roles.Reachable, program)
+		return fleet.HomeOrder(a.hosts.Reachable(), program)
 	}
 	return fleet.RendezvousOrder(roles.Homes, program)
 }
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -145,8 +145,9 @@
 	Full    bool               `msgpack:",omitempty"`
 	Objects []objectapi.Object `msgpack:",omitempty"`
 	Deleted []string           `msgpack:",omitempty"`
-	// ListRevision is the revision of the peer's last list.
-	ListRevision objectapi.Version `msgpack:",omitempty"`
+	// ListRevision is the revision of the peer's last list, and NewestRevision that of its newest object.
+	ListRevision   objectapi.Version `msgpack:",omitempty"`
+	NewestRevision objectapi.Version `msgpack:",omitempty"`
 	// AfterOutage is set if entries may be missing because the store has been unavailable until a moment ago.
 	AfterOutage bool `msgpack:",omitempty"`
 }
--- a/service/ingress/follow.go
+++ b/service/ingress/follow.go
@@ -83,7 +83,7 @@
 func sendChanges(r *wire.Request, f *Informer, c feedChanges) {
 	answer := followAnswer{
 		Epoch: c.epoch, Sequence: c.sequence, Full: c.full, Deleted: c.deleted,
-		ListRevision: f.lastListRevision(), AfterOutage: f.RecentlyRecovered(),
+		ListRevision: f.lastListRevision(), NewestRevision: f.NewestRevision(), AfterOutage: f.RecentlyRecovered(),
 	}
 	for len(c.objects) > maxObjectsPerPart {
 		part := answer
--- /dev/null
+++ b/service/ingress/follow_test.go
@@ -0,0 +1,86 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+)
+
+// copies answers follow requests from the copies of peers, by address.
+type copies struct {
+	mu    sync.Mutex
+	peers map[string]followAnswer
+	asked []string
+}
+
+func (c *copies) follow(ctx context.Context, address string, request followRequest, handle func(followAnswer)) error {
+	c.mu.Lock()
+	c.asked = append(c.asked, address)
+	answer, ok := c.peers[address]
+	c.mu.Unlock()
+	if request.Epoch != "" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if !ok {
+		return context.DeadlineExceeded
+	}
+	handle(answer)
+	return nil
+}
+
+// Guards against a host that takes over the copy of a peer that is behind it, and so uses a server again that has left:
+// it has observed the deletion, and the peer has not.
+func TestOlderCopyIsNotTakenOver(t *testing.T) {
+	peers := &copies{peers: map[string]followAnswer{
+		"behind":  {Epoch: "1", Sequence: 2, Full: true, Objects: []objectapi.Object{versioned("left", 3)}, ListRevision: 2, NewestRevision: 3},
+		"current": {Epoch: "2", Sequence: 9, Full: true, Objects: []objectapi.Object{versioned("new", 8)}, ListRevision: 2, NewestRevision: 8},
+	}}
+	f := newInformer("servers")
+	f.observe(7) // this host has seen a newer object before
+	lists := make(chan []objectapi.Object, 8)
+	f.Replace = func(o []objectapi.Object, _ bool) { lists <- o }
+	f.Sources, f.Follow = func() []string { return []string{"behind", "current"} }, peers.follow
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	select {
+	case got := <-lists:
+		if len(got) != 1 || got[0].Name != "new" {
+			t.Errorf("took over %v, want the copy with the newer object", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("no copy was taken over")
+	}
+	if f.currentSource() != "current" {
+		t.Errorf("source %q", f.currentSource())
+	}
+}
+
+// Guards against a host that stays with a source that is no longer one of its sources, or asks the store at once when a
+// single source fails.
+func TestNextSourceIsAskedBeforeTheStore(t *testing.T) {
+	peers := &copies{peers: map[string]followAnswer{"second": {Epoch: "1", Sequence: 1, Full: true, ListRevision: 5, NewestRevision: 5}}}
+	store := &compactedStore{watched: make(chan struct{}), lists: [][]objectapi.Object{nil}}
+	f := newInformer("config")
+	synced := make(chan struct{}, 8)
+	f.Store, f.ShouldPoll = store, func() bool { return false }
+	f.Replace = func([]objectapi.Object, bool) { synced <- struct{}{} }
+	f.Sources, f.Follow = func() []string { return []string{"first", "second"} }, peers.follow
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	<-synced
+	cancel()
+	<-done
+	if store.listed != 0 {
+		t.Errorf("the store was listed %d times", store.listed)
+	}
+	if !f.HasSynced() || !f.HasObserved(5) {
+		t.Error("the copy of the second source does not count as observed")
+	}
+}
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// heartbeatTimeout bounds one exchange of heartbeats.
+	// heartbeatTimeout bounds one exchange of heartbeats. It is shorter than the time to connect, so that a host counts as
+	// unreachable at once only if it refuses a connection.
 	heartbeatTimeout = 400 * time.Millisecond
 	// answeredIntervals is the number of intervals within which a heartbeat of a host makes one to it unnecessary.
 	answeredIntervals = 1.5
@@ -75,6 +76,9 @@
 		b.exchangeAll(ctx, b.due())
 		if !b.hosts.SelfDraining() {
 			b.hosts.Tick()
+			for _, informer := range b.informers {
+				informer.CheckSource()
+			}
 		}
 		select {
 		case <-time.After(b.hosts.Interval()):
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -42,10 +42,8 @@
 	registerRetryInterval = 500 * time.Millisecond
 	// linkHeartbeatInterval and linkKeepAliveTimeout apply to connections between hosts. The heartbeats of the hosts
 	// themselves are more frequent on most of them.
-	linkHeartbeatInterval = time.Second
+	linkHeartbeatInterval = 800 * time.Millisecond
 	linkKeepAliveTimeout  = 2500 * time.Millisecond
-	// peerDialTimeout bounds the time to connect to a peer: a connection within the deployment opens in a few ms.
-	peerDialTimeout = 400 * time.Millisecond
 	// syncPollInterval is how often a starting host checks whether it has synced.
 	syncPollInterval = 20 * time.Millisecond
 )
@@ -103,7 +101,7 @@
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
 		ProcessName: s.Host.Name + "." + h.self.Incarnation, HeartbeatInterval: linkHeartbeatInterval,
-		KeepAliveTimeout: linkKeepAliveTimeout, DialTimeout: peerDialTimeout,
+		KeepAliveTimeout: linkKeepAliveTimeout,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
 	h.store = &objectapi.RelayStore{
@@ -269,7 +267,7 @@
 	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
 	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
 	hosts.Replace, hosts.Apply = h.hosts.Replace, h.hosts.Apply
-	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.All())) }
+	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(h.hosts.Count()) }
 	informers := []*Informer{config, servers, hosts}
 	for _, informer := range informers {
 		informer.Store, informer.ShouldPoll, informer.PollInterval = h.store, h.pollsKind(informer.Kind), h.settings.Load().Platform.ListInterval
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -70,7 +70,6 @@
 		}
 	}
 	l.synced = true
-	l.notify()
 }
 
 // HasSynced reports whether the hosts have been listed at least once.
@@ -89,7 +88,6 @@
 	} else {
 		l.put(c.Object)
 	}
-	l.notify()
 }
 
 // put adds or replaces an entry; l.mu is held.
@@ -124,16 +122,7 @@
 	}
 }
 
-// notify calls onMeshChange if the size of the mesh has changed; l.mu is held.
-func (l *Hosts) notify() {
-	size := len(l.view.Roles().Mesh) + 1
-	if size != l.meshSize {
-		l.meshSize = size
-		l.onMeshChange(size)
-	}
-}
-
-// logTransitions logs changes of reachability and calls notify; l.mu is held.
+// logTransitions logs changes of reachability; l.mu is held.
 func (l *Hosts) logTransitions(transitions []fleet.Transition) {
 	for _, t := range transitions {
 		if t.Reachable {
@@ -142,7 +131,6 @@
 			logging.Emit(logging.HostUnreachable, logging.Fields{"host": t.Host, "error": t.Cause})
 		}
 	}
-	l.notify()
 }
 
 // SelfListedFor returns how long the present incarnation of this host has been listed; 0 if it is not. Hosts that were
@@ -181,11 +169,15 @@
 	l.logTransitions(l.view.Fail(time.Now(), name, cause.Error()))
 }
 
-// Tick marks hosts as unreachable from which no heartbeats arrive.
+// Tick marks hosts as unreachable from which no heartbeats arrive, and calls onMeshChange if the mesh has changed.
 func (l *Hosts) Tick() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.logTransitions(l.view.Tick(time.Now()))
+	if size := len(l.view.Roles().Mesh) + 1; size != l.meshSize {
+		l.meshSize = size
+		l.onMeshChange(size)
+	}
 }
 
 // SetSlots sets the number of requests that all backend servers can run at once, which decides how many hosts serve
@@ -194,7 +186,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.view.SetSlots(slots)
-	l.notify()
 }
 
 // Roles returns the hosts by role.
@@ -238,11 +229,14 @@
 	return f(l.view)
 }
 
-// All returns the listed hosts and this one, sorted by name. The slice must not be changed.
-func (l *Hosts) All() []fleet.Host { return l.Roles().All }
+// All returns the listed hosts and this one, sorted by name.
+func (l *Hosts) All() []fleet.Host { return read(l, (*fleet.View).All) }
+
+// Reachable returns All without the unreachable hosts.
+func (l *Hosts) Reachable() []fleet.Host { return read(l, (*fleet.View).Reachable) }
 
-// Reachable returns All without the unreachable hosts. The slice must not be changed.
-func (l *Hosts) Reachable() []fleet.Host { return l.Roles().Reachable }
+// Count returns the number of listed hosts.
+func (l *Hosts) Count() int { return read(l, (*fleet.View).Count) }
 
 // SetSelfServing records that this host serves callers.
 func (l *Hosts) SetSelfServing() {
@@ -268,7 +262,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.view.SetSelfDraining()
-	l.notify()
 }
 
 const (
@@ -288,7 +281,7 @@
 	defer l.mu.Unlock()
 	hosts := l.view.Roles().Active
 	if len(hosts) == 0 { // all drain
-		hosts = l.view.Roles().Reachable
+		hosts = l.view.Reachable()
 	}
 	if !l.selfServing {
 		hosts = slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.Name == l.self.Name })
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -79,8 +79,10 @@
 	// lastResponseNanos, which is the same in Unix nanoseconds; 0 before the first answer.
 	lastResponse      time.Time
 	lastResponseNanos atomic.Int64
-	// source is the address of the followed host, or "store".
-	source atomic.Value
+	// source is the address of the followed host, or "store". watching is set while a watch of the store waits for
+	// changes.
+	source   atomic.Value
+	watching atomic.Bool
 }
 
 // storeSource is the source of an informer that watches the store.
@@ -155,13 +157,16 @@
 	for ctx.Err() == nil {
 		if sources := f.sources(); next < len(sources) {
 			followedAt := time.Now()
-			notReady := f.follow(ctx, sources[next])
-			next++
-			switch {
-			case notReady && time.Since(startedAt) < f.StartupPatience:
+			err := f.follow(ctx, sources[next])
+			starting := time.Since(startedAt) < f.StartupPatience
+			switch next++; {
+			case err != nil && starting:
 				sleep(ctx, sourceRetryDelay)
 				next %= len(sources)
-			case time.Since(followedAt) > stableFollowTime:
+			case err != nil && ctx.Err() == nil:
+				logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": sources[next-1], "error": err})
+			}
+			if time.Since(followedAt) > stableFollowTime {
 				next = 0
 			}
 			continue
@@ -225,32 +230,64 @@
 	return time.Since(time.Unix(0, f.recoveredAtNanos.Load())) < outageDeleteWindow
 }
 
-// follow applies the changes of another host's copy until that fails, this host is to watch the store, or the objects
-// must be listed again. It reports whether the host has no copy.
-func (f *Informer) follow(ctx context.Context, address string) (notReady bool) {
+var (
+	errSourceNotReady = errors.New("the host has no copy, or does not watch the store")
+	errSourceBehind   = errors.New("the host's copy is older than this host's")
+)
+
+// isCurrent reports whether a peer's copy has all that this host has observed: an older one would bring back what was
+// deleted since.
+func (f *Informer) isCurrent(answer followAnswer) bool {
+	known := f.NewestRevision()
+	return answer.NewestRevision >= known || answer.ListRevision >= known
+}
+
+// follow applies the changes of another host's copy until that fails, this host is to read from another source, or the
+// objects must be listed again. It returns an error only if it fails.
+func (f *Informer) follow(ctx context.Context, address string) error {
 	following, cancel := f.untilRelist(ctx)
 	defer cancel()
 	f.source.Store(address)
 	request := followRequest{Kind: f.Kind, MaxWait: maxFollowWait}
+	patience := time.Now().Add(f.maxLag())
 	for following.Err() == nil {
 		if request.Epoch != "" && !slices.Contains(f.sources(), address) {
-			return false
+			return nil
 		}
 		var answer followAnswer
 		err := f.Follow(following, address, request, func(part followAnswer) {
 			part.Objects = append(answer.Objects, part.Objects...)
 			answer = part
 		})
-		if err != nil || answer.NotReady {
-			if following.Err() == nil {
-				logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": address, "error": err})
-			}
-			return err == nil
+		switch {
+		case following.Err() != nil:
+			return nil
+		case err != nil:
+			return err
+		case answer.NotReady:
+			return errSourceNotReady
+		case answer.Full && !f.isCurrent(answer) && time.Now().Before(patience):
+			sleep(following, sourceRetryDelay)
+			continue
+		case answer.Full && !f.isCurrent(answer):
+			return errSourceBehind
 		}
 		f.applyAnswer(answer)
 		request.Epoch, request.After = answer.Epoch, answer.Sequence
 	}
-	return false
+	return nil
+}
+
+// CheckSource ends a watch or a request to a followed host that waits for changes, if this host is to read from another
+// source now.
+func (f *Informer) CheckSource() {
+	sources := f.sources()
+	switch source := f.currentSource(); {
+	case source == storeSource && f.watching.Load() && (len(sources) > 0 || f.ShouldPoll()):
+		f.Relist()
+	case source != storeSource && source != "" && !slices.Contains(sources, source):
+		f.Relist()
+	}
 }
 
 func (f *Informer) applyAnswer(answer followAnswer) {
@@ -316,7 +353,9 @@
 			sleep(watching, f.PollInterval)
 			return
 		}
+		f.watching.Store(true)
 		changes, next, err := f.Store.Watch(watching, f.Kind, "", revision)
+		f.watching.Store(false)
 		switch {
 		case watching.Err() != nil:
 			return
--- a/service/ingress/informer_lag_test.go
+++ b/service/ingress/informer_lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +111,28 @@
 		t.Error("the newest object does not count as observed")
 	}
 }
+
+// Guards against a change that no host sees: the host that is to list a kind at intervals waits in a watch that has gone
+// stale, because it was not the one when the watch began.
+func TestWatchEndsWhenTheHostIsToPoll(t *testing.T) {
+	store := &compactedStore{watched: make(chan struct{}), lists: [][]objectapi.Object{{{Name: "c", Version: 1}}}}
+	var polls atomic.Bool
+	f := newInformer("config")
+	f.Store, f.ShouldPoll, f.PollInterval = store, polls.Load, time.Hour
+	lists := make(chan int, 8)
+	f.Replace = func(o []objectapi.Object, _ bool) { lists <- len(o) }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	<-lists
+	<-store.watched
+	f.CheckSource()
+	polls.Store(true)
+	for deadline := time.Now().Add(5 * time.Second); len(lists) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the watch goes on although this host is to list at intervals")
+		}
+		f.CheckSource()
+	}
+}
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -29,9 +29,8 @@
 	v := api.FleetView{Host: h.self.Name, Incarnation: h.self.Incarnation, Slots: h.servers.TotalSlots()}
 	loads := h.servers.hostLoadTimes()
 	read(h.hosts, func(view *fleet.View) struct{} {
-		roles := view.Roles()
-		v.InMesh = roles.InMesh
-		for _, host := range roles.All {
+		v.InMesh = view.Roles().InMesh
+		for _, host := range view.All() {
 			m := newFleetMember(view, host, now)
 			m.LoadMS = ageMS(now, loads[host.Name])
 			v.Members = append(v.Members, m)
