Take newer objects from the peer that reports them, register with one call, start by following the seeds

Cause 1: while the store was silent to the watchers of a failure domain alone, these learned from heartbeats that they lagged, asked the silent store again (1 s), then relayed through a peer to which it was silent too (1 s), and backed off; their followers waited with them. A host that lags now takes over the copy of the peer that has the newer objects (TestHostTakesNewerObjectsFromThePeerThatReportsThem), and a relayed read tries the second peer within the same second.

Hosts of a fleet that starts for the first time follow the seeds until they have been listed for 1.5 s; a host whose former entry is listed replaces it with one call; entry hosts, whose list takes four calls, are listed every 3 s instead of every second.

Ruled out: polling by each watcher, which would cost as many calls as before.

--- a/common/objectapi/relay.go
+++ b/common/objectapi/relay.go
@@ -28,6 +28,9 @@
 	Expected Version
 }
 
+// IsWrite reports whether the call changes the object.
+func (r RelayRequest) IsWrite() bool { return r.Op != RelayGet && r.Op != RelayList }
+
 // RelayAnswer is the answer to a RelayRequest.
 type RelayAnswer struct {
 	_msgpack struct{} `msgpack:",as_array"` //lint:ignore U1000 msgpack reads the tag
--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -152,6 +152,13 @@
 	AfterOutage bool `msgpack:",omitempty"`
 }
 
+// version returns the version of an object of the copy; 0 if there is none.
+func (f *feed) version(name string) objectapi.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.objects[name].Version
+}
+
 // publish replaces the value of an object of the copy, which keeps its version.
 func (f *feed) publish(o objectapi.Object) {
 	f.mu.Lock()
--- a/service/ingress/follow.go
+++ b/service/ingress/follow.go
@@ -99,11 +99,11 @@
 // informerSources returns the peers whose copies the informers follow; none if this host watches the store. A host
 // that has just started does not know its role and asks the seeds.
 func (h *Host) informerSources() []string {
-	isStarting := h.settings.Load().Host.FirstStart && time.Since(h.startedAt) < h.startupPatience()
-	if !h.heartbeats.informers[KindHosts].HasSynced() || isStarting {
-		if isStarting && h.isSeed() {
-			return nil
-		}
+	isFirstStart := h.isFirstStart()
+	if isFirstStart && h.isSeed() {
+		return nil
+	}
+	if !h.heartbeats.informers[KindHosts].HasSynced() || isFirstStart {
 		return h.heartbeats.otherSeeds()
 	}
 	if h.hosts.IsWatcher() {
@@ -125,6 +125,10 @@
 	// firstStartPatience is how long a host of a fleet that starts for the first time waits for the seeds: all hosts
 	// start within 0.3 s of each other.
 	firstStartPatience = 1500 * time.Millisecond
+	// firstListWait is how long a host of such a fleet is listed before it relies on the list for the roles, and
+	// maxFirstStart bounds that time: hosts are listed once there is a configuration.
+	firstListWait = 1500 * time.Millisecond
+	maxFirstStart = 30 * time.Second
 	// restartPatience is the same for a host that starts later.
 	restartPatience = 200 * time.Millisecond
 )
@@ -136,6 +140,11 @@
 	return restartPatience
 }
 
+// isFirstStart reports whether the whole deployment starts for the first time, so that most hosts are not listed yet.
+func (h *Host) isFirstStart() bool {
+	return h.settings.Load().Host.FirstStart && time.Since(h.startedAt) < maxFirstStart && h.hosts.SelfListedFor() < firstListWait
+}
+
 // isSeed reports whether this host is one of the seeds in its settings.
 func (h *Host) isSeed() bool {
 	return len(h.heartbeats.otherSeeds()) < len(h.settings.Load().Seeds.Peers)
--- a/service/ingress/follow_test.go
+++ b/service/ingress/follow_test.go
@@ -84,3 +84,41 @@
 		t.Error("the copy of the second source does not count as observed")
 	}
 }
+
+// hangingStore answers no list until its context ends.
+type hangingStore struct{ objectapi.Store }
+
+func (hangingStore) List(ctx context.Context, _, _ string) ([]objectapi.Object, objectapi.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (hangingStore) Watch(ctx context.Context, _, _ string, _ objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a host that stays behind, and its followers with it, while the store does not answer this host alone: the
+// peer that reports newer objects has them.
+func TestHostTakesNewerObjectsFromThePeerThatReportsThem(t *testing.T) {
+	peers := &copies{peers: map[string]followAnswer{
+		"a-2:1": {Epoch: "2", Sequence: 9, Full: true, Objects: []objectapi.Object{versioned("main", 8)}, ListRevision: 2, NewestRevision: 8},
+	}}
+	f := newInformer("config")
+	lists := make(chan []objectapi.Object, 8)
+	f.Store, f.ShouldPoll, f.Follow = hangingStore{}, func() bool { return false }, peers.follow
+	f.Replace = func(o []objectapi.Object, _ bool) { lists <- o }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	f.RelistFrom("a-2:1")
+	select {
+	case got := <-lists:
+		if len(got) != 1 || got[0].Version != 8 {
+			t.Errorf("took over %v", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the host still waits for the store")
+	}
+}
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -256,7 +256,7 @@
 		case now.Sub(lag.since) >= informer.maxLag():
 			delete(b.lags, kind)
 			logging.Emit(logging.InformerLagging, logging.Fields{"kind": kind, "peer": message.Host, "seen": informer.NewestRevision(), "peer_seen": revision})
-			informer.Relist()
+			informer.RelistFrom(b.hosts.PeerAddress(message.Host))
 		}
 	}
 }
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -44,6 +44,9 @@
 	// themselves are more frequent on most of them.
 	linkHeartbeatInterval = 800 * time.Millisecond
 	linkKeepAliveTimeout  = 2500 * time.Millisecond
+	// hostListFactor is how much longer the interval of the lists of entry hosts is than that of the other kinds: hosts
+	// report that they leave in their heartbeats, too, and the list of a large fleet takes several calls.
+	hostListFactor = 3
 	// syncPollInterval is how often a starting host checks whether it has synced.
 	syncPollInterval = 20 * time.Millisecond
 )
@@ -262,15 +265,17 @@
 // newInformers returns the informers of the configuration, the backend servers and the entry hosts.
 func (h *Host) newInformers() []*Informer {
 	config, servers, hosts := newInformer(h.adapter.KindConfig), newInformer(h.adapter.KindServers), newInformer(KindHosts)
+	config.PollInterval = h.settings.Load().Platform.ListInterval
 	config.Replace, config.Apply = h.replaceConfig, h.applyConfig
+	servers.PollInterval = config.PollInterval
 	servers.Replace = h.replaceServers
 	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
 	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
-	hosts.Replace, hosts.Apply = h.hosts.Replace, h.hosts.Apply
+	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
 	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(h.hosts.Count()) }
 	informers := []*Informer{config, servers, hosts}
 	for _, informer := range informers {
-		informer.Store, informer.ShouldPoll, informer.PollInterval = h.store, h.pollsKind(informer.Kind), h.settings.Load().Platform.ListInterval
+		informer.Store, informer.ShouldPoll = h.store, h.pollsKind(informer.Kind)
 		informer.Sources, informer.Follow, informer.StartupPatience = h.informerSources, h.followPeer, h.startupPatience()
 		h.heartbeats.informers[informer.Kind] = informer
 	}
@@ -381,12 +386,19 @@
 	}
 }
 
-// writeHostEntry creates this host's entry, or replaces that of an earlier incarnation.
+// writeHostEntry creates this host's entry, or replaces that of an earlier incarnation. The list of hosts shows whether
+// there is one, so that one call does in most cases.
 func (h *Host) writeHostEntry(ctx context.Context, self fleet.Host) error {
 	o, err := encodeHost(self)
 	if err != nil {
 		return err
 	}
+	if former := h.heartbeats.informers[KindHosts].feed.version(self.Name); former > 0 {
+		_, err := objectapi.UpdateConfirmed(ctx, h.store, KindHosts, self.Name, o.Value, former)
+		if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrNotFound) {
+			return err
+		}
+	}
 	_, err = objectapi.CreateConfirmed(ctx, h.store, KindHosts, self.Name, o.Value)
 	if !errors.Is(err, objectapi.ErrConflict) {
 		return err
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -212,6 +212,14 @@
 // Unreachable returns the names of the hosts that this host does not reach.
 func (l *Hosts) Unreachable() []string { return read(l, (*fleet.View).Unreachable) }
 
+// PeerAddress returns the address at which a listed host serves peers; empty if it is not listed.
+func (l *Hosts) PeerAddress(name string) string {
+	return read(l, func(v *fleet.View) string {
+		h, _ := v.Listed(name)
+		return h.PeerAddress
+	})
+}
+
 // Unlisted returns the hosts that are not listed, of which a heartbeat arrived within d and that are not draining. Only
 // name and incarnation are set.
 func (l *Hosts) Unlisted(d time.Duration) []fleet.Host {
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -72,17 +72,23 @@
 	// listRevision is the revision of the last list, and newestRevision that of the newest object that was
 	// observed.
 	listRevision, newestRevision atomic.Uint64
-	relist                       chan struct{}
-	failedSince                  time.Time // zero while calls succeed
-	retryDelay                   time.Duration
+	// relist receives the address of the peer whose copy is to be taken over, or "".
+	relist chan string
+	// startedAt is when Run was called, nextSource the index of the source to follow next, and resumeAt the revision from
+	// which the store is watched without another list; 0 if it must be listed.
+	startedAt   time.Time
+	nextSource  int
+	resumeAt    objectapi.Version
+	failedSince time.Time // zero while calls succeed
+	retryDelay  time.Duration
 	// lastResponse is when the store last answered, directly or through a peer. Other goroutines read
 	// lastResponseNanos, which is the same in Unix nanoseconds; 0 before the first answer.
 	lastResponse      time.Time
 	lastResponseNanos atomic.Int64
-	// source is the address of the followed host, or "store". watching is set while a watch of the store waits for
-	// changes.
-	source   atomic.Value
-	watching atomic.Bool
+	// source is the address of the followed host, or "store". listing is set while the store is listed, and watching while
+	// a watch of the store waits for changes.
+	source            atomic.Value
+	listing, watching atomic.Bool
 }
 
 // storeSource is the source of an informer that watches the store.
@@ -137,43 +143,99 @@
 	return maxInformerLag + f.BatchDelay()
 }
 
-// Relist ends the running watch and lists the objects again. It does not wait for the list.
-func (f *Informer) Relist() {
+// Relist ends the running watch and reads the objects again. It does not wait for that.
+func (f *Informer) Relist() { f.RelistFrom("") }
+
+// RelistFrom is Relist, but takes over the copy of a peer first. peer is its address; empty for none.
+func (f *Informer) RelistFrom(peer string) {
+	if peer == "" && f.listing.Load() {
+		return
+	}
 	select {
-	case f.relist <- struct{}{}:
+	case f.relist <- peer:
 	default:
 	}
 }
 
 // newInformer returns an informer whose callbacks are not set yet.
 func newInformer(kind string) *Informer {
-	return &Informer{Kind: kind, relist: make(chan struct{}, 1), feed: newFeed()}
+	return &Informer{Kind: kind, relist: make(chan string, 1), feed: newFeed()}
 }
 
-// Run lists and watches until ctx ends. It retries failed calls with a backoff.
+// Run lists and watches until ctx ends. It retries failed calls with a backoff. A round ends when a relist is requested:
+// the copy of the peer that has newer objects is taken over then, because the store may not answer this host.
 func (f *Informer) Run(ctx context.Context) {
-	startedAt := time.Now()
-	next := 0 // index of the source to follow
+	f.startedAt = time.Now()
 	for ctx.Err() == nil {
-		if sources := f.sources(); next < len(sources) {
-			followedAt := time.Now()
-			err := f.follow(ctx, sources[next])
-			starting := time.Since(startedAt) < f.StartupPatience
-			switch next++; {
-			case err != nil && starting:
-				sleep(ctx, sourceRetryDelay)
-				next %= len(sources)
-			case err != nil && ctx.Err() == nil:
-				logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": sources[next-1], "error": err})
-			}
-			if time.Since(followedAt) > stableFollowTime {
-				next = 0
+		round, cancel := context.WithCancel(ctx)
+		ended := make(chan string, 1)
+		go func() {
+			defer close(ended)
+			select {
+			case peer := <-f.relist:
+				cancel()
+				ended <- peer
+			case <-round.Done():
 			}
-			continue
+		}()
+		f.read(round)
+		cancel()
+		if peer := <-ended; peer != "" {
+			f.copyFrom(ctx, peer)
 		}
-		next = 0
+	}
+}
+
+// read follows the next source, or lists and watches the store if this host watches it or no source can be followed. It
+// returns when that fails, or the objects must be read again.
+func (f *Informer) read(ctx context.Context) {
+	sources := f.sources()
+	if f.nextSource >= len(sources) {
+		f.nextSource = 0
 		f.listAndWatch(ctx)
+		return
+	}
+	source, followedAt := sources[f.nextSource], time.Now()
+	err := f.follow(ctx, source)
+	f.nextSource++
+	switch {
+	case err == nil || ctx.Err() != nil:
+	case time.Since(f.startedAt) < f.StartupPatience:
+		sleep(ctx, sourceRetryDelay)
+		f.nextSource %= len(sources)
+	default:
+		logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": source, "error": err})
+	}
+	if time.Since(followedAt) > stableFollowTime {
+		f.nextSource = 0
+	}
+}
+
+// copyFrom takes over the copy of a peer that has newer objects.
+func (f *Informer) copyFrom(ctx context.Context, peer string) {
+	answer, err := f.request(ctx, peer, followRequest{Kind: f.Kind})
+	if err == nil && !f.isCurrent(answer) {
+		err = errSourceBehind
+	}
+	if err != nil {
+		logging.Emit(logging.FollowFailed, logging.Fields{"kind": f.Kind, "peer": peer, "error": err})
+		return
 	}
+	f.applyAnswer(answer)
+	f.resumeAt = answer.ListRevision
+}
+
+// request sends one request to a peer and returns its whole answer.
+func (f *Informer) request(ctx context.Context, peer string, r followRequest) (followAnswer, error) {
+	var answer followAnswer
+	err := f.Follow(ctx, peer, r, func(part followAnswer) {
+		part.Objects = append(answer.Objects, part.Objects...)
+		answer = part
+	})
+	if err == nil && answer.NotReady {
+		err = errSourceNotReady
+	}
+	return answer, err
 }
 
 func (f *Informer) sources() []string {
@@ -183,10 +245,18 @@
 	return f.Sources()
 }
 
-// listAndWatch lists the objects from the store and watches them until they must be listed again.
+// listAndWatch lists the objects from the store and watches them until they must be listed again. The list is left out
+// if a peer's copy was just taken over.
 func (f *Informer) listAndWatch(ctx context.Context) {
 	f.source.Store(storeSource)
+	if revision := f.resumeAt; revision > 0 {
+		f.resumeAt = 0
+		f.watch(ctx, revision)
+		return
+	}
+	f.listing.Store(true)
 	objects, revision, err := f.Store.List(ctx, f.Kind, "")
+	f.listing.Store(false)
 	if err != nil {
 		f.backOff(ctx, err)
 		return
@@ -245,29 +315,19 @@
 // follow applies the changes of another host's copy until that fails, this host is to read from another source, or the
 // objects must be listed again. It returns an error only if it fails.
 func (f *Informer) follow(ctx context.Context, address string) error {
-	following, cancel := f.untilRelist(ctx)
-	defer cancel()
 	f.source.Store(address)
 	request := followRequest{Kind: f.Kind, MaxWait: maxFollowWait}
 	patience := time.Now().Add(f.maxLag())
-	for following.Err() == nil {
+	for ctx.Err() == nil {
 		if request.Epoch != "" && !slices.Contains(f.sources(), address) {
 			return nil
 		}
-		var answer followAnswer
-		err := f.Follow(following, address, request, func(part followAnswer) {
-			part.Objects = append(answer.Objects, part.Objects...)
-			answer = part
-		})
+		answer, err := f.request(ctx, address, request)
 		switch {
-		case following.Err() != nil:
-			return nil
 		case err != nil:
 			return err
-		case answer.NotReady:
-			return errSourceNotReady
 		case answer.Full && !f.isCurrent(answer) && time.Now().Before(patience):
-			sleep(following, sourceRetryDelay)
+			sleep(ctx, sourceRetryDelay)
 			continue
 		case answer.Full && !f.isCurrent(answer):
 			return errSourceBehind
@@ -311,19 +371,6 @@
 	f.raiseListRevision(answer.ListRevision)
 }
 
-// untilRelist returns a context that ends when the objects must be listed again.
-func (f *Informer) untilRelist(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		select {
-		case <-f.relist:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, cancel
-}
-
 // recoveredFromOutage reports whether the store was unavailable for so long that entries may be missing from it,
 // and records that it answers now.
 func (f *Informer) recoveredFromOutage() bool {
@@ -341,28 +388,26 @@
 
 // watch applies changes until the objects must be listed again.
 func (f *Informer) watch(ctx context.Context, revision objectapi.Version) {
-	watching, cancel := f.untilRelist(ctx)
-	defer cancel()
-	for watching.Err() == nil {
+	for ctx.Err() == nil {
 		if len(f.sources()) > 0 {
-			sleep(watching, peerPollInterval) // all sources have failed a moment ago
+			sleep(ctx, peerPollInterval) // all sources have failed a moment ago
 			return
 		}
 		if f.ShouldPoll() && f.failedSince.IsZero() {
 			f.setLastResponse(time.Now())
-			sleep(watching, f.PollInterval)
+			sleep(ctx, f.PollInterval)
 			return
 		}
 		f.watching.Store(true)
-		changes, next, err := f.Store.Watch(watching, f.Kind, "", revision)
+		changes, next, err := f.Store.Watch(ctx, f.Kind, "", revision)
 		f.watching.Store(false)
 		switch {
-		case watching.Err() != nil:
+		case ctx.Err() != nil:
 			return
 		case errors.Is(err, objectapi.ErrHistoryGone):
 			return
 		case err != nil:
-			f.backOff(watching, err)
+			f.backOff(ctx, err)
 			return
 		}
 		f.recordRecovery()
@@ -370,7 +415,7 @@
 		f.apply(changes)
 		revision = max(next, revision)
 		if len(changes) > 0 && f.BatchDelay != nil {
-			sleep(watching, f.BatchDelay())
+			sleep(ctx, f.BatchDelay())
 		}
 	}
 }
--- a/service/ingress/informer_lag_test.go
+++ b/service/ingress/informer_lag_test.go
@@ -16,7 +16,7 @@
 	f := newInformer("servers")
 	f.observe(5)
 	b := &heartbeater{
-		self: fleet.Host{Name: "a-1"}, informers: map[string]*Informer{"servers": f}, lags: map[string]informerLag{},
+		self: fleet.Host{Name: "a-1"}, hosts: NewHosts(fleet.Host{Name: "a-1"}, func(int) {}), informers: map[string]*Informer{"servers": f}, lags: map[string]informerLag{},
 	}
 	return b, f, func() bool {
 		select {
--- a/service/relay/relay.go
+++ b/service/relay/relay.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,19 +15,31 @@
 // Call sends the call to the peers (IP:port) one after the other until the store answers through one of them. The
 // error is objectapi.ErrUnavailable if the store certainly executed nothing. After any other error, it may have.
 func Call(ctx context.Context, node *wire.Node, peers []string, request objectapi.RelayRequest) (objectapi.RelayAnswer, error) {
-	for _, peer := range peers {
-		var answer objectapi.RelayAnswer
-		err := node.Call(ctx, peer, wire.TypeStoreRelay, request, &answer)
+	for i, peer := range peers {
+		answer, err := callPeer(ctx, node, peer, len(peers)-i, request)
 		switch {
 		case err == nil && !errors.Is(answer.Err(), objectapi.ErrUnavailable):
 			return answer, nil
-		case err != nil && fault.From(err, "relay").Outcome != fault.OutcomeNotRun:
+		case err != nil && request.IsWrite() && fault.From(err, "relay").Outcome != fault.OutcomeNotRun:
 			return answer, err
 		}
 	}
 	return objectapi.RelayAnswer{}, objectapi.ErrUnavailable
 }
 
+// callPeer sends the call to one peer. A read gets its part of the time that remains for all peers, because the store may
+// not answer that peer either.
+func callPeer(ctx context.Context, node *wire.Node, peer string, peersLeft int, request objectapi.RelayRequest) (objectapi.RelayAnswer, error) {
+	if deadline, ok := ctx.Deadline(); ok && !request.IsWrite() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(peersLeft))
+		defer cancel()
+	}
+	var answer objectapi.RelayAnswer
+	err := node.Call(ctx, peer, wire.TypeStoreRelay, request, &answer)
+	return answer, err
+}
+
 // NewHandler returns the handler of peers' calls. s must be the host's own connection to the store, not a relay.
 func NewHandler(s objectapi.Store) wire.Handler {
 	return func(ctx context.Context, r *wire.Request) {
