Bound what a server in trouble sends without end, and require the attempt ID on connections in use again

Looked for, as operators of similar systems reported: - A late copy of an answer on a connection in use again: it could reach the next caller if the copy had no attempt ID. A response on a connection that has carried other requests must carry the request's ID now ("does not give a caller an answer without its attempt ID": 200 before). - Stalled streams that send a byte now and then: comments counted as progress, so that the watchdog never resumed such a stream. Only events with an ID or data do now (TestCommentsAreNoProgress). Ruled out: a limit on the time of a stream by itself, which would cut slow sound ones.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -71,7 +71,7 @@
 	listed map[string]member
 	// domains holds the listed hosts and this one by failure domain, ordered by compareCapacity.
 	domains map[string][]*Host
-	heard  map[string]heard
+	heard   map[string]heard
 	// left holds the incarnation of each host that left, by name.
 	left             map[string]string
 	unreachableSince map[string]time.Time
@@ -83,7 +83,7 @@
 	// tickedAt is when Tick was last called. Before lateUntil, missing heartbeats are not counted.
 	tickedAt, lateUntil time.Time
 	slots               int
-	roles         *Roles // nil after a change
+	roles               *Roles // nil after a change
 }
 
 // Roles are the hosts by role. The slices must not be changed.
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -21,6 +21,12 @@
 	defaultMaxExecutions = 3
 	// maxResponseBytes bounds the response of a plain service, which is read whole before it is forwarded.
 	maxResponseBytes = 4 << 20
+	// maxRefusalBytes and refusalTimeout bound the body of a response to a request that was not run: the request goes on
+	// without it.
+	maxRefusalBytes = 4 << 10
+	refusalTimeout  = 20 * time.Millisecond
+	// unaccountedResponseBytes is the part of each response that does not count against the memory for bodies.
+	unaccountedResponseBytes = 64 << 10
 	// queueTimeoutFraction is the fraction of a request's remaining time that it may wait for a free server.
 	queueTimeoutFraction = 0.25
 	// hedgeObjectiveFactor is the multiple of a route's first-byte objective after which an idempotent request is
@@ -146,9 +152,9 @@
 	})
 	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
 	var respMetadata ResponseMetadata
-	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header) bool {
+	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
 		respMetadata = x.ingress.headerCodec.DecodeResponse(0, responseHeader)
-		return respMetadata.Attempt == "" || respMetadata.Attempt == x.metadata.Attempt
+		return respMetadata.Attempt == x.metadata.Attempt || respMetadata.Attempt == "" && !reused
 	})
 	if err != nil {
 		return nil, respMetadata, err
@@ -250,13 +256,16 @@
 		return result
 	}
 	defer resp.Close()
-	result.resp = resp
-	result.body, err = io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
-	switch {
-	case respMetadata.NotRun:
+	if respMetadata.NotRun {
+		resp.Discard(maxRefusalBytes, refusalTimeout)
 		result.notRun = true
 		result.err = errors.Newf("backend server %s responded with status %d: not run", acquired.ID(), resp.Status)
 		acquired.MarkFull()
+		return result
+	}
+	result.resp = resp
+	result.body, err = x.readResponse(resp)
+	switch {
 	case err != nil:
 		result.err = errors.Wrapf(err, "read response body of backend server %s", acquired.ID())
 		x.recordSendError(ctx, acquired, result.err)
@@ -271,6 +280,34 @@
 	return result
 }
 
+// errResponseMemory means that the responses in memory use all that bodies may use.
+var errResponseMemory = errors.New("no memory for the response")
+
+// readResponse reads the body of a response of up to maxResponseBytes and one more byte. What exceeds
+// unaccountedResponseBytes counts against the memory for bodies while it is read, because a faulty server may send bytes
+// without end to many requests.
+func (x *exchange) readResponse(resp *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp, unaccountedResponseBytes))
+	if err != nil || len(body) < unaccountedResponseBytes {
+		return body, err
+	}
+	reserved := int64(0)
+	defer func() { x.ingress.bufferedBodyBytes.Add(-reserved) }()
+	for len(body) <= maxResponseBytes {
+		chunk := int64(len(body))
+		if !x.ingress.reserveBodyMemory(chunk) {
+			return body, errResponseMemory
+		}
+		reserved += chunk
+		more, err := io.ReadAll(io.LimitReader(resp, chunk))
+		body = append(body, more...)
+		if err != nil || int64(len(more)) < chunk {
+			return body, err
+		}
+	}
+	return body, nil
+}
+
 // recordResponseStatus records a whole response for outlier detection: 5xx is a failure of the server.
 func recordResponseStatus(acquired *AcquiredServer, status int) {
 	if status >= http.StatusInternalServerError {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -185,8 +185,7 @@
 	if limit > 0 && r.ContentLength > limit {
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	maxBuffered := int64(float64(x.ingress.memoryLimitBytes.Load()) * maxBodyMemoryFraction)
-	if maxBuffered > 0 && x.ingress.bufferedBodyBytes.Load()+max(r.ContentLength, 0) > maxBuffered {
+	if !x.ingress.hasBodyMemory(max(r.ContentLength, 0)) {
 		return &failure{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: x.ingress.retryAfter("")}
 	}
 	body, err := x.readAll(w, limit)
@@ -202,6 +201,21 @@
 	return nil
 }
 
+// hasBodyMemory reports whether size more bytes of bodies may be kept in memory.
+func (in *Ingress) hasBodyMemory(size int64) bool {
+	limit := int64(float64(in.memoryLimitBytes.Load()) * maxBodyMemoryFraction)
+	return limit <= 0 || in.bufferedBodyBytes.Load()+size <= limit
+}
+
+// reserveBodyMemory counts size bytes as kept in memory, or reports false if they may not be kept.
+func (in *Ingress) reserveBodyMemory(size int64) bool {
+	if !in.hasBodyMemory(size) {
+		return false
+	}
+	in.bufferedBodyBytes.Add(size)
+	return true
+}
+
 func (x *exchange) readAll(w http.ResponseWriter, limit int64) ([]byte, error) {
 	r := x.request
 	if limit <= 0 {
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -128,14 +128,19 @@
 	for _, b := range backends {
 		h.servers.Put(placement.Server{ID: b.id, Service: "s", Address: b.address, Slots: 4})
 	}
-	h.in = ingress.New(ingress.Options{FailureDomain: "a", MemoryLimitBytes: 1 << 30}, platform.HeaderCodec{}, h.servers, h.budgets, tally.NoopScope)
+	h.serve(1 << 30)
+	return h
+}
+
+// serve starts a new ingress whose process may use that much memory.
+func (h *testIngress) serve(memoryLimitBytes int64) {
+	h.in = ingress.New(ingress.Options{FailureDomain: "a", MemoryLimitBytes: memoryLimitBytes}, platform.HeaderCodec{}, h.servers, h.budgets, tally.NoopScope)
 	server := &http.Server{Handler: h.in, ConnContext: ingress.ConnContext}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
 	h.address = listener.Addr().String()
-	return h
 }
 
 // newConfiguredIngress returns an ingress in which testTable is in force.
@@ -560,3 +565,39 @@
 		Expect(servers.Pressure("s").Requests).To(BeNumerically("~", 8, 0.01))
 	})
 })
+
+var _ = Describe("A connection in use again", func() {
+	// Guards against a second copy of an answer that a server sends late and without the attempt ID: the next caller would
+	// get it as its own.
+	It("does not give a caller an answer without its attempt ID", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer func() { _ = c.Close() }()
+					r := bufio.NewReader(c)
+					for n := 0; ; n++ {
+						req, err := http.ReadRequest(r)
+						if err != nil {
+							return
+						}
+						id := "Hyssopreel-Attempt-Id: " + req.Header.Get("Hyssopreel-Attempt-Id") + "\r\n"
+						if n > 0 {
+							id = "" // the late copy arrives where the next answer is expected
+						}
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s: i-1\r\nContent-Length: 5\r\n\r\nfirst", id, stampHeader)
+					}
+				}()
+			}
+		}()
+		h := newConfiguredIngress(&backend{id: "i-1", address: l.Addr().String()})
+		Expect(h.call("POST", "/once/", "", "Hyssopreel-Attempt-Id", "a1").body).To(Equal("first"))
+		Expect(h.call("POST", "/once/", "", "Hyssopreel-Attempt-Id", "a2").status).To(BeElementOf(502, 504))
+	})
+})
--- a/service/ingress/sse.go
+++ b/service/ingress/sse.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes bounds the buffered part of a stream that is not yet a whole event.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds the buffered part of a stream that is not yet a whole event. An event holds a few tokens.
+const maxEventBytes = 256 << 10
 
 var errEventTooLarge = errors.Newf("event is larger than %d bytes", maxEventBytes)
 
@@ -18,8 +18,9 @@
 	buffer []byte
 	// lastID is the ID of the last whole event that has one.
 	lastID string
-	// eventCount counts the whole events that have an ID.
-	eventCount int
+	// eventCount counts the whole events that have an ID, and progress those that have an ID or data: comments show only
+	// that the connection works.
+	eventCount, progress int
 }
 
 // parse appends b and returns the events that are now whole, or errEventTooLarge.
@@ -64,16 +65,19 @@
 	return 0
 }
 
-// recordEventID records the ID of an event. Events without one, such as comments, are not counted.
+// recordEventID records the ID of an event, if it has one, and whether it is progress.
 func (r *sseParser) recordEventID(event []byte) {
+	hasID, hasData := false, false
 	for line := range bytes.Lines(event) {
-		id, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok && !hasID {
+			hasID = true
+			r.lastID = string(bytes.TrimSpace(id))
+			r.eventCount++
 		}
-		r.lastID = string(bytes.TrimSpace(id))
-		r.eventCount++
-		return
+		hasData = hasData || bytes.HasPrefix(line, []byte("data:"))
+	}
+	if hasID || hasData {
+		r.progress++
 	}
 }
 
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -161,8 +161,8 @@
 	}
 	defer resp.Close()
 	if respMetadata.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes))
-		s.lastErr = errors.Newf("backend server %s responded with status %d: not run (body: %v)", acquired.ID(), resp.Status, err)
+		resp.Discard(maxRefusalBytes, refusalTimeout)
+		s.lastErr = errors.Newf("backend server %s responded with status %d: not run", acquired.ID(), resp.Status)
 		acquired.MarkFull()
 		return false, errors.Mark(s.lastErr, errNotRun)
 	}
@@ -177,7 +177,7 @@
 
 // forwardNonStream forwards a response that is no stream of events: its status is not 200.
 func (s *stream) forwardNonStream(acquired *AcquiredServer, resp *upstream.Response, respMetadata ResponseMetadata) (bool, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	body, err := s.readResponse(resp)
 	if err == nil {
 		err = s.validateResponse(resp, respMetadata, len(body))
 	}
@@ -249,6 +249,7 @@
 	checkFirstID := s.interruptions > 0 && resumedAfter != ""
 	for {
 		n, readErr := resp.Read(buffer)
+		progressBefore := s.reader.progress
 		events, err := s.reader.parse(buffer[:n])
 		if err != nil {
 			return false, err
@@ -261,7 +262,7 @@
 			}
 		}
 		if len(events) > 0 {
-			if s.monitored.recordEvent(s.ingress.now()) {
+			if s.reader.progress > progressBefore && s.monitored.recordEvent(s.ingress.now()) {
 				acquired.RecordSuccess()
 			}
 			if err := s.writeEvents(resp, events); err != nil {
--- a/service/ingress/watchdog_test.go
+++ b/service/ingress/watchdog_test.go
@@ -98,3 +98,19 @@
 		})
 	}
 }
+
+// Guards against a stalled stream that never ends because its server sends a comment now and then: only events are
+// progress. Slow events are.
+func TestCommentsAreNoProgress(t *testing.T) {
+	for text, want := range map[string]int{
+		": still here\n\n": 0, "\n": 0, "event: ping\n\n": 0, "id: 1\ndata: x\n\n": 1, "data: x\n\n": 1, "id: 1\n\nid: 2\n\n": 2, "data: x\n": 0,
+	} {
+		var r sseParser
+		if _, err := r.parse([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if r.progress != want {
+			t.Errorf("%q: progress %d, want %d", text, r.progress, want)
+		}
+	}
+}
--- a/service/upstream/upstream.go
+++ b/service/upstream/upstream.go
@@ -39,6 +39,8 @@
 	maxStaleResponses = 2
 	// maxStaleResponseBytes bounds the body of a discarded response.
 	maxStaleResponseBytes = 64 << 10
+	// maxInformationalResponses is the number of responses with status 1xx before the response itself.
+	maxInformationalResponses = 8
 	// readBufferBytes is the size of a connection's read buffer: a typical response of a plain service.
 	readBufferBytes = 2 << 10
 )
@@ -53,8 +55,9 @@
 	Body   []byte
 }
 
-// ResponseMatcher reports whether a response with the header h belongs to the request that was sent.
-type ResponseMatcher func(h http.Header) bool
+// ResponseMatcher reports whether a response with the header h belongs to the request that was sent. reused is set on a
+// connection that has carried other requests, so that a response may belong to one of these.
+type ResponseMatcher func(h http.Header, reused bool) bool
 
 // SendError is the error of a request without a response.
 type SendError struct {
@@ -113,6 +116,8 @@
 	reader        *bufio.Reader
 	expiresAt     time.Time
 	idleTimeout   time.Duration
+	// used is set once a request was sent.
+	used bool
 }
 
 // takeIdle returns a reusable idle connection. If there is none, it returns nil and counts the connection that the
@@ -212,7 +217,9 @@
 	}
 	resp := &Response{pool: p, conn: c}
 	resp.stopCancel = context.AfterFunc(ctx, func() { _ = c.netConn.SetDeadline(time.Unix(1, 0)) })
-	if err := resp.roundTrip(r, matches); err != nil {
+	reused := c.used
+	c.used = true
+	if err := resp.roundTrip(r, func(h http.Header) bool { return matches(h, reused) }); err != nil {
 		resp.closeConn()
 		if ctx.Err() != nil {
 			err = errors.Wrapf(ctx.Err(), "%v", err)
@@ -222,7 +229,7 @@
 	return resp, nil
 }
 
-func (resp *Response) roundTrip(r *Request, matches ResponseMatcher) error {
+func (resp *Response) roundTrip(r *Request, matches func(h http.Header) bool) error {
 	c := resp.conn
 	b := encodeRequest(r)
 	if len(b) <= maxInlineRequestBytes {
@@ -256,7 +263,7 @@
 
 // readHeader reads the header of the next response, and skips informational ones (1xx).
 func readHeader(c *conn, method string) (*http.Response, error) {
-	for {
+	for range maxInformationalResponses + 1 {
 		c.limitedReader.N = maxHeaderBytes
 		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -267,6 +274,7 @@
 			return httpResp, nil
 		}
 	}
+	return nil, errors.Newf("more than %d informational responses", maxInformationalResponses)
 }
 
 // discardResponse reads a response to an earlier request.
@@ -343,6 +351,22 @@
 	resp.pool.discard(resp.conn)
 }
 
+// Discard reads the rest of a response whose body is of no use, so that the connection can be reused, and closes the
+// connection if that takes longer than timeout or has more than limit bytes.
+func (resp *Response) Discard(limit int64, timeout time.Duration) {
+	defer resp.closeConn()
+	if resp.conn.netConn.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return
+	}
+	body := io.LimitedReader{R: resp.body, N: limit + 1}
+	if _, err := io.Copy(io.Discard, &body); err != nil || body.N == 0 {
+		return
+	}
+	if resp.conn.netConn.SetReadDeadline(time.Time{}) == nil {
+		resp.release()
+	}
+}
+
 // Close ends the use of the response; the connection is closed unless the body was read to its end.
 func (resp *Response) Close() { resp.closeConn() }
 
--- a/service/upstream/upstream_test.go
+++ b/service/upstream/upstream_test.go
@@ -61,7 +61,7 @@
 }
 
 func send(ctx context.Context, p *upstream.Pool, id, body string) (string, error) {
-	resp, err := p.Send(ctx, request(id, body), func(h http.Header) bool { return h.Get("Attempt") == id })
+	resp, err := p.Send(ctx, request(id, body), func(h http.Header, _ bool) bool { return h.Get("Attempt") == id })
 	if err != nil {
 		return "", err
 	}
@@ -104,6 +104,49 @@
 		Expect(conns.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a server that keeps a request until its deadline with informational responses without end.
+	It("gives up after several informational responses", func() {
+		addr, _ := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			if _, _, ok := readRequest(r); !ok {
+				return
+			}
+			for {
+				if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
+					return
+				}
+			}
+		})
+		bounded, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		_, err := send(bounded, upstream.NewPool(addr, nil), "1", "")
+		Expect(err).To(MatchError(ContainSubstring("informational")))
+		Expect(bounded.Err()).NotTo(HaveOccurred())
+	})
+
+	// Guards against the answer to an earlier request that reaches the next caller, because the server left the attempt ID
+	// out of the copy that it sent late.
+	It("tells whether the connection has carried other requests", func() {
+		addr, _ := serve(func(c net.Conn, r *bufio.Reader, _ int) {
+			for {
+				id, _, ok := readRequest(r)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(c, responseTo(id, "x"))
+			}
+		})
+		p := upstream.NewPool(addr, nil)
+		for i, want := range []bool{false, true} {
+			resp, err := p.Send(ctx, request(fmt.Sprint(i), ""), func(_ http.Header, reused bool) bool {
+				Expect(reused).To(Equal(want))
+				return true
+			})
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.ReadAll(resp)
+			resp.Close()
+		}
+	})
+
 	// Guards against a late response to an earlier request that is taken for that of the next request.
 	It("discards a response to an earlier request", func() {
 		addr, _ := serve(func(c net.Conn, r *bufio.Reader, _ int) {
