--- a/cmd/hyssopreelctl/explain.go
+++ b/cmd/hyssopreelctl/explain.go
@@ -17,7 +17,7 @@
 type explainCommand struct {
 	Args struct {
 		ID    string   `positional-arg-name:"ID" description:"ID of a request or a program"`
-		Files []string `positional-arg-name:"LOG" description:"log files of hosts; - reads standard input"`
+		Files []string `positional-arg-name:"LOG" required:"1" description:"log files of hosts; - reads standard input"`
 	} `positional-args:"yes" required:"yes"`
 }
 
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -84,6 +84,8 @@
 		ginkgo.Entry("unknown option", "host", "list", "--all"),
 		ginkgo.Entry("extra argument", "host", "list", "x"),
 		ginkgo.Entry("bad number", "ticket", "show", "x"),
+		ginkgo.Entry("no log", "explain", "9c41d07be2a35f68"),
+		ginkgo.Entry("no host", "fleet"),
 	)
 
 	// Guards against a command whose help lacks the example or the exit codes.
--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -39,12 +39,17 @@
 	disk := &hostCommand{run: runDiskHost}
 	mustAddCommand(parser, "entry", "Run an entry host on the platform, which serves callers", entry)
 	mustAddCommand(parser, "disk", "Run a host with a disk on the platform, which confirms its retirements", disk)
-	if _, err := parser.Parse(); err != nil {
+	rest, err := parser.Parse()
+	if err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
 		return exitUsage
 	}
+	if len(rest) > 0 {
+		fmt.Fprintf(os.Stderr, "unexpected argument %q; see hyssopreeld --help\n", rest[0])
+		return exitUsage
+	}
 	if parser.Active != nil {
 		return max(entry.exitCode, disk.exitCode)
 	}
--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -39,6 +39,8 @@
 	// listed is the list in the store.
 	listed map[string]fleet.Host
 	left   map[string]bool
+	// side holds the half of the fleet that each host is in while the fleet is split; nil if it is not.
+	side map[string]bool
 	// delayed holds heartbeats that are delivered late, and again.
 	delayed      []fleet.Heartbeat
 	incarnations int
@@ -103,6 +105,7 @@
 
 func (f *simulatedFleet) exchange(h, other *simulatedHost) {
 	switch {
+	case f.side[h.view.Self().Name] != f.side[other.view.Self().Name]:
 	case other.killed:
 		h.view.Fail(f.now, other.view.Self().Name, "connection refused")
 	case !other.frozen:
@@ -227,6 +230,56 @@
 	})
 }
 
+// Guards against a fleet that does not become one again after it was split in halves, and against a half without hosts to
+// direct callers to.
+func TestHalvesOfAFleetServeAndHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSimulatedFleet(t)
+		for range convergenceRounds {
+			f.round()
+		}
+		f.side = map[string]bool{}
+		for i, name := range f.names {
+			f.side[name] = rapid.SampledFrom([]bool{i%2 == 0, i < len(f.names)/2}).Draw(t, "side")
+		}
+		for range convergenceRounds {
+			f.round()
+		}
+		for _, name := range f.names {
+			if len(f.hosts[name].view.Roles().Active) == 0 {
+				t.Fatalf("host %s directs callers nowhere", name)
+			}
+		}
+		f.side = nil
+		for range convergenceRounds {
+			f.round()
+		}
+		f.checkConverged()
+	})
+}
+
+// Guards against a fleet that does not recover when half of it is killed and starts again within a moment.
+func TestHalfOfAFleetIsKilledAndStartsAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newSimulatedFleet(t)
+		for range convergenceRounds {
+			f.round()
+		}
+		first := rapid.IntRange(0, 1).Draw(t, "first")
+		for i := first; i < len(f.names); i += 2 {
+			f.hosts[f.names[i]].killed = true
+		}
+		f.round()
+		for i := first; i < len(f.names); i += 2 {
+			f.start(f.hosts[f.names[i]].view.Self())
+		}
+		for range convergenceRounds {
+			f.round()
+		}
+		f.checkConverged()
+	})
+}
+
 // Guards against a host that was frozen or overloaded and then takes all others for lost: their heartbeats are missing
 // because it did not ask.
 func TestHostThatWasFrozenAccusesNobody(t *testing.T) {
--- a/core/program/budget.go
+++ b/core/program/budget.go
@@ -74,9 +74,17 @@
 		}
 		worstCase = promptTokens + outputTokens
 	case api.CallTool:
-		worstCase = r.config.Objects.Tools[c.request.Tool.Name].CostTokens
+		tool := r.config.Objects.Tools[c.request.Tool.Name]
+		if tool == nil {
+			return 0, errDeleted("reserve budget", "tool", c.request.Tool.Name)
+		}
+		worstCase = tool.CostTokens
 	case api.CallService:
-		worstCase = r.config.Objects.Services[c.request.Service.Name].CostTokens
+		service := r.config.Objects.Services[c.request.Service.Name]
+		if service == nil {
+			return 0, errDeleted("reserve budget", "service", c.request.Service.Name)
+		}
+		worstCase = service.CostTokens
 	case api.CallAgent:
 		// The child's budget is charged when the child is opened; the parent's call costs nothing else.
 		if b := c.request.Agent.BudgetTokens; b > p.availableTokens() {
@@ -89,6 +97,11 @@
 	return worstCase, nil
 }
 
+// errDeleted refuses a call of an object that was deleted from the configuration while the call waited.
+func errDeleted(step, kind, name string) *fault.Error {
+	return fault.New(fault.CodeInvalidRequest, step, "%s %q was deleted", kind, name)
+}
+
 func errBudget(needed, available int64) *fault.Error {
 	return fault.New(fault.CodeBudgetExceeded, "reserve budget", "the call may cost %d tokens and the budget has %d left", needed, available)
 }
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -22,7 +22,10 @@
 // groupOfCall returns the worker group that serves the call.
 func (r *reduction) groupOfCall(p *program, c *call) string {
 	if c.request.Kind == api.CallService {
-		return r.groupOfProgram(r.config.Objects.Services[c.request.Service.Name].Pool, p)
+		// A service that was deleted has no group; the call fails before it is scheduled.
+		if service := r.config.Objects.Services[c.request.Service.Name]; service != nil {
+			return r.groupOfProgram(service.Pool, p)
+		}
 	}
 	return p.header.Group
 }
