Test late heartbeats and the drain of a host while the store is unavailable

Checked by taking mechanisms out: of eleven, two were not noticed by any test: the order of incarnations, and the news of a draining host from watchers to followers. TestHeartbeatsOfFormerIncarnationsAreIgnored and "leave a host that stops out of all directories at once, also while the store is unavailable" fail without them. The other nine (probes of lost hosts, reports of followed hosts, the grace after a freeze, active hosts by need, and by similar capacity, older copies, copies from the peer that reports, roles checked during watches, exchanges started by one host) had failed a test.

--- a/core/fleet/view_test.go
+++ b/core/fleet/view_test.go
@@ -354,3 +354,36 @@
 		}
 	}
 }
+
+// Guards against a late heartbeat that revives a former incarnation or a host that left, or makes a restarted host look as
+// if it were draining.
+func TestHeartbeatsOfFormerIncarnationsAreIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(incarnation string) fleet.Host {
+		return fleet.Host{Name: "b", Incarnation: incarnation, FailureDomain: "b"}
+	}
+	v := fleet.NewView(fleet.Host{Name: "a", Incarnation: "1", FailureDomain: "a"})
+	v.Put(now, entry("2"))
+	v.Fail(now, "b", "connection refused")
+	if accepted, _ := v.Hear(now, fleet.Heartbeat{Name: "b", Incarnation: "1"}); accepted {
+		t.Error("a heartbeat of the former incarnation counts")
+	}
+	if _, unreachable := v.UnreachableSince("b"); !unreachable {
+		t.Error("a heartbeat of the former incarnation makes the host reachable")
+	}
+	if accepted, _ := v.Hear(now, fleet.Heartbeat{Name: "b", Incarnation: "3"}); !accepted {
+		t.Error("a heartbeat of the next incarnation, which is not listed yet, is ignored")
+	}
+	v.Put(now, entry("3"))
+	v.Hear(now, fleet.Heartbeat{Name: "b", Incarnation: "2", Draining: true})
+	if h, _ := v.Listed("b"); h.Draining {
+		t.Error("the former incarnation's drain is taken for the present one's")
+	}
+	v.Remove("b")
+	if accepted, _ := v.Hear(now, fleet.Heartbeat{Name: "b", Incarnation: "3"}); accepted {
+		t.Error("a heartbeat of a host that left counts")
+	}
+	if n := len(v.Unlisted(now, time.Minute)); n != 0 {
+		t.Errorf("%d hosts that left may account for programs", n)
+	}
+}
--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -88,6 +89,18 @@
 		}
 	})
 
+	// Guards against callers that are sent to a host that stops, because the deletion of its entry does not reach the
+	// store.
+	It("leave a host that stops out of all directories at once, also while the store is unavailable", func() {
+		for _, h := range hosts {
+			h.gate.closed.Store(true)
+		}
+		hosts[2].stop()
+		for _, h := range slices.Concat(hosts[:2], hosts[3:]) {
+			Eventually(h.directory, "1s", "20ms").ShouldNot(ContainElement(hosts[2].address))
+		}
+	})
+
 	// Guards against programs that exceed their budget because standby hosts account for them too.
 	It("keep a program within its budget, whichever hosts it uses", func() {
 		allowed := 0
