Keep the transfer of lists small in deployments of thousands of servers

Two reasons: the host that lists at intervals lagged behind the watches of the others, so that it took over a whole copy (about 0.9 MB) of a peer at every heartbeat; and each follower that changed its source got a whole copy, all of them at the same time.

Change: a host that polls may lag by its interval, which grows with the number of objects above 200; a host whose copy is equal to the peer's, by a digest of names and versions, gets a position instead of the objects; at most 3 hosts get all objects from one host at the same time (TestEqualCopiesAreNotSentAgain).

Ruled out: lists without polling, which would leave the configuration to watches alone; it is one object and still listed every second.

--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"encoding/binary"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 )
 
@@ -21,6 +24,8 @@
 	mu       sync.Mutex
 	sequence uint64
 	objects  map[string]feedObject // by name
+	// digest is the exclusive or of the hashes of the objects' names and versions: equal copies have equal digests.
+	digest uint64
 	// deletions are the newest ones, ordered by sequence; forgotten is the sequence of the last one that is not kept.
 	deletions []feedDeletion
 	forgotten uint64
@@ -85,6 +90,12 @@
 	for _, c := range changes {
 		f.sequence++
 		f.deletions = slices.DeleteFunc(f.deletions, func(d feedDeletion) bool { return d.name == c.Name })
+		if known, ok := f.objects[c.Name]; ok {
+			f.digest ^= hashObject(known.Object)
+		}
+		if !c.Deleted {
+			f.digest ^= hashObject(c.Object)
+		}
 		if c.Deleted {
 			delete(f.objects, c.Name)
 			f.deletions = append(f.deletions, feedDeletion{name: c.Name, sequence: f.sequence})
@@ -100,6 +111,27 @@
 	f.changed = make(chan struct{})
 }
 
+func hashObject(o objectapi.Object) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(o.Name) // never returns an error
+	_, _ = d.Write(binary.BigEndian.AppendUint64([]byte{0}, uint64(o.Version)))
+	return d.Sum64()
+}
+
+// currentDigest returns the digest of the copy.
+func (f *feed) currentDigest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.digest
+}
+
+// inSync returns the position in the feed without changes, if a copy with that digest has all objects.
+func (f *feed) inSync(digest uint64) (feedChanges, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return feedChanges{epoch: f.epoch, sequence: f.sequence}, digest == f.digest && len(f.objects) > 0
+}
+
 // since returns the changes after the number in the epoch, or all objects if they are not known any more, and a
 // channel that is closed at the next change.
 func (f *feed) since(epoch string, after uint64) (feedChanges, <-chan struct{}) {
@@ -131,6 +163,9 @@
 	// Epoch and After are those of the last answer. Without an epoch, the request is for all objects at once.
 	Epoch string `msgpack:",omitempty"`
 	After uint64 `msgpack:",omitempty"`
+	// Digest is that of the host's own copy: a peer with an equal one does not send the objects. It counts only without an
+	// epoch.
+	Digest uint64 `msgpack:",omitempty"`
 	// MaxWait is how long the peer may wait for a change.
 	MaxWait time.Duration
 }
@@ -152,6 +187,13 @@
 	AfterOutage bool `msgpack:",omitempty"`
 }
 
+// size returns the number of objects of the copy.
+func (f *feed) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.objects)
+}
+
 // version returns the version of an object of the copy; 0 if there is none.
 func (f *feed) version(name string) objectapi.Version {
 	f.mu.Lock()
--- a/service/ingress/feed_test.go
+++ b/service/ingress/feed_test.go
@@ -113,3 +113,26 @@
 		t.Errorf("changes %+v, want the new value of a with version 1", c)
 	}
 }
+
+// Guards against a host that sends thousands of objects to each follower that changes its source, although nothing has
+// changed.
+func TestEqualCopiesAreNotSentAgain(t *testing.T) {
+	first, second := newFeed(), newFeed()
+	first.apply([]objectapi.Change{{Object: versioned("a", 1)}, {Object: versioned("b", 2)}, deletion("a"), {Object: versioned("a", 4)}})
+	second.replace([]objectapi.Object{versioned("b", 2), versioned("a", 3)})
+	if _, ok := second.inSync(first.currentDigest()); ok {
+		t.Error("copies with different versions count as equal")
+	}
+	second.apply([]objectapi.Change{{Object: versioned("a", 4)}})
+	position, ok := second.inSync(first.currentDigest())
+	if !ok {
+		t.Fatal("equal copies are sent again")
+	}
+	second.apply([]objectapi.Change{deletion("b")})
+	if c, _ := second.since(position.epoch, position.sequence); c.full || len(c.deleted) != 1 {
+		t.Errorf("changes %+v after the position of an equal copy, want one deletion", c)
+	}
+	if _, ok := newFeed().inSync(newFeed().currentDigest()); ok {
+		t.Error("empty copies count as equal, so that a host that has just started would wait")
+	}
+}
--- a/service/ingress/follow.go
+++ b/service/ingress/follow.go
@@ -15,8 +15,10 @@
 const (
 	// maxObjectsPerPart bounds the objects in one part of an answer, so that it fits into a frame.
 	maxObjectsPerPart = 500
-	// followTimeout bounds the time until the first part of an answer arrives, in addition to the wait for a change.
-	followTimeout = 500 * time.Millisecond
+	// maxFullAnswers is the number of hosts that get all objects of a kind at the same time.
+	maxFullAnswers = 3
+	// followTimeout bounds the time for an answer, in addition to the wait for a change.
+	followTimeout = time.Second
 )
 
 // followPeer requests the changes of a peer's copy and passes the parts of the answer to handle.
@@ -60,18 +62,22 @@
 		_ = r.Answer(followAnswer{NotReady: true})
 		return
 	}
+	if position, ok := informer.feed.inSync(request.Digest); ok && request.Epoch == "" {
+		h.sendChanges(ctx, r, informer, position)
+		return
+	}
 	timer := time.NewTimer(min(request.MaxWait, maxFollowWait))
 	defer timer.Stop()
 	for {
 		changes, changed := informer.feed.since(request.Epoch, request.After)
 		if !changes.isEmpty() {
-			sendChanges(r, informer, changes)
+			h.sendChanges(ctx, r, informer, changes)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			sendChanges(r, informer, changes)
+			h.sendChanges(ctx, r, informer, changes)
 			return
 		case <-ctx.Done():
 			return
@@ -79,8 +85,17 @@
 	}
 }
 
-// sendChanges sends the changes in parts. It stops when the follower is gone.
-func sendChanges(r *wire.Request, f *Informer, c feedChanges) {
+// sendChanges sends the changes in parts. It stops when the follower is gone. Few hosts get all objects at the same time,
+// because each answer takes memory for its encoding.
+func (h *Host) sendChanges(ctx context.Context, r *wire.Request, f *Informer, c feedChanges) {
+	if c.full {
+		select {
+		case h.fullAnswers <- struct{}{}:
+			defer func() { <-h.fullAnswers }()
+		case <-ctx.Done():
+			return
+		}
+	}
 	answer := followAnswer{
 		Epoch: c.epoch, Sequence: c.sequence, Full: c.full, Deleted: c.deleted,
 		ListRevision: f.lastListRevision(), NewestRevision: f.NewestRevision(), AfterOutage: f.RecentlyRecovered(),
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -81,11 +81,13 @@
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
 	startedAt time.Time
+	// fullAnswers holds a value for each host that is getting all objects of a kind.
+	fullAnswers chan struct{}
 }
 
 // NewHost returns an entry host that does not listen yet. It receives changed settings from reload.
 func NewHost(s *settings.EntryHost, a Adapter, reload <-chan *settings.EntryHost) *Host {
-	h := &Host{adapter: a, reload: reload, startedAt: time.Now()}
+	h := &Host{adapter: a, reload: reload, startedAt: time.Now(), fullAnswers: make(chan struct{}, maxFullAnswers)}
 	h.settings.Store(s)
 	h.self = fleet.Host{
 		Name:          s.Host.Name,
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -28,6 +28,8 @@
 	// maxBatchDelay bounds the batch delay. With the time in which a stale watch is detected, it stays within the
 	// operator's bound of 3 s for backend servers that leave.
 	maxBatchDelay = 800 * time.Millisecond
+	// objectsPerPoll is the number of objects up to which a kind is listed every PollInterval.
+	objectsPerPoll = 200
 	// maxFollowWait is how long a followed host may wait for a change before it answers.
 	maxFollowWait = 20 * time.Second
 	// sourceRetryDelay is the delay before a starting host asks the next source, and stableFollowTime the time after
@@ -89,6 +91,8 @@
 	// a watch of the store waits for changes.
 	source            atomic.Value
 	listing, watching atomic.Bool
+	// polling is set while the store is listed at intervals instead of being watched.
+	polling atomic.Bool
 }
 
 // storeSource is the source of an informer that watches the store.
@@ -137,10 +141,20 @@
 
 // maxLag returns how much later than a peer the informer may observe a change.
 func (f *Informer) maxLag() time.Duration {
-	if f.BatchDelay == nil {
-		return maxInformerLag
+	lag := maxInformerLag
+	if f.BatchDelay != nil {
+		lag += f.BatchDelay()
 	}
-	return maxInformerLag + f.BatchDelay()
+	if f.polling.Load() {
+		lag += f.pollInterval()
+	}
+	return lag
+}
+
+// pollInterval returns the interval of the lists of this host. It is longer for a kind with many objects, whose list
+// takes many calls.
+func (f *Informer) pollInterval() time.Duration {
+	return f.PollInterval * time.Duration(max(f.feed.size()/objectsPerPoll, 1))
 }
 
 // Relist ends the running watch and reads the objects again. It does not wait for that.
@@ -317,6 +331,9 @@
 func (f *Informer) follow(ctx context.Context, address string) error {
 	f.source.Store(address)
 	request := followRequest{Kind: f.Kind, MaxWait: maxFollowWait}
+	if f.HasSynced() {
+		request.Digest = f.feed.currentDigest()
+	}
 	patience := time.Now().Add(f.maxLag())
 	for ctx.Err() == nil {
 		if request.Epoch != "" && !slices.Contains(f.sources(), address) {
@@ -395,9 +412,11 @@
 		}
 		if f.ShouldPoll() && f.failedSince.IsZero() {
 			f.setLastResponse(time.Now())
-			sleep(ctx, f.PollInterval)
+			f.polling.Store(true)
+			sleep(ctx, f.pollInterval())
 			return
 		}
+		f.polling.Store(false)
 		f.watching.Store(true)
 		changes, next, err := f.Store.Watch(ctx, f.Kind, "", revision)
 		f.watching.Store(false)
