Watch a kind of many objects between its lists, and order incarnations by start

Now a kind of more than 200 objects is watched between its lists, and no host may lag (TestKindOfManyObjectsIsWatchedBetweenLists).

Incarnations of hosts are compared by their order and were random, so that the heartbeats of a restarted host could be ignored until its new entry was listed. They start with the time of the start now (TestLaterIncarnationsAreGreater).

The spec on hosts that stop while the store is unavailable waits until the followers follow: right after a start they still read from the store, and hear of the drain with their next heartbeat, a second later.

--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/platform"
 	"github.com/hyssopreel/hyssopreel/standin/objects"
@@ -18,6 +20,22 @@
 // hostsPerDomain is more than twice the number of hosts of a failure domain that have a role.
 const hostsPerDomain = 7
 
+// sources returns where the host reads each kind of objects from.
+func (r *runningHost) sources() []string {
+	resp, err := http.Get("http://" + r.settings.Listen.Metrics + "/v1/fleet")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var view api.FleetView
+	_ = json.NewDecoder(resp.Body).Decode(&view)
+	var out []string
+	for _, k := range view.Kinds {
+		out = append(out, k.Source)
+	}
+	return out
+}
+
 var _ = Describe("Hosts of a large failure domain", func() {
 	var store *objects.Store
 	var b *backend
@@ -42,6 +60,10 @@
 			Eventually(h.ready, "8s").Should(BeTrue())
 			Eventually(h.directory, "8s").Should(ConsistOf(hosts[0].address, hosts[1].address, hosts[2].address))
 		}
+		watchers := []string{hosts[0].settings.Listen.Peer, hosts[1].settings.Listen.Peer}
+		for _, h := range hosts[2:] {
+			Eventually(h.sources, "8s").Should(HaveEach(BeElementOf(watchers)), "sources of host %s", h.settings.Host.Name)
+		}
 	})
 
 	// Guards against calls on the store that grow with the fleet, and against followers that miss changes.
--- a/service/ingress/heartbeat_test.go
+++ b/service/ingress/heartbeat_test.go
@@ -48,3 +48,15 @@
 		t.Errorf("due is %v, want c-1: a-1 starts the exchange with b-1", got)
 	}
 }
+
+// Guards against heartbeats of a restarted host that the others ignore until its new entry reaches them, because its
+// incarnation is not greater than the former one.
+func TestLaterIncarnationsAreGreater(t *testing.T) {
+	startedAt := time.UnixMilli(1_790_000_000_000)
+	for range 100 {
+		first, second := newHostIncarnation(startedAt), newHostIncarnation(startedAt.Add(300*time.Millisecond))
+		if first >= second {
+			t.Fatalf("incarnation %s of a later start is not greater than %s", second, first)
+		}
+	}
+}
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -91,7 +91,7 @@
 	h.settings.Store(s)
 	h.self = fleet.Host{
 		Name:          s.Host.Name,
-		Incarnation:   newIncarnation(),
+		Incarnation:   newHostIncarnation(time.Now()),
 		FailureDomain: s.Host.FailureDomain,
 		Region:        s.Host.Region,
 		CallerAddress: s.Listen.Callers,
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -91,8 +91,6 @@
 	// a watch of the store waits for changes.
 	source            atomic.Value
 	listing, watching atomic.Bool
-	// polling is set while the store is listed at intervals instead of being watched.
-	polling atomic.Bool
 }
 
 // storeSource is the source of an informer that watches the store.
@@ -145,9 +143,6 @@
 	if f.BatchDelay != nil {
 		lag += f.BatchDelay()
 	}
-	if f.polling.Load() {
-		lag += f.pollInterval()
-	}
 	return lag
 }
 
@@ -157,6 +152,10 @@
 	return f.PollInterval * time.Duration(max(f.feed.size()/objectsPerPoll, 1))
 }
 
+// watchesBetweenPolls reports whether the kind has so many objects that the host which lists it at intervals also watches
+// it in between.
+func (f *Informer) watchesBetweenPolls() bool { return f.feed.size() > objectsPerPoll }
+
 // Relist ends the running watch and reads the objects again. It does not wait for that.
 func (f *Informer) Relist() { f.RelistFrom("") }
 
@@ -360,7 +359,7 @@
 func (f *Informer) CheckSource() {
 	sources := f.sources()
 	switch source := f.currentSource(); {
-	case source == storeSource && f.watching.Load() && (len(sources) > 0 || f.ShouldPoll()):
+	case source == storeSource && f.watching.Load() && (len(sources) > 0 || f.ShouldPoll() && !f.watchesBetweenPolls()):
 		f.Relist()
 	case source != storeSource && source != "" && !slices.Contains(sources, source):
 		f.Relist()
@@ -405,23 +404,29 @@
 
 // watch applies changes until the objects must be listed again.
 func (f *Informer) watch(ctx context.Context, revision objectapi.Version) {
+	listedAt := time.Now()
 	for ctx.Err() == nil {
 		if len(f.sources()) > 0 {
 			sleep(ctx, peerPollInterval) // all sources have failed a moment ago
 			return
 		}
-		if f.ShouldPoll() && f.failedSince.IsZero() {
+		polls := f.ShouldPoll() && f.failedSince.IsZero()
+		if polls && !f.watchesBetweenPolls() {
 			f.setLastResponse(time.Now())
-			f.polling.Store(true)
-			sleep(ctx, f.pollInterval())
+			sleep(ctx, f.PollInterval)
 			return
 		}
-		f.polling.Store(false)
+		watchCtx, cancel := ctx, context.CancelFunc(func() {})
+		if polls {
+			watchCtx, cancel = context.WithDeadline(ctx, listedAt.Add(f.pollInterval()))
+		}
 		f.watching.Store(true)
-		changes, next, err := f.Store.Watch(ctx, f.Kind, "", revision)
+		changes, next, err := f.Store.Watch(watchCtx, f.Kind, "", revision)
 		f.watching.Store(false)
+		isPollDue := polls && watchCtx.Err() != nil
+		cancel()
 		switch {
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, isPollDue && err != nil:
 			return
 		case errors.Is(err, objectapi.ErrHistoryGone):
 			return
--- a/service/ingress/informer_lag_test.go
+++ b/service/ingress/informer_lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,3 +137,46 @@
 		f.CheckSource()
 	}
 }
+
+// countingStore counts lists, and watches that deliver nothing.
+type countingStore struct {
+	objectapi.Store
+	objects []objectapi.Object
+	lists   atomic.Int32
+	watches atomic.Int32
+}
+
+func (s *countingStore) List(context.Context, string, string) ([]objectapi.Object, objectapi.Version, error) {
+	s.lists.Add(1)
+	return s.objects, 1, nil
+}
+
+func (s *countingStore) Watch(ctx context.Context, _, _ string, after objectapi.Version) ([]objectapi.Change, objectapi.Version, error) {
+	s.watches.Add(1)
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// Guards against a host that lists thousands of servers every second, and against one that learns of a leaving server only
+// from the next list, seconds later.
+func TestKindOfManyObjectsIsWatchedBetweenLists(t *testing.T) {
+	for count, watches := range map[int]bool{2: false, 4 * objectsPerPoll: true} {
+		store := &countingStore{}
+		for i := range count {
+			store.objects = append(store.objects, versioned(strconv.Itoa(i), 1))
+		}
+		f := newInformer("servers")
+		f.Store, f.ShouldPoll, f.PollInterval = store, func() bool { return true }, 50*time.Millisecond
+		f.Replace = func([]objectapi.Object, bool) {}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		f.Run(ctx)
+		cancel()
+		lists := store.lists.Load()
+		if watches && (lists < 2 || lists > 3) || !watches && lists < 6 {
+			t.Errorf("%d objects: %d lists in 10 intervals", count, lists)
+		}
+		if got := store.watches.Load() > 0; got != watches {
+			t.Errorf("%d objects: watched %v, want %v", count, got, watches)
+		}
+	}
+}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	mathrand "math/rand/v2"
 	"net"
@@ -430,6 +431,12 @@
 	}
 }
 
+// newHostIncarnation returns the ID of a start of this host. Later starts have greater ones, as long as the host's clock
+// does not go back between them; other hosts then ignore its heartbeats until its entry is listed.
+func newHostIncarnation(startedAt time.Time) string {
+	return fmt.Sprintf("%012x-%s", startedAt.UnixMilli(), newIncarnation()[:8])
+}
+
 // newIncarnation returns a random ID that distinguishes this start of the process from all others.
 func newIncarnation() string {
 	var b [8]byte
