Do not take a deleted object over from a peer that has not observed the deletion

Cause, by reading: a deletion does not raise the revision of a kind's newest object, so that a copy without the deletion counted as current. A host that changed its source could use a server again that had left, until the peer learned of it. The feed's deletions keep the versions of the objects; a copy's objects up to these are left out (TestDeletedObjectIsNotTakenOverFromAPeer). An object that was created again has a higher version and is taken over.

--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -41,6 +41,8 @@
 type feedDeletion struct {
 	name     string
 	sequence uint64
+	// version is that of the object when it was deleted.
+	version objectapi.Version
 }
 
 // feedChanges are the changes of a feed after a sequence number.
@@ -90,7 +92,8 @@
 	for _, c := range changes {
 		f.sequence++
 		f.deletions = slices.DeleteFunc(f.deletions, func(d feedDeletion) bool { return d.name == c.Name })
-		if known, ok := f.objects[c.Name]; ok {
+		known, isKnown := f.objects[c.Name]
+		if isKnown {
 			f.digest ^= hashObject(known.Object)
 		}
 		if !c.Deleted {
@@ -98,7 +101,7 @@
 		}
 		if c.Deleted {
 			delete(f.objects, c.Name)
-			f.deletions = append(f.deletions, feedDeletion{name: c.Name, sequence: f.sequence})
+			f.deletions = append(f.deletions, feedDeletion{name: c.Name, sequence: f.sequence, version: max(known.Version, c.Version)})
 		} else {
 			f.objects[c.Name] = feedObject{Object: c.Object, sequence: f.sequence}
 		}
@@ -111,6 +114,21 @@
 	f.changed = make(chan struct{})
 }
 
+// withoutDeleted returns the objects of a peer's copy without those that this copy has deleted: the peer has not observed
+// the deletions yet.
+func (f *feed) withoutDeleted(objects []objectapi.Object) []objectapi.Object {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	deleted := make(map[string]objectapi.Version, len(f.deletions))
+	for _, d := range f.deletions {
+		deleted[d.name] = d.version
+	}
+	return slices.DeleteFunc(objects, func(o objectapi.Object) bool {
+		version, ok := deleted[o.Name]
+		return ok && o.Version <= version
+	})
+}
+
 func hashObject(o objectapi.Object) uint64 {
 	var d xxhash.Digest
 	_, _ = d.WriteString(o.Name) // never returns an error
--- a/service/ingress/follow_test.go
+++ b/service/ingress/follow_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// Guards against a server that left and is in use again, because this host follows another peer that has not observed the
+// deletion: a deletion does not raise the revision of the newest object.
+func TestDeletedObjectIsNotTakenOverFromAPeer(t *testing.T) {
+	f := newInformer("servers")
+	var got []objectapi.Object
+	f.Replace = func(o []objectapi.Object, _ bool) { got = o }
+	f.Apply = func(objectapi.Change) {}
+	f.replace([]objectapi.Object{versioned("left", 3), versioned("back", 4), versioned("stays", 7)}, 7, false)
+	f.apply([]objectapi.Change{deletion("left"), deletion("back")})
+	f.applyAnswer(followAnswer{
+		Epoch: "1", Full: true, ListRevision: 5, NewestRevision: 8,
+		Objects: []objectapi.Object{versioned("left", 3), versioned("back", 8), versioned("stays", 7)},
+	})
+	if len(got) != 2 || got[0].Name != "back" || got[1].Name != "stays" {
+		t.Errorf("took over %v, want the object that was created again and the one that stays", got)
+	}
+}
+
 // Guards against a host that stays with a source that is no longer one of its sources, or asks the store at once when a
 // single source fails.
 func TestNextSourceIsAskedBeforeTheStore(t *testing.T) {
