--- a/service/ingress/endless_test.go
+++ b/service/ingress/endless_test.go
@@ -26,6 +26,18 @@
 // newRawBackend starts a backend server that answers each request with the raw bytes that respond writes, and then closes
 // the connection. respond gets the attempt ID.
 func newRawBackend(id string, respond func(c net.Conn, attempt string)) *backend {
+	return newConnBackend(id, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		respond(c, req.Header.Get("Hyssopreel-Attempt-Id"))
+	})
+}
+
+// newConnBackend starts a backend server that calls serve for each connection, and then closes the connection.
+func newConnBackend(id string, serve func(c net.Conn, r *bufio.Reader)) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
@@ -37,13 +49,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				respond(c, req.Header.Get("Hyssopreel-Attempt-Id"))
+				serve(c, bufio.NewReader(c))
 			}()
 		}
 	}()
--- a/service/ingress/follow.go
+++ b/service/ingress/follow.go
@@ -140,12 +140,12 @@
 	// firstStartPatience is how long a host of a fleet that starts for the first time waits for the seeds: all hosts
 	// start within 0.3 s of each other.
 	firstStartPatience = 1500 * time.Millisecond
+	// restartPatience is how long a host that starts later waits for seeds that start too.
+	restartPatience = 200 * time.Millisecond
 	// firstListWait is how long a host of such a fleet is listed before it relies on the list for the roles, and
 	// maxFirstStart bounds that time: hosts are listed once there is a configuration.
 	firstListWait = 1500 * time.Millisecond
 	maxFirstStart = 30 * time.Second
-	// restartPatience is the same for a host that starts later.
-	restartPatience = 200 * time.Millisecond
 )
 
 func (h *Host) startupPatience() time.Duration {
--- a/service/ingress/ingress_test.go
+++ b/service/ingress/ingress_test.go
@@ -570,33 +570,19 @@
 	// Guards against a second copy of an answer that a server sends late and without the attempt ID: the next caller would
 	// get it as its own.
 	It("does not give a caller an answer without its attempt ID", func() {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(l.Close)
-		go func() {
-			for {
-				c, err := l.Accept()
+		h := newConfiguredIngress(newConnBackend("i-1", func(c net.Conn, r *bufio.Reader) {
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(r)
 				if err != nil {
 					return
 				}
-				go func() {
-					defer func() { _ = c.Close() }()
-					r := bufio.NewReader(c)
-					for n := 0; ; n++ {
-						req, err := http.ReadRequest(r)
-						if err != nil {
-							return
-						}
-						id := "Hyssopreel-Attempt-Id: " + req.Header.Get("Hyssopreel-Attempt-Id") + "\r\n"
-						if n > 0 {
-							id = "" // the late copy arrives where the next answer is expected
-						}
-						_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s: i-1\r\nContent-Length: 5\r\n\r\nfirst", id, stampHeader)
-					}
-				}()
+				id := "Hyssopreel-Attempt-Id: " + req.Header.Get("Hyssopreel-Attempt-Id") + "\r\n"
+				if n > 0 {
+					id = "" // the late copy arrives where the next answer is expected
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s%s: i-1\r\nContent-Length: 5\r\n\r\nfirst", id, stampHeader)
 			}
-		}()
-		h := newConfiguredIngress(&backend{id: "i-1", address: l.Addr().String()})
+		}))
 		Expect(h.call("POST", "/once/", "", "Hyssopreel-Attempt-Id", "a1").body).To(Equal("first"))
 		Expect(h.call("POST", "/once/", "", "Hyssopreel-Attempt-Id", "a2").status).To(BeElementOf(502, 504))
 	})
