List kinds every 0.8 s, and mend a check of a test

"apply changes within a second": the host that lists a kind at intervals, and its followers, learn of a deleted server from the next list; with an interval of one second that is later than the second that was promised. A deletion does not raise the newest revision, so that heartbeats do not reveal it. The default interval is 0.8 s now; the spec's bound is unchanged.

"follow other hosts when the watchers are stopped" waited for the first of two stopped hosts to leave the directory and then required at once that the second one had left too. Both are waited for now, within the same 2 s.

--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -26,7 +26,8 @@
 		// MaxWatchWait bounds how long one watch request waits for changes.
 		MaxWatchWait time.Duration
 		// ListInterval is the interval of the lists by the host that lists for all hosts. A stale watch is detected
-		// after at most this interval, which must keep within the operator's bound of 2 s.
+		// after at most this interval. That host and its followers learn of a deleted object from the list, which must
+		// be within a second.
 		ListInterval time.Duration
 	}
 	// Seeds are the peers that a starting host contacts while the platform's store is unavailable.
@@ -77,7 +78,7 @@
 	s.Platform.Timeout = r.duration("platform", "timeout", time.Second)
 	s.Platform.MaxWatchWait = r.duration("platform", "watch", 25*time.Second)
 
-	s.Platform.ListInterval = r.duration("platform", "poll", time.Second)
+	s.Platform.ListInterval = r.duration("platform", "poll", 800*time.Millisecond)
 	s.Seeds.Peers = r.addresses("seeds", "peers")
 	s.Limits.MemoryBytes = r.size("limits", "memory", 128*megabyte, 1<<40)
 	s.Limits.Cores = r.number("limits", "cores", 1, 1024) * r.number("limits", "cores_share", 1, 1)
--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -102,8 +102,7 @@
 			h.stop()
 		}
 		for _, h := range hosts[2:] {
-			Eventually(h.directory, "2s", "20ms").ShouldNot(ContainElements(hosts[0].address))
-			Expect(h.directory()).NotTo(ContainElement(hosts[1].address))
+			Eventually(h.directory, "2s", "20ms").ShouldNot(Or(ContainElement(hosts[0].address), ContainElement(hosts[1].address)))
 		}
 		putConfig(store, 2)
 		for _, h := range hosts[2:] {
--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -69,7 +69,7 @@
 	s.Listen.Callers, s.Listen.Ready, s.Listen.Directory = freeAddress(), freeAddress(), freeAddress()
 	s.Listen.Peer, s.Listen.Metrics = freeAddress(), freeAddress()
 	s.Platform.Address = storeServer.Listener.Addr().String()
-	s.Platform.Timeout, s.Platform.MaxWatchWait, s.Platform.ListInterval = 500*time.Millisecond, 20*time.Second, time.Second
+	s.Platform.Timeout, s.Platform.MaxWatchWait, s.Platform.ListInterval = 500*time.Millisecond, 20*time.Second, 800*time.Millisecond
 	s.Seeds.Peers = seeds
 	s.Limits.MemoryBytes = 128 << 20
 	s.Shutdown.GracePeriod = time.Second
