Decode and log the rate limits that backend servers name

Logs and metrics could not tell whether hosts know a server's limit. A response's limit is now decoded in platform/, kept with the server (core/ratelimit: the newest observation counts, and a response without a limit ends one only if its request was sent after the limit was last named), logged once a change (1137 to 1139) and counted (rate_limited_server_responses). It decides nothing yet.

--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -152,6 +152,7 @@
 	})
 	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
 	var respMetadata ResponseMetadata
+	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
 		respMetadata = x.ingress.headerCodec.DecodeResponse(0, responseHeader)
 		return respMetadata.Attempt == x.metadata.Attempt || respMetadata.Attempt == "" && !reused
@@ -163,6 +164,7 @@
 	if respMetadata.Load != nil {
 		acquired.RecordLoad(*respMetadata.Load)
 	}
+	acquired.RecordRateLimit(sentAt, resp.Status, respMetadata)
 	return resp, respMetadata, nil
 }
 
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -102,6 +102,9 @@
 	h.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	scope := h.metrics.Scope()
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
+	h.servers.onRateLimitedResponse = func(server string) {
+		scope.Tagged(map[string]string{"server": server}).Counter("rate_limited_server_responses").Inc(1)
+	}
 	h.hosts = NewHosts(h.self, h.servers.SetHostCount)
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/outlier"
 	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/core/ratelimit"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -50,6 +51,10 @@
 	outliers outlier.State
 	// fullUntil is the end of fullBackoff after the server refused a request as full.
 	fullUntil time.Time
+	// rateLimit is the limit that the server names for the requests of all hosts together.
+	rateLimit ratelimit.Limit
+	// rateLimitRejected is set while the server's responses name a limit that cannot be used.
+	rateLimitRejected bool
 	// missingSince is when the entry was found missing after an outage of the store; zero while it is present.
 	missingSince time.Time
 }
@@ -59,6 +64,8 @@
 type Servers struct {
 	now          func() time.Time
 	onConnOpened func()
+	// onRateLimitedResponse is called with the ID of a server that named a rate limit, for each of its responses.
+	onRateLimitedResponse func(server string)
 
 	mu        sync.Mutex
 	byID      map[string]*backend
@@ -95,7 +102,7 @@
 
 // NewServers returns an empty set. onConnOpened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, onConnOpened func()) *Servers {
-	return &Servers{now: now, onConnOpened: onConnOpened, byID: map[string]*backend{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
+	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
 // TotalSlots returns the number of requests that all servers can run at once.
--- a/service/ingress/types.go
+++ b/service/ingress/types.go
@@ -57,6 +57,12 @@
 	HasServerStamp bool
 	// Load is nil if the response reports no load.
 	Load *LoadReport
+	// RateLimited is set if the response names a limit, RateLimit, of the requests per second that the server takes from
+	// all hosts together.
+	RateLimited bool
+	RateLimit   float64
+	// RateLimitErr is set if the response names a limit that cannot be used.
+	RateLimitErr error
 }
 
 // HeaderCodec translates the headers of callers and backend servers.
