Grant the requests to a rate-limited server at one host for all

Cause: no host read the limit; and a limit that each host applies alone would still be exceeded by their sum, or, divided by the number of hosts, be less than one request a second. Class: a resource that all hosts share, used by each as if it were its own.

Now one host grants the requests to a server for all: the first of the reachable primary hosts in the server's rendezvous order (fleet.View.Owner), and only while these are the majority of the primary hosts, so that a fleet that is split has at most one owner. The account is a token bucket (golang.org/x/time/rate) that starts empty; a host that takes an account over grants nothing for a second, so that nothing needs to be handed over and nothing is written. A host asks before every upstream request to a limited server: first tries, retries, resumed streams; there are no hedges to such servers. Denied hosts ask again after a time that grows with the number of hosts that wait. Limits, and their ends, spread in heartbeats. Requests that are denied go to other servers; if all servers of the service are limited, they wait for a permit of up to half a second, or are refused at once with the time of the next one. Admission counts for a limited server the slots that its limit can fill.

--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -44,5 +44,7 @@
 	SettlementFailed        = Declare(1176, Warning, "settlement of a turn could not be sent; the turn stays counted with its max tokens", "request", "program", "tokens", "peer", "error")
 	AccountRecalled         = Declare(1179, Info, "a former home was asked for its account of a program", "program", "holder", "programs", "error")
 	GrantRecordDeleteFailed = Declare(1177, Warning, "record of an ended program could not be deleted", "program", "error")
+	PermitRequestFailed     = Declare(1180, Info, "owner of a rate-limited backend server cannot be asked for a permit", "server", "peer", "error")
+	PermitRequestRejected   = Declare(1181, Warning, "request for a permit cannot be read", "from", "error")
 	HostRetired             = Declare(1160, Info, "retirement requested: this host keeps no state and may be removed", "host", "error")
 )
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,9 @@
 	// AtCapacity is set if this host has as many requests at the server as it may, or the server refused one
 	// recently.
 	AtCapacity bool
+	// RateLimited is set if the server names a limit on the rate of requests, and PermitDeferred if this host may not send
+	// it any now.
+	RateLimited, PermitDeferred bool
 	// FailureRate is the fraction of this host's recent requests to the server that failed, from 0 to 1.
 	FailureRate float64
 }
@@ -98,6 +102,12 @@
 // NotEjected passes servers that outlier detection has not ejected.
 func NotEjected(_ Request, c Candidate) bool { return !c.Ejected }
 
+// NotRateLimited passes servers that name no rate limit.
+func NotRateLimited(_ Request, c Candidate) bool { return !c.RateLimited }
+
+// PermitNotDeferred passes servers to which a request may be sent now as far as rate limits are known.
+func PermitNotDeferred(_ Request, c Candidate) bool { return !c.PermitDeferred }
+
 // HasFreeSlot passes servers whose estimated load leaves a free slot.
 func HasFreeSlot(_ Request, c Candidate) bool { return c.Load < float64(c.Server.Slots) }
 
@@ -115,6 +125,8 @@
 	runningRequestCostMS = 1.0
 	// queuedRequestCostMS is the delay by one more request in a full server's queue: a turn of 400 ms over 16 slots.
 	queuedRequestCostMS = 10.0
+	// rateLimitCostMS is the cost of a server that names a rate limit: a round trip for the permit, which may be denied.
+	rateLimitCostMS = 2.0
 	// failureCostMS is the delay by a failure of a request that is then sent again: the latency objective of a turn.
 	failureCostMS = 200.0
 	// nonRetryableFailureCostMS is the cost of a failure of a non-retryable request: all its time is lost.
@@ -149,6 +161,14 @@
 	return c.FailureRate * failureCostMS
 }
 
+// RateLimitCost is the cost of a server that names a rate limit.
+func RateLimitCost(_ Request, c Candidate) float64 {
+	if c.RateLimited {
+		return rateLimitCostMS
+	}
+	return 0
+}
+
 // WarmupCost is the cost of a server that still warms up.
 func WarmupCost(_ Request, c Candidate) float64 {
 	if c.Server.WarmupRemaining > 0 {
@@ -161,21 +181,36 @@
 // by expected delay.
 func DefaultPolicy() Policy {
 	return Policy{
-		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, NotEjected},
-		Costs:   []CostFunc{LoadCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost},
+		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred, NotEjected},
+		Costs:   []CostFunc{LoadCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost, RateLimitCost},
 	}
 }
 
 // AllowEjectedPolicy returns the policy for when DefaultPolicy has no candidate: ejected servers are allowed.
 func AllowEjectedPolicy() Policy {
 	p := DefaultPolicy()
-	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity}
+	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred}
+	return p
+}
+
+// WithoutRateLimited returns the policy without servers that name a rate limit.
+func (p Policy) WithoutRateLimited() Policy {
+	p.Filters = append(slices.Clone(p.Filters), NotRateLimited)
+	return p
+}
+
+// RateLimitedPolicy returns the policy for requests that wait for a permit: servers that name a rate limit.
+func RateLimitedPolicy() Policy {
+	p := DefaultPolicy()
+	isRateLimited := func(_ Request, c Candidate) bool { return c.RateLimited }
+	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, NotEjected, isRateLimited}
 	return p
 }
 
-// HedgePolicy returns the policy for hedged requests, which must not delay others: DefaultPolicy with a free slot.
+// HedgePolicy returns the policy for hedged requests, which must not delay others: DefaultPolicy with a free slot, and
+// without servers that name a rate limit.
 func HedgePolicy() Policy {
 	p := DefaultPolicy()
-	p.Filters = append(p.Filters, HasFreeSlot)
+	p.Filters = append(p.Filters, HasFreeSlot, NotRateLimited)
 	return p
 }
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -39,9 +39,18 @@
 	return l.set(Limit{Limited: limited, PerSecond: perSecond, ObservedAt: now})
 }
 
+// minRefreshInterval is the least time by which another host's observation of the same limit must be newer. Without it,
+// the time that messages take would make an observation newer each time that hosts exchange it.
+const minRefreshInterval = time.Second
+
 // Merge applies what another host knows, and reports whether the limit changed. The newer observation counts.
 func (l *Limit) Merge(other Limit) bool {
-	return other.ObservedAt.After(l.ObservedAt) && l.set(other)
+	newerBy := other.ObservedAt.Sub(l.ObservedAt)
+	same := l.Limited == other.Limited && l.PerSecond == other.PerSecond
+	if newerBy <= 0 || same && newerBy < minRefreshInterval {
+		return false
+	}
+	return l.set(other)
 }
 
 func (l *Limit) set(next Limit) bool {
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -27,6 +27,8 @@
 	refusalTimeout  = 20 * time.Millisecond
 	// unaccountedResponseBytes is the part of each response that does not count against the memory for bodies.
 	unaccountedResponseBytes = 64 << 10
+	// maxPermitDenials is the number of denied permits after which a request goes to a server without a rate limit.
+	maxPermitDenials = 3
 	// queueTimeoutFraction is the fraction of a request's remaining time that it may wait for a free server.
 	queueTimeoutFraction = 0.25
 	// hedgeObjectiveFactor is the multiple of a route's first-byte objective after which an idempotent request is
@@ -64,6 +66,8 @@
 	load          float64
 	loadAge       time.Duration
 	placementTime time.Duration
+	// permitWait is the time after which the next permit for the last server that was denied is expected.
+	permitWait time.Duration
 }
 
 // failure is why a request ends without the whole response of a backend server.
@@ -90,25 +94,71 @@
 	return defaultMaxExecutions
 }
 
-// acquireOrWait acquires a server, and waits in the queue if none is free. It returns errNoServer after the queue timeout.
+// acquireOrWait acquires a server, and waits in the queue if none is free. It returns errNoServer after the queue timeout,
+// and at once if only servers without a permit in that time are left.
 func (x *exchange) acquireOrWait(ctx context.Context) (*AcquiredServer, error) {
 	startedAt := x.ingress.now()
 	defer func() { x.placementTime += x.ingress.now().Sub(startedAt) }()
-	acquired := x.acquire(placement.DefaultPolicy(), placement.AllowEjectedPolicy())
-	if acquired == nil {
-		queueTimeout := time.Duration(float64(x.deadline.Sub(startedAt)) * queueTimeoutFraction)
-		acquired = x.ingress.servers.WaitForServer(ctx, x.placementQuery(), x.route.Priority, queueTimeout)
-		x.recordPlacement(acquired)
+	queueEnd := startedAt.Add(time.Duration(float64(x.deadline.Sub(startedAt)) * queueTimeoutFraction))
+	for denied := 0; ctx.Err() == nil; denied++ {
+		acquired, maxWait := x.acquire(ctx, denied, queueEnd)
+		if acquired == nil {
+			break
+		}
+		if x.awaitPermit(ctx, acquired, maxWait) {
+			x.recordPlacement(acquired)
+			return acquired, nil
+		}
+		acquired.Release()
+		if maxWait > 0 {
+			break
+		}
 	}
-	switch {
-	case acquired != nil:
-		return acquired, nil
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
 	return nil, errNoServer
 }
 
+// acquire acquires a server, and waits until queueEnd if a server may become free. denied is the number of permits that
+// the request was denied. maxWait is positive if the request can only wait for a permit of the server.
+func (x *exchange) acquire(ctx context.Context, denied int, queueEnd time.Time) (acquired *AcquiredServer, maxWait time.Duration) {
+	servers, query := x.ingress.servers, x.placementQuery()
+	policies := []placement.Policy{placement.DefaultPolicy(), placement.AllowEjectedPolicy()}
+	if denied >= maxPermitDenials {
+		policies = []placement.Policy{policies[0].WithoutRateLimited(), policies[1].WithoutRateLimited()}
+	}
+	if acquired = servers.Acquire(query, policies...); acquired != nil {
+		return acquired, 0
+	}
+	queueTimeout := queueEnd.Sub(x.ingress.now())
+	if servers.HasUnlimited(query) {
+		return servers.WaitForServer(ctx, query, x.route.Priority, queueTimeout), 0
+	}
+	return servers.Acquire(query, placement.RateLimitedPolicy()), max(queueTimeout, time.Nanosecond)
+}
+
+// awaitPermit gets the permit that a server with a rate limit requires, and waits until it is valid. It reports false if
+// there is none within maxWait.
+func (x *exchange) awaitPermit(ctx context.Context, acquired *AcquiredServer, maxWait time.Duration) bool {
+	request, required := acquired.permitRequest(maxWait)
+	if !required {
+		return true
+	}
+	permit := x.ingress.permits.Request(ctx, request)
+	if !permit.Granted {
+		x.permitWait = min(max(permit.Wait, minPermitDeferral), maxPermitDeferral)
+		acquired.DeferPermit(x.permitWait)
+		return false
+	}
+	select {
+	case <-time.After(permit.Wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // placementQuery describes the request to the servers.
 func (x *exchange) placementQuery() PlacementQuery {
 	return PlacementQuery{
@@ -125,17 +175,8 @@
 	}
 }
 
-func (x *exchange) acquire(policies ...placement.Policy) *AcquiredServer {
-	acquired := x.ingress.servers.Acquire(x.placementQuery(), policies...)
-	x.recordPlacement(acquired)
-	return acquired
-}
-
-// recordPlacement records the acquired server, if any, and excludes it from further placements.
+// recordPlacement records the acquired server and excludes it from further placements.
 func (x *exchange) recordPlacement(acquired *AcquiredServer) {
-	if acquired == nil {
-		return
-	}
 	x.exclude(acquired.ID())
 	x.server, x.load, x.loadAge = acquired.ID(), acquired.Load, acquired.LoadAge
 }
@@ -223,7 +264,8 @@
 			}
 		case <-hedgeTimer.C:
 			if x.upstreamRequests < maxUpstreamRequests && x.executions+running < x.maxExecutions() {
-				if acquired := x.acquire(placement.HedgePolicy()); acquired != nil {
+				if acquired := x.ingress.servers.Acquire(x.placementQuery(), placement.HedgePolicy()); acquired != nil {
+					x.recordPlacement(acquired)
 					launch(acquired)
 				}
 			}
@@ -373,7 +415,11 @@
 	if x.executions > 0 || ctx.Err() != nil {
 		return x.noResponseFailure(ctx)
 	}
-	return &failure{status: http.StatusServiceUnavailable, reason: "no place", retryAfter: x.ingress.retryAfter(x.service), cause: err}
+	retryAfter := x.ingress.retryAfter(x.service)
+	if x.permitWait > retryAfter {
+		retryAfter = jitter(x.permitWait)
+	}
+	return &failure{status: http.StatusServiceUnavailable, reason: "no place", retryAfter: retryAfter, cause: err}
 }
 
 // noResponseFailure returns the failure of a request whose upstream requests brought no response.
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/ratelimit"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 )
 
@@ -40,6 +41,8 @@
 	// InFlight holds the number of the host's active requests, by backend server. It is nil unless both hosts may serve
 	// callers.
 	InFlight map[string]int
+	// RateLimits holds the rate limits of servers that the host knows.
+	RateLimits []serverLimit `msgpack:",omitempty"`
 	// Unreachable holds the names of the hosts that the host does not reach.
 	Unreachable []string `msgpack:",omitempty"`
 }
@@ -55,6 +58,8 @@
 	storeAvailable func() bool
 	// seeds are the peer addresses from the settings, used while no other hosts are known.
 	seeds []string
+	// onTick is called at every interval.
+	onTick func()
 
 	mu sync.Mutex
 	// storeReported holds whether a host reported the store available in its last heartbeat.
@@ -64,7 +69,7 @@
 
 func newHeartbeater(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeAvailable func() bool, seeds []string) *heartbeater {
 	b := &heartbeater{
-		self: self, hosts: hosts, node: node, servers: servers, storeAvailable: storeAvailable, seeds: seeds,
+		self: self, hosts: hosts, node: node, servers: servers, storeAvailable: storeAvailable, seeds: seeds, onTick: func() {},
 		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{},
 	}
 	node.Handle(wire.TypeEntryHeartbeat, b.receive)
@@ -76,6 +81,7 @@
 		b.exchangeAll(ctx, b.due())
 		if !b.hosts.SelfDraining() {
 			b.hosts.Tick()
+			b.onTick()
 			for _, informer := range b.informers {
 				informer.CheckSource()
 			}
@@ -120,11 +126,12 @@
 	}
 	isMesh := b.meshNames()
 	inFlight := b.servers.InFlightByServer()
+	base := b.message()
 	for _, h := range hosts {
 		if h.Name == b.self.Name {
 			continue
 		}
-		message := b.message()
+		message := base
 		if isMesh[h.Name] {
 			message.InFlight = inFlight
 		}
@@ -156,6 +163,7 @@
 		StoreAvailable: b.storeAvailable(),
 		Revisions:      make(map[string]uint64, len(b.informers)),
 		Unreachable:    b.hosts.Unreachable(),
+		RateLimits:     b.servers.RateLimits(),
 	}
 	for kind, informer := range b.informers {
 		message.Revisions[kind] = uint64(informer.NewestRevision())
@@ -211,6 +219,11 @@
 			return errors.Newf("heartbeat of host %q with %d requests at server %q", m.Host, n, server)
 		}
 	}
+	for _, limit := range m.RateLimits {
+		if !(limit.PerSecond >= 0 && limit.PerSecond <= ratelimit.MaxPerSecond) || limit.Age < 0 {
+			return errors.Newf("heartbeat of host %q with a rate limit of %v, %v old, of server %q", m.Host, limit.PerSecond, limit.Age, limit.Server)
+		}
+	}
 	return nil
 }
 
@@ -226,6 +239,7 @@
 	if message.InFlight != nil {
 		b.servers.SetHostLoad(message.Host, message.InFlight, now)
 	}
+	b.servers.MergeRateLimits(message.RateLimits, message.Host)
 	b.detectLag(message, now)
 }
 
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -120,7 +120,9 @@
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes}, a.HeaderCodec, h.servers, h.budgets, scope)
+	permits := newFleetPermits(h.self, h.hosts, h.node)
+	h.heartbeats.onTick = permits.updateTenure
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
 	return h
 }
 
--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -212,6 +212,16 @@
 // Unreachable returns the names of the hosts that this host does not reach.
 func (l *Hosts) Unreachable() []string { return read(l, (*fleet.View).Unreachable) }
 
+// Owner returns the host that owns a key; see fleet.View.
+func (l *Hosts) Owner(key string) (owner fleet.Host, ok bool) {
+	owner = read(l, func(v *fleet.View) fleet.Host {
+		var h fleet.Host
+		h, ok = v.Owner(key)
+		return h
+	})
+	return owner, ok
+}
+
 // PeerAddress returns the address at which a listed host serves peers; empty if it is not listed.
 func (l *Hosts) PeerAddress(name string) string {
 	return read(l, func(v *fleet.View) string {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -28,6 +28,8 @@
 	FailureDomain string
 	// MemoryLimitBytes is the memory that the process may use; 0 is no limit. It bounds the request bodies in memory.
 	MemoryLimitBytes int64
+	// Permits grants requests to servers that name a rate limit. If it is nil, the host is the only one.
+	Permits Permits
 }
 
 const (
@@ -58,6 +60,7 @@
 	// bufferedBodyBytes is the size of all request bodies in memory.
 	bufferedBodyBytes atomic.Int64
 	budgets           Budgets
+	permits           Permits
 }
 
 // Budgets accounts for the tokens that programs generate.
@@ -105,7 +108,10 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h HeaderCodec, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets}
+	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets, permits: o.Permits}
+	if in.permits == nil {
+		in.permits = newPermitAccounts()
+	}
 	in.memoryLimitBytes.Store(o.MemoryLimitBytes)
 	return in
 }
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -53,6 +53,8 @@
 	fullUntil time.Time
 	// rateLimit is the limit that the server names for the requests of all hosts together.
 	rateLimit ratelimit.Limit
+	// permitDeferredUntil is the time before which there is no permit for the server.
+	permitDeferredUntil time.Time
 	// rateLimitRejected is set while the server's responses name a limit that cannot be used.
 	rateLimitRejected bool
 	// missingSince is when the entry was found missing after an outage of the store; zero while it is present.
@@ -330,7 +332,7 @@
 	for _, b := range s.byService[service] {
 		if !b.info.Draining && !b.outliers.Ejected(now) {
 			load.Requests += s.estimatedLoad(b, now)
-			load.Slots += b.info.Slots
+			load.Slots += s.effectiveSlots(b)
 		}
 	}
 	return load
@@ -414,6 +416,9 @@
 		Ejected:     b.outliers.Ejected(now),
 		AtCapacity:  now.Before(b.fullUntil) || q.MaxConns > 0 && b.inFlight >= s.connectionLimit(q.MaxConns),
 		FailureRate: b.outliers.FailureRate(now),
+		RateLimited: b.rateLimit.Limited,
+
+		PermitDeferred: b.rateLimit.Limited && now.Before(b.permitDeferredUntil),
 	}
 	if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
 		c.Server.Draining = true
@@ -422,6 +427,18 @@
 	return c
 }
 
+// HasUnlimited reports whether a server that is not draining and names no rate limit may take the request, now or later.
+func (s *Servers) HasUnlimited(q PlacementQuery) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.byService[q.Service] {
+		if !b.rateLimit.Limited && !b.info.Draining && !q.Request.ExcludedServers[b.info.ID] {
+			return true
+		}
+	}
+	return false
+}
+
 // connectionLimit returns the number of connections to one server that this host may open.
 func (s *Servers) connectionLimit(maxConns int) int {
 	return max(int(float64(maxConns)*(1-connectionReserveFraction))/s.hostCount, minConnectionsPerServer)
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
+	"github.com/hyssopreel/hyssopreel/core/ratelimit"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -87,6 +88,8 @@
 	s.resumeServer = ""
 	acquired, inUse := s.ingress.servers.AcquireServer(resumeServer)
 	switch {
+	case acquired != nil && !s.awaitPermit(ctx, acquired, ratelimit.MaxWait):
+		acquired.Release()
 	case acquired != nil:
 		s.server, s.load, s.loadAge = acquired.ID(), acquired.Load, acquired.LoadAge
 		s.onResumeServer = true
