Record which requests a backend server was running when it ended

The logs could not tell whether it is the same request that ends server after server, nor which of the requests at a server is to blame.

--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -46,5 +46,7 @@
 	GrantRecordDeleteFailed = Declare(1177, Warning, "record of an ended program could not be deleted", "program", "error")
 	PermitRequestFailed     = Declare(1180, Info, "owner of a rate-limited backend server cannot be asked for a permit", "server", "peer", "error")
 	PermitRequestRejected   = Declare(1181, Warning, "request for a permit cannot be read", "from", "error")
+	ServerEndedUnderRequest = Declare(1182, Warning, "backend server ended after a request was sent to it", "request", "program", "route", "fingerprint", "server", "began", "ends")
+	RequestQuarantined      = Declare(1183, Warning, "request is quarantined: it ends the backend servers that run it", "fingerprint", "origin")
 	HostRetired             = Declare(1160, Info, "retirement requested: this host keeps no state and may be removed", "host", "error")
 )
--- /dev/null
+++ b/core/poison/poison.go
@@ -0,0 +1,255 @@
+// Package poison finds requests that end the servers that run them. Hosts share what they observe as records that can be
+// merged in any order. It is pure: times are arguments.
+package poison
+
+import (
+	"cmp"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// quarantineScore is the evidence at which a request is quarantined: two servers ended as they began to run it, or five
+	// while it was there.
+	quarantineScore = 2.0
+	beganScore      = 1.0
+	presentScore    = 0.4
+	// maxEnds is the number of ends that a record keeps.
+	maxEnds = 8
+	// suspicionTTL is how long a request is suspected after the last server ended under it.
+	suspicionTTL = time.Minute
+	// quarantineTTL is how long a quarantined request is refused after it was last seen.
+	quarantineTTL = 10 * time.Minute
+	// maxRecords bounds the memory of a table.
+	maxRecords = 4096
+)
+
+// Fingerprint identifies a request by what makes it the same at any host: path, caller and body.
+type Fingerprint [16]byte
+
+// String implements fmt.Stringer.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Lifetime identifies one lifetime of a server.
+type Lifetime struct {
+	Server      string
+	StartedAtMS int64
+}
+
+// End is the end of a server to which a request had been sent.
+type End struct {
+	Lifetime
+	// Began is set if the server had begun to run the request and had not produced anything yet. Requests that waited there,
+	// or that it had been running, are less suspicious.
+	Began bool
+}
+
+func compareEnds(a, b End) int {
+	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAtMS, b.StartedAtMS))
+}
+
+// Verdict is how a request is treated.
+type Verdict int
+
+// Verdicts, from the mildest on.
+const (
+	Innocent Verdict = iota
+	// Suspect: the request may have ended a server, and runs where it does the least harm.
+	Suspect
+	// Quarantined: the request is refused.
+	Quarantined
+)
+
+// Record is what is known of one request.
+type Record struct {
+	Fingerprint Fingerprint
+	// Key is a cheap hash of the request, so that most others need no fingerprint.
+	Key uint64
+	// Ends holds the ends of servers to which the request had been sent, sorted.
+	Ends []End
+	// Succeeded is set once the request has run to its end since: the servers ended for another reason.
+	Succeeded bool
+	// Age is the time since the record last changed or, in quarantine, since the request was last seen.
+	Age time.Duration
+}
+
+type entry struct {
+	Record
+	at time.Time
+}
+
+func (e *entry) verdict() Verdict {
+	score := 0.0
+	for _, end := range e.Ends {
+		if end.Began {
+			score += beganScore
+		} else {
+			score += presentScore
+		}
+	}
+	switch {
+	case e.Succeeded || score < beganScore:
+		return Innocent
+	case score < quarantineScore:
+		return Suspect
+	}
+	return Quarantined
+}
+
+func (e *entry) expired(now time.Time) bool {
+	if e.verdict() == Quarantined {
+		return now.Sub(e.at) > quarantineTTL
+	}
+	return now.Sub(e.at) > suspicionTTL
+}
+
+// Table holds the records of one host. It is not safe for concurrent use.
+type Table struct {
+	entries map[Fingerprint]*entry
+	keys    map[uint64]int // number of entries by key
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: map[Fingerprint]*entry{}, keys: map[uint64]int{}} }
+
+// MayContain reports whether the table may have a record of a request with the key.
+func (t *Table) MayContain(key uint64) bool { return t.keys[key] > 0 }
+
+// Verdict returns the verdict on a request, and the number of servers that have ended with it.
+func (t *Table) Verdict(now time.Time, f Fingerprint) (v Verdict, ends int) {
+	e, ok := t.entries[f]
+	if !ok {
+		return Innocent, 0
+	}
+	if e.expired(now) {
+		t.remove(f)
+		return Innocent, 0
+	}
+	if e.verdict() == Quarantined {
+		e.at = now
+	}
+	return e.verdict(), len(e.Ends)
+}
+
+// RecordEnd records the end of a server to which the request had been sent. It reports whether the record changed.
+func (t *Table) RecordEnd(now time.Time, f Fingerprint, key uint64, end End) bool {
+	return t.merge(now, Record{Fingerprint: f, Key: key, Ends: []End{end}})
+}
+
+// RecordSuccess records that the request has run to its end. It reports whether the record changed.
+func (t *Table) RecordSuccess(now time.Time, f Fingerprint) bool {
+	e, ok := t.entries[f]
+	if !ok || e.Succeeded {
+		return false
+	}
+	e.Succeeded, e.at = true, now
+	return true
+}
+
+// Merge applies the records of another host and returns those that changed.
+func (t *Table) Merge(now time.Time, records []Record) []Record {
+	var changed []Record
+	for _, r := range records {
+		if t.merge(now, r) {
+			changed = append(changed, t.entries[r.Fingerprint].Record)
+		}
+	}
+	return changed
+}
+
+func (t *Table) merge(now time.Time, r Record) bool {
+	at := now.Add(-r.Age)
+	if (&entry{Record: r, at: at}).expired(now) {
+		return false
+	}
+	e, ok := t.entries[r.Fingerprint]
+	if ok && e.expired(now) {
+		t.remove(r.Fingerprint)
+		ok = false
+	}
+	if !ok {
+		if len(t.entries) >= maxRecords {
+			t.evict(now)
+		}
+		e = &entry{Record: Record{Fingerprint: r.Fingerprint, Key: r.Key}, at: at}
+		t.entries[r.Fingerprint] = e
+		t.keys[r.Key]++
+	}
+	changed := !ok || r.Succeeded && !e.Succeeded
+	e.Succeeded = e.Succeeded || r.Succeeded
+	for _, end := range r.Ends {
+		i, found := slices.BinarySearchFunc(e.Ends, end, compareEnds)
+		switch {
+		case found && end.Began && !e.Ends[i].Began:
+			e.Ends = slices.Clone(e.Ends)
+			e.Ends[i].Began = true
+			changed = true
+		case !found && len(e.Ends) < maxEnds:
+			e.Ends = slices.Insert(slices.Clone(e.Ends), i, end)
+			changed = true
+		}
+	}
+	if at.After(e.at) {
+		e.at = at
+	}
+	return changed
+}
+
+// evict removes the expired entries, or else the oldest one, of those that are not quarantined if there are any.
+func (t *Table) evict(now time.Time) {
+	t.Expire(now)
+	if len(t.entries) < maxRecords {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(t.entries)), func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.verdict()/Quarantined, b.verdict()/Quarantined), a.at.Compare(b.at))
+	})
+	t.remove(oldest.Fingerprint)
+}
+
+// Expire removes the expired records.
+func (t *Table) Expire(now time.Time) {
+	for f, e := range t.entries {
+		if e.expired(now) {
+			t.remove(f)
+		}
+	}
+}
+
+func (t *Table) remove(f Fingerprint) {
+	e := t.entries[f]
+	delete(t.entries, f)
+	if t.keys[e.Key]--; t.keys[e.Key] == 0 {
+		delete(t.keys, e.Key)
+	}
+}
+
+// Records returns the records that changed or, in quarantine, were seen within maxAge, the newest first, at most limit.
+func (t *Table) Records(now time.Time, maxAge time.Duration, limit int) []Record {
+	var out []Record
+	for _, e := range t.entries {
+		if age := now.Sub(e.at); age <= maxAge && !e.expired(now) {
+			r := e.Record
+			r.Age = age
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Age, b.Age) })
+	return out[:min(limit, len(out))]
+}
+
+// Digest returns a hash of the fingerprints in quarantine, the same at all hosts that have the same ones; 0 if there are
+// none.
+func (t *Table) Digest() uint64 {
+	digest := uint64(0)
+	for f, e := range t.entries {
+		if e.verdict() == Quarantined {
+			digest ^= xxhash.Sum64(f[:])
+		}
+	}
+	return digest
+}
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -5,11 +5,13 @@
 	"io"
 	"math"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
@@ -68,6 +70,9 @@
 	placementTime time.Duration
 	// permitWait is the time after which the next permit for the last server that was denied is expected.
 	permitWait time.Duration
+
+	fingerprintOnce  sync.Once
+	fingerprintValue poison.Fingerprint
 }
 
 // failure is why a request ends without the whole response of a backend server.
@@ -376,6 +381,8 @@
 		acquired.RecordConnectFailure(err)
 	default:
 		acquired.RecordResponseFailure(err)
+		// The response of a plain service does not show when the server began to run the request.
+		x.recordBreak(ctx, acquired, true)
 	}
 }
 
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -61,6 +61,7 @@
 	bufferedBodyBytes atomic.Int64
 	budgets           Budgets
 	permits           Permits
+	poison            *poisonRecords
 }
 
 // Budgets accounts for the tokens that programs generate.
@@ -108,7 +109,7 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h HeaderCodec, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets, permits: o.Permits}
+	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets, permits: o.Permits, poison: newPoisonRecords(time.Now)}
 	if in.permits == nil {
 		in.permits = newPermitAccounts()
 	}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -57,6 +57,7 @@
 	permitDeferredUntil time.Time
 	// rateLimitRejected is set while the server's responses name a limit that cannot be used.
 	rateLimitRejected bool
+	endProbe          endProbe
 	// missingSince is when the entry was found missing after an outage of the store; zero while it is present.
 	missingSince time.Time
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -175,6 +175,7 @@
 	if err := s.validateResponse(resp, respMetadata, 0); err != nil {
 		return false, err
 	}
+	s.monitored.accepted = true
 	return s.forwardEvents(acquired, resp)
 }
 
@@ -229,6 +230,7 @@
 	default:
 		s.recordExecution(acquired.ID(), false)
 		acquired.RecordResponseFailure(err)
+		s.recordBreak(ctx, acquired, s.monitored.accepted && !s.monitored.started.Load())
 		if s.canResumeOnSameServer(acquired) {
 			s.resumeServer = acquired.ID()
 		}
--- a/service/ingress/types.go
+++ b/service/ingress/types.go
@@ -16,6 +16,8 @@
 type RequestMetadata struct {
 	// Attempt is the ID of this attempt of the caller.
 	Attempt string
+	// Caller identifies who sends the request; empty if callers do not say so.
+	Caller string
 	// Program is empty for requests that belong to no program.
 	Program string
 	// Session identifies a sequence of turns within a program.
--- a/service/ingress/watchdog.go
+++ b/service/ingress/watchdog.go
@@ -109,6 +109,8 @@
 	// lastEventNanos is when the last event arrived, or sentAt before the first one, in Unix nanoseconds.
 	lastEventNanos atomic.Int64
 	cancel         context.CancelCauseFunc
+	// accepted is set once the server has responded with a stream. Only the request's goroutine uses it.
+	accepted bool
 }
 
 // recordEvent records that events arrived, and reports whether they are the first of this upstream request.
