Quarantine requests that end the servers that run them

Cause: what a request did to servers was known to the exchange that sent it, and forgotten with it; its retries, its caller's next attempts, the next program with the same text and every other host began anew. Class: a retry budget that is kept per attempt where the harm is shared by all.

Each host now keeps records of requests (core/poison): the ends of servers that had begun to run one and had produced nothing count 1, others 0.4; at 2 the request is quarantined, and one that has run to its end since is innocent. The incident's turns came with the same path and start of the body, but at several lengths, as the next turn of a program would: prefixes of the body (512 bytes and doublings) have fingerprints too, and are quarantined at 3 if different requests with the prefix ended servers and none with it succeeded. Records are sets of ends that hosts merge in any order: they go out with heartbeats at once when they change, and in full when digests differ; a starting host exchanges them before it listens. A suspect request goes to the server with the least load and is not hedged. A quarantined one is answered 503 without Retry-After if it has not run, else 502.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -49,6 +49,8 @@
 	FailureDomain string // of this host
 	// NonRetryable is set if the request must not be sent again after a failure.
 	NonRetryable bool
+	// Suspect is set if the request may end the server that runs it.
+	Suspect bool
 	// ExcludedServers has the IDs of the servers that refused or failed this request.
 	ExcludedServers map[string]bool
 }
@@ -127,6 +129,8 @@
 	queuedRequestCostMS = 10.0
 	// rateLimitCostMS is the cost of a server that names a rate limit: a round trip for the permit, which may be denied.
 	rateLimitCostMS = 2.0
+	// suspectCostMS is the cost, for each request at the server, of a request that may end it and all of them.
+	suspectCostMS = 20.0
 	// failureCostMS is the delay by a failure of a request that is then sent again: the latency objective of a turn.
 	failureCostMS = 200.0
 	// nonRetryableFailureCostMS is the cost of a failure of a non-retryable request: all its time is lost.
@@ -161,6 +165,14 @@
 	return c.FailureRate * failureCostMS
 }
 
+// SuspectCost is the cost of a suspect request to the others at the server.
+func SuspectCost(r Request, c Candidate) float64 {
+	if r.Suspect {
+		return c.Load * suspectCostMS
+	}
+	return 0
+}
+
 // RateLimitCost is the cost of a server that names a rate limit.
 func RateLimitCost(_ Request, c Candidate) float64 {
 	if c.RateLimited {
@@ -182,7 +194,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred, NotEjected},
-		Costs:   []CostFunc{LoadCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost, RateLimitCost},
+		Costs:   []CostFunc{LoadCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost, RateLimitCost, SuspectCost},
 	}
 }
 
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -14,10 +14,12 @@
 
 const (
 	// quarantineScore is the evidence at which a request is quarantined: two servers ended as they began to run it, or five
-	// while it was there.
-	quarantineScore = 2.0
-	beganScore      = 1.0
-	presentScore    = 0.4
+	// while it was there. prefixQuarantineScore is that for all requests with the same prefix, which takes different
+	// requests and one server more.
+	quarantineScore       = 2.0
+	prefixQuarantineScore = 3.0
+	beganScore            = 1.0
+	presentScore          = 0.4
 	// maxEnds is the number of ends that a record keeps.
 	maxEnds = 8
 	// suspicionTTL is how long a request is suspected after the last server ended under it.
@@ -28,12 +30,17 @@
 	maxRecords = 4096
 )
 
-// Fingerprint identifies a request by what makes it the same at any host: path, caller and body.
+// Fingerprint identifies a request, or all requests with a common prefix, by what makes it the same at any host: path,
+// caller and body, or the first bytes of the body.
 type Fingerprint [16]byte
 
 // String implements fmt.Stringer.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Chain holds the fingerprints of the prefixes of a request, the shortest first, and last that of the whole request. The
+// next turn of a program has the body of the turn before as a prefix.
+type Chain []Fingerprint
+
 // Lifetime identifies one lifetime of a server.
 type Lifetime struct {
 	Server      string
@@ -64,11 +71,15 @@
 	Quarantined
 )
 
-// Record is what is known of one request.
+// Record is what is known of one request, or of the requests with one prefix.
 type Record struct {
 	Fingerprint Fingerprint
 	// Key is a cheap hash of the request, so that most others need no fingerprint.
 	Key uint64
+	// Next is the next fingerprint of the request's chain; zero in the record of a whole request. Diverged is set if requests
+	// with different ones ended servers: only then is the prefix to blame.
+	Next     Fingerprint
+	Diverged bool
 	// Ends holds the ends of servers to which the request had been sent, sorted.
 	Ends []End
 	// Succeeded is set once the request has run to its end since: the servers ended for another reason.
@@ -91,15 +102,21 @@
 			score += presentScore
 		}
 	}
+	threshold := quarantineScore
+	if e.isPrefix() {
+		threshold = prefixQuarantineScore
+	}
 	switch {
-	case e.Succeeded || score < beganScore:
+	case e.Succeeded || score < beganScore || e.isPrefix() && !e.Diverged:
 		return Innocent
-	case score < quarantineScore:
+	case score < threshold:
 		return Suspect
 	}
 	return Quarantined
 }
 
+func (r *Record) isPrefix() bool { return r.Next != Fingerprint{} }
+
 func (e *entry) expired(now time.Time) bool {
 	if e.verdict() == Quarantined {
 		return now.Sub(e.at) > quarantineTTL
@@ -119,46 +136,65 @@
 // MayContain reports whether the table may have a record of a request with the key.
 func (t *Table) MayContain(key uint64) bool { return t.keys[key] > 0 }
 
-// Verdict returns the verdict on a request, and the number of servers that have ended with it.
-func (t *Table) Verdict(now time.Time, f Fingerprint) (v Verdict, ends int) {
-	e, ok := t.entries[f]
-	if !ok {
-		return Innocent, 0
-	}
-	if e.expired(now) {
-		t.remove(f)
-		return Innocent, 0
+// Verdict returns the severest verdict on a request or one of its prefixes, and the record on which it is based.
+func (t *Table) Verdict(now time.Time, chain Chain) (Verdict, Record) {
+	verdict, record := Innocent, Record{}
+	for _, f := range chain {
+		e, ok := t.entries[f]
+		if !ok || e.expired(now) {
+			continue
+		}
+		if v := e.verdict(); v >= verdict {
+			verdict, record = v, e.Record
+		}
 	}
-	if e.verdict() == Quarantined {
-		e.at = now
+	if verdict == Quarantined {
+		t.entries[record.Fingerprint].at = now
 	}
-	return e.verdict(), len(e.Ends)
+	return verdict, record
 }
 
-// RecordEnd records the end of a server to which the request had been sent. It reports whether the record changed.
-func (t *Table) RecordEnd(now time.Time, f Fingerprint, key uint64, end End) bool {
-	return t.merge(now, Record{Fingerprint: f, Key: key, Ends: []End{end}})
+// RecordEnd records the end of a server to which the request had been sent. It reports whether the records changed. Only
+// a server that had begun to run the request tells anything of its prefixes.
+func (t *Table) RecordEnd(now time.Time, chain Chain, key uint64, end End) bool {
+	changed := false
+	for i, f := range chain {
+		r := Record{Fingerprint: f, Key: key, Ends: []End{end}}
+		if i < len(chain)-1 {
+			r.Next = chain[i+1]
+			if !end.Began {
+				continue
+			}
+		}
+		changed = t.merge(now, r) || changed
+	}
+	return changed
 }
 
-// RecordSuccess records that the request has run to its end. It reports whether the record changed.
-func (t *Table) RecordSuccess(now time.Time, f Fingerprint) bool {
-	e, ok := t.entries[f]
-	if !ok || e.Succeeded {
-		return false
+// RecordSuccess records that the request has run to its end, which clears it and its prefixes. It reports whether a
+// record changed.
+func (t *Table) RecordSuccess(now time.Time, chain Chain) bool {
+	changed := false
+	for _, f := range chain {
+		if e, ok := t.entries[f]; ok && !e.Succeeded {
+			e.Succeeded, e.at = true, now
+			changed = true
+		}
 	}
-	e.Succeeded, e.at = true, now
-	return true
+	return changed
 }
 
-// Merge applies the records of another host and returns those that changed.
-func (t *Table) Merge(now time.Time, records []Record) []Record {
-	var changed []Record
+// Merge applies the records of another host and returns the fingerprints that are in quarantine since.
+func (t *Table) Merge(now time.Time, records []Record) []Fingerprint {
+	var quarantined []Fingerprint
 	for _, r := range records {
-		if t.merge(now, r) {
-			changed = append(changed, t.entries[r.Fingerprint].Record)
+		e, ok := t.entries[r.Fingerprint]
+		before := ok && e.verdict() == Quarantined
+		if t.merge(now, r) && !before && t.entries[r.Fingerprint].verdict() == Quarantined {
+			quarantined = append(quarantined, r.Fingerprint)
 		}
 	}
-	return changed
+	return quarantined
 }
 
 func (t *Table) merge(now time.Time, r Record) bool {
@@ -175,12 +211,13 @@
 		if len(t.entries) >= maxRecords {
 			t.evict(now)
 		}
-		e = &entry{Record: Record{Fingerprint: r.Fingerprint, Key: r.Key}, at: at}
+		e = &entry{Record: Record{Fingerprint: r.Fingerprint, Key: r.Key, Next: r.Next}, at: at}
 		t.entries[r.Fingerprint] = e
 		t.keys[r.Key]++
 	}
-	changed := !ok || r.Succeeded && !e.Succeeded
-	e.Succeeded = e.Succeeded || r.Succeeded
+	diverged := e.Diverged || r.Diverged || r.Next != e.Next
+	changed := !ok || r.Succeeded && !e.Succeeded || diverged != e.Diverged
+	e.Succeeded, e.Diverged = e.Succeeded || r.Succeeded, diverged
 	for _, end := range r.Ends {
 		i, found := slices.BinarySearchFunc(e.Ends, end, compareEnds)
 		switch {
--- /dev/null
+++ b/core/poison/poison_test.go
@@ -0,0 +1,148 @@
+package poison_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hyssopreel/hyssopreel/core/poison"
+)
+
+var start = time.Unix(1000, 0)
+
+func fingerprint(n byte) poison.Fingerprint { return poison.Fingerprint{n} }
+
+func end(server string, began bool) poison.End {
+	return poison.End{Lifetime: poison.Lifetime{Server: server}, Began: began}
+}
+
+func verdict(table *poison.Table, now time.Time, chain poison.Chain) poison.Verdict {
+	v, _ := table.Verdict(now, chain)
+	return v
+}
+
+// Guards against the BUDGET incident: a request that ended servers was treated as the first of its kind each time.
+func TestRequestThatEndsServersAsTheyBeginIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	g.Expect(table.RecordEnd(start, chain, 7, end("a", true))).To(BeTrue())
+	g.Expect(table.RecordEnd(start, chain, 7, end("a", true))).To(BeFalse(), "the same end")
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Suspect))
+	table.RecordEnd(start, chain, 7, end("b", true))
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Quarantined))
+	g.Expect(verdict(table, start, poison.Chain{fingerprint(2)})).To(Equal(poison.Innocent))
+	g.Expect(table.MayContain(7)).To(BeTrue())
+	g.Expect(table.MayContain(8)).To(BeFalse())
+}
+
+// Guards against bystanders that are refused because they waited or ran at servers that another request ended.
+func TestBystandersOfAFewEndsAreInnocent(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	for i := range 4 {
+		table.RecordEnd(start, chain, 7, end(fmt.Sprint(i), false))
+		g.Expect(verdict(table, start, chain)).NotTo(Equal(poison.Quarantined))
+	}
+	g.Expect(table.RecordSuccess(start, chain)).To(BeTrue())
+	table.RecordEnd(start, chain, 7, end("5", true))
+	table.RecordEnd(start, chain, 7, end("6", true))
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Innocent), "it has run to its end since")
+}
+
+// Guards against the next turn of a program, or a copy of it with more text, that ends servers as the turn before did.
+func TestPrefixIsQuarantinedOnceDifferentRequestsEndServers(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	prefix := fingerprint(1)
+	first, second, third := poison.Chain{prefix, fingerprint(2)}, poison.Chain{prefix, fingerprint(3)}, poison.Chain{prefix, fingerprint(4)}
+	table.RecordEnd(start, first, 7, end("a", true))
+	table.RecordEnd(start, first, 7, end("b", true))
+	table.RecordEnd(start, first, 7, end("c", true))
+	g.Expect(verdict(table, start, first)).To(Equal(poison.Quarantined))
+	g.Expect(verdict(table, start, third)).To(Equal(poison.Innocent), "one request says nothing of its prefix")
+	table.RecordEnd(start, second, 7, end("d", true))
+	g.Expect(verdict(table, start, third)).To(Equal(poison.Quarantined))
+}
+
+// Guards against a common prefix, such as a system prompt, for which all its requests are refused.
+func TestPrefixThatSucceedsIsInnocent(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	prefix := fingerprint(1)
+	deadly, other := poison.Chain{prefix, fingerprint(2)}, poison.Chain{prefix, fingerprint(3)}
+	for i := range 3 {
+		table.RecordEnd(start, deadly, 7, end(fmt.Sprint("a", i), true))
+		table.RecordEnd(start, poison.Chain{prefix, fingerprint(9)}, 7, end(fmt.Sprint("b", i), true))
+	}
+	g.Expect(verdict(table, start, other)).To(Equal(poison.Quarantined))
+	table.RecordSuccess(start, other)
+	g.Expect(verdict(table, start, other)).To(Equal(poison.Innocent))
+	g.Expect(verdict(table, start, deadly)).To(Equal(poison.Quarantined))
+}
+
+// Guards against verdicts that last forever and against a table that grows without bound.
+func TestRecordsExpireAndAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	deadly := poison.Chain{{0xff}}
+	table.RecordEnd(start, deadly, 1, end("a", true))
+	table.RecordEnd(start, deadly, 1, end("b", true))
+	for i := range 10000 {
+		table.RecordEnd(start.Add(time.Second), poison.Chain{{byte(i), byte(i >> 8), 1}}, 2, end("c", false))
+	}
+	g.Expect(len(table.Records(start.Add(time.Second), time.Hour, 1<<20))).To(BeNumerically("<=", 4096))
+	g.Expect(verdict(table, start.Add(5*time.Minute), deadly)).To(Equal(poison.Quarantined))
+	g.Expect(verdict(table, start.Add(14*time.Minute), deadly)).To(Equal(poison.Quarantined), "seen 9 minutes ago")
+	g.Expect(verdict(table, start.Add(25*time.Minute), deadly)).To(Equal(poison.Innocent))
+	table.Expire(start.Add(time.Hour))
+	g.Expect(table.MayContain(1) || table.MayContain(2)).To(BeFalse())
+	g.Expect(table.Digest()).To(BeZero())
+}
+
+// Guards against hosts that disagree for good because records arrive in another order, twice, or late.
+func TestMergedTablesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 4
+		tables := make([]*poison.Table, hosts)
+		for i := range tables {
+			tables[i] = poison.NewTable()
+		}
+		chains := []poison.Chain{{{1}, {11}}, {{1}, {12}}, {{2}}}
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			table := tables[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			chain := chains[rapid.IntRange(0, len(chains)-1).Draw(t, "chain")]
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				table.RecordSuccess(start, chain)
+			case 1, 2:
+				from := tables[rapid.IntRange(0, hosts-1).Draw(t, "from")]
+				table.Merge(start, from.Records(start, time.Hour, 100))
+			default:
+				table.RecordEnd(start, chain, 7, end(fmt.Sprint(rapid.IntRange(0, 7).Draw(t, "server")), rapid.Bool().Draw(t, "began")))
+			}
+		}
+		for range 2 {
+			for _, to := range tables {
+				for _, from := range tables {
+					to.Merge(start, from.Records(start, time.Hour, 100))
+				}
+			}
+		}
+		for _, table := range tables[1:] {
+			if table.Digest() != tables[0].Digest() {
+				t.Fatalf("digests differ")
+			}
+			for _, chain := range chains {
+				a, b := verdict(tables[0], start, chain), verdict(table, start, chain)
+				if a != b {
+					t.Fatalf("verdicts %v and %v", a, b)
+				}
+			}
+		}
+	})
+}
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -71,8 +71,8 @@
 	// permitWait is the time after which the next permit for the last server that was denied is expected.
 	permitWait time.Duration
 
-	fingerprintOnce  sync.Once
-	fingerprintValue poison.Fingerprint
+	fingerprintsOnce sync.Once
+	fingerprintChain poison.Chain
 }
 
 // failure is why a request ends without the whole response of a backend server.
@@ -106,13 +106,20 @@
 	defer func() { x.placementTime += x.ingress.now().Sub(startedAt) }()
 	queueEnd := startedAt.Add(time.Duration(float64(x.deadline.Sub(startedAt)) * queueTimeoutFraction))
 	for denied := 0; ctx.Err() == nil; denied++ {
+		if x.quarantineFailure() != nil {
+			return nil, errQuarantined
+		}
 		acquired, maxWait := x.acquire(ctx, denied, queueEnd)
 		if acquired == nil {
 			break
 		}
 		if x.awaitPermit(ctx, acquired, maxWait) {
 			x.recordPlacement(acquired)
-			return acquired, nil
+			if x.quarantineFailure() == nil {
+				return acquired, nil
+			}
+			acquired.Release()
+			return nil, errQuarantined
 		}
 		acquired.Release()
 		if maxWait > 0 {
@@ -172,6 +179,7 @@
 			PromptTokens:    x.metadata.PromptTokens,
 			FailureDomain:   x.ingress.options.FailureDomain,
 			NonRetryable:    !x.route.Retryable(),
+			Suspect:         x.isSuspect(),
 			ExcludedServers: x.excludedServers,
 		},
 		MaxConns:     x.table.Services[x.service].MaxConns,
@@ -268,7 +276,7 @@
 				return result.resp, result.body, nil
 			}
 		case <-hedgeTimer.C:
-			if x.upstreamRequests < maxUpstreamRequests && x.executions+running < x.maxExecutions() {
+			if !x.isSuspect() && x.upstreamRequests < maxUpstreamRequests && x.executions+running < x.maxExecutions() {
 				if acquired := x.ingress.servers.Acquire(x.placementQuery(), placement.HedgePolicy()); acquired != nil {
 					x.recordPlacement(acquired)
 					launch(acquired)
@@ -419,6 +427,9 @@
 
 // noServerFailure returns the failure of a request for which no server was acquired.
 func (x *exchange) noServerFailure(ctx context.Context, err error) *failure {
+	if errors.Is(err, errQuarantined) {
+		return x.quarantineFailure()
+	}
 	if x.executions > 0 || ctx.Err() != nil {
 		return x.noResponseFailure(ctx)
 	}
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -11,6 +11,7 @@
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/ratelimit"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 )
@@ -43,6 +44,10 @@
 	InFlight map[string]int
 	// RateLimits holds the rate limits of servers that the host knows.
 	RateLimits []serverLimit `msgpack:",omitempty"`
+	// Poison holds records of requests that end servers: those that changed lately, or all if the other host lacks some.
+	// PoisonDigest is the digest of the host's table.
+	Poison       []poison.Record `msgpack:",omitempty"`
+	PoisonDigest uint64          `msgpack:",omitempty"`
 	// Unreachable holds the names of the hosts that the host does not reach.
 	Unreachable []string `msgpack:",omitempty"`
 }
@@ -57,7 +62,8 @@
 	informers      map[string]*Informer // by kind
 	storeAvailable func() bool
 	// seeds are the peer addresses from the settings, used while no other hosts are known.
-	seeds []string
+	seeds  []string
+	poison *poisonRecords
 	// onTick is called at every interval.
 	onTick func()
 
@@ -65,12 +71,15 @@
 	// storeReported holds whether a host reported the store available in its last heartbeat.
 	storeReported map[string]bool
 	lags          map[string]informerLag // by kind
+	// poisonDigests holds the digest in each host's last heartbeat.
+	poisonDigests map[string]uint64
 }
 
 func newHeartbeater(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeAvailable func() bool, seeds []string) *heartbeater {
 	b := &heartbeater{
 		self: self, hosts: hosts, node: node, servers: servers, storeAvailable: storeAvailable, seeds: seeds, onTick: func() {},
-		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{},
+		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{}, poisonDigests: map[string]uint64{},
+		poison: newPoisonRecords(time.Now),
 	}
 	node.Handle(wire.TypeEntryHeartbeat, b.receive)
 	return b
@@ -88,6 +97,7 @@
 		}
 		select {
 		case <-time.After(b.hosts.Interval()):
+		case <-b.poison.changed:
 		case <-b.hosts.selfListed:
 			b.introduce(ctx)
 		case <-ctx.Done():
@@ -135,10 +145,25 @@
 		if isMesh[h.Name] {
 			message.InFlight = inFlight
 		}
+		if b.lacksPoison(h.Name, message.PoisonDigest) {
+			message.Poison = b.poison.all()
+		}
 		go b.exchange(ctx, h, message)
 	}
 }
 
+// exchangeAndWait exchanges heartbeats with the hosts and waits for the answers, at most heartbeatTimeout.
+func (b *heartbeater) exchangeAndWait(ctx context.Context, hosts []fleet.Host) {
+	message := b.message()
+	var group sync.WaitGroup
+	for _, h := range hosts {
+		if h.Name != b.self.Name {
+			group.Go(func() { b.exchange(ctx, h, message) })
+		}
+	}
+	group.Wait()
+}
+
 // exchange sends a heartbeat and handles the answer. A host that accepts no connection is unreachable at once; one that
 // does not answer is only after several intervals.
 func (b *heartbeater) exchange(ctx context.Context, h fleet.Host, message heartbeat) {
@@ -154,6 +179,14 @@
 	}
 }
 
+// lacksPoison reports whether the last heartbeat of the host showed another digest.
+func (b *heartbeater) lacksPoison(host string, digest uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last, ok := b.poisonDigests[host]
+	return ok && last != digest
+}
+
 // message returns this host's heartbeat without its active requests.
 func (b *heartbeater) message() heartbeat {
 	message := heartbeat{
@@ -165,6 +198,7 @@
 		Unreachable:    b.hosts.Unreachable(),
 		RateLimits:     b.servers.RateLimits(),
 	}
+	message.Poison, message.PoisonDigest = b.poison.recent()
 	for kind, informer := range b.informers {
 		message.Revisions[kind] = uint64(informer.NewestRevision())
 	}
@@ -203,6 +237,9 @@
 		return
 	}
 	answer := b.message()
+	if answer.PoisonDigest != message.PoisonDigest {
+		answer.Poison = b.poison.all()
+	}
 	if b.meshNames()[message.Host] {
 		answer.InFlight = b.servers.InFlightByServer()
 	}
@@ -224,7 +261,7 @@
 			return errors.Newf("heartbeat of host %q with a rate limit of %v, %v old, of server %q", m.Host, limit.PerSecond, limit.Age, limit.Server)
 		}
 	}
-	return nil
+	return validatePoisonRecords(m.Poison)
 }
 
 func (b *heartbeater) handle(message heartbeat) {
@@ -235,10 +272,12 @@
 	now := time.Now()
 	b.mu.Lock()
 	b.storeReported[message.Host] = message.StoreAvailable
+	b.poisonDigests[message.Host] = message.PoisonDigest
 	b.mu.Unlock()
 	if message.InFlight != nil {
 		b.servers.SetHostLoad(message.Host, message.InFlight, now)
 	}
+	b.poison.merge(message.Poison, message.Host)
 	b.servers.MergeRateLimits(message.RateLimits, message.Host)
 	b.detectLag(message, now)
 }
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -123,6 +123,7 @@
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.heartbeats.poison = h.ingress.poison
 	return h
 }
 
@@ -261,6 +262,7 @@
 		select {
 		case <-ticker.C:
 			h.servers.Sweep()
+			h.ingress.poison.expire()
 			h.servers.DispatchAll()
 			h.hosts.SetSlots(h.servers.TotalSlots())
 		case <-ctx.Done():
@@ -363,6 +365,8 @@
 	setIfPositive(&callerServer.ReadHeaderTimeout, limits.HeaderTimeout)
 	setIfPositive(&callerServer.IdleTimeout, limits.IdleTimeout)
 	setIfPositive(&callerServer.MaxHeaderBytes, limits.MaxHeaderBytes)
+	// A host that starts must know which requests are quarantined, and which servers are rate-limited, before it serves.
+	h.heartbeats.exchangeAndWait(ctx, h.hosts.Targets())
 	if err := startServer(group, callerServer); err != nil {
 		return err
 	}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -148,6 +148,9 @@
 	}
 	defer func() { in.bufferedBodyBytes.Add(-int64(len(x.body))) }()
 	fail := x.validateAndReadBody(w)
+	if fail == nil {
+		fail = x.quarantineFailure()
+	}
 	if fail == nil {
 		fail = x.forward(w)
 	}
@@ -255,6 +258,7 @@
 		if fail != nil {
 			return fail
 		}
+		x.ingress.poison.recordSuccess(x)
 		if err := writeResponse(w, resp, body); err != nil {
 			return &failure{reason: "caller left", cause: err}
 		}
@@ -275,6 +279,7 @@
 	if reservation.Budget > 0 {
 		usage := Usage{DeliveredTokens: x.deliveredTokens}
 		if fail == nil {
+			x.ingress.poison.recordSuccess(x)
 			x.ingress.servers.RecordTurnTime(x.ingress.now().Sub(x.startedAt))
 			usage.CacheServer, usage.CachedTokens = x.server, x.metadata.PromptTokens+x.deliveredTokens
 		}
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -4,7 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
+	"math"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -17,84 +20,198 @@
 	"github.com/hyssopreel/hyssopreel/core/poison"
 )
 
-// endProbeTimeout bounds the connection that shows whether a server has ended.
-const endProbeTimeout = 100 * time.Millisecond
+const (
+	// endProbeTimeout bounds the connection that shows whether a server has ended.
+	endProbeTimeout = 100 * time.Millisecond
+	// recentRecordAge is the age up to which heartbeats carry records of their own accord.
+	recentRecordAge = 3 * time.Second
+	// maxRecentRecords and maxSentRecords bound the records in one heartbeat: recent ones, and all of a host that lacks some.
+	maxRecentRecords = 128
+	maxSentRecords   = 512
+	// minPrefixBytes is the length of the shortest prefix of a body that has a fingerprint; each other one is twice as long.
+	minPrefixBytes = 512
+	// maxEndsInRecord bounds what is accepted in one record of another host.
+	maxEndsInRecord = 64
+)
 
 // poisonRecords holds the records of requests that end servers. It is safe for concurrent use.
 type poisonRecords struct {
 	now func() time.Time
+	// changed receives a value when the records of this host's requests have changed, so that other hosts are told.
+	changed chan struct{}
 
 	mu    sync.Mutex
 	table *poison.Table
 }
 
 func newPoisonRecords(now func() time.Time) *poisonRecords {
-	return &poisonRecords{now: now, table: poison.NewTable()}
+	return &poisonRecords{now: now, changed: make(chan struct{}, 1), table: poison.NewTable()}
+}
+
+func (p *poisonRecords) signalChange() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
 }
 
 // recordEnd records the end of a server to which the request had been sent.
 func (p *poisonRecords) recordEnd(x *exchange, end poison.End) {
-	f := x.fingerprint()
+	chain := x.fingerprints()
 	p.mu.Lock()
-	changed := p.table.RecordEnd(p.now(), f, x.poisonKey(), end)
-	verdict, ends := p.table.Verdict(p.now(), f)
+	before, _ := p.table.Verdict(p.now(), chain)
+	changed := p.table.RecordEnd(p.now(), chain, x.poisonKey(), end)
+	verdict, record := p.table.Verdict(p.now(), chain)
 	p.mu.Unlock()
 	if !changed {
 		return
 	}
+	p.signalChange()
+	fingerprint := chain[len(chain)-1]
 	logging.Emit(logging.ServerEndedUnderRequest, logging.Fields{
-		"request": x.metadata.Attempt, "program": x.metadata.Program, "route": x.route.Name, "fingerprint": f, "server": end.Server, "began": end.Began, "ends": ends,
+		"request": x.metadata.Attempt, "program": x.metadata.Program, "route": x.route.Name, "fingerprint": fingerprint,
+		"server": end.Server, "began": end.Began,
 	})
-	if verdict == poison.Quarantined {
-		logging.Emit(logging.RequestQuarantined, logging.Fields{"fingerprint": f, "origin": "response"})
+	if verdict == poison.Quarantined && before != poison.Quarantined {
+		logging.Emit(logging.RequestQuarantined, logging.Fields{"fingerprint": record.Fingerprint, "request": x.metadata.Attempt, "ends": len(record.Ends), "origin": "response"})
 	}
 }
 
 // recordSuccess records that the request has run to its end.
 func (p *poisonRecords) recordSuccess(x *exchange) {
-	if _, ends := p.verdict(x); ends == 0 {
+	if !p.mayContain(x) {
 		return
 	}
+	chain := x.fingerprints()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.table.RecordSuccess(p.now(), x.fingerprint())
+	if p.table.RecordSuccess(p.now(), chain) {
+		p.signalChange()
+	}
 }
 
-// verdict returns the verdict on the request and the number of servers that have ended with it.
-func (p *poisonRecords) verdict(x *exchange) (v poison.Verdict, ends int) {
+// recent returns the records that changed lately, and the digest of the table.
+func (p *poisonRecords) recent() (records []poison.Record, digest uint64) {
 	p.mu.Lock()
-	known := p.table.MayContain(x.poisonKey())
-	p.mu.Unlock()
-	if !known {
-		return poison.Innocent, 0
+	defer p.mu.Unlock()
+	return p.table.Records(p.now(), recentRecordAge, maxRecentRecords), p.table.Digest()
+}
+
+// all returns the newest records of the table.
+func (p *poisonRecords) all() []poison.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Records(p.now(), math.MaxInt64, maxSentRecords)
+}
+
+// merge applies the records of another host.
+func (p *poisonRecords) merge(records []poison.Record, host string) {
+	if len(records) == 0 {
+		return
 	}
-	f := x.fingerprint()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Verdict(p.now(), f)
+	for _, f := range p.table.Merge(p.now(), records) {
+		logging.Emit(logging.RequestQuarantined, logging.Fields{"fingerprint": f, "origin": host})
+	}
 }
 
-// poisonKey returns a cheap hash of the request, the same for requests with the same fingerprint.
+// expire removes the expired records.
+func (p *poisonRecords) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.Expire(p.now())
+}
+
+// validatePoisonRecords rejects records that no host sends.
+func validatePoisonRecords(records []poison.Record) error {
+	if len(records) > maxSentRecords {
+		return errors.Newf("%d records of requests that end servers", len(records))
+	}
+	for _, r := range records {
+		if r.Age < 0 || len(r.Ends) > maxEndsInRecord {
+			return errors.Newf("record of request %s: age %v, %d ends", r.Fingerprint, r.Age, len(r.Ends))
+		}
+	}
+	return nil
+}
+
+// errQuarantined means that the request is refused because it ends the servers that run it.
+var errQuarantined = errors.New("request ends the backend servers that run it")
+
+// quarantineFailure returns the refusal of a request that is quarantined, nil for others. It invites no retry, and its
+// status is no 4xx, because the request is valid and the verdict may be wrong.
+func (x *exchange) quarantineFailure() *failure {
+	verdict, record := x.ingress.poison.verdict(x)
+	if verdict != poison.Quarantined {
+		return nil
+	}
+	status := http.StatusServiceUnavailable
+	if x.executions > 0 {
+		status = http.StatusBadGateway
+	}
+	return &failure{
+		status: status, reason: "quarantined",
+		cause: errors.Wrapf(errQuarantined, "fingerprint %s, %d backend servers ended", record.Fingerprint, len(record.Ends)),
+	}
+}
+
+// verdict returns the verdict on the request and the record on which it is based.
+func (p *poisonRecords) verdict(x *exchange) (poison.Verdict, poison.Record) {
+	if !p.mayContain(x) {
+		return poison.Innocent, poison.Record{}
+	}
+	chain := x.fingerprints()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.Verdict(p.now(), chain)
+}
+
+func (p *poisonRecords) mayContain(x *exchange) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.table.MayContain(x.poisonKey())
+}
+
+// isSuspect reports whether the request may have ended a server.
+func (x *exchange) isSuspect() bool {
+	verdict, _ := x.ingress.poison.verdict(x)
+	return verdict != poison.Innocent
+}
+
+// poisonKey returns a cheap hash of the request, the same for requests that have a fingerprint in common.
 func (x *exchange) poisonKey() uint64 {
 	var d xxhash.Digest
 	for _, part := range []string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller} {
 		_, _ = d.WriteString(part) // never returns an error
 		_, _ = d.WriteString("\x00")
 	}
-	return d.Sum64() + uint64(len(x.body))
+	return d.Sum64()
 }
 
-// fingerprint returns what identifies the request at any host: its path, caller and body.
-func (x *exchange) fingerprint() poison.Fingerprint {
-	x.fingerprintOnce.Do(func() {
+// fingerprints returns what identifies the request and its prefixes at any host: method, host, path, caller and body.
+func (x *exchange) fingerprints() poison.Chain {
+	x.fingerprintsOnce.Do(func() {
 		h := sha256.New()
-		for _, part := range [][]byte{[]byte(x.request.Method), []byte(x.request.Host), []byte(x.request.URL.Path), []byte(x.metadata.Caller), x.body} {
+		for _, part := range []string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller} {
 			_ = binary.Write(h, binary.BigEndian, uint64(len(part))) // a hash returns no error
-			_, _ = h.Write(part)
+			_, _ = io.WriteString(h, part)
+		}
+		sum := func() (f poison.Fingerprint) {
+			copy(f[:], h.Sum(nil))
+			return f
+		}
+		written := 0
+		for size := minPrefixBytes; size < len(x.body); size *= 2 {
+			_, _ = h.Write(x.body[written:size])
+			written = size
+			x.fingerprintChain = append(x.fingerprintChain, sum())
 		}
-		copy(x.fingerprintValue[:], h.Sum(nil))
+		_, _ = h.Write(x.body[written:])
+		_ = binary.Write(h, binary.BigEndian, uint64(len(x.body)))
+		x.fingerprintChain = append(x.fingerprintChain, sum())
 	})
-	return x.fingerprintValue
+	return x.fingerprintChain
 }
 
 // recordBreak is called after the response of a server broke off or is missing. If the server accepts no connections any
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -88,6 +88,9 @@
 	s.resumeServer = ""
 	acquired, inUse := s.ingress.servers.AcquireServer(resumeServer)
 	switch {
+	case acquired != nil && s.quarantineFailure() != nil:
+		acquired.Release()
+		return nil, errQuarantined
 	case acquired != nil && !s.awaitPermit(ctx, acquired, ratelimit.MaxWait):
 		acquired.Release()
 	case acquired != nil:
