Refuse calls that end workers at the group's scheduler, too

The scheduler of a group sees all its calls, so it keeps the records there: homes send the fingerprints of a call (team, kind, and prompt or service request) when they enqueue it, and tell with its end whether the worker refuses connections since and whether it had begun.

Not covered: tools, which are called at one address without a scheduler (an idempotent tool call is interrupted four times at most), and a pool of several groups, which learn one by one.

--- a/common/dial/dial.go
+++ b/common/dial/dial.go
@@ -39,3 +39,13 @@
 	}
 	return errors.Wrapf(err, "set TCP_USER_TIMEOUT for %s %s", network, address)
 }
+
+// IsRefused reports whether connections to the address are refused now: nothing listens there any more. A peer that does
+// not answer within the timeout refuses nothing.
+func IsRefused(address string, timeout time.Duration) bool {
+	conn, err := New(timeout).Dial("tcp", address)
+	if err == nil {
+		_ = conn.Close() // nothing was sent
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -4,7 +4,10 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -41,6 +44,33 @@
 // next turn of a program has the body of the turn before as a prefix.
 type Chain []Fingerprint
 
+// minPrefixBytes is the length of the shortest prefix of a body that has a fingerprint; each other one is twice as long.
+const minPrefixBytes = 512
+
+// NewChain returns the fingerprints of a request: of the parts that identify what it is for and whose it is, and of its
+// body.
+func NewChain(parts []string, body []byte) Chain {
+	h := sha256.New()
+	for _, part := range parts {
+		_ = binary.Write(h, binary.BigEndian, uint64(len(part))) // a hash returns no error
+		_, _ = io.WriteString(h, part)
+	}
+	sum := func() (f Fingerprint) {
+		copy(f[:], h.Sum(nil))
+		return f
+	}
+	var chain Chain
+	written := 0
+	for size := minPrefixBytes; size < len(body); size *= 2 {
+		_, _ = h.Write(body[written:size])
+		written = size
+		chain = append(chain, sum())
+	}
+	_, _ = h.Write(body[written:])
+	_ = binary.Write(h, binary.BigEndian, uint64(len(body)))
+	return append(chain, sum())
+}
+
 // Lifetime identifies one lifetime of a server.
 type Lifetime struct {
 	Server      string
--- a/core/program/calls.go
+++ b/core/program/calls.go
@@ -223,6 +223,9 @@
 		return
 	}
 	ferr := fault.New(fault.CodeOverloaded, "schedule", "%s", e.Reason)
+	if e.Reason == sched.ReasonQuarantined {
+		ferr = fault.New(fault.CodeBackendFailed, "schedule", "call %q is refused: backend servers ended when they ran the same request", c.request.Key)
+	}
 	ferr.RetryAfterMS = e.RetryAfterMS
 	r.failNotRun(p, c, ferr)
 }
--- a/core/program/dispatch.go
+++ b/core/program/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
 
@@ -63,7 +64,7 @@
 		Call: c.attemptID, Group: r.groupOfCall(p, c), Home: r.journal, Agent: p.header.Agent, Class: p.header.Class,
 		Turns: len(p.turns), AttainedTokens: p.spentTokens, AgeMS: int64(r.now - p.header.OpenedAt),
 		PausedMS: int64(r.now - p.lastActiveAt), PauseTool: p.lastTool, AvoidWorkers: slices.Clone(c.avoidWorkers), RunningOn: c.worker,
-		RootProgram: r.root(p),
+		RootProgram: r.root(p), Fingerprints: r.fingerprints(p, c),
 	}
 	if p.header.DeadlineAt != 0 {
 		request.TimeLeftMS = max(int64(p.header.DeadlineAt-r.now), 1)
@@ -76,6 +77,28 @@
 	return request
 }
 
+// fingerprints identifies the call by its team, its kind and what a server gets to see of it, so that it is the same from
+// whichever program it comes.
+func (r *reduction) fingerprints(p *program, c *call) poison.Chain {
+	if c.fingerprints == nil {
+		c.fingerprints = r.newFingerprints(p, c)
+	}
+	return c.fingerprints
+}
+
+func (r *reduction) newFingerprints(p *program, c *call) poison.Chain {
+	parts := []string{p.header.Team, string(c.request.Kind)}
+	if c.request.Kind == api.CallService {
+		s := c.request.Service
+		return poison.NewChain(append(parts, s.Name, s.Method, s.Path), s.Body)
+	}
+	var prompt []byte
+	for _, m := range r.chatMessages(p, c) {
+		prompt = append(append(append(append(prompt, m.Role...), ' '), m.Content...), '\n')
+	}
+	return poison.NewChain(parts, prompt)
+}
+
 // root returns the topmost ancestor of a child program, or "" for a program without a parent. The scheduler admits
 // children together with their root program.
 func (r *reduction) root(p *program) ids.Program {
@@ -155,6 +178,7 @@
 		r.emit(ReportFinished{Request: sched.Finished{
 			Call: e.Call, Group: r.groupOfCall(p, c), Worker: c.worker, PromptTokens: e.Usage.PromptTokens,
 			CachedTokens: e.Usage.CachedTokens, GeneratedTokens: e.Usage.GeneratedTokens, Failed: e.Result != ResultCompleted,
+			WorkerEnded: e.WorkerEnded, Began: e.Began,
 		}})
 	}
 	switch e.Result {
--- a/core/program/messages.go
+++ b/core/program/messages.go
@@ -105,6 +105,9 @@
 	Usage      api.Usage    `msgpack:"u"`
 	StatusCode int          `json:"Status" msgpack:"s"`
 	Error      *fault.Error `msgpack:"e"`
+	// WorkerEnded and Began are those of sched.Finished.
+	WorkerEnded bool `json:",omitempty" msgpack:"we,omitempty"`
+	Began       bool `json:",omitempty" msgpack:"b,omitempty"`
 }
 
 // Committed reports that all commits up to UpTo are durable.
--- a/core/program/state.go
+++ b/core/program/state.go
@@ -24,6 +24,7 @@
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/config"
 	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/sched"
 )
 
@@ -145,6 +146,7 @@
 	waitingSince  clock.Millis // start of its wait for a missing earlier call; reset while another call runs
 	attemptID     sched.CallID // of the latest attempt
 	attempts      int          // number of attempts of this call
+	fingerprints  poison.Chain // set when the call is first enqueued
 	interruptions int          // number of interrupted dispatches
 	worker        string
 	priority      int
--- a/core/sched/admission.go
+++ b/core/sched/admission.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/sched/framework"
 )
 
@@ -13,6 +14,8 @@
 	ReasonDeadline = "expected_wait_exceeds_time_left"
 	// ReasonBacklog: a program's first call is expected to wait for longer than maxBacklogWait.
 	ReasonBacklog = "backlog_full"
+	// ReasonQuarantined: the call ends the workers that run it.
+	ReasonQuarantined = "ends_workers"
 )
 
 const (
@@ -118,6 +121,9 @@
 // maxBacklogWait. retryAfter, in milliseconds, is the time until the calls now ahead are expected to have run, or
 // the backlog to be within its bound.
 func (g *group) checkAdmission(c *call) (reason string, retryAfter clock.Millis) {
+	if verdict, _ := g.poison.Verdict(g.time(), c.fingerprints); verdict == poison.Quarantined {
+		return ReasonQuarantined, 0
+	}
 	wait := g.expectedWait(c)
 	if d := c.Program.Deadline; d > 0 && g.Now+wait > d {
 		return ReasonDeadline, max(wait, minRetryAfter)
--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -5,10 +5,12 @@
 	"maps"
 	"slices"
 	"sort"
+	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/sched/framework"
 	"github.com/hyssopreel/hyssopreel/core/sched/plugins"
 )
@@ -29,6 +31,8 @@
 	releaseRepeatInterval clock.Millis = 3000
 	// endedProgramTTL is how long an ended program's ID is kept after its end or its last entry in a cache report.
 	endedProgramTTL clock.Millis = 600_000
+	// workerEndWindow is the time within which all calls at a worker report its end.
+	workerEndWindow clock.Millis = 1000
 	// programIdleTTL is the time without a message after which a program's state is removed: twice the
 	// idle_timeout of programs (30 min).
 	programIdleTTL clock.Millis = 3_600_000
@@ -45,6 +49,7 @@
 	startsNewWork, urgent bool
 	// lastRefreshAt is when the home last sent Enqueued for the call.
 	lastRefreshAt clock.Millis
+	fingerprints  poison.Chain
 	// enginePriority is the Priority of the grant.
 	enginePriority int
 	// reservedTokens is the part of the worker's ReservedTokens that is due to this call.
@@ -83,6 +88,9 @@
 	blockedWorkers []*framework.Worker
 	moveAttempts   int
 	effects        []event.Effect
+	// poison holds the records of calls that end workers, and workerEnds the last end of each worker.
+	poison     *poison.Table
+	workerEnds map[string]workerEnd
 	// callTTL is CallTTLMS of the last GroupChanged.
 	callTTL clock.Millis
 }
@@ -96,6 +104,8 @@
 		endedCalls:    map[CallID]clock.Millis{},
 		refusedCalls:  map[CallID]refusedCall{},
 		endedPrograms: map[ids.Program]clock.Millis{},
+		poison:        poison.NewTable(),
+		workerEnds:    map[string]workerEnd{},
 		lastRerank:    at,
 		lastSweep:     at,
 	}
@@ -139,7 +149,7 @@
 		delete(g.refusedCalls, m.Call)
 	}
 	p := g.updateProgram(m)
-	c := &call{id: m.Call, home: m.Home, lastRefreshAt: g.Now}
+	c := &call{id: m.Call, home: m.Home, lastRefreshAt: g.Now, fingerprints: m.Fingerprints}
 	c.Call = framework.Call{
 		Program:      p,
 		EnqueuedAt:   g.Now,
@@ -300,6 +310,12 @@
 	}
 	w, p := c.Worker, c.Program
 	g.removeFromWorker(c)
+	switch {
+	case m.WorkerEnded:
+		g.poison.RecordEnd(g.time(), c.fingerprints, 0, poison.End{Lifetime: g.endedLifetime(w.Name), Began: m.Began})
+	case !m.Failed:
+		g.poison.RecordSuccess(g.time(), c.fingerprints)
+	}
 	if _, ended := g.endedPrograms[p.ID]; ended && w.CacheCapacityTokens > 0 {
 		// The release at the end of the program could not free the cache of its running call.
 		g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: p.ID})
@@ -320,6 +336,25 @@
 	}
 }
 
+// workerEnd is the last end of a worker. Calls that report it within workerEndWindow report the same one.
+type workerEnd struct {
+	at    clock.Millis
+	count int64
+}
+
+// endedLifetime returns the lifetime of the worker that ends now. Workers keep their names from one to the next.
+func (g *group) endedLifetime(worker string) poison.Lifetime {
+	end, ok := g.workerEnds[worker]
+	if !ok || g.Now-end.at > workerEndWindow {
+		end = workerEnd{at: g.Now, count: end.count + 1}
+		g.workerEnds[worker] = end
+	}
+	return poison.Lifetime{Server: worker, StartedAtMS: end.count}
+}
+
+// time returns the group's clock for packages that use time.Time.
+func (g *group) time() time.Time { return time.UnixMilli(int64(g.Now)) }
+
 // removeFromWorker releases the slot and the reserved cache of a running call.
 func (g *group) removeFromWorker(c *call) {
 	w := c.Worker
@@ -583,6 +618,8 @@
 
 // removeExpired removes the ended and refused calls and the ended and idle programs whose retention has passed.
 func (g *group) removeExpired() {
+	g.poison.Expire(g.time())
+	maps.DeleteFunc(g.workerEnds, func(_ string, e workerEnd) bool { return g.Now-e.at > programIdleTTL })
 	for id, until := range g.endedCalls {
 		if g.Now >= until {
 			delete(g.endedCalls, id)
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -7,6 +7,7 @@
 import (
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/core/event"
+	"github.com/hyssopreel/hyssopreel/core/poison"
 )
 
 // Classes of programs, the most urgent first.
@@ -59,6 +60,8 @@
 	RunningOn string `json:"Running" msgpack:"r"`
 	// AvoidWorkers lists workers that failed this call.
 	AvoidWorkers []string `json:"Avoid" msgpack:"av"`
+	// Fingerprints identifies the request whichever program, home or attempt sends it.
+	Fingerprints poison.Chain `json:",omitempty" msgpack:"fp,omitempty"`
 }
 
 // Finished reports the end of a granted call.
@@ -72,6 +75,10 @@
 	// NextTool names the tool that the program is expected to wait for now; empty if unknown.
 	NextTool string `msgpack:"nt"`
 	Failed   bool   `msgpack:"f"`
+	// WorkerEnded is set if the worker ended while the call was there, and Began if it had begun to run it by then and had
+	// not produced anything.
+	WorkerEnded bool `json:",omitempty" msgpack:"we,omitempty"`
+	Began       bool `json:",omitempty" msgpack:"b,omitempty"`
 }
 
 // Withdrawn cancels a waiting call (its program was canceled or its caller's deadline passed). A home that
--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -22,6 +22,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hyssopreel/hyssopreel/api"
+	"github.com/hyssopreel/hyssopreel/common/dial"
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/ids"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
@@ -31,6 +32,8 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// endProbeTimeout bounds the connection that shows whether a backend server has ended.
+	endProbeTimeout = 100 * time.Millisecond
 	// firstTokenTimeout and tokenTimeout bound the time until an engine's first token and between tokens. The targets
 	// are 1.8 s and 49 ms at the 95th percentile, so a much longer delay means a broken connection.
 	firstTokenTimeout = 30 * time.Second
@@ -195,6 +198,7 @@
 			return nil, &e
 		}
 		e := interrupted(ferr)
+		e.WorkerEnded = d.refusesConnections(req)
 		return nil, &e
 	}
 	if resp.Header.Get(headerNotRun) == "true" {
@@ -230,6 +234,7 @@
 	peer := e.Name + "@" + address
 	resp, failed := d.doRequest(client, req, peer)
 	if failed != nil {
+		failed.Began = failed.WorkerEnded // the answer of a plain service does not show when it began
 		return *failed
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -312,7 +317,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return d.engineError(resp, e)
 	}
-	return d.readStream(resp.Body, e, idleTimer)
+	ended := d.readStream(resp.Body, e, idleTimer)
+	if ended.Result == program.ResultInterrupted {
+		ended.WorkerEnded = d.refusesConnections(req)
+		ended.Began = ended.WorkerEnded && ended.Text == e.ResumeText
+	}
+	return ended
+}
+
+// refusesConnections reports whether the backend server of a request that was interrupted refuses connections now: it
+// has ended. A call that was canceled says nothing of its server.
+func (d *dispatcher) refusesConnections(req *http.Request) bool {
+	if errors.Is(req.Context().Err(), context.Canceled) {
+		return false
+	}
+	return dial.IsRefused(req.URL.Host, endProbeTimeout)
 }
 
 func (d *dispatcher) engineError(resp *http.Response, e program.Dispatch) program.DispatchEnded {
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
-	"io"
 	"math"
-	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,8 +23,6 @@
 	// maxRecentRecords and maxSentRecords bound the records in one heartbeat: recent ones, and all of a host that lacks some.
 	maxRecentRecords = 128
 	maxSentRecords   = 512
-	// minPrefixBytes is the length of the shortest prefix of a body that has a fingerprint; each other one is twice as long.
-	minPrefixBytes = 512
 	// maxEndsInRecord bounds what is accepted in one record of another host.
 	maxEndsInRecord = 64
 )
@@ -192,24 +185,7 @@
 // fingerprints returns what identifies the request and its prefixes at any host: method, host, path, caller and body.
 func (x *exchange) fingerprints() poison.Chain {
 	x.fingerprintsOnce.Do(func() {
-		h := sha256.New()
-		for _, part := range []string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller} {
-			_ = binary.Write(h, binary.BigEndian, uint64(len(part))) // a hash returns no error
-			_, _ = io.WriteString(h, part)
-		}
-		sum := func() (f poison.Fingerprint) {
-			copy(f[:], h.Sum(nil))
-			return f
-		}
-		written := 0
-		for size := minPrefixBytes; size < len(x.body); size *= 2 {
-			_, _ = h.Write(x.body[written:size])
-			written = size
-			x.fingerprintChain = append(x.fingerprintChain, sum())
-		}
-		_, _ = h.Write(x.body[written:])
-		_ = binary.Write(h, binary.BigEndian, uint64(len(x.body)))
-		x.fingerprintChain = append(x.fingerprintChain, sum())
+		x.fingerprintChain = poison.NewChain([]string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller}, x.body)
 	})
 	return x.fingerprintChain
 }
@@ -240,20 +216,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if now := time.Now(); now.Sub(p.at) >= endProbeTimeout {
-		conn, err := dial.New(endProbeTimeout).Dial("tcp", l.backend.info.Address)
-		if err == nil {
-			_ = conn.Close()
-		}
-		p.at, p.refused = now, isRefused(err)
+		p.at, p.refused = now, dial.IsRefused(l.backend.info.Address, endProbeTimeout)
 	}
 	return p.refused
 }
 
-func isRefused(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // endProbe is the result of the last attempt to connect to a server whose responses broke off.
 type endProbe struct {
 	mu      sync.Mutex
