Leave rate-limited servers out of the load that admits new programs

Cause: admission took the load over all engines; the limited ones are nearly idle, and the slots that it counted for them grew with the time of a turn, that is with the overload itself. So new programs were admitted while the others had 27 requests for 12 slots.

Pressure now counts servers with a rate limit only if all servers name one.

Test: TestRateLimitedServersDoNotHideAnOverload failed before (9 requests where 8 are expected).

--- a/service/ingress/rate_limits_test.go
+++ b/service/ingress/rate_limits_test.go
@@ -7,12 +7,15 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/service/ingress"
 	"github.com/hyssopreel/hyssopreel/standin/objects"
 )
 
@@ -197,3 +200,24 @@
 		Expect(callAll(hosts, time.Second)).To(And(HaveLen(1), HaveKeyWithValue(200, BeNumerically(">", 100))))
 	})
 })
+
+// Guards against programs that are admitted because rate-limited servers look idle, while the others are overloaded and
+// started programs fail.
+func TestRateLimitedServersDoNotHideAnOverload(t *testing.T) {
+	g := NewWithT(t)
+	servers := ingress.NewServers(time.Now, nil)
+	for _, id := range []string{"limited", "other"} {
+		servers.Put(placement.Server{ID: id, Service: "s", Slots: 4})
+	}
+	limited, _ := servers.AcquireServer("limited")
+	limited.RecordRateLimit(time.Now(), 200, ingress.ResponseMetadata{RateLimited: true, RateLimit: 1, HasServerStamp: true})
+	for range 8 {
+		servers.AcquireServer("other")
+	}
+	pressure := servers.Pressure("s")
+	g.Expect(pressure.Requests).To(Equal(8.0))
+	g.Expect(pressure.Slots).To(Equal(4))
+	other, _ := servers.AcquireServer("other")
+	other.RecordRateLimit(time.Now(), 200, ingress.ResponseMetadata{RateLimited: true, RateLimit: 1, HasServerStamp: true})
+	g.Expect(servers.Pressure("s").Requests).To(Equal(10.0), "all servers are limited")
+}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -324,17 +324,27 @@
 	}
 }
 
-// Pressure returns the load and the slots of the servers of a service that are neither draining nor ejected.
+// Pressure returns the load and the slots of the servers of a service that are neither draining nor ejected. Servers that
+// name a rate limit count only if all do: they run what they take, and the rest has to go elsewhere.
 func (s *Servers) Pressure(service string) admission.ServiceLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	load := admission.ServiceLoad{TurnTime: s.turnTime}
 	now := s.now()
+	limited := admission.ServiceLoad{TurnTime: s.turnTime}
 	for _, b := range s.byService[service] {
-		if !b.info.Draining && !b.outliers.Ejected(now) {
-			load.Requests += s.estimatedLoad(b, now)
-			load.Slots += s.effectiveSlots(b)
+		if b.info.Draining || b.outliers.Ejected(now) {
+			continue
+		}
+		to := &load
+		if b.rateLimit.Limited {
+			to = &limited
 		}
+		to.Requests += s.estimatedLoad(b, now)
+		to.Slots += s.effectiveSlots(b)
+	}
+	if load.Slots == 0 {
+		return limited
 	}
 	return load
 }
