Show operators the rate limits that a host knows

GET /v1/fleet and hyssopreelctl fleet list each server with a rate limit: the limit, when it was last named, and the host that grants its requests; without one, the server gets none.

--- a/api/fleet.go
+++ b/api/fleet.go
@@ -10,6 +10,20 @@
 	Slots   int            `json:"slots"`
 	Members []FleetMember  `json:"members"`
 	Kinds   []FollowedKind `json:"kinds"`
+	// RateLimits holds the backend servers that name a rate limit, sorted by ID.
+	RateLimits []RateLimit `json:"rate_limits"`
+}
+
+// RateLimit is the rate limit of a backend server in a FleetView.
+type RateLimit struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	// PerSecond is the number of requests per second that the server takes from all hosts together.
+	PerSecond float64 `json:"per_second"`
+	// NamedMS is the age of the last response that named it, in milliseconds.
+	NamedMS int64 `json:"named_ms"`
+	// Owner is the name of the host that grants the requests; empty if there is none, so that the server gets none.
+	Owner string `json:"owner"`
 }
 
 // States of a FleetMember.
--- a/cmd/hyssopreelctl/fleet.go
+++ b/cmd/hyssopreelctl/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -80,6 +81,12 @@
 				return err
 			}
 		}
+		for _, l := range v.RateLimits {
+			owner := cmp.Or(l.Owner, "no host")
+			if _, err := fmt.Fprintf(a.stdout, "server %s of %s: %g requests/s, named %s ago, granted by %s\n", l.Server, l.Service, l.PerSecond, formatAge(l.NamedMS), owner); err != nil {
+				return err
+			}
+		}
 	}
 	return a.printResult(v, "HOST DOMAIN STATE FOR ROLES HEARD LOAD", func(add func(cells ...any)) {
 		for _, m := range v.Members {
--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -22,18 +22,22 @@
 
 // sources returns where the host reads each kind of objects from.
 func (r *runningHost) sources() []string {
+	var out []string
+	for _, k := range r.fleetView().Kinds {
+		out = append(out, k.Source)
+	}
+	return out
+}
+
+// fleetView returns the host's view of the fleet; empty if the host does not answer.
+func (r *runningHost) fleetView() (view api.FleetView) {
 	resp, err := http.Get("http://" + r.settings.Listen.Metrics + "/v1/fleet")
 	if err != nil {
-		return nil
+		return view
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var view api.FleetView
 	_ = json.NewDecoder(resp.Body).Decode(&view)
-	var out []string
-	for _, k := range view.Kinds {
-		out = append(out, k.Source)
-	}
-	return out
+	return view
 }
 
 var _ = Describe("Hosts of a large failure domain", func() {
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -42,6 +42,11 @@
 			Kind: kind, Source: informer.currentSource(), Revision: uint64(informer.NewestRevision()), AnsweredMS: ageMS(now, informer.lastResponseTime()),
 		})
 	}
+	v.RateLimits = h.servers.namedLimits()
+	for i, limit := range v.RateLimits {
+		owner, _ := h.hosts.Owner(limit.Server)
+		v.RateLimits[i].Owner = owner.Name
+	}
 	slices.SortFunc(v.Kinds, func(a, b api.FollowedKind) int { return cmp.Compare(a.Kind, b.Kind) })
 	return v
 }
--- a/service/ingress/rate_limits.go
+++ b/service/ingress/rate_limits.go
@@ -1,10 +1,13 @@
 package ingress
 
 import (
+	"cmp"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/ratelimit"
 )
@@ -76,6 +79,22 @@
 	return out
 }
 
+// namedLimits returns the limits in force for operators, sorted by server.
+func (s *Servers) namedLimits() []api.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []api.RateLimit{}
+	for _, b := range s.byID {
+		if b.rateLimit.Limited {
+			out = append(out, api.RateLimit{
+				Server: b.info.ID, Service: b.info.Service, PerSecond: b.rateLimit.PerSecond, NamedMS: ageMS(s.now(), b.rateLimit.ObservedAt),
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b api.RateLimit) int { return cmp.Compare(a.Server, b.Server) })
+	return out
+}
+
 // MergeRateLimits applies the limits that another host knows.
 func (s *Servers) MergeRateLimits(limits []serverLimit, host string) {
 	s.mu.Lock()
--- a/service/ingress/rate_limits_test.go
+++ b/service/ingress/rate_limits_test.go
@@ -139,6 +139,11 @@
 		Expect(statuses).To(HaveLen(1))
 		Expect(statuses).To(HaveKey(200))
 		Expect(limited.mostInWindow()).To(And(BeNumerically("<=", 4*4+5), BeNumerically(">=", 4*4/2)))
+		for _, h := range hosts {
+			limits := h.fleetView().RateLimits
+			Expect(limits).To(HaveLen(1), "every host knows the limit")
+			Expect(limits[0]).To(And(HaveField("Server", "i-1"), HaveField("PerSecond", 4.0), HaveField("Owner", fleet.RendezvousOrder(fleetHosts(hosts), "i-1")[0].Name)))
+		}
 	})
 	// Guards against two hosts that both grant a server's requests when one takes over from the other.
 	It("stay within the limit when the host that grants its requests is stopped", func() {
