Show operators the quarantined requests, and probe a silent server once

GET /v1/fleet and hyssopreelctl fleet list the fingerprints in quarantine with the servers that ended. Found in review: on a server that answers nothing, each request that broke off there made its own attempt to connect, one after the other, 100 ms each; they share one now.

--- a/api/fleet.go
+++ b/api/fleet.go
@@ -12,6 +12,21 @@
 	Kinds   []FollowedKind `json:"kinds"`
 	// RateLimits holds the backend servers that name a rate limit, sorted by ID.
 	RateLimits []RateLimit `json:"rate_limits"`
+	// Quarantined holds the requests that are refused because they end the backend servers that run them, the last seen
+	// first, at most 100.
+	Quarantined []QuarantinedRequest `json:"quarantined"`
+}
+
+// QuarantinedRequest is a request, or all requests with a common prefix, in a FleetView.
+type QuarantinedRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	// Prefix is set if the fingerprint is that of a prefix.
+	Prefix bool `json:"prefix"`
+	// Servers holds the IDs of the backend servers that ended.
+	Servers []string `json:"servers"`
+	// SeenMS is the time since the request was last seen, in milliseconds; it is refused until it was not seen for ten
+	// minutes.
+	SeenMS int64 `json:"seen_ms"`
 }
 
 // RateLimit is the rate limit of a backend server in a FleetView.
--- a/cmd/hyssopreelctl/fleet.go
+++ b/cmd/hyssopreelctl/fleet.go
@@ -87,6 +87,15 @@
 				return err
 			}
 		}
+		for _, q := range v.Quarantined {
+			what := "request"
+			if q.Prefix {
+				what = "requests with prefix"
+			}
+			if _, err := fmt.Fprintf(a.stdout, "quarantined: %s %s, seen %s ago, ended %s\n", what, q.Fingerprint, formatAge(q.SeenMS), strings.Join(q.Servers, ", ")); err != nil {
+				return err
+			}
+		}
 	}
 	return a.printResult(v, "HOST DOMAIN STATE FOR ROLES HEARD LOAD", func(add func(cells ...any)) {
 		for _, m := range v.Members {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -123,9 +123,10 @@
 	at time.Time
 }
 
-func (e *entry) verdict() Verdict {
+// Verdict returns the verdict that follows from the record.
+func (r *Record) Verdict() Verdict {
 	score := 0.0
-	for _, end := range e.Ends {
+	for _, end := range r.Ends {
 		if end.Began {
 			score += beganScore
 		} else {
@@ -133,11 +134,11 @@
 		}
 	}
 	threshold := quarantineScore
-	if e.isPrefix() {
+	if r.IsPrefix() {
 		threshold = prefixQuarantineScore
 	}
 	switch {
-	case e.Succeeded || score < beganScore || e.isPrefix() && !e.Diverged:
+	case r.Succeeded || score < beganScore || r.IsPrefix() && !r.Diverged:
 		return Innocent
 	case score < threshold:
 		return Suspect
@@ -145,10 +146,11 @@
 	return Quarantined
 }
 
-func (r *Record) isPrefix() bool { return r.Next != Fingerprint{} }
+// IsPrefix reports whether the record is that of a prefix.
+func (r *Record) IsPrefix() bool { return r.Next != Fingerprint{} }
 
 func (e *entry) expired(now time.Time) bool {
-	if e.verdict() == Quarantined {
+	if e.Verdict() == Quarantined {
 		return now.Sub(e.at) > quarantineTTL
 	}
 	return now.Sub(e.at) > suspicionTTL
@@ -174,7 +176,7 @@
 		if !ok || e.expired(now) {
 			continue
 		}
-		if v := e.verdict(); v >= verdict {
+		if v := e.Verdict(); v >= verdict {
 			verdict, record = v, e.Record
 		}
 	}
@@ -219,8 +221,8 @@
 	var quarantined []Fingerprint
 	for _, r := range records {
 		e, ok := t.entries[r.Fingerprint]
-		before := ok && e.verdict() == Quarantined
-		if t.merge(now, r) && !before && t.entries[r.Fingerprint].verdict() == Quarantined {
+		before := ok && e.Verdict() == Quarantined
+		if t.merge(now, r) && !before && t.entries[r.Fingerprint].Verdict() == Quarantined {
 			quarantined = append(quarantined, r.Fingerprint)
 		}
 	}
@@ -273,7 +275,7 @@
 		return
 	}
 	oldest := slices.MinFunc(slices.Collect(maps.Values(t.entries)), func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.verdict()/Quarantined, b.verdict()/Quarantined), a.at.Compare(b.at))
+		return cmp.Or(cmp.Compare(a.Verdict()/Quarantined, b.Verdict()/Quarantined), a.at.Compare(b.at))
 	})
 	t.remove(oldest.Fingerprint)
 }
@@ -314,7 +316,7 @@
 func (t *Table) Digest() uint64 {
 	digest := uint64(0)
 	for f, e := range t.entries {
-		if e.verdict() == Quarantined {
+		if e.Verdict() == Quarantined {
 			digest ^= xxhash.Sum64(f[:])
 		}
 	}
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -42,6 +42,7 @@
 			Kind: kind, Source: informer.currentSource(), Revision: uint64(informer.NewestRevision()), AnsweredMS: ageMS(now, informer.lastResponseTime()),
 		})
 	}
+	v.Quarantined = h.ingress.poison.quarantined()
 	v.RateLimits = h.servers.namedLimits()
 	for i, limit := range v.RateLimits {
 		owner, _ := h.hosts.Owner(limit.Server)
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/dial"
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/poison"
@@ -23,6 +24,8 @@
 	// maxRecentRecords and maxSentRecords bound the records in one heartbeat: recent ones, and all of a host that lacks some.
 	maxRecentRecords = 128
 	maxSentRecords   = 512
+	// maxShownRecords bounds the records that operators are shown.
+	maxShownRecords = 100
 	// maxEndsInRecord bounds what is accepted in one record of another host.
 	maxEndsInRecord = 64
 )
@@ -97,6 +100,24 @@
 	return p.table.Records(p.now(), math.MaxInt64, maxSentRecords)
 }
 
+// quarantined returns the requests in quarantine for operators.
+func (p *poisonRecords) quarantined() []api.QuarantinedRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []api.QuarantinedRequest{}
+	for _, r := range p.table.Records(p.now(), math.MaxInt64, math.MaxInt) {
+		if r.Verdict() != poison.Quarantined || len(out) == maxShownRecords {
+			continue
+		}
+		request := api.QuarantinedRequest{Fingerprint: r.Fingerprint.String(), Prefix: r.IsPrefix(), SeenMS: r.Age.Milliseconds()}
+		for _, end := range r.Ends {
+			request.Servers = append(request.Servers, end.Server)
+		}
+		out = append(out, request)
+	}
+	return out
+}
+
 // merge applies the records of another host.
 func (p *poisonRecords) merge(records []poison.Record, host string) {
 	if len(records) == 0 {
@@ -215,8 +236,9 @@
 	p := &l.backend.endProbe
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now := time.Now(); now.Sub(p.at) >= endProbeTimeout {
-		p.at, p.refused = now, dial.IsRefused(l.backend.info.Address, endProbeTimeout)
+	if time.Since(p.at) >= endProbeTimeout {
+		p.refused = dial.IsRefused(l.backend.info.Address, endProbeTimeout)
+		p.at = time.Now() // after the attempt, so that requests that waited for it do not make another one
 	}
 	return p.refused
 }
--- a/service/ingress/poison_test.go
+++ b/service/ingress/poison_test.go
@@ -133,6 +133,15 @@
 		Expect(servers.runs("/turns/x")).To(BeNumerically("<=", 3+3), "the third server and three retries")
 		Expect(lastDeadly.status).To(Equal(503))
 		Expect(lastDeadly.header.Get("Retry-After")).To(BeEmpty())
+		for _, h := range hosts {
+			Expect(h.fleetView().Quarantined).NotTo(BeEmpty(), "every host knows the request")
+		}
+		runsBefore := servers.runs("/turns/x")
+		late := startHost(store, "a-2")
+		DeferCleanup(late.stop)
+		Eventually(late.ready, "5s").Should(BeTrue())
+		Expect(late.call("POST", "/turns/x", deadlyBody, "Hyssopreel-Attempt-Id", "late").status).To(Equal(503))
+		Expect(servers.runs("/turns/x")).To(Equal(runsBefore), "a host that starts knows the request before it serves")
 		Expect(float64(served) / float64(served+failed)).To(BeNumerically(">=", 0.97))
 	})
 })
