--- a/core/program/child_admission_test.go
+++ b/core/program/child_admission_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/ids"
+	"github.com/hyssopreel/hyssopreel/core/event"
 	"github.com/hyssopreel/hyssopreel/core/program"
 )
 
@@ -21,6 +22,15 @@
 		Key: "a", Kind: api.CallAgent, Agent: &api.AgentCall{Name: "helper", Prompt: "p", BudgetTokens: 400},
 	}})
 	var roots []ids.Program
+	for _, e := range enqueuesAfter(s, effects) {
+		roots = append(roots, e.Request.RootProgram)
+	}
+	g.Expect(roots).To(gomega.Equal([]ids.Program{"h.1-1"}))
+}
+
+// enqueuesAfter confirms commits until there are none, and returns the calls that are enqueued meanwhile.
+func enqueuesAfter(s *program.State, effects []event.Effect) []program.Enqueue {
+	var out []program.Enqueue
 	for len(effects) > 0 {
 		lastSeq := program.CommitSeq(0)
 		for _, e := range effects {
@@ -28,7 +38,7 @@
 			case program.Commit:
 				lastSeq = e.Seq
 			case program.Enqueue:
-				roots = append(roots, e.Request.RootProgram)
+				out = append(out, e)
 			}
 		}
 		effects = nil
@@ -36,5 +46,5 @@
 			effects = s.Reduce(4, program.Committed{UpTo: lastSeq})
 		}
 	}
-	g.Expect(roots).To(gomega.Equal([]ids.Program{"h.1-1"}))
+	return out
 }
--- a/core/program/fingerprint_test.go
+++ b/core/program/fingerprint_test.go
@@ -17,20 +17,8 @@
 	s.Reduce(1, program.ConfigChanged{Config: testConfig})
 	s.Reduce(2, program.OpenRequested{Waiter: 1, Request: api.OpenProgram{Team: "t", Agent: "judge", BudgetTokens: budget}})
 	effects := s.Reduce(3, program.CallSubmitted{Waiter: 2, Program: "h.1-1", Call: api.Call{Key: key, Kind: api.CallModel, Model: &api.ModelCall{Prompt: prompt, MaxTokens: 10}}})
-	for len(effects) > 0 {
-		lastSeq := program.CommitSeq(0)
-		for _, e := range effects {
-			switch e := e.(type) {
-			case program.Commit:
-				lastSeq = e.Seq
-			case program.Enqueue:
-				return e.Request.Fingerprints
-			}
-		}
-		effects = nil
-		if lastSeq != 0 {
-			effects = s.Reduce(4, program.Committed{UpTo: lastSeq})
-		}
+	if calls := enqueuesAfter(s, effects); len(calls) > 0 {
+		return calls[0].Request.Fingerprints
 	}
 	return nil
 }
--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -82,6 +82,25 @@
 	return host
 }
 
+// startHosts starts hosts with these names and waits until all of them are in the directory.
+func startHosts(store *objects.Store, names ...string) []*runningHost {
+	var hosts []*runningHost
+	for _, name := range names {
+		hosts = append(hosts, startHost(store, name))
+	}
+	// All are stopped before startHost's cleanup waits for the first one.
+	DeferCleanup(func() {
+		for _, h := range hosts {
+			h.stop()
+		}
+	})
+	for _, h := range hosts {
+		Eventually(h.ready, "5s").Should(BeTrue())
+		Eventually(h.directory, "5s").Should(HaveLen(len(names)))
+	}
+	return hosts
+}
+
 func (r *runningHost) ready() bool {
 	resp, err := http.Get("http://" + r.settings.Listen.Ready + "/readyz")
 	if err != nil {
@@ -142,20 +161,7 @@
 		b = newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) { streamEvents(w, 1, 20) })
 		putConfig(store, 1)
 		putServer(store, b, "ready")
-		hosts = nil
-		for _, name := range []string{"a-1", "b-1", "c-1"} {
-			hosts = append(hosts, startHost(store, name))
-		}
-		// All are stopped before startHost's cleanup waits for the first one.
-		DeferCleanup(func() {
-			for _, h := range hosts {
-				h.stop()
-			}
-		})
-		for _, h := range hosts {
-			Eventually(h.ready, "5s").Should(BeTrue())
-			Eventually(h.directory, "5s").Should(HaveLen(3))
-		}
+		hosts = startHosts(store, "a-1", "b-1", "c-1")
 	})
 
 	// Guards against programs that exceed their budget by sending turns through several hosts.
--- a/service/ingress/rate_limits_test.go
+++ b/service/ingress/rate_limits_test.go
@@ -78,24 +78,6 @@
 	return most
 }
 
-// startHosts starts hosts with these names and waits until all of them are in the directory.
-func startHosts(store *objects.Store, names ...string) []*runningHost {
-	var hosts []*runningHost
-	for _, name := range names {
-		hosts = append(hosts, startHost(store, name))
-	}
-	DeferCleanup(func() {
-		for _, h := range hosts {
-			h.stop()
-		}
-	})
-	for _, h := range hosts {
-		Eventually(h.ready, "5s").Should(BeTrue())
-		Eventually(h.directory, "5s").Should(HaveLen(len(names)))
-	}
-	return hosts
-}
-
 // callAll sends requests through all hosts at once, one after the other by each caller, and counts the responses by
 // status. observe is called with each response and the time it took.
 func callAll(hosts []*runningHost, d time.Duration, observe ...func(r response, took time.Duration)) map[int]int {
