Let a quarantine end ten minutes after the last end of a server

Found in review: a quarantined request that keeps coming was refused for ever, since each arrival extended the time. A verdict may be wrong, so it has to be taken back; a deadly request ends two more servers every ten minutes in exchange.

--- a/api/fleet.go
+++ b/api/fleet.go
@@ -12,8 +12,8 @@
 	Kinds   []FollowedKind `json:"kinds"`
 	// RateLimits holds the backend servers that name a rate limit, sorted by ID.
 	RateLimits []RateLimit `json:"rate_limits"`
-	// Quarantined holds the requests that are refused because they end the backend servers that run them, the last seen
-	// first, at most 100.
+	// Quarantined holds the requests that are refused because they end the backend servers that run them, the newest first,
+	// at most 100.
 	Quarantined []QuarantinedRequest `json:"quarantined"`
 }
 
@@ -24,9 +24,8 @@
 	Prefix bool `json:"prefix"`
 	// Servers holds the IDs of the backend servers that ended.
 	Servers []string `json:"servers"`
-	// SeenMS is the time since the request was last seen, in milliseconds; it is refused until it was not seen for ten
-	// minutes.
-	SeenMS int64 `json:"seen_ms"`
+	// EndedMS is the time since a server last ended, in milliseconds; the request is refused for ten minutes from then on.
+	EndedMS int64 `json:"ended_ms"`
 }
 
 // RateLimit is the rate limit of a backend server in a FleetView.
--- a/cmd/hyssopreelctl/fleet.go
+++ b/cmd/hyssopreelctl/fleet.go
@@ -92,7 +92,7 @@
 			if q.Prefix {
 				what = "requests with prefix"
 			}
-			if _, err := fmt.Fprintf(a.stdout, "quarantined: %s %s, seen %s ago, ended %s\n", what, q.Fingerprint, formatAge(q.SeenMS), strings.Join(q.Servers, ", ")); err != nil {
+			if _, err := fmt.Fprintf(a.stdout, "quarantined: %s %s, which ended %s, the last one %s ago\n", what, q.Fingerprint, strings.Join(q.Servers, ", "), formatAge(q.EndedMS)); err != nil {
 				return err
 			}
 		}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -27,7 +27,8 @@
 	maxEnds = 8
 	// suspicionTTL is how long a request is suspected after the last server ended under it.
 	suspicionTTL = time.Minute
-	// quarantineTTL is how long a quarantined request is refused after it was last seen.
+	// quarantineTTL is how long a quarantined request is refused after the last server ended under it, however often it
+	// comes: the verdict may be wrong.
 	quarantineTTL = 10 * time.Minute
 	// maxRecords bounds the memory of a table.
 	maxRecords = 4096
@@ -114,7 +115,7 @@
 	Ends []End
 	// Succeeded is set once the request has run to its end since: the servers ended for another reason.
 	Succeeded bool
-	// Age is the time since the record last changed or, in quarantine, since the request was last seen.
+	// Age is the time since the record last changed.
 	Age time.Duration
 }
 
@@ -180,9 +181,6 @@
 			verdict, record = v, e.Record
 		}
 	}
-	if verdict == Quarantined {
-		t.entries[record.Fingerprint].at = now
-	}
 	return verdict, record
 }
 
@@ -297,7 +295,7 @@
 	}
 }
 
-// Records returns the records that changed or, in quarantine, were seen within maxAge, the newest first, at most limit.
+// Records returns the records that changed within maxAge, the newest first, at most limit.
 func (t *Table) Records(now time.Time, maxAge time.Duration, limit int) []Record {
 	var out []Record
 	for _, e := range t.entries {
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -109,7 +109,7 @@
 		if r.Verdict() != poison.Quarantined || len(out) == maxShownRecords {
 			continue
 		}
-		request := api.QuarantinedRequest{Fingerprint: r.Fingerprint.String(), Prefix: r.IsPrefix(), SeenMS: r.Age.Milliseconds()}
+		request := api.QuarantinedRequest{Fingerprint: r.Fingerprint.String(), Prefix: r.IsPrefix(), EndedMS: r.Age.Milliseconds()}
 		for _, end := range r.Ends {
 			request.Servers = append(request.Servers, end.Server)
 		}
