Explain quarantined requests by their fingerprint

On-call knew the fingerprint from hyssopreelctl fleet, and explain found no line for it: it looks for requests and programs only, and 1111 had the fingerprint within the error. It is a field of 1111 now, and explain takes it.

--- a/cmd/hyssopreelctl/explain.go
+++ b/cmd/hyssopreelctl/explain.go
@@ -16,7 +16,7 @@
 
 type explainCommand struct {
 	Args struct {
-		ID    string   `positional-arg-name:"ID" description:"ID of a request or a program"`
+		ID    string   `positional-arg-name:"ID" description:"ID of a request or a program, or a fingerprint"`
 		Files []string `positional-arg-name:"LOG" required:"1" description:"log files of hosts; - reads standard input"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -44,7 +44,7 @@
 	}
 	selected := selectLines(lines, c.Args.ID)
 	if len(selected) == 0 {
-		return fmt.Errorf("no log line mentions the request or program %q (%d lines of %d log files read); give the log of each host",
+		return fmt.Errorf("no log line mentions the request, program or fingerprint %q (%d lines of %d log files read); give the log of each host",
 			c.Args.ID, len(lines), len(c.Args.Files))
 	}
 	if a.Output == "json" {
@@ -98,7 +98,7 @@
 	return out, s.Err()
 }
 
-// selectLines returns the lines that mention the request or program, and the host events of its hosts at that
+// selectLines returns the lines that mention the request, program or fingerprint, and the host events of its hosts at that
 // time.
 func selectLines(lines []logLine, id string) []logLine {
 	hosts := map[string]bool{}
@@ -128,7 +128,7 @@
 }
 
 func (l logLine) mentions(id string) bool {
-	return l.field("request") == id || l.field("program") == id
+	return l.field("request") == id || l.field("program") == id || l.field("fingerprint") == id
 }
 
 // field returns the value of a field without quotes, "" if there is none.
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -189,12 +189,13 @@
 		a := file("a.log", line("21.5", "a-1", "1111", `,"request":"r1","program":"p1","home":"b-1","reason":"budget"`)+
 			line("21.2", "a-1", "1120", `,"version":7`)+line("01.0", "a-1", "1120", `,"version":6`)+"no event\n")
 		b := file("b.log", line("21.4", "b-1", "1172", `,"program":"p1","granted":774`)+
-			line("21.3", "b-1", "1110", `,"request":"r2"`)+line("21.1", "b-1", "1150", `,"kind":"config"`))
+			line("21.3", "b-1", "1110", `,"request":"r2"`)+line("30.0", "b-1", "1183", `,"request":"r3","fingerprint":"f1"`)+line("21.1", "b-1", "1150", `,"kind":"config"`))
 		r := ctl("", "explain", "r1", a, b)
 		gomega.Expect(r.code).To(gomega.Equal(exitOK), r.errOut)
 		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)1150.*1120.*version=7.*1111.*reason="budget"`))
 		gomega.Expect(r.out).NotTo(gomega.Or(gomega.ContainSubstring("r2"), gomega.ContainSubstring("version=6")))
 		gomega.Expect(ctl("", "explain", "p1", a, b).out).To(gomega.MatchRegexp(`(?s)granted=774.*1111`))
+		gomega.Expect(ctl("", "explain", "f1", a, b).out).To(gomega.ContainSubstring(`request="r3"`))
 		gomega.Expect(ctl("", "explain", "none", a, b).code).To(gomega.Equal(exitNotRun))
 	})
 
--- a/common/logging/events_ingress.go
+++ b/common/logging/events_ingress.go
@@ -8,7 +8,7 @@
 	SettingsReloaded        = Declare(1103, Info, "settings reloaded", "host", "memory", "grace")
 	SettingsRejected        = Declare(1104, Warning, "changed settings are invalid; the previous ones stay in effect", "problem")
 	RequestAnswered         = Declare(1110, Info, "request answered", "request", "program", "budget", "most_tokens", "tokens", "home", "route", "table", "server", "load", "load_age_ms", "waited_ms", "sends", "took_ms")
-	RequestFailed           = Declare(1111, Info, "request failed", "request", "program", "budget", "most_tokens", "tokens", "home", "route", "table", "server", "load", "load_age_ms", "waited_ms", "sends", "runs", "took_ms", "status", "reason", "retry_after_ms", "error")
+	RequestFailed           = Declare(1111, Info, "request failed", "request", "program", "budget", "most_tokens", "tokens", "home", "route", "table", "server", "load", "load_age_ms", "waited_ms", "sends", "runs", "took_ms", "status", "reason", "retry_after_ms", "fingerprint", "error")
 	StreamInterrupted       = Declare(1112, Info, "response stream was interrupted", "request", "server", "after_event", "resumes", "error")
 	TableInForce            = Declare(1120, Info, "configuration in force", "version", "routes", "origin")
 	TableRejected           = Declare(1121, Warning, "configuration cannot be used", "revision", "error")
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -83,7 +83,9 @@
 	reason string
 	// retryAfter is set only if no server started work on the request.
 	retryAfter time.Duration
-	cause      error
+	// fingerprint is that in quarantine; empty if the request is refused for another reason.
+	fingerprint string
+	cause       error
 }
 
 var errNoServer = errors.New("no backend server is available for the request")
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -398,6 +398,9 @@
 		if fail.retryAfter > 0 {
 			fields["retry_after_ms"] = fail.retryAfter.Milliseconds()
 		}
+		if fail.fingerprint != "" {
+			fields["fingerprint"] = fail.fingerprint
+		}
 		if fail.cause != nil {
 			fields["error"] = fail.cause
 		}
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -165,8 +165,8 @@
 		status = http.StatusBadGateway
 	}
 	return &failure{
-		status: status, reason: "quarantined",
-		cause: errors.Wrapf(errQuarantined, "fingerprint %s, %d backend servers ended", record.Fingerprint, len(record.Ends)),
+		status: status, reason: "quarantined", fingerprint: record.Fingerprint.String(),
+		cause: errors.Wrapf(errQuarantined, "%d backend servers ended", len(record.Ends)),
 	}
 }
 
