--- a/core/sched/group.go
+++ b/core/sched/group.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"time"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/ids"
@@ -31,8 +30,6 @@
 	releaseRepeatInterval clock.Millis = 3000
 	// endedProgramTTL is how long an ended program's ID is kept after its end or its last entry in a cache report.
 	endedProgramTTL clock.Millis = 600_000
-	// workerEndWindow is the time within which all calls at a worker report its end.
-	workerEndWindow clock.Millis = 1000
 	// programIdleTTL is the time without a message after which a program's state is removed: twice the
 	// idle_timeout of programs (30 min).
 	programIdleTTL clock.Millis = 3_600_000
@@ -310,12 +307,7 @@
 	}
 	w, p := c.Worker, c.Program
 	g.removeFromWorker(c)
-	switch {
-	case m.WorkerEnded:
-		g.poison.RecordEnd(g.time(), c.fingerprints, 0, poison.End{Lifetime: g.endedLifetime(w.Name), Began: m.Began})
-	case !m.Failed:
-		g.poison.RecordSuccess(g.time(), c.fingerprints)
-	}
+	g.recordOutcome(c, w, m)
 	if _, ended := g.endedPrograms[p.ID]; ended && w.CacheCapacityTokens > 0 {
 		// The release at the end of the program could not free the cache of its running call.
 		g.emit(ReleaseCache{Group: g.name, Worker: w.Name, Program: p.ID})
@@ -336,25 +328,6 @@
 	}
 }
 
-// workerEnd is the last end of a worker. Calls that report it within workerEndWindow report the same one.
-type workerEnd struct {
-	at    clock.Millis
-	count int64
-}
-
-// endedLifetime returns the lifetime of the worker that ends now. Workers keep their names from one to the next.
-func (g *group) endedLifetime(worker string) poison.Lifetime {
-	end, ok := g.workerEnds[worker]
-	if !ok || g.Now-end.at > workerEndWindow {
-		end = workerEnd{at: g.Now, count: end.count + 1}
-		g.workerEnds[worker] = end
-	}
-	return poison.Lifetime{Server: worker, StartedAtMS: end.count}
-}
-
-// time returns the group's clock for packages that use time.Time.
-func (g *group) time() time.Time { return time.UnixMilli(int64(g.Now)) }
-
 // removeFromWorker releases the slot and the reserved cache of a running call.
 func (g *group) removeFromWorker(c *call) {
 	w := c.Worker
@@ -618,8 +591,7 @@
 
 // removeExpired removes the ended and refused calls and the ended and idle programs whose retention has passed.
 func (g *group) removeExpired() {
-	g.poison.Expire(g.time())
-	maps.DeleteFunc(g.workerEnds, func(_ string, e workerEnd) bool { return g.Now-e.at > programIdleTTL })
+	g.expirePoison()
 	for id, until := range g.endedCalls {
 		if g.Now >= until {
 			delete(g.endedCalls, id)
