Do not take a cut of one host for an outage of the store

Cause: the host had been cut off from everything for 4.2 s. After an outage of the store it keeps entries that are deleted within 2 s for another 2 s, because the platform drops entries while its store is down; but only this host had no answer. The host that lists the servers every 0.8 s now says in its heartbeats for how long it has done so without a break, and an outage that it listed through is none. A host that has not listed for two intervals vouches for nothing, and only a heartbeat that arrives after the recovery counts, so that in a real outage nobody does.

--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -37,6 +37,8 @@
 	Draining    bool
 	// StoreAvailable is set if the store answered the host's last call.
 	StoreAvailable bool `msgpack:"StoreUp"`
+	// PolledFor is how long the host has listed the servers from the store without a break; 0 if it does not list them.
+	PolledFor time.Duration `msgpack:",omitempty"`
 	// Revisions holds the revision of the newest object that the host has observed, by kind.
 	Revisions map[string]uint64 `msgpack:"Seen"`
 	// InFlight holds the number of the host's active requests, by backend server. It is nil unless both hosts may serve
@@ -64,6 +66,8 @@
 	// seeds are the peer addresses from the settings, used while no other hosts are known.
 	seeds  []string
 	poison *poisonRecords
+	// polledFor returns PolledFor of this host's heartbeats; nil is 0.
+	polledFor func(now time.Time) time.Duration
 	// onTick is called at every interval.
 	onTick func()
 
@@ -71,14 +75,19 @@
 	// storeReported holds whether a host reported the store available in its last heartbeat.
 	storeReported map[string]bool
 	lags          map[string]informerLag // by kind
+	// polls holds since when each host has listed the servers without a break, by its last heartbeat.
+	polls map[string]pollReport
 	// poisonDigests holds the digest in each host's last heartbeat.
 	poisonDigests map[string]uint64
 }
 
+// pollReport is what a heartbeat says of a host's lists.
+type pollReport struct{ since, heardAt time.Time }
+
 func newHeartbeater(self fleet.Host, hosts *Hosts, node *wire.Node, servers *Servers, storeAvailable func() bool, seeds []string) *heartbeater {
 	b := &heartbeater{
 		self: self, hosts: hosts, node: node, servers: servers, storeAvailable: storeAvailable, seeds: seeds, onTick: func() {},
-		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{}, poisonDigests: map[string]uint64{},
+		informers: map[string]*Informer{}, storeReported: map[string]bool{}, lags: map[string]informerLag{}, poisonDigests: map[string]uint64{}, polls: map[string]pollReport{},
 		poison: newPoisonRecords(time.Now),
 	}
 	node.Handle(wire.TypeEntryHeartbeat, b.receive)
@@ -199,6 +208,9 @@
 		RateLimits:     b.servers.RateLimits(),
 	}
 	message.Poison, message.PoisonDigest = b.poison.recent()
+	if b.polledFor != nil {
+		message.PolledFor = b.polledFor(time.Now())
+	}
 	for kind, informer := range b.informers {
 		message.Revisions[kind] = uint64(informer.NewestRevision())
 	}
@@ -273,6 +285,10 @@
 	b.mu.Lock()
 	b.storeReported[message.Host] = message.StoreAvailable
 	b.poisonDigests[message.Host] = message.PoisonDigest
+	delete(b.polls, message.Host)
+	if message.PolledFor > 0 {
+		b.polls[message.Host] = pollReport{since: now.Add(-message.PolledFor), heardAt: now}
+	}
 	b.mu.Unlock()
 	if message.InFlight != nil {
 		b.servers.SetHostLoad(message.Host, message.InFlight, now)
@@ -282,6 +298,19 @@
 	b.detectLag(message, now)
 }
 
+// polledByPeer reports whether a peer has listed the servers without a break from the first time on, by a heartbeat that
+// arrived after the second one.
+func (b *heartbeater) polledByPeer(from, heardAfter time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, report := range b.polls {
+		if report.since.Before(from) && report.heardAt.After(heardAfter) {
+			return true
+		}
+	}
+	return false
+}
+
 // informerLag is a revision that a peer has observed and this host has not.
 type informerLag struct {
 	revision uint64
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -277,7 +277,8 @@
 	config.PollInterval = h.settings.Load().Platform.ListInterval
 	config.Replace, config.Apply = h.replaceConfig, h.applyConfig
 	servers.PollInterval = config.PollInterval
-	servers.Replace = h.replaceServers
+	servers.Replace, servers.PolledByPeer = h.replaceServers, h.heartbeats.polledByPeer
+	h.heartbeats.polledFor = servers.PolledFor
 	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
 	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
 	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -65,10 +65,17 @@
 	// StartupPatience is how long after the start hosts without a copy are asked again before the store is.
 	StartupPatience time.Duration
 
+	// PolledByPeer reports whether a peer has listed the objects from the store without a break from the first time on, by
+	// what it said after the second one. nil is never.
+	PolledByPeer func(from, heardAfter time.Time) bool
+
 	// feed is the copy of the objects that other hosts follow.
 	feed *feed
 	// recoveredAtNanos is when objects were first listed after the last outage of the store, in Unix nanoseconds.
 	recoveredAtNanos atomic.Int64
+	// outageBeganNanos is when the store last answered before that outage. polledSinceNanos is since when it has been
+	// listed without a break, and polledAtNanos when it was last.
+	outageBeganNanos, polledSinceNanos, polledAtNanos atomic.Int64
 
 	// listRevision is the revision of the last list, and newestRevision that of the newest object that was
 	// observed.
@@ -204,6 +211,7 @@
 		return
 	}
 	logging.Emit(logging.InformerListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
+	f.recordPoll(time.Now())
 	f.replace(objects, revision, f.recoveredFromOutage())
 	f.watch(ctx, revision)
 }
@@ -237,9 +245,32 @@
 }
 
 // RecentlyRecovered reports whether the store was unavailable until a moment ago, so that a deleted entry may have been
-// deleted only because of that.
+// deleted only because of that. An outage through which a peer listed the objects was one of this host's network.
 func (f *Informer) RecentlyRecovered() bool {
-	return time.Since(time.Unix(0, f.recoveredAtNanos.Load())) < outageDeleteWindow
+	recoveredAt := time.Unix(0, f.recoveredAtNanos.Load())
+	if time.Since(recoveredAt) >= outageDeleteWindow {
+		return false
+	}
+	began := f.outageBeganNanos.Load()
+	return began == 0 || f.PolledByPeer == nil || !f.PolledByPeer(time.Unix(0, began), recoveredAt)
+}
+
+// maxPollGap returns the time between two lists up to which no outage was missed.
+func (f *Informer) maxPollGap() time.Duration { return 2 * f.PollInterval }
+
+// recordPoll records that the store was listed.
+func (f *Informer) recordPoll(now time.Time) {
+	if now.Sub(time.Unix(0, f.polledAtNanos.Swap(now.UnixNano()))) > f.maxPollGap() {
+		f.polledSinceNanos.Store(now.UnixNano())
+	}
+}
+
+// PolledFor returns how long the store has been listed without a break until now; 0 if it is not.
+func (f *Informer) PolledFor(now time.Time) time.Duration {
+	if now.Sub(time.Unix(0, f.polledAtNanos.Load())) > f.maxPollGap() {
+		return 0
+	}
+	return now.Sub(time.Unix(0, f.polledSinceNanos.Load()))
 }
 
 // recoveredFromOutage reports whether the store was unavailable for so long that entries may be missing from it,
@@ -247,6 +278,9 @@
 func (f *Informer) recoveredFromOutage() bool {
 	now := time.Now()
 	outage := !f.failedSince.IsZero() && now.Sub(f.failedSince) > outageThreshold && now.Sub(f.lastResponse) > outageThreshold
+	if outage {
+		f.outageBeganNanos.Store(f.lastResponse.UnixNano())
+	}
 	f.setLastResponse(now)
 	return outage
 }
--- a/service/ingress/informer_sources.go
+++ b/service/ingress/informer_sources.go
@@ -139,6 +139,7 @@
 	f.recordRecovery()
 	if answer.AfterOutage && !f.RecentlyRecovered() {
 		f.recoveredAtNanos.Store(time.Now().UnixNano())
+		f.outageBeganNanos.Store(0) // not observed by this host
 	}
 	if answer.Full {
 		f.replace(f.feed.withoutDeleted(answer.Objects), answer.ListRevision, answer.AfterOutage)
--- a/service/ingress/informer_test.go
+++ b/service/ingress/informer_test.go
@@ -28,6 +28,56 @@
 	}
 }
 
+// Guards against a host that was cut off and takes that for an outage of the store: it used servers that had left for two
+// seconds more (DRAIN).
+func TestOutageThroughWhichAPeerListedIsNone(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		since, heardAt time.Time
+		want           bool
+	}{
+		"no report":                                {want: true},
+		"a peer listed all the time":               {since: now.Add(-time.Minute), heardAt: now, want: false},
+		"a peer listed after the outage only":      {since: now.Add(-time.Second), heardAt: now, want: true},
+		"the report is from before the recovery":   {since: now.Add(-time.Minute), heardAt: now.Add(-2 * time.Second), want: true},
+		"the peer's lists began during the outage": {since: now.Add(-5 * time.Second), heardAt: now, want: true},
+	} {
+		b := &heartbeater{polls: map[string]pollReport{}}
+		if !c.since.IsZero() {
+			b.polls["a-1"] = pollReport{since: c.since, heardAt: c.heardAt}
+		}
+		f := &Informer{failedSince: now.Add(-9 * time.Second), lastResponse: now.Add(-10 * time.Second), PolledByPeer: b.polledByPeer}
+		if !f.recoveredFromOutage() {
+			t.Fatalf("%s: no outage", name)
+		}
+		f.recoveredAtNanos.Store(now.Add(-500 * time.Millisecond).UnixNano())
+		if got := f.RecentlyRecovered(); got != c.want {
+			t.Errorf("%s: recovered from an outage is %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a host that vouches for a store that it has not listed all the time.
+func TestListsWithAGapVouchForNothing(t *testing.T) {
+	now := time.Now()
+	f := &Informer{PollInterval: time.Second}
+	if got := f.PolledFor(now); got != 0 {
+		t.Errorf("before the first list: %v", got)
+	}
+	f.recordPoll(now)
+	f.recordPoll(now.Add(time.Second))
+	if got := f.PolledFor(now.Add(2 * time.Second)); got != 2*time.Second {
+		t.Errorf("two lists: %v", got)
+	}
+	if got := f.PolledFor(now.Add(4 * time.Second)); got != 0 {
+		t.Errorf("no list for 3 s: %v", got)
+	}
+	f.recordPoll(now.Add(5 * time.Second))
+	if got := f.PolledFor(now.Add(6 * time.Second)); got != time.Second {
+		t.Errorf("after the gap: %v", got)
+	}
+}
+
 // changingStore is a store with a change every 20 ms.
 type changingStore struct {
 	objectapi.Store
