--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -140,7 +140,9 @@
 		if b.info.Draining != info.Draining {
 			logging.Emit(logging.ServerStateChanged, logging.Fields{"server": info.ID, "service": info.Service, "draining": info.Draining})
 		}
-		b.info, b.receivedAt, b.missingSince = info, s.now(), time.Time{}
+		// Requests in progress read the other fields without s.mu.
+		b.info.FailureDomain, b.info.Slots, b.info.Draining, b.info.WarmupRemaining = info.FailureDomain, info.Slots, info.Draining, info.WarmupRemaining
+		b.receivedAt, b.missingSince = s.now(), time.Time{}
 		return
 	}
 	if ok {
