--- /dev/null
+++ b/review/harness/deadly.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// downTime is how long a worker that crashed is away.
+	downTime = 3 * time.Second
+	// stableWindow is the time after which a calm machine is in touch again.
+	stableWindow = 3 * time.Second
+	// allowedRetries is the number of retries that the rule allows after the third crash.
+	allowedRetries = 3
+	deadlyPath     = turnPrefix + "deadly"
+)
+
+// crash is one worker that ended as it began to run the deadly request.
+type crash struct {
+	at     time.Time
+	worker string
+	host   string
+}
+
+// deadlyEngines are engines that end when they begin to run the deadly request.
+type deadlyEngines struct {
+	lab *lab
+
+	mu      sync.Mutex
+	crashes []crash
+	starts  int
+}
+
+// start starts an engine; each start is a new lifetime with a new ID, at the address that it had.
+func (d *deadlyEngines) start(zone, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.starts++
+	w := &worker{
+		lab: d.lab, id: fmt.Sprintf("i-%s-%d", engines, d.starts), service: engines, zone: zone, address: listener.Addr().String(),
+		slots: 16, work: 5 * time.Millisecond, born: time.Now().UnixMilli(),
+	}
+	d.mu.Unlock()
+	server := &http.Server{Handler: w}
+	var once sync.Once
+	w.run = func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path != deadlyPath {
+			return false
+		}
+		once.Do(func() { d.end(w, server, r.Header.Get("Hyssopreel-Attempt-Id")) })
+		panic(http.ErrAbortHandler)
+	}
+	go func() { _ = server.Serve(listener) }()
+	w.register("ready")
+	return nil
+}
+
+// end ends an engine; its entry lapses after three ping intervals, and it starts again after downTime.
+func (d *deadlyEngines) end(w *worker, server *http.Server, attempt string) {
+	_ = server.Close()
+	d.lab.mu.Lock()
+	host := d.lab.sentTo[attempt]
+	d.lab.mu.Unlock()
+	d.mu.Lock()
+	d.crashes = append(d.crashes, crash{time.Now(), w.id, host})
+	n := len(d.crashes)
+	d.mu.Unlock()
+	d.lab.logf("crash %d: %s ends as it begins to run attempt %s, sent by %s", n, w.id, attempt, host)
+	time.AfterFunc(3*heartbeat, func() { d.lab.store.Delete("servers", w.id) })
+	time.AfterFunc(downTime, func() {
+		if err := d.start(w.zone, w.address); err != nil {
+			d.lab.logf("%s does not start again: %v", w.id, err)
+		}
+	})
+}
+
+// runDeadly sends a request that crashes the workers which run it again and again, and kills all entry processes at the
+// same moment in between.
+func runDeadly(l *lab, trouble bool) (bool, error) {
+	if err := l.addHosts(tobylZones...); err != nil {
+		return false, err
+	}
+	l.putConfig(1, app)
+	d := &deadlyEngines{lab: l}
+	for i := range 9 {
+		if err := d.start([]string{"almaty-a", "almaty-b", "almaty-c"}[i%3], "127.0.0.1:0"); err != nil {
+			return false, err
+		}
+	}
+	if err := l.startAll(); err != nil {
+		return false, err
+	}
+	time.Sleep(stableWindow + time.Second)
+	body := strings.Repeat("the same body ", 20)
+	sendFor := func(t time.Duration) {
+		for i, until := 0, time.Now().Add(t); time.Now().Before(until); i++ {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			l.send(ctx, l.hosts[i%len(l.hosts)], http.MethodPost, deadlyPath, map[string]string{
+				"Hyssopreel-Deadline-Ms": "4000", "Hyssopreel-Model": "m", "Hyssopreel-Token-Count": "400,70",
+			}, body)
+			cancel()
+			time.Sleep(time.Second)
+		}
+	}
+	sendFor(18 * time.Second)
+	var restarted time.Time
+	if trouble {
+		for _, h := range l.hosts {
+			_ = h.cmd.Process.Kill()
+		}
+		for _, h := range l.hosts {
+			l.kill(h)
+		}
+		time.Sleep(800 * time.Millisecond)
+		restarted = time.Now()
+		for _, h := range l.hosts {
+			if err := h.restarted(); err != nil {
+				return false, err
+			}
+			if err := l.start(h); err != nil {
+				return false, err
+			}
+		}
+		if err := l.waitReady(l.hosts...); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(stableWindow + time.Second)
+	sendFor(18 * time.Second)
+	return d.judge(restarted), nil
+}
+
+// judge reports whether the request reached workers too often after the third crash, sent by machines in touch.
+func (d *deadlyEngines) judge(restarted time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counted := 0
+	for i, c := range d.crashes {
+		inTouch := restarted.IsZero() || c.at.Before(restarted) || c.at.Sub(restarted) > stableWindow
+		if i >= 3 && c.at.Sub(d.crashes[2].at) > stableWindow && inTouch {
+			counted++
+		}
+	}
+	d.lab.logf("%d crashes; the request reached workers in %d retries that count, allowed: %d", len(d.crashes), counted, allowedRetries)
+	fmt.Printf("%d crashes, %d retries that count, allowed %d\n", len(d.crashes), counted, allowedRetries)
+	return counted > allowedRetries
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,8 @@
 	"kills":  runKills,
 	"bodies": runBodies,
 	"limit":  runLimit,
+	"deadly": runDeadly,
+	"outage": runOutage,
 }
 
 func main() { os.Exit(run()) }
