--- a/review/harness/limit.go
+++ b/review/harness/limit.go
@@ -19,9 +19,11 @@
 	// limitKnown is how long before a machine must have passed on an answer with the limit.
 	limitKnown = 500 * time.Millisecond
 	// namedLimit is the limit of the worker in need, in requests a second.
-	namedLimit = 1.0
-	// callsPerSecond keeps half of the places of the workers in use.
-	callsPerSecond = 200
+	namedLimit = 0.5
+	// slowWork is the time that a call takes at the worker in need; the sheet has up to 800 ms.
+	slowWork = 500 * time.Millisecond
+	// callsPerSecond keeps the places of the other workers four fifths in use.
+	callsPerSecond = 280
 )
 
 // runLimit cuts a worker that names a limit off from the store, so that its entry lapses and comes back, and counts what
@@ -54,15 +56,15 @@
 			}
 			h := l.hosts[rand.IntN(len(l.hosts))]
 			group.Go(func() {
-				ctx, cancel := context.WithTimeout(context.Background(), 1200*time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 				defer cancel()
-				l.send(ctx, h, http.MethodGet, readPrefix+"x", map[string]string{"Hyssopreel-Deadline-Ms": "1200"}, "")
+				l.send(ctx, h, http.MethodPost, writePrefix+"x", map[string]string{"Hyssopreel-Deadline-Ms": "3000"}, "a booking")
 			})
 		}
 	})
 	needy := l.workers[0]
 	time.Sleep(2 * time.Second)
-	needy.work = 500 * time.Millisecond
+	needy.work = slowWork
 	needy.limit.Store(fmt.Sprint(namedLimit))
 	named := time.Now()
 	l.logf("%s names its limit %v", needy.id, namedLimit)
