--- a/review/harness/deadly.go
+++ b/review/harness/deadly.go
@@ -46,8 +46,9 @@
 	d.starts++
 	w := &worker{
 		lab: d.lab, id: fmt.Sprintf("i-%s-%d", engines, d.starts), service: engines, zone: zone, address: listener.Addr().String(),
-		slots: 16, work: 5 * time.Millisecond, born: time.Now().UnixMilli(),
+		slots: 16, born: time.Now().UnixMilli(),
 	}
+	w.work.Store(int64(5 * time.Millisecond))
 	d.mu.Unlock()
 	server := &http.Server{Handler: w}
 	var once sync.Once
--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -320,8 +320,8 @@
 	born                       int64
 	// run, if set, replaces the sound behavior; it reports false to go on with it.
 	run func(w http.ResponseWriter, r *http.Request) bool
-	// work is the time that a request takes.
-	work time.Duration
+	// work is the time that a request takes, in nanoseconds.
+	work atomic.Int64
 	// running is the number of requests that it runs now.
 	running atomic.Int64
 	// limit, if not empty, is the Server-Limit that it names in its answers.
@@ -346,8 +346,9 @@
 	}
 	w := &worker{
 		lab: l, id: fmt.Sprintf("i-%s-%d", service, len(l.workers)+1), service: service, zone: zone, address: listener.Addr().String(),
-		slots: slots, work: work, born: time.Now().UnixMilli(),
+		slots: slots, born: time.Now().UnixMilli(),
 	}
+	w.work.Store(int64(work))
 	l.workers = append(l.workers, w)
 	go func() { _ = http.Serve(listener, w) }()
 	w.register("ready")
@@ -382,7 +383,7 @@
 	rw.Header().Set("Hyssopreel-Attempt-Id", attempt)
 	rw.Header().Set("Hyssopreel-Server-Stamp", w.id+"."+attempt)
 	if !strings.HasPrefix(r.URL.Path, turnPrefix) {
-		time.Sleep(w.work)
+		time.Sleep(time.Duration(w.work.Load()))
 		if limit, ok := w.limit.Load().(string); ok {
 			rw.Header().Set("Server-Limit", limit)
 		}
@@ -394,7 +395,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := after + 1; event <= tokens/strideTokens; event++ {
-		time.Sleep(w.work)
+		time.Sleep(time.Duration(w.work.Load()))
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", event, attempt); err != nil {
 			return
 		}
--- a/review/harness/limit.go
+++ b/review/harness/limit.go
@@ -64,7 +64,7 @@
 	})
 	needy := l.workers[0]
 	time.Sleep(2 * time.Second)
-	needy.work = slowWork
+	needy.work.Store(int64(slowWork))
 	needy.limit.Store(fmt.Sprint(namedLimit))
 	named := time.Now()
 	l.logf("%s names its limit %v", needy.id, namedLimit)
