--- a/review/harness/deadly.go
+++ b/review/harness/deadly.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,16 +22,19 @@
 	deadlyPath     = turnPrefix + "deadly"
 )
 
-// crash is one worker that ended as it began to run the deadly request.
+// crash is one worker that ended as it began to run a deadly request.
 type crash struct {
 	at     time.Time
+	path   string
 	worker string
 	host   string
 }
 
-// deadlyEngines are engines that end when they begin to run the deadly request.
+// deadlyEngines are engines that end when they begin to run a deadly request.
 type deadlyEngines struct {
 	lab *lab
+	// failing is the ID of the engine that fails a part of its requests, empty if there is none.
+	failing atomic.Value
 
 	mu      sync.Mutex
 	crashes []crash
@@ -52,11 +57,15 @@
 	d.mu.Unlock()
 	server := &http.Server{Handler: w}
 	var once sync.Once
-	w.run = func(_ http.ResponseWriter, r *http.Request) bool {
-		if r.URL.Path != deadlyPath {
+	w.run = func(rw http.ResponseWriter, r *http.Request) bool {
+		if d.failing.Load() == w.id && rand.Float64() < failingShare {
+			w.fail(rw, r)
+			return true
+		}
+		if !strings.HasPrefix(r.URL.Path, deadlyPath) {
 			return false
 		}
-		once.Do(func() { d.end(w, server, r.Header.Get("Hyssopreel-Attempt-Id")) })
+		once.Do(func() { d.end(w, server, r) })
 		panic(http.ErrAbortHandler)
 	}
 	go func() { _ = server.Serve(listener) }()
@@ -65,16 +74,17 @@
 }
 
 // end ends an engine; its entry lapses after three ping intervals, and it starts again after downTime.
-func (d *deadlyEngines) end(w *worker, server *http.Server, attempt string) {
+func (d *deadlyEngines) end(w *worker, server *http.Server, r *http.Request) {
 	_ = server.Close()
+	attempt := r.Header.Get("Hyssopreel-Attempt-Id")
 	d.lab.mu.Lock()
 	host := d.lab.sentTo[attempt]
 	d.lab.mu.Unlock()
 	d.mu.Lock()
-	d.crashes = append(d.crashes, crash{time.Now(), w.id, host})
+	d.crashes = append(d.crashes, crash{time.Now(), r.URL.Path, w.id, host})
 	n := len(d.crashes)
 	d.mu.Unlock()
-	d.lab.logf("crash %d: %s ends as it begins to run attempt %s, sent by %s", n, w.id, attempt, host)
+	d.lab.logf("crash %d: %s ends as it begins to run %s, attempt %s, sent by %s", n, w.id, r.URL.Path, attempt, host)
 	time.AfterFunc(3*heartbeat, func() { d.lab.store.Delete("servers", w.id) })
 	time.AfterFunc(downTime, func() {
 		if err := d.start(w.zone, w.address); err != nil {
@@ -83,23 +93,32 @@
 	})
 }
 
-// runDeadly sends a request that crashes the workers which run it again and again, and kills all entry processes at the
-// same moment in between.
-func runDeadly(l *lab, trouble bool) (bool, error) {
+// newDeadly starts the entry machines of tobyl-benches, and engines that deadly requests end.
+func newDeadly(l *lab, engineCount int) (*deadlyEngines, error) {
 	if err := l.addHosts(tobylZones...); err != nil {
-		return false, err
+		return nil, err
 	}
 	l.putConfig(1, app)
 	d := &deadlyEngines{lab: l}
-	for i := range 9 {
+	for i := range engineCount {
 		if err := d.start([]string{"almaty-a", "almaty-b", "almaty-c"}[i%3], "127.0.0.1:0"); err != nil {
-			return false, err
+			return nil, err
 		}
 	}
 	if err := l.startAll(); err != nil {
-		return false, err
+		return nil, err
 	}
 	time.Sleep(stableWindow + time.Second)
+	return d, nil
+}
+
+// runDeadly sends a request that crashes the workers which run it again and again, and kills all entry processes at the
+// same moment in between.
+func runDeadly(l *lab, trouble bool) (bool, error) {
+	d, err := newDeadly(l, 9)
+	if err != nil {
+		return false, err
+	}
 	body := strings.Repeat("the same body ", 20)
 	sendFor := func(t time.Duration) {
 		for i, until := 0, time.Now().Add(t); time.Now().Before(until); i++ {
@@ -136,21 +155,36 @@
 	}
 	time.Sleep(stableWindow + time.Second)
 	sendFor(18 * time.Second)
-	return d.judge(restarted), nil
+	return d.judge(deadlyPath, restarted), nil
 }
 
-// judge reports whether the request reached workers too often after the third crash, sent by machines in touch.
-func (d *deadlyEngines) judge(restarted time.Time) bool {
+// countedRetries returns the number of crashes by the request with that path, and how many of them are retries that the rule
+// counts: sent by machines in touch later than stableWindow after the third crash. All machines were started again at
+// restarted, unless it is zero.
+func (d *deadlyEngines) countedRetries(path string, restarted time.Time) (crashes, counted int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	counted := 0
-	for i, c := range d.crashes {
+	var third time.Time
+	for _, c := range d.crashes {
+		if c.path != path {
+			continue
+		}
+		crashes++
+		if crashes == 3 {
+			third = c.at
+		}
 		inTouch := restarted.IsZero() || c.at.Before(restarted) || c.at.Sub(restarted) > stableWindow
-		if i >= 3 && c.at.Sub(d.crashes[2].at) > stableWindow && inTouch {
+		if crashes > 3 && c.at.Sub(third) > stableWindow && inTouch {
 			counted++
 		}
 	}
-	d.lab.logf("%d crashes; the request reached workers in %d retries that count, allowed: %d", len(d.crashes), counted, allowedRetries)
-	fmt.Printf("%d crashes, %d retries that count, allowed %d\n", len(d.crashes), counted, allowedRetries)
+	return crashes, counted
+}
+
+// judge reports whether the request with that path reached workers too often.
+func (d *deadlyEngines) judge(path string, restarted time.Time) bool {
+	crashes, counted := d.countedRetries(path, restarted)
+	d.lab.logf("%s: %d crashes, %d retries that count, allowed: %d", path, crashes, counted, allowedRetries)
+	fmt.Printf("%s: %d crashes, %d retries that count, allowed %d\n", path, crashes, counted, allowedRetries)
 	return counted > allowedRetries
 }
