--- a/review/harness/deadly.go
+++ b/review/harness/deadly.go
@@ -13,6 +13,8 @@
 )
 
 const (
+	// heartbeat is the ping interval of the workers.
+	heartbeat = 1200 * time.Millisecond
 	// downTime is how long a worker that crashed is away.
 	downTime = 3 * time.Second
 	// stableWindow is the time after which a calm machine is in touch again.
