--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,6 +29,7 @@
 	"second":   runSecond,
 	"failing":  runFailing,
 	"isolated": runIsolated,
+	"returned": runReturned,
 }
 
 func main() { os.Exit(run()) }
