--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -34,12 +34,10 @@
 	dir     string
 	record  *os.File
 	started time.Time
-	mu      sync.Mutex // guards record, sentTo and firstLimited
+	mu      sync.Mutex // guards record and sentTo
 
 	// sentTo holds the host to which the caller sent each attempt.
 	sentTo map[string]string
-	// firstLimited holds when each host first passed on an answer with a Server-Limit.
-	firstLimited map[string]time.Time
 
 	store        *objects.Store
 	storeAddress string
@@ -74,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{dir: dir, record: record, started: time.Now(), store: objects.New(), sentTo: map[string]string{}, firstLimited: map[string]time.Time{}}
+	l := &lab{dir: dir, record: record, started: time.Now(), store: objects.New(), sentTo: map[string]string{}}
 	if l.ipPrefix, err = freePrefix(); err != nil {
 		return nil, err
 	}
@@ -324,8 +322,6 @@
 	work atomic.Int64
 	// running is the number of requests that it runs now.
 	running atomic.Int64
-	// limit, if not empty, is the Server-Limit that it names in its answers.
-	limit atomic.Value
 
 	mu sync.Mutex
 	// sends holds the requests that reached the worker.
@@ -384,9 +380,6 @@
 	rw.Header().Set("Hyssopreel-Server-Stamp", w.id+"."+attempt)
 	if !strings.HasPrefix(r.URL.Path, turnPrefix) {
 		time.Sleep(time.Duration(w.work.Load()))
-		if limit, ok := w.limit.Load().(string); ok {
-			rw.Header().Set("Server-Limit", limit)
-		}
 		_, _ = fmt.Fprintf(rw, "answer of %s to %s", w.service, attempt)
 		return
 	}
@@ -434,13 +427,6 @@
 		return answer{err: err}
 	}
 	defer resp.Body.Close()
-	if resp.Header.Get("Server-Limit") != "" {
-		l.mu.Lock()
-		if _, ok := l.firstLimited[h.name]; !ok {
-			l.firstLimited[h.name] = time.Now()
-		}
-		l.mu.Unlock()
-	}
 	var text strings.Builder
 	buffer := make([]byte, 4096)
 	for err == nil {
