review: a host that is killed twice uses its share of a budget again

BUDGET is broken for each program whose home is killed twice with the store available: 3,600 tokens with a budget of 2,400 and 300 a turn. Ruled out: lost settlements and handovers (no turn is in progress at a kill, and no account moves).

--- a/review/harness/lab.go
+++ b/review/harness/lab.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,6 +44,8 @@
 	storeAddress string
 	// storeDown makes the store answer 503 to every call: nothing was done.
 	storeDown atomic.Bool
+	// storeSilence is closed at the end of a time in which the store answers nothing; nil while it answers.
+	storeSilence atomic.Pointer[chan struct{}]
 
 	ipPrefix string // of the entry hosts, the first three bytes
 	hosts    []*host
@@ -87,12 +90,52 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
-			l.store.ServeHTTP(w, r)
+			if !l.awaitStore(r.Context()) {
+				return
+			}
+			response := httptest.NewRecorder()
+			l.store.ServeHTTP(response, r)
+			if !l.awaitStore(r.Context()) {
+				return
+			}
+			for name, values := range response.Header() {
+				w.Header()[name] = values
+			}
+			w.WriteHeader(response.Code)
+			_, _ = w.Write(response.Body.Bytes())
 		}))
 	}()
 	return l, nil
 }
 
+// awaitStore waits while the store is silent. It reports false if the client has left in the meantime.
+func (l *lab) awaitStore(ctx context.Context) bool {
+	for {
+		silence := l.storeSilence.Load()
+		if silence == nil {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-*silence:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// setStoreSilent begins or ends a time in which the store answers nothing. Calls that still wait are answered at its end.
+func (l *lab) setStoreSilent(silent bool) {
+	l.logf("store silent: %v", silent)
+	if silent {
+		silence := make(chan struct{})
+		l.storeSilence.Store(&silence)
+		return
+	}
+	if silence := l.storeSilence.Swap(nil); silence != nil {
+		close(*silence)
+	}
+}
+
 // setStoreDown begins or ends an outage of the store. Watches that wait are cut off at its beginning.
 func (l *lab) setStoreDown(down bool) {
 	l.storeDown.Store(down)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,14 +22,16 @@
 type scenario func(l *lab, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"kills":    runKills,
-	"deadly":   runDeadly,
-	"outage":   runOutage,
-	"cell":     runCell,
-	"second":   runSecond,
-	"failing":  runFailing,
-	"isolated": runIsolated,
-	"returned": runReturned,
+	"lapse":        runLapse,
+	"twice-killed": runTwiceKilled,
+	"kills":        runKills,
+	"deadly":       runDeadly,
+	"outage":       runOutage,
+	"cell":         runCell,
+	"second":       runSecond,
+	"failing":      runFailing,
+	"isolated":     runIsolated,
+	"returned":     runReturned,
 }
 
 func main() { os.Exit(run()) }
