--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,8 @@
 type scenario func(l *lab, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"uploads":      runUploads,
+	"left":         runLeft,
 	"lapse":        runLapse,
 	"twice-killed": runTwiceKilled,
 	"kills":        runKills,
