Decode teams, keys, kept turns, leaving servers and promises; heartbeat sections

Cause: the deployments of this milestone need callers' keys, team quotas, retained turns and the present speed of servers. The load report with a fourth figure was ignored as a whole until now.

Nothing acts on these yet, except that load reports with four figures count.

--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -39,6 +39,32 @@
 		Cores float64
 		// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 if it is unknown.
 		LinkMbps float64
+		// Descriptors is the number of file descriptors that the process may open.
+		Descriptors int
+	}
+	// Disk describes the data folder of a host with a disk.
+	Disk struct {
+		// Path is "" on a host without a disk.
+		Path  string
+		Bytes int64
+	}
+	// Promises are the bounds in which the deployment's promises must hold; a bound of 0 does not apply there.
+	Promises struct {
+		// TolerableHostLosses is the number of hosts with a disk that may be lost at the same time.
+		TolerableHostLosses int
+		// RevocationDelay is the time after which a revoked API key must no longer be accepted.
+		RevocationDelay time.Duration
+		// ConfigDelay is the time after which a configuration must be in force everywhere.
+		ConfigDelay time.Duration
+		// DrainDelay is the time after which a server that leaves must get no new requests.
+		DrainDelay time.Duration
+		// StableDelay is the time after a disruption from which time bounds hold again.
+		StableDelay time.Duration
+		// QuotaWindow is the length of any interval in which a team's quota must hold. The requests in it may exceed what the
+		// quota allows by the fraction QuotaTolerance and by QuotaSlack requests.
+		QuotaWindow    time.Duration
+		QuotaTolerance float64
+		QuotaSlack     float64
 	}
 	Shutdown struct {
 		// GracePeriod is the time between SIGTERM and the end of the process that the platform forces.
@@ -83,6 +109,19 @@
 	s.Limits.MemoryBytes = r.size("limits", "memory", 128*megabyte, 1<<40)
 	s.Limits.Cores = r.number("limits", "cores", 1, 1024) * r.number("limits", "cores_share", 1, 1)
 	s.Limits.LinkMbps = r.number("limits", "link_mbps", 0, 1e6)
+	s.Limits.Descriptors = r.count("limits", "descriptors", 4096, 1<<20)
+
+	s.Disk.Path = r.text("disk", "path")
+	s.Disk.Bytes = r.size("disk", "size", 256*megabyte, 1<<50)
+
+	s.Promises.TolerableHostLosses = int(r.number("promises", "host_losses", 0, 16))
+	s.Promises.RevocationDelay = r.duration("promises", "revocation", 0)
+	s.Promises.ConfigDelay = r.duration("promises", "configuration", 2*time.Second)
+	s.Promises.DrainDelay = r.duration("promises", "drain", 2*time.Second)
+	s.Promises.StableDelay = r.duration("promises", "stable", 3*time.Second)
+	s.Promises.QuotaWindow = r.duration("promises", "quota_window", 0)
+	s.Promises.QuotaTolerance = r.number("promises", "quota_tolerance", 0, 1)
+	s.Promises.QuotaSlack = r.number("promises", "quota_slack", 0, 1e6)
 	s.Shutdown.GracePeriod = r.duration("shutdown", "grace", 8*time.Second)
 
 	s.Log.Level = r.oneOf("log", "level", "info", "debug", "info", "warn", "error")
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -56,6 +56,12 @@
 	Resumable bool
 	// ProgramRetention is the longest time between two turns of a program.
 	ProgramRetention time.Duration
+	// RetainTurns is set if callers send only the new input of a turn, and the system adds the turns before it.
+	RetainTurns bool
+	// Anonymous is set if callers need no API key.
+	Anonymous bool
+	// Sticky is set if a server that has handled an object, or has a prompt cached, is faster for the next request for it.
+	Sticky bool
 }
 
 // Retryable reports whether a request may be sent again although a backend server may have executed it.
@@ -112,7 +118,9 @@
 	Limits   Limits
 	Services map[string]Service
 
-	routes map[string]map[string]*Route // by host, then by path prefix
+	routes     map[string]map[string]*Route // by host, then by path prefix
+	teams      map[string]*Team             // by name
+	teamsByKey map[KeyID]*Team
 }
 
 // NewTable returns a table of the routes and services.
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
@@ -52,6 +53,8 @@
 	PoisonDigest uint64          `msgpack:",omitempty"`
 	// Unreachable holds the names of the hosts that the host does not reach.
 	Unreachable []string `msgpack:",omitempty"`
+	// Sections holds the parts of the heartbeat that belong to other components, by the name of the section.
+	Sections map[string][]byte `msgpack:",omitempty"`
 }
 
 // heartbeater exchanges heartbeats with other hosts. They show which hosts are reachable, which informers lag behind,
@@ -68,6 +71,8 @@
 	poison *poisonRecords
 	// polledFor returns PolledFor of this host's heartbeats; nil is 0.
 	polledFor func(now time.Time) time.Duration
+	// sections are the parts of heartbeats that other components encode and merge. They are added before run.
+	sections []HeartbeatSection
 	// onTick is called at every interval.
 	onTick func()
 
@@ -146,6 +151,7 @@
 	isMesh := b.meshNames()
 	inFlight := b.servers.InFlightByServer()
 	base := b.message()
+	base.Sections = b.encodeSections()
 	for _, h := range hosts {
 		if h.Name == b.self.Name {
 			continue
@@ -164,6 +170,7 @@
 // exchangeAndWait exchanges heartbeats with the hosts and waits for the answers, at most heartbeatTimeout.
 func (b *heartbeater) exchangeAndWait(ctx context.Context, hosts []fleet.Host) {
 	message := b.message()
+	message.Sections = b.encodeSections()
 	var group sync.WaitGroup
 	for _, h := range hosts {
 		if h.Name != b.self.Name {
@@ -179,10 +186,13 @@
 	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var answer heartbeat
+	requestedAt := clock.SinceBoot()
 	err := b.node.Call(callCtx, h.PeerAddress, wire.TypeEntryHeartbeat, message, &answer)
 	switch {
 	case err == nil && answer.validate() == nil:
-		b.handle(answer)
+		if b.handle(answer) {
+			b.mergeSections(answer, requestedAt)
+		}
 	case err != nil && callCtx.Err() == nil:
 		b.hosts.Fail(h.Name, err)
 	}
@@ -244,11 +254,14 @@
 		}
 		return
 	}
-	b.handle(message)
+	if b.handle(message) {
+		b.mergeSections(message, 0)
+	}
 	if r.OneWay() {
 		return
 	}
 	answer := b.message()
+	answer.Sections = b.encodeSections()
 	if answer.PoisonDigest != message.PoisonDigest {
 		answer.Poison = b.poison.all()
 	}
@@ -273,13 +286,17 @@
 			return errors.Newf("heartbeat of host %q with a rate limit of %v, %v old, of server %q", m.Host, limit.PerSecond, limit.Age, limit.Server)
 		}
 	}
+	if len(m.Sections) > maxHeartbeatSections {
+		return errors.Newf("heartbeat of host %q with %d sections", m.Host, len(m.Sections))
+	}
 	return validatePoisonRecords(m.Poison)
 }
 
-func (b *heartbeater) handle(message heartbeat) {
+// handle applies a heartbeat. It reports false if the heartbeat is of a former incarnation.
+func (b *heartbeater) handle(message heartbeat) bool {
 	report := fleet.Heartbeat{Name: message.Host, Incarnation: message.Incarnation, Draining: message.Draining, Unreachable: message.Unreachable}
 	if !b.hosts.Hear(report) {
-		return
+		return false
 	}
 	now := time.Now()
 	b.mu.Lock()
@@ -296,6 +313,7 @@
 	b.poison.merge(message.Poison, message.Host)
 	b.servers.MergeRateLimits(message.RateLimits, message.Host)
 	b.detectLag(message, now)
+	return true
 }
 
 // polledByPeer reports whether a peer has listed the servers without a break from the first time on, by a heartbeat that
--- a/service/ingress/types.go
+++ b/service/ingress/types.go
@@ -10,14 +10,18 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/hyssopreel/hyssopreel/core/routing"
 )
 
 // RequestMetadata is the part of a caller's request that is in its headers.
 type RequestMetadata struct {
 	// Attempt is the ID of this attempt of the caller.
 	Attempt string
-	// Caller identifies who sends the request; empty if callers do not say so.
+	// Caller identifies who sends the request without revealing a key; empty if callers do not say so.
 	Caller string
+	// Key is the ID of the caller's API key; nil if the request has none.
+	Key *routing.KeyID
 	// Program is empty for requests that belong to no program.
 	Program string
 	// Session identifies a sequence of turns within a program.
@@ -31,6 +35,12 @@
 	PromptTokens int
 	// MaxTokens is the upper bound of the tokens that this turn generates.
 	MaxTokens int
+	// PreviousTurn is the attempt ID of the turn that this one continues; empty at the start of a conversation.
+	PreviousTurn string
+	// ProgramDeadline is the time left until the whole program should have ended; 0 if the request does not set it.
+	ProgramDeadline time.Duration
+	// Object identifies the object that the request concerns; empty if it concerns none.
+	Object string
 }
 
 // UpstreamMetadata is encoded in the headers of an upstream request.
@@ -41,12 +51,18 @@
 	Timeout time.Duration
 	// LastEventID is the ID of the event after which a stream resumes; empty for a stream from its start.
 	LastEventID string
+	// HidesKeys is set if callers have API keys, which no backend server may see.
+	HidesKeys bool
+	// Team is the name of the caller's team; empty if the caller has none.
+	Team string
 }
 
 // LoadReport is the number of requests that a backend server reports.
 type LoadReport struct {
 	Running int
 	Waiting int
+	// WorkTimePercent is how long work takes at the server at this moment; 100 is usual, 0 is not reported.
+	WorkTimePercent int
 }
 
 // ResponseMetadata is the part of a backend server's response that is in its headers.
@@ -55,6 +71,8 @@
 	Attempt string
 	// NotRun is set if the server reports that it did not start work on the request.
 	NotRun bool
+	// Leaving is set if the server reports that it is leaving.
+	Leaving bool
 	// HasServerStamp is set if the response carries the server's proof of origin.
 	HasServerStamp bool
 	// Load is nil if the response reports no load.
