host tests: addresses that differ between test processes

Cause: two test processes on one machine took their addresses from the same first port. A run of service/ingress had a third host in the directory of two: the host of another process, whose heartbeats went to an address that had been its peer's. Ruled out: a fault of the directory; the third address was from the other process's range. Change: the first port depends on the process ID. Two processes whose IDs are equal modulo 11 may still meet.

--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -21,13 +22,17 @@
 	"github.com/hyssopreel/hyssopreel/standin/objects"
 )
 
-// nextPort counts up from a port below the range from which the kernel takes the ports of outgoing connections.
+// nextPort counts up from firstPort, which is below the range from which the kernel takes the ports of outgoing connections.
 var nextPort atomic.Int32
 
+// firstPort differs between processes: hosts of two test processes that used the same addresses one after the other would
+// exchange heartbeats.
+var firstPort = 21000 + os.Getpid()%11*1000
+
 // freeAddress returns a loopback address on which nothing listens, a different one on each call.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", 21000+nextPort.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+int(nextPort.Add(1)))
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
 			return address
