Authorize requests by the API keys of teams

Cause: a configuration with teams was decoded, but any request was served, with the caller's key passed on to the server, and hosts sent each other the configuration with all keys. Ruled out: hiding keys in each message and log line on its own; a key that is not kept cannot be shown. Servers get the team's name in place of the key. Configurations without teams are served as before. Whether the configuration is still the newest one is not checked yet.

--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -48,6 +48,7 @@
 	metadata  RequestMetadata
 	table     *routing.Table
 	route     *routing.Route
+	team      *routing.Team // of the caller; nil if it has none
 	service   string
 	startedAt time.Time
 	// deadline is when the caller's or the route's timeout ends, whichever is first.
@@ -117,11 +118,15 @@
 		}
 		if x.awaitPermit(ctx, acquired, maxWait) {
 			x.recordPlacement(acquired)
-			if x.quarantineFailure() == nil {
+			err := x.checkAccess()
+			if err == nil && x.quarantineFailure() != nil {
+				err = errQuarantined
+			}
+			if err == nil {
 				return acquired, nil
 			}
 			acquired.Release()
-			return nil, errQuarantined
+			return nil, err
 		}
 		acquired.Release()
 		if maxWait > 0 {
@@ -147,7 +152,7 @@
 	}
 	queueTimeout := queueEnd.Sub(x.ingress.now())
 	if servers.HasUnlimited(query) {
-		return servers.WaitForServer(ctx, query, x.route.Priority, queueTimeout), 0
+		return servers.WaitForServer(ctx, query, x.priority(), queueTimeout), 0
 	}
 	return servers.Acquire(query, placement.RateLimitedPolicy()), max(queueTimeout, time.Nanosecond)
 }
@@ -205,6 +210,8 @@
 		Server:      acquired.ID(),
 		Timeout:     x.deadline.Sub(x.ingress.now()),
 		LastEventID: lastEventID,
+		HidesKeys:   x.table.HasTeams(),
+		Team:        x.teamName(),
 	})
 	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
 	var respMetadata ResponseMetadata
@@ -278,7 +285,7 @@
 				return result.resp, result.body, nil
 			}
 		case <-hedgeTimer.C:
-			if !x.isSuspect() && x.upstreamRequests < maxUpstreamRequests && x.executions+running < x.maxExecutions() {
+			if !x.isSuspect() && x.checkAccess() == nil && x.upstreamRequests < maxUpstreamRequests && x.executions+running < x.maxExecutions() {
 				if acquired := x.ingress.servers.Acquire(x.placementQuery(), placement.HedgePolicy()); acquired != nil {
 					x.recordPlacement(acquired)
 					launch(acquired)
@@ -435,6 +442,9 @@
 	if x.executions > 0 || ctx.Err() != nil {
 		return x.noResponseFailure(ctx)
 	}
+	if fail := x.accessFailure(err); fail != nil {
+		return fail
+	}
 	retryAfter := x.ingress.retryAfter(x.service)
 	if x.permitWait > retryAfter {
 		retryAfter = jitter(x.permitWait)
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -30,6 +30,8 @@
 	MemoryLimitBytes int64
 	// Permits grants requests to servers that name a rate limit. If it is nil, the host is the only one.
 	Permits Permits
+	// Access decides which requests may run where the configuration has teams. If it is nil, the host is the only one.
+	Access Access
 }
 
 const (
@@ -61,6 +63,7 @@
 	bufferedBodyBytes atomic.Int64
 	budgets           Budgets
 	permits           Permits
+	access            Access
 	poison            *poisonRecords
 }
 
@@ -113,6 +116,9 @@
 	if in.permits == nil {
 		in.permits = newPermitAccounts()
 	}
+	if in.access = o.Access; in.access == nil {
+		in.access = tableAccess{in}
+	}
 	in.memoryLimitBytes.Store(o.MemoryLimitBytes)
 	return in
 }
@@ -175,6 +181,9 @@
 	if metadata.Attempt == "" {
 		return &failure{status: http.StatusBadRequest, reason: "no attempt ID"}
 	}
+	if fail := x.authorize(); fail != nil {
+		return fail
+	}
 	x.service = x.route.PickService(mathrand.Float64())
 	x.deadline = x.startedAt.Add(x.timeout())
 	return x.readBody(w)
@@ -359,6 +368,9 @@
 		if fail.retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(fail.retryAfter.Seconds(), 'f', 3, 64))
 		}
+		if fail.status == http.StatusUnauthorized {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+		}
 		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(fail.status)
 	}
@@ -373,6 +385,9 @@
 	if x.metadata.Program != "" {
 		fields["program"] = x.metadata.Program
 	}
+	if x.team != nil {
+		fields["team"] = x.team.Name
+	}
 	if x.metadata.TokenBudget > 0 {
 		fields["budget"], fields["most_tokens"], fields["tokens"] = x.metadata.TokenBudget, x.metadata.MaxTokens, x.deliveredTokens
 		fields["home"] = x.reserved.Home
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -93,6 +93,9 @@
 		return nil, errQuarantined
 	case acquired != nil && !s.awaitPermit(ctx, acquired, ratelimit.MaxWait):
 		acquired.Release()
+	case acquired != nil && s.checkAccess() != nil:
+		acquired.Release()
+		return nil, errNoServer // noServerFailure reports the outcome as unknown, because the stream has run
 	case acquired != nil:
 		s.server, s.load, s.loadAge = acquired.ID(), acquired.Load, acquired.LoadAge
 		s.onResumeServer = true
