turns: retain turns of programs on hosts with a disk

Cause: callers of a route with RetainTurns send only the new input of a turn. The system must give the server the turns before it, and must not complete a response before host_losses + 1 disks have the turn.

Change: `hyssopreeld disk` opens the engine in its data folder, registers in the kind disk-hosts and acknowledges a turn once it is synced. An entry host loads the chain from one disk host, sends the whole prompt, collects the data of the events, and ends the response once enough disk hosts have acknowledged; otherwise it resets the connection. 404 only if all listed hosts have answered. Copies are made again after losses, and before a retirement completes.

Before, the route forwarded the new input alone.

--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -9,10 +9,13 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/common/settings"
 	"github.com/hyssopreel/hyssopreel/platform"
 	"github.com/hyssopreel/hyssopreel/service/ingress"
+	"github.com/hyssopreel/hyssopreel/service/turns"
 )
 
 // heapLimitFraction is the fraction of a host's memory that the Go runtime may use; the rest is for thread stacks,
@@ -113,10 +116,15 @@
 	return ingress.NewHost(s, platform.NewAdapter(s), reload).Run(ctx)
 }
 
-// runDiskHost runs a host with a disk until ctx ends. All state is in the platform's store, so the host may be
-// retired at any time; it only confirms retirements.
+// runDiskHost runs a host with a disk until ctx ends. It retains turns, and confirms its retirements.
 func runDiskHost(ctx context.Context, s *settings.EntryHost, _ <-chan *settings.EntryHost) error {
 	store := platform.NewStore(s.Platform.Address, s.Platform.Timeout, s.Platform.MaxWatchWait)
-	platform.ConfirmRetirements(ctx, store, s.Host.Name)
-	return nil
+	host := turns.NewHost(s, store)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return host.Run(ctx) })
+	group.Go(func() error {
+		platform.ConfirmRetirements(ctx, store, s.Host.Name, host.Retire)
+		return nil
+	})
+	return group.Wait()
 }
--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -38,7 +38,7 @@
 	entry := &hostCommand{run: runIngress}
 	disk := &hostCommand{run: runDiskHost}
 	mustAddCommand(parser, "entry", "Run an entry host on the platform, which serves callers", entry)
-	mustAddCommand(parser, "disk", "Run a host with a disk on the platform, which confirms its retirements", disk)
+	mustAddCommand(parser, "disk", "Run a host with a disk on the platform, which retains turns of programs", disk)
 	rest, err := parser.Parse()
 	if err != nil {
 		if flags.WroteHelp(err) {
--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -41,6 +41,12 @@
 	TypeRecallAccount:    "recall",
 	TypeEntryHeartbeat:   "beat",
 	TypeFollow:           "follow",
+	TypeKeepTurn:         "keep_turn",
+	TypeLoadChain:        "load_chain",
+	TypeTouchTurns:       "touch_turns",
+	TypeListTurns:        "list_turns",
+	TypeFetchTurns:       "fetch_turns",
+	TypeDiskStatus:       "disk_status",
 }
 
 // String returns the name of the type as in docs/design.md, section 9. Names are topics of PubSub and steps of
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -30,6 +30,12 @@
 	TypeEntryHeartbeat   // heartbeat of an entry host: its state and its active requests at backend servers
 	TypeFollow           // request of an entry host for changes of a peer's copy of the store's objects
 	TypePermit           // request for the permit to send a request to a rate-limited backend server, sent to its owner
+	TypeKeepTurn         // turn to be retained, sent to a host with a disk
+	TypeLoadChain        // request for the turns up to one, sent to a host with a disk
+	TypeTouchTurns       // turns that were read at another host with a disk
+	TypeListTurns        // request of a host with a disk for the turns of which it should have copies
+	TypeFetchTurns       // request of a host with a disk for copies of turns
+	TypeDiskStatus       // request for the status of a host with a disk
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -118,6 +118,8 @@
 	Limits   Limits
 	Services map[string]Service
 
+	retainsTurns bool
+
 	routes     map[string]map[string]*Route // by host, then by path prefix
 	teams      map[string]*Team             // by name
 	teamsByKey map[KeyID]*Team
@@ -141,6 +143,7 @@
 			t.routes[host] = map[string]*Route{}
 		}
 		t.routes[host][r.PathPrefix] = r
+		t.retainsTurns = t.retainsTurns || r.RetainTurns
 	}
 	return t
 }
@@ -162,6 +165,9 @@
 	return nil
 }
 
+// RetainsTurns reports whether a route retains turns.
+func (t *Table) RetainsTurns() bool { return t.retainsTurns }
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -42,9 +42,11 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	ingress   *Ingress
-	request   *http.Request
-	body      []byte
+	ingress *Ingress
+	request *http.Request
+	body    []byte
+	// retained is nil unless the route retains turns.
+	retained  *retainedTurn
 	metadata  RequestMetadata
 	table     *routing.Table
 	route     *routing.Route
@@ -205,8 +207,9 @@
 		Server:      acquired.ID(),
 		Timeout:     x.deadline.Sub(x.ingress.now()),
 		LastEventID: lastEventID,
+		FromStart:   x.retained != nil && lastEventID == "",
 	})
-	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
+	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.upstreamBody()}
 	var respMetadata ResponseMetadata
 	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -222,7 +222,9 @@
 		message.PolledFor = b.polledFor(time.Now())
 	}
 	for kind, informer := range b.informers {
-		message.Revisions[kind] = uint64(informer.NewestRevision())
+		if revision := informer.NewestRevision(); revision > 0 {
+			message.Revisions[kind] = uint64(revision)
+		}
 	}
 	return message
 }
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/relay"
+	"github.com/hyssopreel/hyssopreel/service/turns"
 )
 
 const (
@@ -77,6 +78,7 @@
 	hosts      *Hosts
 	node       *wire.Node
 	budgets    *budgetService
+	turns      *turns.Client
 	heartbeats *heartbeater
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
@@ -122,7 +124,8 @@
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.turns = turns.NewClient(h.node, h.store, s.Promises.TolerableHostLosses, s.Host.FailureDomain, s.Host.Region, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Turns: h.turns}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	return h
 }
@@ -160,6 +163,7 @@
 	for _, informer := range informers {
 		group.Go(func() error { informer.Run(workCtx); return nil })
 	}
+	group.Go(func() error { h.runTurns(workCtx); return nil })
 	group.Go(func() error { h.sweep(workCtx); return nil })
 	group.Go(func() error { h.budgets.run(workCtx); return nil })
 	group.Go(func() error { h.heartbeats.run(workCtx); return nil })
@@ -248,11 +252,11 @@
 // hasSynced reports whether all informers have synced, a configuration is in force, and the budget records were read.
 func (h *Host) hasSynced() bool {
 	for _, informer := range h.heartbeats.informers {
-		if !informer.HasSynced() {
+		if informer.Kind != turns.KindDiskHosts && !informer.HasSynced() {
 			return false
 		}
 	}
-	return h.ingress.table.Load() != nil && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
+	return h.ingress.table.Load() != nil && (!h.retainsTurns() || h.heartbeats.informers[turns.KindDiskHosts].HasSynced()) && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
 }
 
 func (h *Host) sweep(ctx context.Context) {
@@ -284,7 +288,7 @@
 	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
 	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(h.hosts.Count()) }
 	informers := []*Informer{config, servers, hosts}
-	for _, informer := range informers {
+	for _, informer := range append(informers, h.newDiskHostInformer()) {
 		informer.Store, informer.ShouldPoll = h.store, h.pollsKind(informer.Kind)
 		informer.Sources, informer.Follow, informer.StartupPatience = h.informerSources, h.followPeer, h.startupPatience()
 		h.heartbeats.informers[informer.Kind] = informer
--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -61,6 +61,10 @@
 }
 
 func startHost(store *objects.Store, name string, seeds ...string) *runningHost {
+	return startHostWith(store, name, func(s *settings.EntryHost) { s.Seeds.Peers = seeds })
+}
+
+func startHostWith(store *objects.Store, name string, change func(s *settings.EntryHost)) *runningHost {
 	gate := &storeGate{store: store}
 	storeServer := httptest.NewServer(gate)
 	DeferCleanup(storeServer.CloseClientConnections)
@@ -70,9 +74,9 @@
 	s.Listen.Peer, s.Listen.Metrics = freeAddress(), freeAddress()
 	s.Platform.Address = storeServer.Listener.Addr().String()
 	s.Platform.Timeout, s.Platform.MaxWatchWait, s.Platform.ListInterval = 500*time.Millisecond, 20*time.Second, 800*time.Millisecond
-	s.Seeds.Peers = seeds
 	s.Limits.MemoryBytes = 128 << 20
 	s.Shutdown.GracePeriod = time.Second
+	change(s)
 	ctx, stop := context.WithCancel(context.Background())
 	host := &runningHost{testIngress: &testIngress{address: s.Listen.Callers}, settings: s, gate: gate, stop: stop, done: make(chan error, 1)}
 	go func() { host.done <- ingress.NewHost(s, platform.NewAdapter(s), nil).Run(ctx) }()
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -30,6 +30,8 @@
 	MemoryLimitBytes int64
 	// Permits grants requests to servers that name a rate limit. If it is nil, the host is the only one.
 	Permits Permits
+	// Turns retains turns. It may be nil if no route needs that.
+	Turns Turns
 }
 
 const (
@@ -61,6 +63,7 @@
 	bufferedBodyBytes atomic.Int64
 	budgets           Budgets
 	permits           Permits
+	turns             Turns
 	poison            *poisonRecords
 }
 
@@ -109,7 +112,7 @@
 
 // New returns an ingress without configuration. It answers 503 until SetTable is called.
 func New(o Options, h HeaderCodec, servers *Servers, budgets Budgets, scope tally.Scope) *Ingress {
-	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets, permits: o.Permits, poison: newPoisonRecords(time.Now)}
+	in := &Ingress{options: o, headerCodec: h, servers: servers, watchdog: newWatchdog(time.Now), now: time.Now, scope: scope, budgets: budgets, permits: o.Permits, turns: o.Turns, poison: newPoisonRecords(time.Now)}
 	if in.permits == nil {
 		in.permits = newPermitAccounts()
 	}
@@ -265,6 +268,10 @@
 		return nil
 	}
 	s := &stream{exchange: x, w: w, controller: http.NewResponseController(w)}
+	defer x.releaseTurns()
+	if fail := x.loadTurns(ctx); fail != nil {
+		return fail
+	}
 	reservation := x.newReservation()
 	if reservation.Budget > 0 {
 		if fail := x.reserveBudget(ctx, reservation); fail != nil {
@@ -285,6 +292,9 @@
 		}
 		x.ingress.budgets.Settle(reservation, usage)
 	}
+	if fail == nil && s.eventsComplete && x.retained != nil {
+		fail = x.keepTurn(ctx)
+	}
 	if fail != nil && s.headerSent {
 		fail.status = 0
 	}
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/service/turns"
 )
 
 // newOperatorHandler serves the metrics, and this host's view of the fleet.
@@ -38,6 +39,9 @@
 		return struct{}{}
 	})
 	for kind, informer := range h.heartbeats.informers {
+		if kind == turns.KindDiskHosts && !informer.HasSynced() {
+			continue // no route retains turns
+		}
 		v.Kinds = append(v.Kinds, api.FollowedKind{
 			Kind: kind, Source: informer.currentSource(), Revision: uint64(informer.NewestRevision()), AnsweredMS: ageMS(now, informer.lastResponseTime()),
 		})
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -42,6 +42,10 @@
 	monitored *monitoredStream
 	// firstEventAt is when the first event was forwarded.
 	firstEventAt time.Time
+	// eventsComplete is set once all events of a successful response were forwarded.
+	eventsComplete bool
+	// skipUntil is the ID of the last event that the caller of a retained turn has; events up to it are not forwarded.
+	skipUntil string
 }
 
 // errNotRun means that the server reported that it did not start work on the request.
@@ -57,6 +61,10 @@
 // returns nil if the whole response was forwarded.
 func (s *stream) run(ctx context.Context) *failure {
 	s.reader.lastID = s.metadata.LastEventID
+	if s.retained != nil {
+		// The record of the turn holds the whole output, so that the server must send it from the start.
+		s.reader.lastID, s.skipUntil = "", s.metadata.LastEventID
+	}
 	for ctx.Err() == nil && s.upstreamRequests < maxUpstreamRequests {
 		acquired, err := s.acquireForStream(ctx)
 		if err != nil {
@@ -66,6 +74,8 @@
 		done, err := s.streamFrom(ctx, acquired)
 		acquired.Release()
 		switch {
+		case errors.Is(err, errOutputTooLarge):
+			return &failure{reason: "output too large to be retained", cause: err}
 		case errors.Is(err, errCallerGone):
 			return &failure{reason: "caller left", cause: err}
 		case done:
@@ -280,6 +290,7 @@
 		switch {
 		case readErr == io.EOF && len(s.reader.partialEvent()) == 0:
 			s.executions++
+			s.eventsComplete = true
 			return true, s.sendHeader(resp)
 		case readErr != nil:
 			return false, errors.Wrapf(readErr, "read stream of backend server %s", acquired.ID())
@@ -299,6 +310,14 @@
 }
 
 func (s *stream) writeEvents(resp *upstream.Response, events []byte) error {
+	if s.retained != nil {
+		if err := s.retained.collect(events, len(s.body)); err != nil {
+			return errors.Mark(err, errCallerGone)
+		}
+		if events = s.skipKnown(events); len(events) == 0 {
+			return nil
+		}
+	}
 	if err := s.sendHeader(resp); err != nil {
 		return err
 	}
@@ -318,6 +337,23 @@
 	return nil
 }
 
+// skipKnown returns the events without those that the caller has: the ones up to skipUntil.
+func (s *stream) skipKnown(events []byte) []byte {
+	for s.skipUntil != "" && len(events) > 0 {
+		n := eventEnd(events)
+		id := firstEventID(events[:n])
+		if id != "" && id != s.skipUntil && isLaterEventID(s.skipUntil, id) {
+			s.skipUntil = ""
+			break
+		}
+		if id == s.skipUntil {
+			s.skipUntil = ""
+		}
+		events = events[n:]
+	}
+	return events
+}
+
 // firstEventID returns the ID of the first event in b that has one.
 func firstEventID(b []byte) string {
 	var parser sseParser
--- a/service/ingress/types.go
+++ b/service/ingress/types.go
@@ -51,6 +51,8 @@
 	Timeout time.Duration
 	// LastEventID is the ID of the event after which a stream resumes; empty for a stream from its start.
 	LastEventID string
+	// FromStart is set if the stream must have all events although the caller resumes it.
+	FromStart bool
 	// HidesKeys is set if callers have API keys, which no backend server may see.
 	HidesKeys bool
 	// Team is the name of the caller's team; empty if the caller has none.
--- /dev/null
+++ b/service/turns/client.go
@@ -0,0 +1,282 @@
+package turns
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
+	"github.com/hyssopreel/hyssopreel/common/wire"
+	"github.com/hyssopreel/hyssopreel/core/turnlog"
+)
+
+const (
+	// keepHedgeDelay is the time after which another host is asked to retain a turn besides one that has not answered: a
+	// sync takes 5 ms, and 35 ms on a slow disk.
+	keepHedgeDelay = 150 * time.Millisecond
+	// loadHedgeDelay is the time after which the next host is asked for a chain.
+	loadHedgeDelay = 100 * time.Millisecond
+	// loadTimeout bounds the requests for one chain, so that a caller gets 503 while it still has time for another host.
+	loadTimeout = 2 * time.Second
+	// failureMemory is how long a host that failed or was full is asked last, and counts as one that cannot retain turns.
+	failureMemory = time.Second
+	// minListInterval is the least time between two lists of the hosts; requests that wait meanwhile share the next one.
+	minListInterval = 500 * time.Millisecond
+	// touchInterval is how often the other hosts with a copy are told which turns were read.
+	touchInterval = 500 * time.Millisecond
+	// maxRecordBytes bounds a turn, so that it fits into a frame with room for the envelope.
+	maxRecordBytes = wire.MaxFrameBytes - 64<<10
+	// maxChainBytes bounds the turns that a caller may continue.
+	maxChainBytes = 16 << 20
+)
+
+var (
+	// ErrNotFound means that the turn is certainly not retained, or that it is another team's.
+	ErrNotFound = errors.New("turn is not retained")
+	// ErrUncertain means that it cannot be told now whether the turn is retained, or that it cannot be read.
+	ErrUncertain = errors.New("turns cannot be read")
+	// ErrUnavailable means that too few hosts can retain a turn.
+	ErrUnavailable = errors.New("too few hosts can retain a turn")
+	// ErrNoMemory means that the turns do not fit into the memory for bodies.
+	ErrNoMemory = errors.New("no memory for the turns")
+)
+
+// Client retains and reads turns for an entry host. It is safe for concurrent use.
+type Client struct {
+	node          *wire.Node
+	store         objectapi.Store
+	copies        int
+	failureDomain string
+	region        string
+	scope         tally.Scope
+	hosts         *hostList
+
+	mu sync.Mutex
+	// failedAt is when a host last failed or was full, by name. An answer removes it.
+	failedAt map[string]time.Time
+	touches  map[string][]string // turns by peer address
+
+	// listedHosts is the last list for requests for turns that were not found, which was started at listStarted.
+	listMu      sync.Mutex
+	listStarted time.Time
+	listedHosts []turnlog.Host
+}
+
+// NewClient returns a client of a host in the failure domain. store is the platform's; hostLosses is the number of hosts
+// with a disk that may be lost at the same time.
+func NewClient(node *wire.Node, store objectapi.Store, hostLosses int, failureDomain, region string, scope tally.Scope) *Client {
+	return &Client{
+		node: node, store: store, copies: hostLosses + 1, failureDomain: failureDomain, region: region, scope: scope,
+		hosts: newHostList(), failedAt: map[string]time.Time{}, touches: map[string][]string{},
+	}
+}
+
+// Replace replaces the list of hosts with a disk by the objects of KindDiskHosts.
+func (c *Client) Replace(objects []objectapi.Object, _ bool) { c.hosts.replace(objects, 0) }
+
+// Apply applies a change of an entry.
+func (c *Client) Apply(change objectapi.Change) { c.hosts.apply(change) }
+
+// Run sends what other hosts are to be told, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, touchInterval)
+		c.mu.Lock()
+		touches := c.touches
+		c.touches = map[string][]string{}
+		c.mu.Unlock()
+		for address, ids := range touches {
+			sendCtx, cancel := context.WithTimeout(ctx, touchInterval)
+			// A host that does not get this has the turn's retention from its last use there.
+			_ = c.node.Send(sendCtx, address, wire.TypeTouchTurns, touchMessage{Turns: ids})
+			cancel()
+		}
+	}
+}
+
+// CheckCapacity returns ErrUnavailable if so few hosts can retain turns that the response to a new turn could not be
+// completed.
+func (c *Client) CheckCapacity(inputBytes int) error {
+	if inputBytes > maxRecordBytes/2 {
+		return errors.Wrapf(ErrUnavailable, "input of %d bytes", inputBytes)
+	}
+	hosts, _, _ := c.hosts.current()
+	usable := 0
+	for _, h := range hosts {
+		if h.State == turnlog.Ready && !c.recentlyFailed(h.Name) {
+			usable++
+		}
+	}
+	if usable < c.copies {
+		return errors.Wrapf(ErrUnavailable, "%d of %d hosts, %d copies", usable, len(hosts), c.copies)
+	}
+	return nil
+}
+
+// MaxOutputBytes returns the size of the largest output of a turn with an input of that size.
+func MaxOutputBytes(inputBytes int) int { return maxRecordBytes - inputBytes }
+
+func (c *Client) recordFailure(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failedAt[name] = time.Now()
+}
+
+func (c *Client) recordSuccess(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.failedAt, name)
+}
+
+func (c *Client) recentlyFailed(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.failedAt[name]
+	return ok && time.Since(at) < failureMemory
+}
+
+// workingFirst moves the hosts that failed lately to the end.
+func (c *Client) workingFirst(hosts []turnlog.Host) []turnlog.Host {
+	var working, failed []turnlog.Host
+	for _, h := range hosts {
+		if c.recentlyFailed(h.Name) {
+			failed = append(failed, h)
+		} else {
+			working = append(working, h)
+		}
+	}
+	return append(working, failed...)
+}
+
+// Keep retains a turn. It returns once it is synced on as many hosts as there must be copies. The anchor is set if the turn
+// has none.
+func (c *Client) Keep(ctx context.Context, r turnlog.Record) error {
+	if r.Meta.Anchor == (turnlog.Anchor{}) {
+		r.Meta.Anchor = c.newAnchor(r.Meta.Program, r.Meta.ID)
+	}
+	r.Seal()
+	startedAt := time.Now()
+	err := c.keep(ctx, r)
+	result := "kept"
+	if err != nil {
+		result = "failed"
+	}
+	scope := c.scope.Tagged(map[string]string{"result": result})
+	scope.Counter("retained_turns").Inc(1)
+	scope.Timer("retain_turn_seconds").Record(time.Since(startedAt))
+	return err
+}
+
+func (c *Client) newAnchor(program, turn string) turnlog.Anchor {
+	a := turnlog.Anchor{Key: program, FailureDomain: c.failureDomain}
+	if a.Key == "" {
+		a.Key = turn
+	}
+	return a
+}
+
+func (c *Client) keep(ctx context.Context, r turnlog.Record) error {
+	hosts, _, _ := c.hosts.current()
+	candidates := c.workingFirst(turnlog.Order(hosts, r.Meta.Anchor))
+	if len(candidates) < c.copies {
+		return errors.Wrapf(ErrUnavailable, "%d hosts, %d copies", len(candidates), c.copies)
+	}
+	results := make(chan error, len(candidates))
+	next, running, kept := 0, 0, 0
+	launch := func() {
+		h := candidates[next]
+		next++
+		running++
+		go func() { results <- c.keepAt(ctx, h, r) }()
+	}
+	for range c.copies {
+		launch()
+	}
+	hedge := time.NewTimer(keepHedgeDelay)
+	defer hedge.Stop()
+	var failure error
+	for kept < c.copies {
+		if running == 0 && next == len(candidates) {
+			return errors.Wrapf(ErrUnavailable, "%d of %d copies: %v", kept, c.copies, failure)
+		}
+		select {
+		case err := <-results:
+			running--
+			if err == nil {
+				kept++
+				continue
+			}
+			failure = err
+			if errors.Is(err, turnlog.ErrOtherTurn) {
+				return err
+			}
+			if next < len(candidates) {
+				launch()
+			}
+		case <-hedge.C:
+			for missing := c.copies - kept; missing > 0 && next < len(candidates); missing-- {
+				launch()
+			}
+			hedge.Reset(keepHedgeDelay)
+		case <-ctx.Done():
+			return errors.Wrapf(ErrUnavailable, "%d of %d copies in time: %v", kept, c.copies, failure)
+		}
+	}
+	return nil
+}
+
+// keepAt retains a turn at one host.
+func (c *Client) keepAt(ctx context.Context, h turnlog.Host, r turnlog.Record) error {
+	var answer keepAnswer
+	if err := c.node.Call(ctx, h.PeerAddress, wire.TypeKeepTurn, keepRequest{Record: r}, &answer); err != nil {
+		if ctx.Err() == nil {
+			c.recordFailure(h.Name)
+		}
+		return err
+	}
+	switch {
+	case answer.Status == statusConflict:
+		return errors.Wrapf(turnlog.ErrOtherTurn, "turn %q", r.Meta.ID)
+	case answer.Status != statusDone || answer.NearlyFull:
+		c.recordFailure(h.Name)
+	default:
+		c.recordSuccess(h.Name)
+	}
+	if answer.Status != statusDone {
+		return errors.Newf("host %s retains no turns: %d", h.Name, answer.Status)
+	}
+	return nil
+}
+
+// touchOthers tells the other hosts that should have a copy of the turn that it was read.
+func (c *Client) touchOthers(turn string, a turnlog.Anchor, readAt string) {
+	hosts, _, _ := c.hosts.current()
+	targets := turnlog.Targets(hosts, a, c.copies)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range targets {
+		if h.Name != readAt {
+			c.touches[h.PeerAddress] = append(c.touches[h.PeerAddress], turn)
+		}
+	}
+}
+
+// nearestFirst orders hosts by distance: those of this failure domain, then those of this region, then the others.
+func (c *Client) nearestFirst(hosts []turnlog.Host) []turnlog.Host {
+	distance := func(h turnlog.Host) int {
+		switch {
+		case h.FailureDomain == c.failureDomain:
+			return 0
+		case h.Region == c.region:
+			return 1
+		}
+		return 2
+	}
+	sorted := slices.Clone(hosts)
+	slices.SortStableFunc(sorted, func(a, b turnlog.Host) int { return distance(a) - distance(b) })
+	return sorted
+}
