--- a/core/turnlog/record.go
+++ b/core/turnlog/record.go
@@ -10,6 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/hyssopreel/hyssopreel/common/nesting"
 )
 
 // Anchor decides on which hosts a turn is retained. All turns of a chain have the anchor of its first one, so that they
@@ -96,7 +98,15 @@
 	if xxhash.Sum64(body) != binary.BigEndian.Uint64(b[1:envelopeHeaderBytes]) {
 		return errors.Wrapf(ErrCorrupt, "checksum of %d bytes", len(body))
 	}
-	if err := msgpack.Unmarshal(body, v); err != nil {
+	return decodeBody(body, v)
+}
+
+func decodeBody(body []byte, v any) error {
+	err := nesting.Check(body)
+	if err == nil {
+		err = msgpack.Unmarshal(body, v)
+	}
+	if err != nil {
 		return errors.Wrapf(ErrCorrupt, "decode %d bytes: %v", len(body), err)
 	}
 	return nil
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -311,7 +311,7 @@
 
 func (s *stream) writeEvents(resp *upstream.Response, events []byte) error {
 	if s.retained != nil {
-		if err := s.retained.collect(events, len(s.body)); err != nil {
+		if err := s.collectOutput(events); err != nil {
 			return errors.Mark(err, errCallerGone)
 		}
 		if events = s.skipKnown(events); len(events) == 0 {
--- a/service/ingress/turns.go
+++ b/service/ingress/turns.go
@@ -16,17 +16,17 @@
 type Turns interface {
 	// CheckCapacity returns an error if a turn with an input of that size could not be retained now.
 	CheckCapacity(inputBytes int) error
-	// Load returns the turns up to one of the team. program is that of the turn which continues it. reserve is called with
-	// the size of the turns, and refuses them by returning false. turns.ErrNotFound is final; after any other error the
-	// caller may try again.
-	Load(ctx context.Context, turn, team, program string, reserve func(bytes int) bool) (turns.Chain, error)
+	// Load returns the turns that a new one continues. turns.ErrNotFound is final; after any other error the caller may try
+	// again.
+	Load(ctx context.Context, r turns.Request) (turns.Chain, error)
 	// Keep retains a turn. It returns without an error only if enough hosts have it on their disks.
 	Keep(ctx context.Context, r turnlog.Record) error
 }
 
 // retainedTurn is the part of an exchange that concerns retained turns.
 type retainedTurn struct {
-	chain turns.Chain
+	// anchor is that of the chain; it is not set at the start of one.
+	anchor turnlog.Anchor
 	// prompt is the body for backend servers: the turns that are continued and the caller's input.
 	prompt []byte
 	// reservedBytes count as bodies in memory until the exchange ends.
@@ -66,7 +66,9 @@
 		retained.reservedBytes += int64(2 * n)
 		return true
 	}
-	chain, err := x.ingress.turns.Load(ctx, x.metadata.PreviousTurn, x.team(), x.metadata.Program, reserve)
+	chain, err := x.ingress.turns.Load(ctx, turns.Request{
+		Turn: x.metadata.PreviousTurn, Team: x.team(), Program: x.metadata.Program, Input: x.body, Reserve: reserve,
+	})
 	switch {
 	case errors.Is(err, turns.ErrNotFound):
 		logging.Emit(logging.TurnNotFound, logging.Fields{"request": x.metadata.Attempt, "turn": x.metadata.PreviousTurn, "error": err})
@@ -75,8 +77,7 @@
 		logging.Emit(logging.TurnUncertain, logging.Fields{"request": x.metadata.Attempt, "turn": x.metadata.PreviousTurn, "error": err})
 		return unavailable("previous turn not known", err)
 	}
-	retained.prompt = append(chain.Prompt, x.body...)
-	retained.chain = turns.Chain{Anchor: chain.Anchor, Turns: chain.Turns}
+	retained.prompt, retained.anchor = chain.Prompt, chain.Anchor
 	return nil
 }
 
@@ -95,15 +96,19 @@
 	return x.body
 }
 
-// collect adds whole events of a server to the output.
-func (t *retainedTurn) collect(events []byte, inputBytes int) error {
+// collectOutput adds whole events of a server to the output of the turn.
+func (x *exchange) collectOutput(events []byte) error {
+	t, before := x.retained, len(x.retained.output)
 	for line := range bytes.Lines(events) {
 		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
 			data = bytes.TrimSuffix(bytes.TrimSuffix(data, []byte("\n")), []byte("\r"))
 			t.output = append(append(t.output, bytes.TrimPrefix(data, []byte(" "))...), '\n')
 		}
 	}
-	if len(t.output) > turns.MaxOutputBytes(inputBytes) {
+	added := int64(len(t.output) - before)
+	t.reservedBytes += added
+	x.ingress.bufferedBodyBytes.Add(added)
+	if len(t.output) > turns.MaxOutputBytes(len(x.body)) {
 		return errOutputTooLarge
 	}
 	return nil
@@ -115,7 +120,7 @@
 	err := x.ingress.turns.Keep(ctx, turnlog.Record{
 		Meta: turnlog.Meta{
 			ID: x.metadata.Attempt, Previous: x.metadata.PreviousTurn, Team: x.team(), Program: x.metadata.Program,
-			Anchor: x.retained.chain.Anchor, Retention: x.route.ProgramRetention,
+			Anchor: x.retained.anchor, Retention: x.route.ProgramRetention,
 		},
 		Input: x.body, Output: x.retained.output,
 	})
--- a/service/turns/client.go
+++ b/service/turns/client.go
@@ -22,8 +22,10 @@
 	loadHedgeDelay = 100 * time.Millisecond
 	// loadTimeout bounds the requests for one chain, so that a caller gets 503 while it still has time for another host.
 	loadTimeout = 2 * time.Second
-	// failureMemory is how long a host that failed or was full is asked last, and counts as one that cannot retain turns.
-	failureMemory = time.Second
+	// probeInterval is how often hosts that failed or were full are asked whether they work again, and probeTimeout bounds
+	// that. Until then they are asked last and count as ones that cannot retain turns, so that no turn is lost in trying them.
+	probeInterval = 300 * time.Millisecond
+	probeTimeout  = time.Second
 	// minListInterval is the least time between two lists of the hosts; requests that wait meanwhile share the next one.
 	minListInterval = 500 * time.Millisecond
 	// touchInterval is how often the other hosts with a copy are told which turns were read.
@@ -56,9 +58,9 @@
 	hosts         *hostList
 
 	mu sync.Mutex
-	// failedAt is when a host last failed or was full, by name. An answer removes it.
-	failedAt map[string]time.Time
-	touches  map[string][]string // turns by peer address
+	// failed holds the names of the hosts that failed or were full, until they work again.
+	failed  map[string]bool
+	touches map[string][]string // turns by peer address
 
 	// listedHosts is the last list for requests for turns that were not found, which was started at listStarted.
 	listMu      sync.Mutex
@@ -71,7 +73,7 @@
 func NewClient(node *wire.Node, store objectapi.Store, hostLosses int, failureDomain, region string, scope tally.Scope) *Client {
 	return &Client{
 		node: node, store: store, copies: hostLosses + 1, failureDomain: failureDomain, region: region, scope: scope,
-		hosts: newHostList(), failedAt: map[string]time.Time{}, touches: map[string][]string{},
+		hosts: newHostList(), failed: map[string]bool{}, touches: map[string][]string{},
 	}
 }
 
@@ -81,8 +83,11 @@
 // Apply applies a change of an entry.
 func (c *Client) Apply(change objectapi.Change) { c.hosts.apply(change) }
 
-// Run sends what other hosts are to be told, until ctx ends.
+// Run probes hosts that failed, and tells hosts which turns were read at other ones, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { c.probeFailed(ctx) })
 	for ctx.Err() == nil {
 		sleep(ctx, touchInterval)
 		c.mu.Lock()
@@ -107,7 +112,7 @@
 	hosts, _, _ := c.hosts.current()
 	usable := 0
 	for _, h := range hosts {
-		if h.State == turnlog.Ready && !c.recentlyFailed(h.Name) {
+		if h.State == turnlog.Ready && !c.hasFailed(h.Name) {
 			usable++
 		}
 	}
@@ -123,27 +128,45 @@
 func (c *Client) recordFailure(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failedAt[name] = time.Now()
+	c.failed[name] = true
 }
 
-func (c *Client) recordSuccess(name string) {
+func (c *Client) hasFailed(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.failedAt, name)
+	return c.failed[name]
 }
 
-func (c *Client) recentlyFailed(name string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	at, ok := c.failedAt[name]
-	return ok && time.Since(at) < failureMemory
+// probeFailed asks the hosts that failed whether they work again, until ctx ends.
+func (c *Client) probeFailed(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, probeInterval)
+		hosts, _, _ := c.hosts.current()
+		c.mu.Lock()
+		failed := slices.DeleteFunc(slices.Clone(hosts), func(h turnlog.Host) bool { return !c.failed[h.Name] })
+		c.mu.Unlock()
+		var group sync.WaitGroup
+		for _, h := range failed {
+			group.Go(func() {
+				probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				var answer statusAnswer
+				if c.node.Call(probeCtx, h.PeerAddress, wire.TypeDiskStatus, statusRequest{}, &answer) == nil && answer.AcceptsTurns {
+					c.mu.Lock()
+					delete(c.failed, h.Name)
+					c.mu.Unlock()
+				}
+			})
+		}
+		group.Wait()
+	}
 }
 
-// workingFirst moves the hosts that failed lately to the end.
+// workingFirst moves the hosts that failed to the end.
 func (c *Client) workingFirst(hosts []turnlog.Host) []turnlog.Host {
 	var working, failed []turnlog.Host
 	for _, h := range hosts {
-		if c.recentlyFailed(h.Name) {
+		if c.hasFailed(h.Name) {
 			failed = append(failed, h)
 		} else {
 			working = append(working, h)
@@ -185,13 +208,18 @@
 	if len(candidates) < c.copies {
 		return errors.Wrapf(ErrUnavailable, "%d hosts, %d copies", len(candidates), c.copies)
 	}
-	results := make(chan error, len(candidates))
-	next, running, kept := 0, 0, 0
+	type result struct {
+		host string
+		err  error
+	}
+	results := make(chan result, len(candidates))
+	waiting := map[string]bool{} // names of hosts that have not answered
+	next, kept := 0, 0
 	launch := func() {
 		h := candidates[next]
 		next++
-		running++
-		go func() { results <- c.keepAt(ctx, h, r) }()
+		waiting[h.Name] = true
+		go func() { results <- result{h.Name, c.keepAt(ctx, h, r)} }()
 	}
 	for range c.copies {
 		launch()
@@ -200,24 +228,28 @@
 	defer hedge.Stop()
 	var failure error
 	for kept < c.copies {
-		if running == 0 && next == len(candidates) {
+		if len(waiting) == 0 && next == len(candidates) {
 			return errors.Wrapf(ErrUnavailable, "%d of %d copies: %v", kept, c.copies, failure)
 		}
 		select {
-		case err := <-results:
-			running--
-			if err == nil {
+		case answered := <-results:
+			delete(waiting, answered.host)
+			if answered.err == nil {
 				kept++
 				continue
 			}
-			failure = err
-			if errors.Is(err, turnlog.ErrOtherTurn) {
-				return err
+			failure = answered.err
+			if errors.Is(failure, turnlog.ErrOtherTurn) {
+				return failure
 			}
 			if next < len(candidates) {
 				launch()
 			}
 		case <-hedge.C:
+			// Those that have not answered are too slow for the next turns, too.
+			for name := range waiting {
+				c.recordFailure(name)
+			}
 			for missing := c.copies - kept; missing > 0 && next < len(candidates); missing-- {
 				launch()
 			}
@@ -243,8 +275,6 @@
 		return errors.Wrapf(turnlog.ErrOtherTurn, "turn %q", r.Meta.ID)
 	case answer.Status != statusDone || answer.NearlyFull:
 		c.recordFailure(h.Name)
-	default:
-		c.recordSuccess(h.Name)
 	}
 	if answer.Status != statusDone {
 		return errors.Newf("host %s retains no turns: %d", h.Name, answer.Status)
--- a/service/turns/disk.go
+++ b/service/turns/disk.go
@@ -47,6 +47,10 @@
 
 // openDisk opens the engine in the folder, which it creates.
 func openDisk(folder string, fs vfs.FS) (*disk, error) {
+	return openDiskWith(folder, fs, memTableBytes)
+}
+
+func openDiskWith(folder string, fs vfs.FS, memTableBytes uint64) (*disk, error) {
 	cache := pebble.NewCache(blockCacheBytes)
 	defer cache.Unref()
 	db, err := pebble.Open(folder, &pebble.Options{
--- a/service/turns/load.go
+++ b/service/turns/load.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,20 +14,30 @@
 
 // Chain holds the turns that a new one continues.
 type Chain struct {
-	// Prompt is, for each turn from the first one, its input and its output.
+	// Prompt is, for each turn from the first one, its input and its output, and then the new input.
 	Prompt []byte
 	// Anchor is that of the next turn of the chain.
 	Anchor turnlog.Anchor
 	Turns  int
 }
 
-// Load returns the turns up to one of the team. program is that of the turn which continues it. reserve is called with
-// the size of the prompt before it is read; if it returns false, Load returns ErrNoMemory.
-func (c *Client) Load(ctx context.Context, turn, team, program string, reserve func(bytes int) bool) (Chain, error) {
+// Request asks for the turns that a new one continues.
+type Request struct {
+	// Turn is the ID of the last of them, and Team the team whose turn it must be.
+	Turn, Team string
+	// Program and Input are those of the new turn.
+	Program string
+	Input   []byte
+	// Reserve is called with the size of the turns that were read. If it returns false, Load returns ErrNoMemory.
+	Reserve func(bytes int) bool
+}
+
+// Load returns the turns that a new one continues.
+func (c *Client) Load(ctx context.Context, r Request) (Chain, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	startedAt := time.Now()
-	chain, err := c.load(ctx, turn, team, program, reserve)
+	chain, err := c.load(ctx, r)
 	result := "found"
 	switch {
 	case errors.Is(err, ErrNotFound):
@@ -40,12 +51,12 @@
 	return chain, err
 }
 
-func (c *Client) load(ctx context.Context, turn, team, program string, reserve func(bytes int) bool) (Chain, error) {
-	anchor := c.newAnchor(program, turn)
+func (c *Client) load(ctx context.Context, request Request) (Chain, error) {
+	anchor := c.newAnchor(request.Program, request.Turn)
 	var segments [][]turnlog.Record // the last ones first
 	turns, size := 0, 0
-	for missing := turn; missing != ""; {
-		segment, err := c.loadSegment(ctx, missing, team, anchor, missing == turn)
+	for missing := request.Turn; missing != ""; {
+		segment, err := c.loadSegment(ctx, missing, request.Team, anchor, missing == request.Turn)
 		if err != nil {
 			return Chain{}, err
 		}
@@ -53,7 +64,7 @@
 		for _, r := range segment.Records {
 			added += len(r.Input) + len(r.Output)
 		}
-		if size += added; size > maxChainBytes || !reserve(added) {
+		if size += added; size > maxChainBytes || !request.Reserve(added) {
 			return Chain{}, errors.Wrapf(ErrNoMemory, "%d bytes of turns", size)
 		}
 		if len(segment.Records) == 0 {
@@ -64,13 +75,14 @@
 		anchor, missing = segment.Anchor, segment.Missing
 	}
 	var prompt bytes.Buffer
-	prompt.Grow(size)
+	prompt.Grow(size + len(request.Input))
 	for i := len(segments) - 1; i >= 0; i-- {
 		for _, r := range segments[i] {
 			prompt.Write(r.Input)
 			prompt.Write(r.Output)
 		}
 	}
+	prompt.Write(request.Input)
 	return Chain{Prompt: prompt.Bytes(), Anchor: anchor, Turns: turns}, nil
 }
 
@@ -113,11 +125,13 @@
 	defer cancel()
 	results := make(chan segmentResult, len(hosts))
 	next, running := 0, 0
+	// progress is when the last part of an answer arrived.
+	var progress atomic.Int64
 	launch := func() {
 		h := hosts[next]
 		next++
 		running++
-		go func() { results <- c.ask(ctx, h, request) }()
+		go func() { results <- c.ask(ctx, h, request, func() { progress.Store(int64(sinceBoot())) }) }()
 	}
 	var last segmentResult
 	hedge := time.NewTicker(loadHedgeDelay)
@@ -136,7 +150,8 @@
 				return last, true
 			}
 		case <-hedge.C:
-			if next < len(hosts) {
+			// A long chain that arrives steadily is not read twice.
+			if next < len(hosts) && sinceBoot()-time.Duration(progress.Load()) > loadHedgeDelay {
 				launch()
 			}
 		case <-ctx.Done():
@@ -146,11 +161,12 @@
 	}
 }
 
-// ask requests a chain from one host.
-func (c *Client) ask(ctx context.Context, h turnlog.Host, request chainRequest) segmentResult {
+// ask requests a chain from one host, and calls onPart for each part of the answer.
+func (c *Client) ask(ctx context.Context, h turnlog.Host, request chainRequest, onPart func()) segmentResult {
 	result := segmentResult{host: h}
 	size := 0
 	err := call(ctx, c.node, h.PeerAddress, wire.TypeLoadChain, request, func(piece chainPiece) error {
+		onPart()
 		for _, r := range piece.Records {
 			if !r.IsIntact() {
 				return errors.Newf("turn %q is not what was retained", r.Meta.ID)
@@ -188,7 +204,7 @@
 	defer cancel()
 	results := make(chan segmentResult, len(hosts))
 	for _, h := range hosts {
-		go func() { results <- c.ask(ctx, h, chainRequest{Turn: turn, Team: team, Probe: true}) }()
+		go func() { results <- c.ask(ctx, h, chainRequest{Turn: turn, Team: team, Probe: true}, func() {}) }()
 	}
 	var found []turnlog.Host
 	var uncertain error
--- a/service/turns/messages.go
+++ b/service/turns/messages.go
@@ -116,4 +116,6 @@
 	CopiedRevision uint64
 	// Newest is the revision of the newest entry of a disk host that the host knows.
 	Newest uint64
+	// AcceptsTurns is set if the host has space and its disk works.
+	AcceptsTurns bool
 }
--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -164,7 +164,7 @@
 	return revision, len(hosts) > 0
 }
 
-func (h *Host) serveStatus(_ context.Context, r *wire.Request, _ *shelf) error {
+func (h *Host) serveStatus(_ context.Context, r *wire.Request, s *shelf) error {
 	var request statusRequest
 	if err := r.Decode(&request); err != nil {
 		return err
@@ -175,7 +175,7 @@
 	h.members.observe(request.Newest)
 	_, newest, _ := h.members.current()
 	self := h.members.own()
-	return r.Answer(statusAnswer{Host: self.Name, Incarnation: self.Incarnation, DiskID: self.DiskID, CopiedRevision: h.copier.revision(), Newest: newest})
+	return r.Answer(statusAnswer{Host: self.Name, Incarnation: self.Incarnation, DiskID: self.DiskID, CopiedRevision: h.copier.revision(), Newest: newest, AcceptsTurns: s.acceptsTurns()})
 }
 
 // Retire returns once the host may be removed: each of its turns has its copies at other hosts. It accepts no more turns
--- a/service/turns/shelf.go
+++ b/service/turns/shelf.go
@@ -23,6 +23,8 @@
 	// that are being written.
 	cacheMemoryFraction   = 0.125
 	pendingMemoryFraction = 0.125
+	// stalledAfter is the time after which a write shows that the disk hangs: a sync takes 5 ms, and 35 ms on a slow disk.
+	stalledAfter = 300 * time.Millisecond
 )
 
 // shelf holds the turns on this host's disk. It is safe for concurrent use.
@@ -38,6 +40,8 @@
 	lastSequence uint64
 	pendingBytes int64
 	usedBytes    int64
+	// writing holds when the records that are being written were passed to the disk, by sequence.
+	writing map[uint64]time.Duration
 	// closed is set while no more turns of entry hosts are accepted; pending counts those that are being written.
 	closed  bool
 	pending sync.WaitGroup
@@ -47,7 +51,7 @@
 func openShelf(d *disk, diskBytes, memoryBytes int64) (*shelf, error) {
 	s := &shelf{
 		disk: d, diskBytes: diskBytes, maxPendingBytes: int64(float64(memoryBytes) * pendingMemoryFraction),
-		index: turnlog.NewIndex(), cache: newRecordCache(int64(float64(memoryBytes) * cacheMemoryFraction)),
+		index: turnlog.NewIndex(), cache: newRecordCache(int64(float64(memoryBytes) * cacheMemoryFraction)), writing: map[uint64]time.Duration{},
 	}
 	now := clock.SinceBoot()
 	var replaced []uint64
@@ -87,6 +91,7 @@
 	s.lastSequence++
 	sequence := s.lastSequence
 	s.pendingBytes += size
+	s.writing[sequence] = clock.SinceBoot()
 	s.pending.Add(1)
 	defer s.pending.Done()
 	s.mu.Unlock()
@@ -94,6 +99,7 @@
 	err = s.disk.put(sequence, r)
 	s.mu.Lock()
 	s.pendingBytes -= size
+	delete(s.writing, sequence)
 	if err != nil {
 		s.mu.Unlock()
 		return statusNotReady, err
@@ -113,6 +119,18 @@
 	return float64(s.index.Bytes()+s.pendingBytes+size) > limit*maxLiveFraction || float64(s.usedBytes) > limit*maxUsedFraction
 }
 
+// acceptsTurns reports whether the host can retain turns: it has space, does not retire, and its disk does not hang.
+func (s *shelf) acceptsTurns() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, since := range s.writing {
+		if clock.SinceBoot()-since > stalledAfter {
+			return false
+		}
+	}
+	return !s.closed && !s.isFull(0, nearlyFullFraction)
+}
+
 func (s *shelf) nearlyFull() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
