turnlog: compact the index after an expiry, not during it

Cause: found by TestIndexAgreesWithAModel: Expire read the slice of entries while remove compacted it, which ended the process.

Change: the slice is compacted at the end of Expire and Remove.

Measured: 1,000 histories pass; before, the test failed in its first history of several expiries.

--- a/core/turnlog/index.go
+++ b/core/turnlog/index.go
@@ -129,6 +129,7 @@
 		x.remove(e)
 		expired = append(expired, e)
 	}
+	x.compact()
 	return expired
 }
 
@@ -137,6 +138,7 @@
 	e := x.entries[id]
 	if e != nil {
 		x.remove(e)
+		x.compact()
 	}
 	return e
 }
@@ -153,6 +155,10 @@
 		x.ordered[i] = nil
 		x.removed++
 	}
+}
+
+// compact drops the places of removed entries once they are the most. It must not be called while x.ordered is read.
+func (x *Index) compact() {
 	if x.removed > len(x.ordered)/2 {
 		x.ordered = slices.DeleteFunc(x.ordered, func(e *Entry) bool { return e == nil })
 		x.removed = 0
