--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -20,6 +20,7 @@
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/access"
 	"github.com/hyssopreel/hyssopreel/service/relay"
+	"github.com/hyssopreel/hyssopreel/service/turns"
 )
 
 const (
@@ -79,6 +80,7 @@
 	node       *wire.Node
 	budgets    *budgetService
 	access     *access.Service
+	turns      *turns.Client
 	heartbeats *heartbeater
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
@@ -127,7 +129,8 @@
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
 	h.access = h.newAccess(s)
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.turns = turns.NewClient(h.node, h.store, s.Promises.TolerableHostLosses, s.Host.FailureDomain, s.Host.Region, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Turns: h.turns}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	return h
 }
@@ -165,6 +168,7 @@
 	for _, informer := range informers {
 		group.Go(func() error { informer.Run(workCtx); return nil })
 	}
+	group.Go(func() error { h.runTurns(workCtx); return nil })
 	group.Go(func() error { h.sweep(workCtx); return nil })
 	group.Go(func() error { h.budgets.run(workCtx); return nil })
 	group.Go(func() error { h.heartbeats.run(workCtx); return nil })
@@ -254,11 +258,11 @@
 // hasSynced reports whether all informers have synced, a configuration is in force, and the budget records were read.
 func (h *Host) hasSynced() bool {
 	for _, informer := range h.heartbeats.informers {
-		if !informer.HasSynced() {
+		if informer.Kind != turns.KindDiskHosts && !informer.HasSynced() {
 			return false
 		}
 	}
-	return h.ingress.table.Load() != nil && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
+	return h.ingress.table.Load() != nil && (!h.retainsTurns() || h.heartbeats.informers[turns.KindDiskHosts].HasSynced()) && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
 }
 
 func (h *Host) sweep(ctx context.Context) {
@@ -290,7 +294,7 @@
 	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
 	hosts.BatchDelay = func() time.Duration { return changeBatchDelay(h.hosts.Count()) }
 	informers := []*Informer{config, servers, hosts}
-	for _, informer := range informers {
+	for _, informer := range append(informers, h.newDiskHostInformer()) {
 		informer.Store, informer.ShouldPoll = h.store, h.pollsKind(informer.Kind)
 		informer.Sources, informer.Follow, informer.StartupPatience = h.informerSources, h.followPeer, h.startupPatience()
 		h.heartbeats.informers[informer.Kind] = informer
--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -80,9 +80,9 @@
 	s.Listen.Peer, s.Listen.Metrics = freeAddress(), freeAddress()
 	s.Platform.Address = storeServer.Listener.Addr().String()
 	s.Platform.Timeout, s.Platform.MaxWatchWait, s.Platform.ListInterval = 500*time.Millisecond, 20*time.Second, 800*time.Millisecond
-	s.Seeds.Peers = seeds
 	s.Limits.MemoryBytes = 128 << 20
 	s.Shutdown.GracePeriod = time.Second
+	s.Seeds.Peers = seeds
 	change(s)
 	ctx, stop := context.WithCancel(context.Background())
 	host := &runningHost{testIngress: &testIngress{address: s.Listen.Callers}, settings: s, gate: gate, stop: stop, done: make(chan error, 1)}
