Clear a request only by complete runs after the ends of servers

The mark of success covered all ends of servers, later ones too, so that one such response made the request innocent for good; heartbeats told all hosts. Turns without a budget were never cleared at all.

Ruled out: a time of the last success in the record. Hosts have no common clock, and the ends that the time is compared with arrive from several hosts.

Change: the mark is now one of each end. A response with status 2xx that is complete marks the ends that the host knew when it sent the upstream request; marks and ends are merged in any order, as before. A marked end makes room for a later one when the record is full. Records keep marked ends as long as a verdict lasts, since another host may still have the verdict. TestBystandersOfAFewEndsAreInnocent demanded that later ends don't count; it now checks that earlier ones don't, and TestSuccessClearsOnlyEndsBeforeIt that later ones do.

Conclusion: an error of a server neither convicts nor clears a request.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -23,8 +23,9 @@
 	prefixQuarantineScore = 3.0
 	beganScore            = 1.0
 	presentScore          = 0.4
-	// maxEnds is the number of ends that a record keeps.
-	maxEnds = 8
+	// maxEnds is the number of ends that a record keeps. A cleared one makes room for a later one, so that a request that
+	// has run to its end many times can still be quarantined.
+	maxEnds = 16
 	// suspicionTTL is how long a request is suspected after the last server ended under it.
 	suspicionTTL = time.Minute
 	// quarantineTTL is how long a quarantined request is refused after the last server ended under it, however often it
@@ -84,6 +85,8 @@
 	// Began is set if the server had begun to run the request and had not produced anything yet. Requests that waited there,
 	// or that it had been running, are less suspicious.
 	Began bool
+	// Cleared is set once the request has run to its end after the server ended: the server ended for another reason.
+	Cleared bool `json:",omitempty" msgpack:",omitempty"`
 }
 
 func compareEnds(a, b End) int {
@@ -113,8 +116,6 @@
 	Diverged bool
 	// Ends holds the ends of servers to which the request had been sent, sorted.
 	Ends []End
-	// Succeeded is set once the request has run to its end since: the servers ended for another reason.
-	Succeeded bool
 	// Age is the time since the record last changed.
 	Age time.Duration
 }
@@ -122,15 +123,24 @@
 type entry struct {
 	Record
 	at time.Time
+	// learnedAt holds when this host learned of each of the ends.
+	learnedAt []time.Time
 }
 
 // Verdict returns the verdict that follows from the record.
 func (r *Record) Verdict() Verdict {
+	return r.verdict(func(end End) bool { return !end.Cleared })
+}
+
+// verdict returns the verdict that follows from the ends that count.
+func (r *Record) verdict(counts func(End) bool) Verdict {
 	score := 0.0
 	for _, end := range r.Ends {
-		if end.Began {
+		switch {
+		case !counts(end):
+		case end.Began:
 			score += beganScore
-		} else {
+		default:
 			score += presentScore
 		}
 	}
@@ -139,7 +149,7 @@
 		threshold = prefixQuarantineScore
 	}
 	switch {
-	case r.Succeeded || score < beganScore || r.IsPrefix() && !r.Diverged:
+	case score < beganScore || r.IsPrefix() && !r.Diverged:
 		return Innocent
 	case score < threshold:
 		return Suspect
@@ -147,15 +157,19 @@
 	return Quarantined
 }
 
+// TTL returns how long the record is kept after its last change. Cleared ends count, because another host, or the store,
+// may still have the verdict from before they were cleared.
+func (r *Record) TTL() time.Duration {
+	if r.verdict(func(End) bool { return true }) == Quarantined {
+		return quarantineTTL
+	}
+	return suspicionTTL
+}
+
 // IsPrefix reports whether the record is that of a prefix.
 func (r *Record) IsPrefix() bool { return r.Next != Fingerprint{} }
 
-func (e *entry) expired(now time.Time) bool {
-	if e.Verdict() == Quarantined {
-		return now.Sub(e.at) > quarantineTTL
-	}
-	return now.Sub(e.at) > suspicionTTL
-}
+func (e *entry) expired(now time.Time) bool { return now.Sub(e.at) > e.TTL() }
 
 // Table holds the records of one host. It is not safe for concurrent use.
 type Table struct {
@@ -201,14 +215,24 @@
 	return changed
 }
 
-// RecordSuccess records that the request has run to its end, which clears it and its prefixes. It reports whether a
-// record changed.
-func (t *Table) RecordSuccess(now time.Time, chain Chain) bool {
+// RecordSuccess records that the request, sent to a server at sentAt, has run to its end. That clears it and its prefixes
+// of the ends that were known then; a later one counts again. It reports whether a record changed.
+func (t *Table) RecordSuccess(now, sentAt time.Time, chain Chain) bool {
 	changed := false
 	for _, f := range chain {
-		if e, ok := t.entries[f]; ok && !e.Succeeded {
-			e.Succeeded, e.at = true, now
-			changed = true
+		e, ok := t.entries[f]
+		if !ok {
+			continue
+		}
+		cleared := false
+		ends := slices.Clone(e.Ends)
+		for i := range ends {
+			if !ends[i].Cleared && e.learnedAt[i].Before(sentAt) {
+				ends[i].Cleared, cleared = true, true
+			}
+		}
+		if cleared {
+			e.Ends, e.at, changed = ends, now, true
 		}
 	}
 	return changed
@@ -246,19 +270,10 @@
 		t.keys[r.Key]++
 	}
 	diverged := e.Diverged || r.Diverged || r.Next != e.Next
-	changed := !ok || r.Succeeded && !e.Succeeded || diverged != e.Diverged
-	e.Succeeded, e.Diverged = e.Succeeded || r.Succeeded, diverged
+	changed := !ok || diverged != e.Diverged
+	e.Diverged = diverged
 	for _, end := range r.Ends {
-		i, found := slices.BinarySearchFunc(e.Ends, end, compareEnds)
-		switch {
-		case found && end.Began && !e.Ends[i].Began:
-			e.Ends = slices.Clone(e.Ends)
-			e.Ends[i].Began = true
-			changed = true
-		case !found && len(e.Ends) < maxEnds:
-			e.Ends = slices.Insert(slices.Clone(e.Ends), i, end)
-			changed = true
-		}
+		changed = e.addEnd(now, end) || changed
 	}
 	if at.After(e.at) {
 		e.at = at
@@ -266,6 +281,35 @@
 	return changed
 }
 
+// addEnd adds an end, or what another host knows of it. It reports whether the entry changed.
+func (e *entry) addEnd(now time.Time, end End) bool {
+	i, found := slices.BinarySearchFunc(e.Ends, end, compareEnds)
+	if found {
+		merged := e.Ends[i]
+		merged.Began, merged.Cleared = merged.Began || end.Began, merged.Cleared || end.Cleared
+		if merged == e.Ends[i] {
+			return false
+		}
+		e.Ends = slices.Clone(e.Ends)
+		e.Ends[i] = merged
+		return true
+	}
+	if len(e.Ends) >= maxEnds {
+		cleared := slices.IndexFunc(e.Ends, func(known End) bool { return known.Cleared })
+		if cleared < 0 || end.Cleared {
+			return false
+		}
+		e.Ends = slices.Delete(slices.Clone(e.Ends), cleared, cleared+1)
+		e.learnedAt = slices.Delete(e.learnedAt, cleared, cleared+1)
+		if cleared < i {
+			i--
+		}
+	}
+	e.Ends = slices.Insert(slices.Clone(e.Ends), i, end)
+	e.learnedAt = slices.Insert(e.learnedAt, i, now)
+	return true
+}
+
 // evict removes the expired entries, or else the oldest one, of those that are not quarantined if there are any.
 func (t *Table) evict(now time.Time) {
 	t.Expire(now)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -48,10 +48,64 @@
 		table.RecordEnd(start, chain, 7, end(fmt.Sprint(i), false))
 		g.Expect(verdict(table, start, chain)).NotTo(Equal(poison.Quarantined))
 	}
-	g.Expect(table.RecordSuccess(start, chain)).To(BeTrue())
-	table.RecordEnd(start, chain, 7, end("5", true))
-	table.RecordEnd(start, chain, 7, end("6", true))
+	g.Expect(table.RecordSuccess(start, start.Add(time.Millisecond), chain)).To(BeTrue())
 	g.Expect(verdict(table, start, chain)).To(Equal(poison.Innocent), "it has run to its end since")
+	g.Expect(table.RecordSuccess(start, start.Add(time.Millisecond), chain)).To(BeFalse(), "the same ends")
+	for i := range 4 {
+		table.RecordEnd(start, chain, 7, end(fmt.Sprint("later", i), false))
+		g.Expect(verdict(table, start, chain)).NotTo(Equal(poison.Quarantined), "ends from before count no more")
+	}
+}
+
+// Guards against a request that is never refused again once it has run to its end, although it ends servers afterwards.
+func TestSuccessClearsOnlyEndsBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	table.RecordEnd(start, chain, 7, end("a", true))
+	g.Expect(table.RecordSuccess(start.Add(time.Second), start, chain)).To(BeFalse(), "it was sent before the server ended")
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Suspect))
+	g.Expect(table.RecordSuccess(start.Add(2*time.Second), start.Add(time.Second), chain)).To(BeTrue())
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Innocent))
+	table.RecordEnd(start.Add(3*time.Second), chain, 7, end("b", true))
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Suspect))
+	table.RecordEnd(start.Add(3*time.Second), chain, 7, end("c", true))
+	g.Expect(verdict(table, start, chain)).To(Equal(poison.Quarantined))
+}
+
+// Guards against a request that has run to its end after so many ends of servers that its record has no room for another
+// one, and that is never refused.
+func TestClearedEndsMakeRoomForLaterOnes(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	for i := range 40 {
+		at := start.Add(time.Duration(i) * time.Second)
+		table.RecordEnd(at, chain, 7, end(fmt.Sprint(i), false))
+		table.RecordSuccess(at, at.Add(time.Millisecond), chain)
+	}
+	now := start.Add(time.Minute)
+	table.RecordEnd(now, chain, 7, end("x", true))
+	table.RecordEnd(now, chain, 7, end("0", true))
+	g.Expect(verdict(table, now, chain)).To(Equal(poison.Quarantined))
+	g.Expect(len(table.Records(now, time.Hour, 1)[0].Ends)).To(BeNumerically("<=", 16))
+}
+
+// Guards against a verdict that comes back: the record of its end is forgotten before the copies of the verdict that other
+// hosts have.
+func TestClearedVerdictIsKeptAsLongAsTheVerdict(t *testing.T) {
+	g := NewWithT(t)
+	a, b := poison.NewTable(), poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	for _, server := range []string{"a", "b"} {
+		a.RecordEnd(start, chain, 7, end(server, true))
+	}
+	b.Merge(start, a.Records(start, time.Hour, 10))
+	a.RecordSuccess(start, start.Add(time.Millisecond), chain)
+	later := start.Add(9 * time.Minute)
+	g.Expect(verdict(b, later, chain)).To(Equal(poison.Quarantined))
+	a.Merge(later, b.Records(later, time.Hour, 10))
+	g.Expect(verdict(a, later, chain)).To(Equal(poison.Innocent))
 }
 
 // Guards against the next turn of a program, or a copy of it with more text, that ends servers as the turn before did.
@@ -80,7 +134,7 @@
 		table.RecordEnd(start, poison.Chain{prefix, fingerprint(9)}, 7, end(fmt.Sprint("b", i), true))
 	}
 	g.Expect(verdict(table, start, other)).To(Equal(poison.Quarantined))
-	table.RecordSuccess(start, other)
+	table.RecordSuccess(start, start.Add(time.Millisecond), other)
 	g.Expect(verdict(table, start, other)).To(Equal(poison.Innocent))
 	g.Expect(verdict(table, start, deadly)).To(Equal(poison.Quarantined))
 }
@@ -118,7 +172,7 @@
 			chain := chains[rapid.IntRange(0, len(chains)-1).Draw(t, "chain")]
 			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
-				table.RecordSuccess(start, chain)
+				table.RecordSuccess(start, start.Add(time.Millisecond), chain)
 			case 1, 2:
 				from := tables[rapid.IntRange(0, hosts-1).Draw(t, "from")]
 				table.Merge(start, from.Records(start, time.Hour, 100))
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -61,6 +61,9 @@
 	executions       int
 	// excludedServers holds the IDs of the servers that are not chosen again for this request.
 	excludedServers map[string]bool
+	// completedSentAt is when the upstream request was sent whose response is complete and has status 2xx; zero if there is
+	// none.
+	completedSentAt time.Time
 	// lastErr is the error of the last upstream request that failed.
 	lastErr error
 	// server, load and loadAge describe the last placement, and placementTime is the time spent on all, for the log.
@@ -236,9 +239,17 @@
 	x.excludedServers[server] = true
 }
 
+// recordCompletion records a complete response to the upstream request that was sent at sentAt.
+func (x *exchange) recordCompletion(sentAt time.Time, status int) {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		x.completedSentAt = sentAt
+	}
+}
+
 // upstreamResult is the result of one upstream request to a plain service.
 type upstreamResult struct {
 	server string
+	sentAt time.Time
 	resp   *upstream.Response
 	body   []byte
 	// notRun is set if the server certainly did not start work on the request.
@@ -305,7 +316,7 @@
 // roundTrip sends the request to one server, reads the whole response and releases the server.
 func (x *exchange) roundTrip(ctx context.Context, acquired *AcquiredServer) upstreamResult {
 	defer acquired.Release()
-	result := upstreamResult{server: acquired.ID()}
+	result := upstreamResult{server: acquired.ID(), sentAt: x.ingress.now()}
 	resp, respMetadata, err := x.sendUpstream(ctx, acquired, "")
 	if err != nil {
 		var sendErr *upstream.SendError
@@ -407,6 +418,7 @@
 	}
 	if result.err == nil {
 		x.server = result.server
+		x.recordCompletion(result.sentAt, result.resp.Status)
 		return true
 	}
 	x.lastErr = result.err
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -275,11 +275,13 @@
 	if fail == nil {
 		fail = s.run(ctx)
 	}
+	if fail == nil {
+		x.ingress.poison.recordSuccess(x)
+	}
 	x.deliveredTokens = s.reader.eventCount * x.table.TokensPerEvent(x.service)
 	if reservation.Budget > 0 {
 		usage := Usage{DeliveredTokens: x.deliveredTokens}
 		if fail == nil {
-			x.ingress.poison.recordSuccess(x)
 			x.ingress.servers.RecordTurnTime(x.ingress.now().Sub(x.startedAt))
 			usage.CacheServer, usage.CachedTokens = x.server, x.metadata.PromptTokens+x.deliveredTokens
 		}
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -73,15 +73,16 @@
 	}
 }
 
-// recordSuccess records that the request has run to its end.
+// recordSuccess records that the request has run to its end, if it has. A response with another status than 2xx proves
+// nothing: a server may send it without running the request.
 func (p *poisonRecords) recordSuccess(x *exchange) {
-	if !p.mayContain(x) {
+	if x.completedSentAt.IsZero() || !p.mayContain(x) {
 		return
 	}
 	chain := x.fingerprints()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.table.RecordSuccess(p.now(), chain) {
+	if p.table.RecordSuccess(p.now(), x.completedSentAt, chain) {
 		p.signalChange()
 	}
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -199,6 +199,7 @@
 		return false, err
 	}
 	s.executions++
+	s.recordCompletion(s.monitored.sentAt, resp.Status)
 	recordResponseStatus(acquired, resp.Status)
 	if err := writeResponse(s.w, resp, body); err != nil {
 		return false, errors.Mark(err, errCallerGone)
@@ -280,6 +281,7 @@
 		switch {
 		case readErr == io.EOF && len(s.reader.partialEvent()) == 0:
 			s.executions++
+			s.recordCompletion(s.monitored.sentAt, resp.Status)
 			return true, s.sendHeader(resp)
 		case readErr != nil:
 			return false, errors.Wrapf(readErr, "read stream of backend server %s", acquired.ID())
