Clear a request in the scheduler only of ends before its grant

Change: a call that has run to its end clears the ends of workers from before its grant.

Measured: core/sched passes; before, it didn't build.

--- a/core/sched/quarantine.go
+++ b/core/sched/quarantine.go
@@ -37,7 +37,7 @@
 	case m.WorkerEnded:
 		g.poison.RecordEnd(g.time(), c.fingerprints, 0, poison.End{Lifetime: g.endedLifetime(w.Name), Began: m.Began})
 	case !m.Failed:
-		g.poison.RecordSuccess(g.time(), c.fingerprints)
+		g.poison.RecordSuccess(g.time(), time.UnixMilli(int64(c.GrantedAt)), c.fingerprints)
 	}
 }
 
