Keep verdicts on requests that end servers in the object store

Cause: verdicts were in the hosts' memory only.

Ruled out: a write for each end of a server. Each end has several bystanders, most of which run to their end elsewhere within a second. Ruled out too: leaving it to the host that observed the end, which may be lost before the store is back.

Change: service/verdicts writes one object for each request (kind poison-requests, named by the fingerprint): at once when it is quarantined, after a second when it is still suspected. The host that observed the end writes; after 2 s, the owner of the fingerprint does if it does not know of the object. A host reads the objects before it serves; in an outage it may take them from a host that has them, which a section of the heartbeats shows by the digest. The owner of the kind lists it once a minute and deletes what has expired; a request that has run to its end loses its object.

What three terminations mean: a request is quarantined after two ends, so a loss of all hosts before the write, which takes one call, costs two ends at most. The bound of three retries after the third end holds for two such losses of all hosts within one outage.

Measured: "refuse it after all of them were replaced" times out without the keeper's run and passes with it; service/verdicts passes.

--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/relay"
+	"github.com/hyssopreel/hyssopreel/service/verdicts"
 )
 
 const (
@@ -78,6 +79,7 @@
 	node       *wire.Node
 	budgets    *budgetService
 	heartbeats *heartbeater
+	verdicts   *verdicts.Keeper
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
 	startedAt time.Time
@@ -124,6 +126,7 @@
 	h.heartbeats.onTick = permits.updateTenure
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
+	h.verdicts = h.newVerdictKeeper()
 	return h
 }
 
@@ -162,6 +165,7 @@
 	}
 	group.Go(func() error { h.sweep(workCtx); return nil })
 	group.Go(func() error { h.budgets.run(workCtx); return nil })
+	group.Go(func() error { h.verdicts.Run(workCtx); return nil })
 	group.Go(func() error { h.heartbeats.run(workCtx); return nil })
 	group.Go(func() error { h.ingress.watchdog.run(workCtx); return nil })
 	group.Go(func() error { return h.serveCallers(workCtx, group, callerServer) })
@@ -245,14 +249,15 @@
 	return !h.ingress.draining.Load() && h.hosts.SelfServing()
 }
 
-// hasSynced reports whether all informers have synced, a configuration is in force, and the budget records were read.
+// hasSynced reports whether all informers have synced, a configuration is in force, and the budget records and the verdicts
+// on requests that end servers were read.
 func (h *Host) hasSynced() bool {
 	for _, informer := range h.heartbeats.informers {
 		if !informer.HasSynced() {
 			return false
 		}
 	}
-	return h.ingress.table.Load() != nil && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
+	return h.ingress.table.Load() != nil && h.verdicts.Known() && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
 }
 
 func (h *Host) sweep(ctx context.Context) {
--- a/service/ingress/innocence_test.go
+++ b/service/ingress/innocence_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hyssopreel/hyssopreel/core/placement"
+	"github.com/hyssopreel/hyssopreel/service/verdicts"
+	"github.com/hyssopreel/hyssopreel/standin/objects"
 )
 
 // startMortalServer starts a server that ends when it begins to run a request with the deadly body.
@@ -86,3 +88,32 @@
 		Expect(sendTo("/fixed/", complete("i-7"))).To(Equal(503))
 	})
 })
+
+var _ = Describe("Hosts that have refused a request that ends servers", func() {
+	// Guards against the loss of the verdict when all hosts are killed at the same moment: the request then ends servers as
+	// if it had never come before.
+	It("refuse it after all of them were replaced", func() {
+		store := objects.New()
+		putConfig(store, 1)
+		servers := startMortalServers(store, 6)
+		hosts := startHosts(store, "a-1", "b-1")
+		Eventually(func() int { return hosts[0].call("POST", "/turns/ok", "ok").status }, "3s").Should(Equal(200))
+		Eventually(func() int {
+			return hosts[0].call("POST", "/turns/x", deadlyBody, "Hyssopreel-Attempt-Id", "d").status
+		}, "10s").Should(Equal(503))
+		Eventually(func() []string { return store.Names(verdicts.Kind) }, "5s").ShouldNot(BeEmpty())
+		runs := servers.runs("/turns/x")
+		for _, h := range hosts {
+			h.stop()
+		}
+		for _, h := range hosts {
+			Eventually(h.done, "15s").Should(Receive(BeNil()))
+			h.done <- nil // for the cleanup
+		}
+		late := startHost(store, "c-1")
+		DeferCleanup(late.stop)
+		Eventually(late.ready, "10s").Should(BeTrue())
+		Expect(late.call("POST", "/turns/x", deadlyBody, "Hyssopreel-Attempt-Id", "late").status).To(Equal(503))
+		Expect(servers.runs("/turns/x")).To(Equal(runs))
+	})
+})
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -35,13 +35,15 @@
 	now func() time.Time
 	// changed receives a value when the records of this host's requests have changed, so that other hosts are told.
 	changed chan struct{}
+	// onEnd is called with the fingerprints of a request under which a server has ended at this host.
+	onEnd func(poison.Chain)
 
 	mu    sync.Mutex
 	table *poison.Table
 }
 
 func newPoisonRecords(now func() time.Time) *poisonRecords {
-	return &poisonRecords{now: now, changed: make(chan struct{}, 1), table: poison.NewTable()}
+	return &poisonRecords{now: now, changed: make(chan struct{}, 1), onEnd: func(poison.Chain) {}, table: poison.NewTable()}
 }
 
 func (p *poisonRecords) signalChange() {
@@ -63,6 +65,7 @@
 		return
 	}
 	p.signalChange()
+	p.onEnd(chain)
 	fingerprint := chain[len(chain)-1]
 	logging.Emit(logging.ServerEndedUnderRequest, logging.Fields{
 		"request": x.metadata.Attempt, "program": x.metadata.Program, "route": x.route.Name, "fingerprint": fingerprint,
