Take a missing entry for no proof that a server has ended

A failed connection of any kind counted as the end of the server too.

Ruled out: waiting until the server has ended. It serves for longer than callers wait.

Change: a possible executor has ended only if the entry under its ID shows another start, or it refuses a connection. Otherwise the stream goes on at the same server, which refuses it as not run if it doesn't want it, or not at all. A server that started again under its ID counts as ended by the request that it ran: the entry is not gone, and the new start accepts the connection by which the end was recognized. A server that sends nothing for 500 ms and to which no connection can be opened stays as it is: the host can't reach it, and the stream goes on elsewhere.

--- /dev/null
+++ b/service/ingress/executors_test.go
@@ -0,0 +1,89 @@
+package ingress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hyssopreel/hyssopreel/core/placement"
+)
+
+var _ = Describe("A stream that breaks off at a server without an entry", func() {
+	whole := "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+	rest := func(w http.ResponseWriter, _ *http.Request, _ int) { streamEvents(w, 3, 4) }
+
+	// Guards against a stream that two servers work on at the same time: the entry of a server that leaves is removed some
+	// seconds before the server ends.
+	It("goes on at that server as long as it accepts connections", func() {
+		var h *testIngress
+		other := newBackend("i-2", rest)
+		leaving := newBackend("i-1", func(w http.ResponseWriter, r *http.Request, n int) {
+			if n == 1 {
+				streamEvents(w, 1, 2)
+				h.servers.Remove("i-1", "test")
+				h.servers.Put(placement.Server{ID: other.id, Service: "s", Address: other.address, Slots: 4})
+				resetConnection(w)
+				return
+			}
+			rest(w, r, n)
+		})
+		h = newConfiguredIngress(leaving)
+		a := h.call("POST", "/turns/", "")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(whole))
+		Expect(other.requests()).To(BeEmpty())
+		Expect(leaving.requests()).To(HaveLen(2))
+		Expect(leaving.requests()[1].Get("Last-Event-Id")).To(Equal("2"))
+	})
+
+	// Guards against streams that are lost with a server although another one may go on with them.
+	It("goes on at another server if it refuses connections", func() {
+		var h *testIngress
+		var server *httptest.Server
+		var once sync.Once
+		other := newBackend("i-2", rest)
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Hyssopreel-Attempt-Id", r.Header.Get("Hyssopreel-Attempt-Id"))
+			w.Header().Set(stampHeader, "i-1")
+			streamEvents(w, 1, 2)
+			once.Do(func() { _ = server.Listener.Close() })
+			h.servers.Remove("i-1", "test")
+			h.servers.Put(placement.Server{ID: other.id, Service: "s", Address: other.address, Slots: 4})
+			resetConnection(w)
+		}))
+		DeferCleanup(server.CloseClientConnections)
+		h = newConfiguredIngress(&backend{id: "i-1", address: server.Listener.Addr().String()})
+		a := h.call("POST", "/turns/", "")
+		Expect(a.err).NotTo(HaveOccurred())
+		Expect(a.body).To(Equal(whole))
+	})
+})
+
+var _ = Describe("A server that ends and starts again under its ID at once", func() {
+	// Guards against ends of servers that don't count, because the next start is taken for a planned one, or accepts the
+	// connection that shows whether the server has ended.
+	It("counts as ended by the request that it ran", func() {
+		var h *testIngress
+		starts := int64(1)
+		var server *backend
+		put := func() {
+			h.servers.Put(placement.Server{ID: server.id, Service: "s", Address: server.address, Slots: 4, StartedAtMS: starts})
+		}
+		server = newBackend("i-1", func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_ = http.NewResponseController(w).Flush()
+			starts++
+			put()
+			resetConnection(w)
+		})
+		h = newConfiguredIngress()
+		put()
+		Expect(h.call("POST", "/fixed/", "body").status).NotTo(Equal(503))
+		Expect(h.call("POST", "/fixed/", "body").status).NotTo(Equal(503))
+		Expect(h.call("POST", "/fixed/", "body").status).To(Equal(503))
+		Expect(server.requests()).To(HaveLen(2))
+	})
+})
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -215,25 +215,17 @@
 	return x.fingerprintChain
 }
 
-// recordBreak is called after the response of a server broke off or is missing. If the server accepts no connections any
-// more, it has ended. A server that drains, or whose entry is gone, ends as planned; a silent one may have lost its power
-// or its network. began is set if the server had begun to run the request and had not produced anything yet.
+// recordBreak is called after the response of a server broke off or is missing. If the server refuses connections or has
+// started again, it has ended. A server that drains, or whose entry is gone, ends as planned; a silent one may have lost
+// its power or its network. began is set if the server had begun to run the request and had not produced anything yet.
 func (x *exchange) recordBreak(ctx context.Context, acquired *AcquiredServer, began bool) {
-	if ctx.Err() != nil || acquired.isLeaving() || !acquired.refusesConnections() {
+	if ctx.Err() != nil || acquired.isLeaving() || !acquired.hasEnded() {
 		return
 	}
 	lifetime := poison.Lifetime{Server: acquired.ID(), StartedAtMS: acquired.backend.info.StartedAtMS}
 	x.ingress.poison.recordEnd(x, poison.End{Lifetime: lifetime, Began: began})
 }
 
-// isLeaving reports whether the server is draining or no longer in use.
-func (l *AcquiredServer) isLeaving() bool {
-	s := l.servers
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return l.backend.info.Draining || s.byID[l.backend.info.ID] != l.backend
-}
-
 // refusesConnections reports whether the server refuses a connection now. Requests that break off together share one
 // attempt.
 func (l *AcquiredServer) refusesConnections() bool {
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -32,8 +32,8 @@
 	headerSent bool
 	// interruptions counts the upstream requests that broke off or got no connection.
 	interruptions int
-	// possibleExecutors holds the IDs of the servers that may still execute the stream; the route bounds their number.
-	possibleExecutors map[string]bool
+	// possibleExecutors holds the servers that may still execute the stream; the route bounds their number.
+	possibleExecutors executors
 	// resumeServer is the ID of the server where the stream broke off, which may still execute it; it is resumed there first.
 	resumeServer string
 	// onResumeServer is set while the stream is resumed there; without an event, this is the last upstream request there.
@@ -77,8 +77,8 @@
 	return s.noResponseFailure(ctx)
 }
 
-// acquireForStream acquires a server: resumeServer if it is set and not draining. A draining one still counts as a
-// possible executor.
+// acquireForStream acquires a server: resumeServer if it is set and not draining, even without an entry. Another one is
+// acquired only if fewer possible executors are left than the route allows.
 func (s *stream) acquireForStream(ctx context.Context) (*AcquiredServer, error) {
 	s.onResumeServer = false
 	if s.resumeServer == "" {
@@ -87,6 +87,9 @@
 	resumeServer := s.resumeServer
 	s.resumeServer = ""
 	acquired, inUse := s.ingress.servers.AcquireServer(resumeServer)
+	if executor := s.possibleExecutors[resumeServer]; executor != nil && !inUse && !executor.hasEnded() {
+		acquired = executor.acquireAgain()
+	}
 	switch {
 	case acquired != nil && s.quarantineFailure() != nil:
 		acquired.Release()
@@ -97,9 +100,8 @@
 		s.server, s.load, s.loadAge = acquired.ID(), acquired.Load, acquired.LoadAge
 		s.onResumeServer = true
 		return acquired, nil
-	case !inUse:
-		delete(s.possibleExecutors, resumeServer)
 	}
+	s.possibleExecutors.dropEnded()
 	if len(s.possibleExecutors) >= s.maxExecutions() {
 		return nil, errNoServer
 	}
@@ -117,17 +119,18 @@
 	return s.resumeServer != "" || len(s.possibleExecutors) < s.maxExecutions()
 }
 
-// recordExecution records that the server may have executed the stream; ended is set if it certainly no longer does.
-func (s *stream) recordExecution(server string, ended bool) {
+// recordExecution records that the server may have executed the stream; ended is set if it no longer does, as far as this
+// host can reach it.
+func (s *stream) recordExecution(server *AcquiredServer, ended bool) {
 	s.executions++
 	if ended {
-		delete(s.possibleExecutors, server)
+		delete(s.possibleExecutors, server.ID())
 		return
 	}
 	if s.possibleExecutors == nil {
-		s.possibleExecutors = map[string]bool{}
+		s.possibleExecutors = executors{}
 	}
-	s.possibleExecutors[server] = true
+	s.possibleExecutors[server.ID()] = server
 }
 
 // streamFrom forwards the response of one server. done is set if it is complete. If the watchdog cancels the upstream
@@ -224,15 +227,17 @@
 	s.interruptions++
 	switch {
 	case dialFailed:
-		delete(s.possibleExecutors, acquired.ID())
+		if isRefused(err) {
+			delete(s.possibleExecutors, acquired.ID())
+		}
 		acquired.RecordConnectFailure(err)
 	case unreachable:
-		s.recordExecution(acquired.ID(), true)
+		s.recordExecution(acquired, true)
 	case errors.Is(err, errServerError):
-		s.recordExecution(acquired.ID(), false)
+		s.recordExecution(acquired, false)
 		acquired.RecordResponseFailure(err)
 	default:
-		s.recordExecution(acquired.ID(), false)
+		s.recordExecution(acquired, false)
 		acquired.RecordResponseFailure(err)
 		s.recordBreak(ctx, acquired, s.monitored.accepted && !s.monitored.started.Load())
 		if s.canResumeOnSameServer(acquired) {
