Recognize a silent outage of the store by the time without any answer

Cause: a watch that waits through an outage in which the store answers nothing doesn't fail. After an outage that was recognized, the next list, 0.8 s later, removed the servers that were still to be kept for 2 s.

Ruled out: the age of the informer's own last answer. A watch without changes is answered every 25 to 30 s. Ruled out too: keeping each deleted server for 2 s, which breaks the drain bound in normal operation.

Change: a host records when the store answered any of its calls, or a peer that lists the configuration or the servers at intervals (heartbeats carry the age of the last list). More than 2 s without an answer were an outage, whichever call ends it; an outage through which a peer listed is annulled. Hosts that follow others rely on what these say. A server without an entry is remembered for 5 minutes: its rate limit, failures and requests count again when the same start of it has an entry again, and heartbeats update the limit meanwhile.

--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -38,8 +38,10 @@
 	Draining    bool
 	// StoreAvailable is set if the store answered the host's last call.
 	StoreAvailable bool `msgpack:"StoreUp"`
-	// PolledFor is how long the host has listed the servers from the store without a break; 0 if it does not list them.
+	// PolledFor is how long the host has listed the configuration or the servers from the store without a break, and
+	// PolledAge the time since the last list; 0 if it lists neither.
 	PolledFor time.Duration `msgpack:",omitempty"`
+	PolledAge time.Duration `msgpack:",omitempty"`
 	// Revisions holds the revision of the newest object that the host has observed, by kind.
 	Revisions map[string]uint64 `msgpack:"Seen"`
 	// InFlight holds the number of the host's active requests, by backend server. It is nil unless both hosts may serve
@@ -69,8 +71,10 @@
 	// seeds are the peer addresses from the settings, used while no other hosts are known.
 	seeds  []string
 	poison *poisonRecords
-	// polledFor returns PolledFor of this host's heartbeats; nil is 0.
-	polledFor func(now time.Time) time.Duration
+	// polled returns PolledFor and PolledAge of this host's heartbeats; nil is 0.
+	polled func(now time.Time) (polledFor, age time.Duration)
+	// contact records when the store answered peers; nil is not recorded.
+	contact *storeContact
 	// sections are the parts of heartbeats that other components encode and merge. They are added before run.
 	sections []HeartbeatSection
 	// onTick is called at every interval.
@@ -218,8 +222,8 @@
 		RateLimits:     b.servers.RateLimits(),
 	}
 	message.Poison, message.PoisonDigest = b.poison.recent()
-	if b.polledFor != nil {
-		message.PolledFor = b.polledFor(time.Now())
+	if b.polled != nil {
+		message.PolledFor, message.PolledAge = b.polled(time.Now())
 	}
 	for kind, informer := range b.informers {
 		message.Revisions[kind] = uint64(informer.NewestRevision())
@@ -286,6 +290,9 @@
 			return errors.Newf("heartbeat of host %q with a rate limit of %v, %v old, of server %q", m.Host, limit.PerSecond, limit.Age, limit.Server)
 		}
 	}
+	if m.PolledAge < 0 || m.PolledAge > m.PolledFor {
+		return errors.Newf("heartbeat of host %q with lists for %v, the last one %v ago", m.Host, m.PolledFor, m.PolledAge)
+	}
 	if len(m.Sections) > maxHeartbeatSections {
 		return errors.Newf("heartbeat of host %q with %d sections", m.Host, len(m.Sections))
 	}
@@ -305,6 +312,9 @@
 	delete(b.polls, message.Host)
 	if message.PolledFor > 0 {
 		b.polls[message.Host] = pollReport{since: now.Add(-message.PolledFor), heardAt: now}
+		if b.contact != nil {
+			b.contact.observe(now.Add(-message.PolledFor), now.Add(-message.PolledAge))
+		}
 	}
 	b.mu.Unlock()
 	if message.InFlight != nil {
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -114,11 +114,12 @@
 		KeepAliveTimeout: linkKeepAliveTimeout,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
-	h.store = &objectapi.RelayStore{
+	h.heartbeats.contact = &storeContact{}
+	h.store = &contactStore{contact: h.heartbeats.contact, Store: &objectapi.RelayStore{
 		Local:            a.Store,
 		RelayToPeer:      h.heartbeats.relayStoreCall,
 		LocalUnavailable: func() bool { return !a.StoreAvailable() },
-	}
+	}}
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
@@ -283,7 +284,15 @@
 	config.Replace, config.Apply = h.replaceConfig, h.applyConfig
 	servers.PollInterval = config.PollInterval
 	servers.Replace, servers.PolledByPeer = h.replaceServers, h.heartbeats.polledByPeer
-	h.heartbeats.polledFor = servers.PolledFor
+	servers.Contact = h.heartbeats.contact
+	h.heartbeats.polled = func(now time.Time) (polledFor, age time.Duration) {
+		for _, informer := range []*Informer{config, servers} {
+			if d := informer.PolledFor(now); d > polledFor {
+				polledFor, age = d, min(informer.PolledAge(now), d)
+			}
+		}
+		return polledFor, age
+	}
 	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
 	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
 	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -68,6 +68,9 @@
 	// PolledByPeer reports whether a peer has listed the objects from the store without a break from the first time on, by
 	// what it said after the second one. nil is never.
 	PolledByPeer func(from, heardAfter time.Time) bool
+	// Contact records when the store answered, by which an outage is recognized that no call of this informer has failed in.
+	// nil is not recorded.
+	Contact *storeContact
 
 	// feed is the copy of the objects that other hosts follow.
 	feed *feed
@@ -89,6 +92,8 @@
 	resumeAt    objectapi.Version
 	failedSince time.Time // zero while calls succeed
 	retryDelay  time.Duration
+	// silenceLogged is set once the outage that has just ended was logged.
+	silenceLogged bool
 	// lastResponse is when the store last answered, directly or through a peer. Other goroutines read
 	// lastResponseNanos, which is the same in Unix nanoseconds; 0 before the first answer.
 	lastResponse      time.Time
@@ -212,15 +217,16 @@
 	}
 	logging.Emit(logging.InformerListed, logging.Fields{"kind": f.Kind, "objects": len(objects), "revision": revision})
 	f.recordPoll(time.Now())
-	f.replace(objects, revision, f.recoveredFromOutage())
+	if f.recoveredFromOutage() {
+		f.recoveredAtNanos.Store(time.Now().UnixNano())
+	}
+	f.logSilence()
+	f.replace(objects, revision, f.RecentlyRecovered())
 	f.watch(ctx, revision)
 }
 
 // replace passes a list to the callbacks and the followers.
 func (f *Informer) replace(objects []objectapi.Object, revision objectapi.Version, afterOutage bool) {
-	if afterOutage {
-		f.recoveredAtNanos.Store(time.Now().UnixNano())
-	}
 	f.Replace(objects, afterOutage)
 	for _, o := range objects {
 		f.observe(o.Version)
@@ -247,6 +253,9 @@
 // RecentlyRecovered reports whether the store was unavailable until a moment ago, so that a deleted entry may have been
 // deleted only because of that. An outage through which a peer listed the objects was one of this host's network.
 func (f *Informer) RecentlyRecovered() bool {
+	if _, silent := f.storeSilence(); silent {
+		return true
+	}
 	recoveredAt := time.Unix(0, f.recoveredAtNanos.Load())
 	if time.Since(recoveredAt) >= outageDeleteWindow {
 		return false
@@ -255,6 +264,25 @@
 	return began == 0 || f.PolledByPeer == nil || !f.PolledByPeer(time.Unix(0, began), recoveredAt)
 }
 
+// storeSilence returns how long the store had answered nobody until a moment ago. A host that follows another one relies on
+// that one: it makes few calls itself.
+func (f *Informer) storeSilence() (time.Duration, bool) {
+	if f.Contact == nil || f.currentSource() != storeSource {
+		return 0, false
+	}
+	_, duration, recovered := f.Contact.recoveredWithin(time.Now(), outageDeleteWindow)
+	return duration, recovered
+}
+
+// logSilence logs an outage that this informer has not logged.
+func (f *Informer) logSilence() {
+	duration, silent := f.storeSilence()
+	if silent && !f.silenceLogged {
+		logging.Emit(logging.StoreWasSilent, logging.Fields{"kind": f.Kind, "silent_for": duration})
+	}
+	f.silenceLogged = silent
+}
+
 // maxPollGap returns the time between two lists up to which no outage was missed.
 func (f *Informer) maxPollGap() time.Duration { return 2 * f.PollInterval }
 
@@ -273,6 +301,11 @@
 	return now.Sub(time.Unix(0, f.polledSinceNanos.Load()))
 }
 
+// PolledAge returns how long ago the store was last listed.
+func (f *Informer) PolledAge(now time.Time) time.Duration {
+	return max(now.Sub(time.Unix(0, f.polledAtNanos.Load())), 0)
+}
+
 // recoveredFromOutage reports whether the store was unavailable for so long that entries may be missing from it,
 // and records that it answers now.
 func (f *Informer) recoveredFromOutage() bool {
@@ -325,6 +358,7 @@
 		}
 		f.recordRecovery()
 		f.setLastResponse(time.Now())
+		f.logSilence()
 		f.apply(changes)
 		revision = max(next, revision)
 		if len(changes) > 0 && f.BatchDelay != nil {
--- a/service/ingress/rate_limits.go
+++ b/service/ingress/rate_limits.go
@@ -101,7 +101,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	for _, limit := range limits {
-		b, ok := s.byID[limit.Server]
+		b, ok := s.known(limit.Server)
 		if !ok || b.info.StartedAtMS != limit.StartedAtMS {
 			continue
 		}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -72,6 +72,7 @@
 
 	mu        sync.Mutex
 	byID      map[string]*backend
+	departed  map[string]departedServer // by ID, without an entry
 	byService map[string][]*backend
 	hostCount int                 // including this host
 	hostLoads map[string]hostLoad // by host, without this one
@@ -105,7 +106,7 @@
 
 // NewServers returns an empty set. onConnOpened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, onConnOpened func()) *Servers {
-	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
+	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
 // TotalSlots returns the number of requests that all servers can run at once.
@@ -136,19 +137,21 @@
 
 func (s *Servers) put(info placement.Server) {
 	b, ok := s.byID[info.ID]
-	if ok && b.info.Address == info.Address && b.info.Service == info.Service && b.info.StartedAtMS == info.StartedAtMS {
+	if ok && isSameStart(b.info, info) {
 		if b.info.Draining != info.Draining {
 			logging.Emit(logging.ServerStateChanged, logging.Fields{"server": info.ID, "service": info.Service, "draining": info.Draining})
 		}
-		// Requests in progress read the other fields without s.mu.
-		b.info.FailureDomain, b.info.Slots, b.info.Draining, b.info.WarmupRemaining = info.FailureDomain, info.Slots, info.Draining, info.WarmupRemaining
-		b.receivedAt, b.missingSince = s.now(), time.Time{}
+		b.update(info, s.now())
 		return
 	}
 	if ok {
 		s.remove(b, "restarted")
 	}
-	b = &backend{info: info, receivedAt: s.now(), pool: upstream.NewPool(info.Address, s.onConnOpened)}
+	if b = s.recall(info); b != nil {
+		b.update(info, s.now())
+	} else {
+		b = &backend{info: info, receivedAt: s.now(), pool: upstream.NewPool(info.Address, s.onConnOpened)}
+	}
 	s.byID[info.ID] = b
 	s.byService[info.Service] = append(s.byService[info.Service], b)
 	logging.Emit(logging.ServerAdded, logging.Fields{
@@ -156,6 +159,13 @@
 	})
 }
 
+// update applies the entry of the same start of the server.
+func (b *backend) update(info placement.Server, now time.Time) {
+	// Requests in progress read the other fields without the lock of Servers.
+	b.info.FailureDomain, b.info.Slots, b.info.Draining, b.info.WarmupRemaining = info.FailureDomain, info.Slots, info.Draining, info.WarmupRemaining
+	b.receivedAt, b.missingSince = now, time.Time{}
+}
+
 // Remove removes a server. Its active requests continue.
 func (s *Servers) Remove(id, reason string) {
 	s.mu.Lock()
@@ -175,6 +185,7 @@
 		}
 	}
 	b.pool.Close()
+	s.remember(b)
 	logging.Emit(logging.ServerRemoved, logging.Fields{"server": b.info.ID, "service": b.info.Service, "reason": reason})
 }
 
@@ -216,6 +227,7 @@
 func (s *Servers) Sweep() {
 	s.mu.Lock()
 	now := s.now()
+	s.forgetDeparted(now.Add(-departedTTL))
 	pools := make([]*upstream.Pool, 0, len(s.byID))
 	for _, b := range s.byID {
 		if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
--- a/service/upstream/upstream.go
+++ b/service/upstream/upstream.go
@@ -110,6 +110,13 @@
 	}
 }
 
+// Reopen makes the pool keep idle connections again after Close.
+func (p *Pool) Reopen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = false
+}
+
 type conn struct {
 	netConn       net.Conn
 	limitedReader *io.LimitedReader
