Choose no server whose responses say that it leaves

Cause: hosts learned that a server leaves from its entry only. Server-Leaving was decoded and not used; a host that is cut off from the store went on sending requests to such a server.

Ruled out: marking the server's entry as draining. The next write of the entry would undo that.

Change: a response with Server-Leaving, whether the request was run or not, marks that start of the server. It is chosen for no request and no resumed stream, and doesn't count as available, until its entry shows another start; the mark outlives a lapse of the entry. A response with status 421 comes from another server and says nothing.

--- a/service/ingress/executors.go
+++ b/service/ingress/executors.go
@@ -42,7 +42,7 @@
 // isLeaving reports whether the server leaves, or left, as planned: it is draining, or its entry was removed.
 func (l *AcquiredServer) isLeaving() bool {
 	l.servers.mu.Lock()
-	draining := l.backend.info.Draining
+	draining := l.servers.isDraining(l.backend)
 	l.servers.mu.Unlock()
 	return draining || !l.hasEntry()
 }
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -224,6 +224,9 @@
 		acquired.RecordLoad(*respMetadata.Load)
 	}
 	acquired.RecordRateLimit(sentAt, resp.Status, respMetadata)
+	if respMetadata.Leaving && resp.Status != http.StatusMisdirectedRequest {
+		acquired.MarkLeaving()
+	}
 	return resp, respMetadata, nil
 }
 
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -128,6 +128,7 @@
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	h.verdicts = h.newVerdictKeeper()
+	h.heartbeats.sections = append(h.heartbeats.sections, leavingSection{h.servers})
 	return h
 }
 
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -70,9 +70,11 @@
 	// onRateLimitedResponse is called with the ID of a server that named a rate limit, for each of its responses.
 	onRateLimitedResponse func(server string)
 
-	mu        sync.Mutex
-	byID      map[string]*backend
-	departed  map[string]departedServer // by ID, without an entry
+	mu       sync.Mutex
+	byID     map[string]*backend
+	departed map[string]departedServer // by ID, without an entry
+	// leaving holds when a response of a server first said that it leaves.
+	leaving   map[serverStart]time.Time
 	byService map[string][]*backend
 	hostCount int                 // including this host
 	hostLoads map[string]hostLoad // by host, without this one
@@ -106,7 +108,7 @@
 
 // NewServers returns an empty set. onConnOpened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, onConnOpened func()) *Servers {
-	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
+	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, leaving: map[serverStart]time.Time{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
 // TotalSlots returns the number of requests that all servers can run at once.
@@ -228,6 +230,7 @@
 	s.mu.Lock()
 	now := s.now()
 	s.forgetDeparted(now.Add(-departedTTL))
+	s.forgetLeaving(now)
 	pools := make([]*upstream.Pool, 0, len(s.byID))
 	for _, b := range s.byID {
 		if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
@@ -248,7 +251,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for _, b := range s.byService[service] {
-		if !b.info.Draining {
+		if !s.isDraining(b) {
 			n++
 		}
 	}
@@ -347,7 +350,7 @@
 	now := s.now()
 	limited := admission.ServiceLoad{TurnTime: s.turnTime}
 	for _, b := range s.byService[service] {
-		if b.info.Draining || b.outliers.Ejected(now) {
+		if s.isDraining(b) || b.outliers.Ejected(now) {
 			continue
 		}
 		to := &load
@@ -424,7 +427,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, inUse := s.byID[id]
-	if !inUse || b.info.Draining {
+	if !inUse || s.isDraining(b) {
 		return nil, inUse
 	}
 	now := s.now()
@@ -445,7 +448,7 @@
 
 		PermitDeferred: b.rateLimit.Limited && now.Before(b.permitDeferredUntil),
 	}
-	if !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
+	if s.isDraining(b) || !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
 		c.Server.Draining = true
 	}
 	c.Server.WarmupRemaining = max(b.info.WarmupRemaining-now.Sub(b.receivedAt), 0)
@@ -457,7 +460,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.byService[q.Service] {
-		if !b.rateLimit.Limited && !b.info.Draining && !q.Request.ExcludedServers[b.info.ID] {
+		if !b.rateLimit.Limited && !s.isDraining(b) && !q.Request.ExcludedServers[b.info.ID] {
 			return true
 		}
 	}
