Let two tests of time wait for events

Cause: TestHeartbeatsFillOnlySilentIntervals slept a quarter of the heartbeat interval between frames; beside load a sleep took over the interval, and a heartbeat was due. The homes of TestReserveWaitsForAStartingHome became ready at a fixed time; a pass over them that straddled it was allowed by the second one.

Change: the first test runs in virtual time (testing/synctest) and now demands that the heartbeat comes within two intervals, and that all ten frames arrive; before, 20 intervals were allowed. In the second one the homes become ready when the last one has refused the turn, which must happen exactly once.

--- a/common/wire/link_test.go
+++ b/common/wire/link_test.go
@@ -6,53 +6,61 @@
 	"net"
 	"os"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
 // Guards against heartbeats that add to the traffic of a busy link, and against a link that is silent for longer than two
-// intervals.
+// intervals. Its time is virtual, so that a delay of the test process can't make the busy link silent.
 func TestHeartbeatsFillOnlySilentIntervals(t *testing.T) {
-	const interval = 50 * time.Millisecond
-	n := NewNode(Options{ProcessName: "b.1", HeartbeatInterval: interval, KeepAliveTimeout: 5 * time.Second})
-	defer func() { _ = n.Close() }()
-	client, server := net.Pipe()
-	l := newLink(n, server)
-	l.queue = make(chan *outgoingFrame, 64)
-	if !n.startGoroutine(l.writeLoop) {
-		t.Fatal("the node is closed")
-	}
-	defer func() { l.close(errNodeClosed); _ = client.Close() }()
-	frames := make(chan Type, 64)
-	go func() {
-		for reader := bufio.NewReader(client); ; {
-			f, err := readFrame(reader)
-			if err != nil {
-				return
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 50 * time.Millisecond
+		n := NewNode(Options{ProcessName: "b.1", HeartbeatInterval: interval, KeepAliveTimeout: 5 * time.Second})
+		defer func() { _ = n.Close() }()
+		client, server := net.Pipe()
+		l := newLink(n, server)
+		l.queue = make(chan *outgoingFrame, 64)
+		if !n.startGoroutine(l.writeLoop) {
+			t.Fatal("the node is closed")
+		}
+		defer func() { l.close(errNodeClosed); _ = client.Close() }()
+		frames := make(chan Type, 64)
+		go func() {
+			for reader := bufio.NewReader(client); ; {
+				f, err := readFrame(reader)
+				if err != nil {
+					return
+				}
+				frames <- f.Type
 			}
-			frames <- f.Type
+		}()
+		answer, err := encodeFrame(TypeAnswer, 1, "", answerBody{})
+		if err != nil {
+			t.Fatal(err)
 		}
-	}()
-	answer, err := encodeFrame(TypeAnswer, 1, "", answerBody{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 10 {
-		l.queue <- &outgoingFrame{bytes: answer}
-		time.Sleep(interval / 4)
-	}
-	for len(frames) > 0 {
-		if f := <-frames; f != TypeAnswer {
-			t.Errorf("frame %s while the link is busy", f)
+		const answers = 10
+		for range answers {
+			l.queue <- &outgoingFrame{bytes: answer}
+			time.Sleep(interval / 4)
 		}
-	}
-	select {
-	case f := <-frames:
-		if f != TypeHeartbeat {
-			t.Errorf("frame %s, want a heartbeat", f)
+		synctest.Wait()
+		if len(frames) != answers {
+			t.Errorf("%d frames while the link is busy, want %d", len(frames), answers)
 		}
-	case <-time.After(20 * interval):
-		t.Error("no heartbeat on a silent link")
-	}
+		for len(frames) > 0 {
+			if f := <-frames; f != TypeAnswer {
+				t.Errorf("frame %s while the link is busy", f)
+			}
+		}
+		select {
+		case f := <-frames:
+			if f != TypeHeartbeat {
+				t.Errorf("frame %s, want a heartbeat", f)
+			}
+		case <-time.After(2 * interval):
+			t.Error("no heartbeat on a silent link")
+		}
+	})
 }
 
 // Guards against a heartbeat that precedes the reply to a hello frame that arrives late: the peer then closes the link.
--- a/service/ingress/share_policy_test.go
+++ b/service/ingress/share_policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,7 +124,9 @@
 func TestReserveWaitsForAStartingHome(t *testing.T) {
 	const program = "p"
 	_, ordered := listedHosts(t, "a-1", program)
-	startedAt := time.Now()
+	// The first two homes become ready once the last one has refused the turn: a whole pass over them has failed then.
+	var ready atomic.Bool
+	var refused atomic.Int32
 	addresses := map[string]string{}
 	for i, name := range ordered[:3] {
 		n := wire.NewNode(wire.Options{ProcessName: name})
@@ -131,8 +134,10 @@
 		n.Handle(wire.TypeReserve, func(_ context.Context, r *wire.Request) {
 			switch {
 			case i == 2:
+				refused.Add(1)
+				ready.Store(true)
 				_ = r.Answer(ledger.ReserveReply{Decision: ledger.GrantUnavailable})
-			case time.Since(startedAt) < discoveryWait:
+			case !ready.Load():
 				_ = r.Answer(ledger.ReserveReply{Decision: ledger.NotReady})
 			default:
 				_ = r.Answer(ledger.ReserveReply{Decision: ledger.Allowed})
@@ -157,4 +162,7 @@
 	if err != nil || result.Home != ordered[0] {
 		t.Errorf("home %q, error %v, want home %q", result.Home, err, ordered[0])
 	}
+	if n := refused.Load(); n != 1 {
+		t.Errorf("the last host was asked %d times, want once, before the first ones were ready", n)
+	}
 }
