Count stored verdicts, leaving servers and silences of the store

Change: hyssopreel_stored_verdicts, hyssopreel_leaving_servers and hyssopreel_store_silences. A silence is counted where an informer that reads the store acts on it: other hosts make few calls.

--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -107,6 +107,7 @@
 	h.servers.onRateLimitedResponse = func(server string) {
 		scope.Tagged(map[string]string{"server": server}).Counter("rate_limited_server_responses").Inc(1)
 	}
+	h.servers.onLeaving = func() { scope.Counter("leaving_servers").Inc(1) }
 	h.hosts = NewHosts(h.self, h.servers.SetHostCount)
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
@@ -114,7 +115,7 @@
 		KeepAliveTimeout: linkKeepAliveTimeout,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
-	h.heartbeats.contact = &storeContact{}
+	h.heartbeats.contact = &storeContact{onOutage: func() { scope.Counter("store_silences").Inc(1) }}
 	h.store = &contactStore{contact: h.heartbeats.contact, Store: &objectapi.RelayStore{
 		Local:            a.Store,
 		RelayToPeer:      h.heartbeats.relayStoreCall,
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -279,6 +279,9 @@
 	duration, silent := f.storeSilence()
 	if silent && !f.silenceLogged {
 		logging.Emit(logging.StoreWasSilent, logging.Fields{"kind": f.Kind, "silent_for": duration})
+		if f.Contact.onOutage != nil {
+			f.Contact.onOutage()
+		}
 	}
 	f.silenceLogged = silent
 }
--- a/service/ingress/leaving.go
+++ b/service/ingress/leaving.go
@@ -61,6 +61,7 @@
 		return
 	}
 	s.leaving[start] = at
+	s.onLeaving()
 	service := ""
 	if b, ok := s.known(start.ID); ok {
 		service = b.info.Service
--- a/service/ingress/poison_verdicts.go
+++ b/service/ingress/poison_verdicts.go
@@ -30,6 +30,7 @@
 		return ok && owner.Name == h.self.Name
 	}
 	keeper := verdicts.NewKeeper(h.store, verdictTable{h.ingress.poison}, owns, h.heartbeats.storeReachable)
+	keeper.OnStored = func() { h.metrics.Scope().Counter("stored_verdicts").Inc(1) }
 	h.ingress.poison.onEnd = keeper.Observe
 	h.heartbeats.sections = append(h.heartbeats.sections, verdictSection{records: h.ingress.poison, keeper: keeper})
 	return keeper
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -69,6 +69,8 @@
 	onConnOpened func()
 	// onRateLimitedResponse is called with the ID of a server that named a rate limit, for each of its responses.
 	onRateLimitedResponse func(server string)
+	// onLeaving is called when a server is found to leave by a response.
+	onLeaving func()
 
 	mu       sync.Mutex
 	byID     map[string]*backend
@@ -108,7 +110,7 @@
 
 // NewServers returns an empty set. onConnOpened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, onConnOpened func()) *Servers {
-	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, leaving: map[serverStart]time.Time{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
+	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, onLeaving: func() {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, leaving: map[serverStart]time.Time{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
 // TotalSlots returns the number of requests that all servers can run at once.
--- a/service/ingress/store_contact.go
+++ b/service/ingress/store_contact.go
@@ -14,6 +14,9 @@
 // that waits through an outage doesn't fail, so that its answer alone doesn't show that there was one. It is safe for
 // concurrent use.
 type storeContact struct {
+	// onOutage is called when an informer finds that the store did not answer; nil is not called.
+	onOutage func()
+
 	mu sync.Mutex
 	// until is when the store last answered.
 	until time.Time
--- a/service/verdicts/verdicts.go
+++ b/service/verdicts/verdicts.go
@@ -48,6 +48,9 @@
 
 // Keeper stores the verdicts of one host's records and reads those of all. It must be created by NewKeeper.
 type Keeper struct {
+	// OnStored is called for each verdict that was written.
+	OnStored func()
+
 	store objectapi.Store
 	table Table
 	// owns reports whether this host is the one that acts for a key if several may.
@@ -82,7 +85,7 @@
 // NewKeeper returns a keeper of the records in table.
 func NewKeeper(store objectapi.Store, table Table, owns func(key string) bool, reachable func() bool) *Keeper {
 	return &Keeper{
-		store: store, table: table, owns: owns, reachable: reachable, now: time.Now, wake: make(chan struct{}, 1),
+		store: store, table: table, owns: owns, reachable: reachable, now: time.Now, wake: make(chan struct{}, 1), OnStored: func() {},
 		observed: map[poison.Fingerprint]bool{}, stored: map[poison.Fingerprint]storedVerdict{}, suspectSince: map[poison.Fingerprint]time.Time{},
 	}
 }
@@ -257,6 +260,7 @@
 		return err
 	}
 	k.stored[r.Fingerprint] = storedVerdict{version: version, verdict: r.Verdict()}
+	k.OnStored()
 	logging.Emit(logging.VerdictStored, logging.Fields{"fingerprint": name, "ends": len(r.Ends), "quarantined": r.Verdict() == poison.Quarantined})
 	return nil
 }
