--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -21,6 +21,7 @@
 	"github.com/hyssopreel/hyssopreel/service/access"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 	"github.com/hyssopreel/hyssopreel/service/turns"
+	"github.com/hyssopreel/hyssopreel/service/verdicts"
 )
 
 const (
@@ -82,6 +83,7 @@
 	access     *access.Service
 	turns      *turns.Client
 	heartbeats *heartbeater
+	verdicts   *verdicts.Keeper
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
 	startedAt time.Time
@@ -111,6 +113,7 @@
 	h.servers.onRateLimitedResponse = func(server string) {
 		scope.Tagged(map[string]string{"server": server}).Counter("rate_limited_server_responses").Inc(1)
 	}
+	h.servers.onLeaving = func() { scope.Counter("leaving_servers").Inc(1) }
 	h.hosts = NewHosts(h.self, h.servers.SetHostCount)
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
@@ -118,11 +121,12 @@
 		KeepAliveTimeout: linkKeepAliveTimeout,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
-	h.store = &objectapi.RelayStore{
+	h.heartbeats.contact = &storeContact{onOutage: func() { scope.Counter("store_silences").Inc(1) }}
+	h.store = &contactStore{contact: h.heartbeats.contact, Store: &objectapi.RelayStore{
 		Local:            a.Store,
 		RelayToPeer:      h.heartbeats.relayStoreCall,
 		LocalUnavailable: func() bool { return !a.StoreAvailable() },
-	}
+	}}
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
@@ -132,6 +136,8 @@
 	h.turns = turns.NewClient(h.node, h.store, s.Promises.TolerableHostLosses, s.Host.FailureDomain, s.Host.Region, scope)
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Turns: h.turns}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
+	h.verdicts = h.newVerdictKeeper()
+	h.heartbeats.sections = append(h.heartbeats.sections, leavingSection{h.servers})
 	return h
 }
 
@@ -171,6 +177,7 @@
 	group.Go(func() error { h.runTurns(workCtx); return nil })
 	group.Go(func() error { h.sweep(workCtx); return nil })
 	group.Go(func() error { h.budgets.run(workCtx); return nil })
+	group.Go(func() error { h.verdicts.Run(workCtx); return nil })
 	group.Go(func() error { h.heartbeats.run(workCtx); return nil })
 	group.Go(func() error { h.access.Run(workCtx); return nil })
 	group.Go(func() error { h.ingress.watchdog.run(workCtx); return nil })
@@ -255,14 +262,20 @@
 	return !h.ingress.draining.Load() && h.hosts.SelfServing()
 }
 
-// hasSynced reports whether all informers have synced, a configuration is in force, and the budget records were read.
+// hasSynced reports whether all informers have synced, a configuration is in force, and the budget records and the verdicts
+// on requests that end servers were read.
 func (h *Host) hasSynced() bool {
 	for _, informer := range h.heartbeats.informers {
 		if informer.Kind != turns.KindDiskHosts && !informer.HasSynced() {
 			return false
 		}
 	}
-	return h.ingress.table.Load() != nil && (!h.retainsTurns() || h.heartbeats.informers[turns.KindDiskHosts].HasSynced()) && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
+	return h.ingress.table.Load() != nil && h.verdicts.Known() && h.hasSyncedDiskHosts() && (h.budgets.hasReadRecords() || !h.hosts.IsHome())
+}
+
+// hasSyncedDiskHosts reports whether the hosts with a disk have been listed, if a route retains turns.
+func (h *Host) hasSyncedDiskHosts() bool {
+	return !h.retainsTurns() || h.heartbeats.informers[turns.KindDiskHosts].HasSynced()
 }
 
 func (h *Host) sweep(ctx context.Context) {
@@ -288,7 +301,15 @@
 	config.Replace, config.Apply, config.Listed = h.replaceConfig, h.applyConfig, h.configListed
 	servers.PollInterval = config.PollInterval
 	servers.Replace, servers.PolledByPeer = h.replaceServers, h.heartbeats.polledByPeer
-	h.heartbeats.polledFor = servers.PolledFor
+	servers.Contact = h.heartbeats.contact
+	h.heartbeats.polled = func(now time.Time) (polledFor, age time.Duration) {
+		for _, informer := range []*Informer{config, servers} {
+			if d := informer.PolledFor(now); d > polledFor {
+				polledFor, age = d, min(informer.PolledAge(now), d)
+			}
+		}
+		return polledFor, age
+	}
 	servers.Apply = func(c objectapi.Change) { h.applyServer(c, servers.RecentlyRecovered()) }
 	servers.BatchDelay = func() time.Duration { return changeBatchDelay(len(h.hosts.Roles().Watchers)) }
 	hosts.Replace, hosts.Apply, hosts.PollInterval = h.hosts.Replace, h.hosts.Apply, hostListFactor*config.PollInterval
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -35,13 +35,15 @@
 	now func() time.Time
 	// changed receives a value when the records of this host's requests have changed, so that other hosts are told.
 	changed chan struct{}
+	// onEnd is called with the fingerprints of a request under which a server has ended at this host.
+	onEnd func(poison.Chain)
 
 	mu    sync.Mutex
 	table *poison.Table
 }
 
 func newPoisonRecords(now func() time.Time) *poisonRecords {
-	return &poisonRecords{now: now, changed: make(chan struct{}, 1), table: poison.NewTable()}
+	return &poisonRecords{now: now, changed: make(chan struct{}, 1), onEnd: func(poison.Chain) {}, table: poison.NewTable()}
 }
 
 func (p *poisonRecords) signalChange() {
@@ -63,6 +65,7 @@
 		return
 	}
 	p.signalChange()
+	p.onEnd(chain)
 	fingerprint := chain[len(chain)-1]
 	logging.Emit(logging.ServerEndedUnderRequest, logging.Fields{
 		"request": x.metadata.Attempt, "program": x.metadata.Program, "route": x.route.Name, "fingerprint": fingerprint,
@@ -73,15 +76,16 @@
 	}
 }
 
-// recordSuccess records that the request has run to its end.
+// recordSuccess records that the request has run to its end, if it has. A response with another status than 2xx proves
+// nothing: a server may send it without running the request.
 func (p *poisonRecords) recordSuccess(x *exchange) {
-	if !p.mayContain(x) {
+	if x.completedSentAt.IsZero() || !p.mayContain(x) {
 		return
 	}
 	chain := x.fingerprints()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.table.RecordSuccess(p.now(), chain) {
+	if p.table.RecordSuccess(p.now(), x.completedSentAt, chain) {
 		p.signalChange()
 	}
 }
@@ -211,25 +215,17 @@
 	return x.fingerprintChain
 }
 
-// recordBreak is called after the response of a server broke off or is missing. If the server accepts no connections any
-// more, it has ended. A server that drains, or whose entry is gone, ends as planned; a silent one may have lost its power
-// or its network. began is set if the server had begun to run the request and had not produced anything yet.
+// recordBreak is called after the response of a server broke off or is missing. If the server refuses connections or has
+// started again, it has ended. A server that drains, or whose entry is gone, ends as planned; a silent one may have lost
+// its power or its network. began is set if the server had begun to run the request and had not produced anything yet.
 func (x *exchange) recordBreak(ctx context.Context, acquired *AcquiredServer, began bool) {
-	if ctx.Err() != nil || acquired.isLeaving() || !acquired.refusesConnections() {
+	if ctx.Err() != nil || acquired.isLeaving() || !acquired.hasEnded() {
 		return
 	}
 	lifetime := poison.Lifetime{Server: acquired.ID(), StartedAtMS: acquired.backend.info.StartedAtMS}
 	x.ingress.poison.recordEnd(x, poison.End{Lifetime: lifetime, Began: began})
 }
 
-// isLeaving reports whether the server is draining or no longer in use.
-func (l *AcquiredServer) isLeaving() bool {
-	s := l.servers
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return l.backend.info.Draining || s.byID[l.backend.info.ID] != l.backend
-}
-
 // refusesConnections reports whether the server refuses a connection now. Requests that break off together share one
 // attempt.
 func (l *AcquiredServer) refusesConnections() bool {
