Keep the requests of teams within their quotas

Cause: the quotas of teams were decoded and not applied. Ruled out: the permits of core/ratelimit (one question for each request; a keeper that two hosts may take themselves for when links between single hosts are cut; a tenure that a frozen host does not notice to have lost); equal shares for all hosts (less than one request a second for most). Change: core/quota has the account that a team's keeper holds and the tokens that hosts lease from it for 0.4 s, counted from the moment of asking by clock.SinceBoot. A busy host asks for 0.2 s in advance, a quiet one when a request comes. core/fleet.Keepers names the keeper: a primary host with the support of the majority of the primary hosts, for which those before it in rendezvous order are reported lost by the majority. A new keeper grants nothing until the former one must have noticed and its leases have ended, and starts without tokens. service/quota asks and answers (wire.TypeQuota); service/ingress admits a request before its budget is reserved and uses the token when it is first sent to a server. Over the quota: 429 with Retry-After; without a keeper: 503. The rate limits of servers still use their own accounts.

--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -42,6 +42,7 @@
 	TypeEntryHeartbeat:   "beat",
 	TypeFollow:           "follow",
 	TypeConfirm:          "confirm",
+	TypeQuota:            "quota",
 }
 
 // String returns the name of the type as in docs/design.md, section 9. Names are topics of PubSub and steps of
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -31,6 +31,7 @@
 	TypeFollow           // request of an entry host for changes of a peer's copy of the store's objects
 	TypePermit           // request for the permit to send a request to a rate-limited backend server, sent to its owner
 	TypeConfirm          // request for a peer's knowledge of when its configuration was the newest one
+	TypeQuota            // request for tokens of a team's quota, sent to the host that keeps the team's account
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- a/core/fleet/owner.go
+++ b/core/fleet/owner.go
@@ -51,12 +51,7 @@
 
 // Update records the present owners. It must be called before OwnedSince, and often enough that no change is missed.
 func (t *Tenure) Update(now time.Time, v *View) {
-	t.past = slices.DeleteFunc(t.past, func(p formerOwners) bool { return now.Sub(p.until) > tenureHistory })
-	owners := v.owners()
-	if !slices.EqualFunc(owners, t.current, func(a, b Host) bool { return a.Name == b.Name && a.Incarnation == b.Incarnation }) {
-		t.past = append(t.past, formerOwners{owners: t.current, until: now})
-		t.current = owners
-	}
+	t.UpdateOwners(now, v.owners())
 }
 
 // OwnedSince returns since when self has owned the key; zero if that is longer than tenureHistory. ok is false if self
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -42,15 +42,17 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	ingress   *Ingress
-	request   *http.Request
-	body      []byte
-	metadata  RequestMetadata
-	table     *routing.Table
-	route     *routing.Route
-	team      *routing.Team // of the caller; nil if it has none
-	service   string
-	startedAt time.Time
+	ingress  *Ingress
+	request  *http.Request
+	body     []byte
+	metadata RequestMetadata
+	table    *routing.Table
+	route    *routing.Route
+	team     *routing.Team // of the caller; nil if it has none
+	// quotaClaim is the request's claim to a part of its team's quota; nil if it needs none.
+	quotaClaim QuotaClaim
+	service    string
+	startedAt  time.Time
 	// deadline is when the caller's or the route's timeout ends, whichever is first.
 	deadline time.Time
 
@@ -118,7 +120,10 @@
 		}
 		if x.awaitPermit(ctx, acquired, maxWait) {
 			x.recordPlacement(acquired)
-			err := x.checkAccess()
+			err := x.useQuota(ctx)
+			if err == nil {
+				err = x.checkAccess()
+			}
 			if err == nil && x.quarantineFailure() != nil {
 				err = errQuarantined
 			}
@@ -445,6 +450,9 @@
 	if fail := x.accessFailure(err); fail != nil {
 		return fail
 	}
+	if fail := x.quotaFailure(err); fail != nil {
+		return fail
+	}
 	retryAfter := x.ingress.retryAfter(x.service)
 	if x.permitWait > retryAfter {
 		retryAfter = jitter(x.permitWait)
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -68,19 +68,21 @@
 
 // Host is an entry host: an Ingress with its configuration, servers and peers.
 type Host struct {
-	settings   atomic.Pointer[settings.EntryHost]
-	adapter    Adapter
-	self       fleet.Host
-	metrics    *metrics.Metrics
-	reload     <-chan *settings.EntryHost
-	ingress    *Ingress
-	servers    *Servers
-	hosts      *Hosts
-	node       *wire.Node
-	budgets    *budgetService
-	access     *access.Service
-	heartbeats *heartbeater
-	store      objectapi.Store // the platform's, through a peer while this host has no access to it
+	settings atomic.Pointer[settings.EntryHost]
+	adapter  Adapter
+	self     fleet.Host
+	metrics  *metrics.Metrics
+	reload   <-chan *settings.EntryHost
+	ingress  *Ingress
+	servers  *Servers
+	hosts    *Hosts
+	node     *wire.Node
+	budgets  *budgetService
+	access   *access.Service
+	// keeperTenure tells since when this host has kept accounts of quotas.
+	keeperTenure *keeperTenure
+	heartbeats   *heartbeater
+	store        objectapi.Store // the platform's, through a peer while this host has no access to it
 
 	startedAt time.Time
 	// configRevision is the revision of the configuration that was last put in force or rejected.
@@ -125,9 +127,13 @@
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
-	h.heartbeats.onTick = permits.updateTenure
+	h.keeperTenure = &keeperTenure{self: h.self.Name, hosts: h.hosts}
+	h.heartbeats.onTick = func() {
+		permits.updateTenure()
+		h.keeperTenure.update()
+	}
 	h.access = h.newAccess(s)
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Quotas: hostQuotas{h.newQuotas(s, scope)}}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	return h
 }
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -32,6 +32,8 @@
 	Permits Permits
 	// Access decides which requests may run where the configuration has teams. If it is nil, the host is the only one.
 	Access Access
+	// Quotas keeps teams within their quotas. If it is nil, there are none.
+	Quotas Quotas
 }
 
 const (
@@ -262,6 +264,10 @@
 func (x *exchange) forward(w http.ResponseWriter) *failure {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	if fail := x.claimQuota(ctx); fail != nil {
+		return fail
+	}
+	defer x.releaseQuota()
 	if x.route.Kind != routing.Stream {
 		resp, body, fail := x.forwardWithHedging(ctx)
 		if fail != nil {
