--- a/api/fleet.go
+++ b/api/fleet.go
@@ -15,6 +15,29 @@
 	// Quarantined holds the requests that are refused because they end the backend servers that run them, the newest first,
 	// at most 100.
 	Quarantined []QuarantinedRequest `json:"quarantined"`
+	// ConfirmedMS is the time since the host's configuration was known to be the newest one, in milliseconds; -1 if it never
+	// was, or callers need no API keys.
+	ConfirmedMS int64 `json:"confirmed_ms"`
+	// Teams holds the teams with a quota whose requests the host handled lately or whose accounts it keeps, sorted by name,
+	// at most 100.
+	Teams []TeamQuota `json:"teams"`
+}
+
+// TeamQuota is what an entry host knows of a team's quota, in a FleetView.
+type TeamQuota struct {
+	Team string `json:"team"`
+	// Keys holds the fingerprints of the team's API keys.
+	Keys []string `json:"keys"`
+	// PerSecond and Burst are the quota over all hosts, in requests.
+	PerSecond float64 `json:"per_second"`
+	Burst     float64 `json:"burst"`
+	// Keeper is the name of the host that last granted tokens to this one; empty if none did.
+	Keeper string `json:"keeper"`
+	// Used and Refused count the team's requests at this host since it first saw the team or forgot it.
+	Used    int `json:"used"`
+	Refused int `json:"refused"`
+	// Tokens is the balance of the account if this host keeps it, otherwise -1.
+	Tokens float64 `json:"tokens"`
 }
 
 // QuarantinedRequest is a request, or all requests with a common prefix, in a FleetView.
--- a/cmd/hyssopreelctl/fleet.go
+++ b/cmd/hyssopreelctl/fleet.go
@@ -87,6 +87,16 @@
 				return err
 			}
 		}
+		if v.ConfirmedMS > 0 {
+			if _, err := fmt.Fprintf(a.stdout, "configuration confirmed %s ago\n", formatAge(v.ConfirmedMS)); err != nil {
+				return err
+			}
+		}
+		for _, t := range v.Teams {
+			if _, err := fmt.Fprintln(a.stdout, formatTeam(t)); err != nil {
+				return err
+			}
+		}
 		for _, q := range v.Quarantined {
 			what := "request"
 			if q.Prefix {
@@ -104,6 +114,16 @@
 	})
 }
 
+// formatTeam describes a team's quota in one line.
+func formatTeam(t api.TeamQuota) string {
+	line := fmt.Sprintf("team %s (keys %s): %g requests/s, burst %g; %d used and %d refused here, granted by %s",
+		t.Team, strings.Join(t.Keys, ", "), t.PerSecond, t.Burst, t.Used, t.Refused, cmp.Or(t.Keeper, "no host"))
+	if t.Tokens >= 0 {
+		line += fmt.Sprintf("; account kept here, %.0f tokens", t.Tokens)
+	}
+	return line
+}
+
 func formatAge(ms int64) string {
 	if ms < 0 {
 		return ""
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -166,6 +166,8 @@
 	ginkgo.It("shows and compares the views of entry hosts", func() {
 		member := api.FleetMember{Name: "a-1", Incarnation: "1", FailureDomain: "a", State: api.MemberUp, StateForMS: 1500, Active: true, Watcher: true, LoadMS: -1}
 		view := api.FleetView{Host: "a-1", Members: []api.FleetMember{member}, Kinds: []api.FollowedKind{{Kind: "servers", Source: "store", Revision: 7}}}
+		view.ConfirmedMS = 700
+		view.Teams = []api.TeamQuota{{Team: "blue", Keys: []string{"5f1c83aa"}, PerSecond: 9.5, Burst: 20, Keeper: "b-1", Used: 7, Refused: 2, Tokens: -1}}
 		serveView := func(v api.FleetView) string {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(v) }))
 			ginkgo.DeferCleanup(s.Close)
@@ -174,6 +176,8 @@
 		first := serveView(view)
 		r := ctl("", "fleet", first)
 		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)servers: revision 7 from store.*a-1 +a +up +1.5s +active,watcher`))
+		gomega.Expect(r.out).To(gomega.ContainSubstring("configuration confirmed 700ms ago"))
+		gomega.Expect(r.out).To(gomega.ContainSubstring("team blue (keys 5f1c83aa): 9.5 requests/s, burst 20; 7 used and 2 refused here, granted by b-1"))
 		gomega.Expect(ctl("", "fleet", first, first).out).To(gomega.ContainSubstring("same view"))
 		member.State = api.MemberUnreachable
 		other := serveView(api.FleetView{Host: "b-1", Members: []api.FleetMember{member, {Name: "b-1", State: api.MemberUp}}})
--- a/core/fleet/keepers.go
+++ b/core/fleet/keepers.go
@@ -6,9 +6,9 @@
 )
 
 // Keepers returns the primary hosts of which this one believes that they may keep accounts, for a key the first of them in
-// rendezvous order. They are those that are not reported lost by the majority of the primary hosts. There are none unless
-// the majority of the primary hosts lately reported that they reach this host: of two hosts that do not reach each other,
-// at most one has a majority that does not report it lost.
+// rendezvous order. They are those that are not reported lost by a majority of the primary hosts. There are none unless a
+// majority of the primary hosts lately reported that they reach this host: of two hosts that do not reach each other, at
+// most one has a majority that does not report it lost. Of two equal halves, the one with a certain host is a majority.
 func (v *View) Keepers(now time.Time) []Host {
 	primaries := v.Roles().Primaries
 	own, ok := v.listed[v.self.Name]
@@ -16,7 +16,15 @@
 	if !ok || own.host.Incarnation != v.self.Incarnation || !isPrimary {
 		return nil
 	}
-	majority := len(primaries)/2 + 1
+	votes, total := map[string]int{}, 0
+	for i, h := range RendezvousOrder(primaries, "") {
+		votes[h.Name] = 2
+		if i == 0 && len(primaries)%2 == 0 {
+			votes[h.Name] = 3
+		}
+		total += votes[h.Name]
+	}
+	isMajority := func(n int) bool { return 2*n > total }
 	supporters, lostBy := 0, map[string]int{}
 	for _, h := range primaries {
 		var lost []string
@@ -29,16 +37,16 @@
 			continue
 		}
 		if !slices.Contains(lost, v.self.Name) {
-			supporters++
+			supporters += votes[h.Name]
 		}
 		for _, name := range lost {
-			lostBy[name]++
+			lostBy[name] += votes[h.Name]
 		}
 	}
-	if supporters < majority {
+	if !isMajority(supporters) {
 		return nil
 	}
-	return filter(primaries, func(h Host) bool { return lostBy[h.Name] < majority })
+	return filter(primaries, func(h Host) bool { return !isMajority(lostBy[h.Name]) })
 }
 
 // UpdateOwners records the present owners of keys; see Update.
--- a/core/fleet/keepers_test.go
+++ b/core/fleet/keepers_test.go
@@ -92,3 +92,21 @@
 	g.Expect(views[keeper].Keepers(now)).NotTo(BeEmpty(), "it heard from the others 0.75 s ago")
 	g.Expect(views[keeper].Keepers(now.Add(time.Second))).To(BeEmpty())
 }
+
+// Guards against teams that get no tokens after the loss of one of two failure domains, and against two keepers of which each
+// half of the fleet has one.
+func TestOneHalfOfASplitFleetHasAKeeper(t *testing.T) {
+	for domains := 1; domains <= 4; domains++ {
+		for mask := range 1 << (3 * min(domains, 2)) {
+			views, names := ownerViews(domains)
+			side := map[string]bool{}
+			for i, name := range names {
+				side[name] = mask>>(i%6)&1 == 1
+			}
+			cut(views, side)
+			now := time.Unix(10, 0)
+			exchange(now, views, names, func(a, b string) bool { return side[a] == side[b] })
+			NewWithT(t).Expect(keepersOf(now, views, names, "team")).To(HaveLen(1), "domains %d, split %b", domains, mask)
+		}
+	}
+}
--- a/service/access/access.go
+++ b/service/access/access.go
@@ -29,8 +29,10 @@
 	// answerTimeout is the time for an answer beyond that.
 	maxAnswerWait = 1250 * time.Millisecond
 	answerTimeout = 350 * time.Millisecond
-	// idleInterval is the interval at which a host that has nothing to ask checks whether that changed.
-	idleInterval = 100 * time.Millisecond
+	// idleInterval is the interval at which a host that has nothing to ask checks whether that changed, and
+	// inactiveInterval that where callers need no keys.
+	idleInterval     = 100 * time.Millisecond
+	inactiveInterval = 500 * time.Millisecond
 	// askAge is the age of the newest fact from which a host asks that lists the configuration itself.
 	askAge = 1200 * time.Millisecond
 	// readAge is the age of the newest fact from which a host reads the configuration itself if its peers know nothing
@@ -161,11 +163,15 @@
 	next, failed, answered := 0, 0, false
 	for ctx.Err() == nil {
 		s.report()
-		peers := s.options.Peers()
-		if !s.isActive() || s.options.Lists() && s.newestAge() < askAge {
+		if !s.isActive() {
+			sleep(ctx, inactiveInterval)
+			continue
+		}
+		if s.options.Lists() && s.newestAge() < askAge {
 			sleep(ctx, idleInterval)
 			continue
 		}
+		peers := s.options.Peers()
 		if len(peers) > 0 {
 			ok, isNews := s.ask(ctx, peers[next%len(peers)])
 			answered = answered || ok
--- a/service/ingress/access_host.go
+++ b/service/ingress/access_host.go
@@ -35,6 +35,12 @@
 	})
 }
 
+// needsKeys reports whether the configuration has teams.
+func (h *Host) needsKeys() bool {
+	table := h.ingress.table.Load()
+	return table != nil && table.HasTeams()
+}
+
 // confirmPeers returns the addresses of the hosts to ask: those that this host follows or, if it watches the store, the
 // watchers, of which the first one lists the configuration at intervals.
 func (h *Host) confirmPeers() []string {
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/access"
+	"github.com/hyssopreel/hyssopreel/service/quota"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 )
 
@@ -79,6 +80,7 @@
 	node     *wire.Node
 	budgets  *budgetService
 	access   *access.Service
+	quotas   *quota.Service
 	// keeperTenure tells since when this host has kept accounts of quotas.
 	keeperTenure *keeperTenure
 	heartbeats   *heartbeater
@@ -130,10 +132,12 @@
 	h.keeperTenure = &keeperTenure{self: h.self.Name, hosts: h.hosts}
 	h.heartbeats.onTick = func() {
 		permits.updateTenure()
-		h.keeperTenure.update()
+		if h.needsKeys() {
+			h.keeperTenure.update()
+		}
 	}
-	h.access = h.newAccess(s)
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Quotas: hostQuotas{h.newQuotas(s, scope)}}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.access, h.quotas = h.newAccess(s), h.newQuotas(s, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Quotas: hostQuotas{h.quotas}}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	return h
 }
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -43,6 +43,7 @@
 		})
 	}
 	v.Quarantined = h.ingress.poison.quarantined()
+	h.addTeams(&v)
 	v.RateLimits = h.servers.namedLimits()
 	for i, limit := range v.RateLimits {
 		owner, _ := h.hosts.Owner(limit.Server)
--- a/service/ingress/quota_host.go
+++ b/service/ingress/quota_host.go
@@ -1,14 +1,17 @@
 package ingress
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hyssopreel/hyssopreel/api"
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/settings"
+	"github.com/hyssopreel/hyssopreel/core/access"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	corequota "github.com/hyssopreel/hyssopreel/core/quota"
 	"github.com/hyssopreel/hyssopreel/service/quota"
@@ -105,3 +108,30 @@
 
 // maxTenure is the time for which a host has kept an account if that is longer than it remembers.
 const maxTenure = time.Hour
+
+// maxShownTeams bounds the teams that operators are shown.
+const maxShownTeams = 100
+
+// addTeams adds the age of the configuration and the quotas of teams to the view for operators.
+func (h *Host) addTeams(v *api.FleetView) {
+	v.ConfirmedMS, v.Teams = -1, []api.TeamQuota{}
+	if !h.needsKeys() {
+		return
+	}
+	if age := h.access.Age(); age != access.NeverConfirmed {
+		v.ConfirmedMS = age.Milliseconds()
+	}
+	table := h.ingress.table.Load()
+	for _, usage := range h.quotas.Usage() {
+		shown := api.TeamQuota{Team: usage.Team, Keys: []string{}, Keeper: usage.Keeper, Used: usage.Used, Refused: usage.Refused, Tokens: usage.Tokens}
+		if team := table.Team(usage.Team); team != nil {
+			shown.PerSecond, shown.Burst = team.RatePerSecond, team.Burst
+			for _, key := range team.Keys {
+				shown.Keys = append(shown.Keys, key.Fingerprint())
+			}
+		}
+		v.Teams = append(v.Teams, shown)
+	}
+	slices.SortFunc(v.Teams, func(a, b api.TeamQuota) int { return cmp.Compare(a.Team, b.Team) })
+	v.Teams = v.Teams[:min(len(v.Teams), maxShownTeams)]
+}
--- a/service/ingress/quota_test.go
+++ b/service/ingress/quota_test.go
@@ -145,6 +145,11 @@
 		const hot = 4 * time.Second
 		statuses := flood(hosts, 6*quotaRate/1.6, hot)
 		Expect(statuses).To(And(HaveLen(2), HaveKey(200), HaveKey(429)))
+		view := hosts[0].fleetView()
+		Expect(view.ConfirmedMS).To(BeNumerically(">=", 0))
+		Expect(view.Teams).To(HaveLen(1))
+		Expect(view.Teams[0].Refused).To(BeNumerically(">", 0))
+		Expect(view.Teams[0].Keeper).To(Equal(fleetOrder(hosts, "blue")[0].settings.Host.Name))
 		most, all := b.mostInWindow()
 		Expect(float64(most)).To(BeNumerically("<=", quotaBound(quotaRate, quotaBurst)))
 		Expect(float64(all - before)).To(BeNumerically(">=", 0.95*(quotaRate*hot.Seconds()+quotaBurst)))
--- a/service/quota/quota.go
+++ b/service/quota/quota.go
@@ -347,6 +347,35 @@
 	return answer{Keeps: true, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter}
 }
 
+// TeamUsage is the state of one team at this host.
+type TeamUsage struct {
+	Team, Keeper  string
+	Used, Refused int
+	// Tokens is the balance of the account if this host keeps it, otherwise -1.
+	Tokens float64
+}
+
+// Usage returns the teams whose requests this host handled lately or whose accounts it keeps, in no order.
+func (s *Service) Usage() []TeamUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	var out []TeamUsage
+	for name, t := range s.teams {
+		usage := TeamUsage{Team: name, Keeper: t.keeper, Used: t.used, Refused: t.refused, Tokens: -1}
+		if account := s.accounts[name]; account != nil {
+			usage.Tokens = account.Tokens(now)
+		}
+		out = append(out, usage)
+	}
+	for name, account := range s.accounts {
+		if s.teams[name] == nil {
+			out = append(out, TeamUsage{Team: name, Tokens: account.Tokens(now)})
+		}
+	}
+	return out
+}
+
 // maxIdleStart bounds how long before its first use a new account is taken to have started.
 const maxIdleStart = 10 * time.Second
 
