--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -48,6 +48,7 @@
 	TypeListTurns:        "list_turns",
 	TypeFetchTurns:       "fetch_turns",
 	TypeDiskStatus:       "disk_status",
+	TypeQuota:            "quota",
 }
 
 // String returns the name of the type as in docs/design.md, section 9. Names are topics of PubSub and steps of
--- a/common/wire/wire.go
+++ b/common/wire/wire.go
@@ -37,6 +37,7 @@
 	TypeListTurns        // request of a host with a disk for the turns of which it should have copies
 	TypeFetchTurns       // request of a host with a disk for copies of turns
 	TypeDiskStatus       // request for the status of a host with a disk
+	TypeQuota            // request for tokens of a team's quota, sent to the host that keeps the team's account
 )
 
 // MaxFrameBytes bounds a frame; a larger one closes the connection. It holds one object of the store
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -19,6 +19,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/access"
+	"github.com/hyssopreel/hyssopreel/service/quota"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 	"github.com/hyssopreel/hyssopreel/service/turns"
 	"github.com/hyssopreel/hyssopreel/service/verdicts"
@@ -70,21 +71,24 @@
 
 // Host is an entry host: an Ingress with its configuration, servers and peers.
 type Host struct {
-	settings   atomic.Pointer[settings.EntryHost]
-	adapter    Adapter
-	self       fleet.Host
-	metrics    *metrics.Metrics
-	reload     <-chan *settings.EntryHost
-	ingress    *Ingress
-	servers    *Servers
-	hosts      *Hosts
-	node       *wire.Node
-	budgets    *budgetService
-	access     *access.Service
-	turns      *turns.Client
-	heartbeats *heartbeater
-	verdicts   *verdicts.Keeper
-	store      objectapi.Store // the platform's, through a peer while this host has no access to it
+	settings atomic.Pointer[settings.EntryHost]
+	adapter  Adapter
+	self     fleet.Host
+	metrics  *metrics.Metrics
+	reload   <-chan *settings.EntryHost
+	ingress  *Ingress
+	servers  *Servers
+	hosts    *Hosts
+	node     *wire.Node
+	budgets  *budgetService
+	access   *access.Service
+	turns    *turns.Client
+	quotas   *quota.Service
+	// keeperTenure tells since when this host has kept accounts of quotas.
+	keeperTenure *keeperTenure
+	heartbeats   *heartbeater
+	verdicts     *verdicts.Keeper
+	store        objectapi.Store // the platform's, through a peer while this host has no access to it
 
 	startedAt time.Time
 	// configRevision is the revision of the configuration that was last put in force or rejected.
@@ -131,10 +135,18 @@
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
-	h.heartbeats.onTick = permits.updateTenure
-	h.access = h.newAccess(s)
+	h.keeperTenure = &keeperTenure{self: h.self.Name, hosts: h.hosts}
+	h.heartbeats.onTick = func() {
+		permits.updateTenure()
+		if h.needsKeys() {
+			h.keeperTenure.update()
+		}
+	}
+	h.access, h.quotas = h.newAccess(s), h.newQuotas(s, scope)
 	h.turns = turns.NewClient(h.node, h.store, s.Promises.TolerableHostLosses, s.Host.FailureDomain, s.Host.Region, scope)
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Turns: h.turns}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.ingress = New(Options{
+		FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Turns: h.turns, Quotas: hostQuotas{h.quotas},
+	}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	h.verdicts = h.newVerdictKeeper()
 	h.heartbeats.sections = append(h.heartbeats.sections, leavingSection{h.servers})
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -34,6 +34,8 @@
 	Access Access
 	// Turns retains turns. It may be nil if no route needs that.
 	Turns Turns
+	// Quotas keeps teams within their quotas. If it is nil, there are none.
+	Quotas Quotas
 }
 
 const (
@@ -265,6 +267,10 @@
 func (x *exchange) forward(w http.ResponseWriter) *failure {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	if fail := x.claimQuota(ctx); fail != nil {
+		return fail
+	}
+	defer x.releaseQuota()
 	if x.route.Kind != routing.Stream {
 		resp, body, fail := x.forwardWithHedging(ctx)
 		if fail != nil {
