Resume a stream elsewhere if the server that may not be asked again has ended

Cause: a stream that broke off twice at a server before its first event, or at a server that was ejected in the meantime, ended with 502, although the server refused connections and had certainly ended.

Change: before a stream is given up, the possible executors that have ended are dropped.

--- a/service/ingress/executors_test.go
+++ b/service/ingress/executors_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -62,6 +64,29 @@
 	})
 })
 
+var _ = Describe("A stream that breaks off twice before its first event", func() {
+	// Guards against streams that are lost with a server that has ended, because they may not be resumed there once more.
+	It("goes on at another server if the first one refuses connections", func() {
+		var h *testIngress
+		var server *httptest.Server
+		var requests atomic.Int32
+		other := newBackend("i-2", func(w http.ResponseWriter, _ *http.Request, _ int) { streamEvents(w, 1, 2) })
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if requests.Add(1) == 2 {
+				time.Sleep(150 * time.Millisecond) // a connection that shows whether the server has ended counts for 100 ms
+				_ = server.Listener.Close()
+				h.servers.Put(placement.Server{ID: other.id, Service: "s", Address: other.address, Slots: 4})
+			}
+			resetConnection(w)
+		}))
+		DeferCleanup(server.CloseClientConnections)
+		h = newConfiguredIngress(&backend{id: "i-1", address: server.Listener.Addr().String()})
+		a := h.call("POST", "/turns/", "")
+		Expect(a.status).To(Equal(200))
+		Expect(requests.Load()).To(Equal(int32(2)))
+	})
+})
+
 var _ = Describe("A server that ends and starts again under its ID at once", func() {
 	// Guards against ends of servers that don't count, because the next start is taken for a planned one, or accepts the
 	// connection that shows whether the server has ended.
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -116,6 +116,9 @@
 	case !s.route.Retryable() || s.interruptions > maxResumes:
 		return false
 	}
+	if s.resumeServer == "" {
+		s.possibleExecutors.dropEnded()
+	}
 	return s.resumeServer != "" || len(s.possibleExecutors) < s.maxExecutions()
 }
 
