Test that a connection that cannot be opened in time proves no end of a server

Cause: no test covered a server whose queue of connections is full: it is alive, and connections to it time out.

Change: a listener without a backlog that is filled before the stream breaks off.

Measured: fails (the stream goes on at a second server) if any failed connection counts as the end of a possible executor.

--- a/service/ingress/executors_test.go
+++ b/service/ingress/executors_test.go
@@ -1,14 +1,19 @@
 package ingress_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/hyssopreel/hyssopreel/core/placement"
 )
@@ -64,6 +69,58 @@
 	})
 })
 
+// listenWithoutBacklog returns a listener at which the kernel keeps few connections that are not accepted.
+func listenWithoutBacklog() net.Listener {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	Expect(unix.Listen(fd, 0)).To(Succeed())
+	file := os.NewFile(uintptr(fd), "listener")
+	defer func() { _ = file.Close() }()
+	listener, err := net.FileListener(file)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	return listener
+}
+
+// fillBacklog opens connections that are not accepted until no other one can be opened.
+func fillBacklog(address string) {
+	for range 64 {
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		DeferCleanup(c.Close)
+	}
+	Fail("the kernel keeps connections without end")
+}
+
+var _ = Describe("A stream that breaks off at a server that accepts no more connections", func() {
+	// Guards against a stream that two servers work on: a connection that cannot be opened in time doesn't show that the
+	// server has ended.
+	It("doesn't go on at another server", func() {
+		var h *testIngress
+		other := newBackend("i-2", func(w http.ResponseWriter, _ *http.Request, _ int) { streamEvents(w, 3, 4) })
+		listener := listenWithoutBacklog()
+		address := listener.Addr().String()
+		go func() {
+			defer GinkgoRecover()
+			c, err := listener.Accept()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = http.ReadRequest(bufio.NewReader(c))
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHyssopreel-Attempt-Id: a1\r\n%s: i-1\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n", stampHeader)
+			fillBacklog(address)
+			h.servers.Put(placement.Server{ID: other.id, Service: "s", Address: other.address, Slots: 4})
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}()
+		h = newConfiguredIngress(&backend{id: "i-1", address: address})
+		Expect(h.call("POST", "/turns/", "").err).To(HaveOccurred())
+		Expect(other.requests()).To(BeEmpty())
+	})
+})
+
 var _ = Describe("A stream that breaks off twice before its first event", func() {
 	// Guards against streams that are lost with a server that has ended, because they may not be resumed there once more.
 	It("goes on at another server if the first one refuses connections", func() {
