Let the test of leaving servers fail without the heartbeat section

Cause: "gets no new requests of other hosts, also while the store is unavailable" passed without the section: the other host learned of the server from its own first response.

Change: the test waits until the other host's metrics show the server, and then expects no request at all.

Measured: passes; fails without the section.

--- a/service/ingress/leaving_host_test.go
+++ b/service/ingress/leaving_host_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,17 @@
 	"github.com/hyssopreel/hyssopreel/standin/objects"
 )
 
+// metrics returns the page of the host's metrics.
+func (r *runningHost) metrics() string {
+	resp, err := http.Get("http://" + r.settings.Listen.Metrics + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, _ := io.ReadAll(resp.Body)
+	return string(b)
+}
+
 var _ = Describe("A server whose responses say that it leaves", func() {
 	const leavingHeader = "Server-Leaving"
 
@@ -69,12 +81,11 @@
 		for before := len(leaving.requests()); len(leaving.requests()) == before; {
 			hosts[0].call("POST", "/turns/ok", "")
 		}
-		Eventually(func() int {
-			before := len(leaving.requests())
-			for range 20 {
-				Expect(hosts[1].call("POST", "/turns/ok", "").status).To(Equal(200))
-			}
-			return len(leaving.requests()) - before
-		}, "2s").Should(BeZero())
+		Eventually(hosts[1].metrics, "2s").Should(MatchRegexp(`(?m)^hyssopreel_leaving_servers\S* 1$`), "it is told")
+		before := len(leaving.requests())
+		for range 20 {
+			Expect(hosts[1].call("POST", "/turns/ok", "").status).To(Equal(200))
+		}
+		Expect(leaving.requests()).To(HaveLen(before))
 	})
 })
