Grant the tokens of a team to programs in progress first

Ruled out: no refusal of later requests at all, because the quota binds each of them. Change: a request of a program in progress waits for a token, at most a quarter of its time; the first turn of a program is refused at once while few tokens of its team are left.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -28,6 +28,11 @@
 	maxAskDelay = 100 * time.Millisecond
 	// maxRetryAfter bounds the time after which callers are told to come again.
 	maxRetryAfter = 2 * time.Second
+	// scarceFraction is the part of its capacity below which an account keeps its tokens for programs in progress: a
+	// program that is refused midway is lost with all that it has used.
+	scarceFraction = 0.5
+	// scarceTTL is how long a host takes the tokens to be scarce after it was told so.
+	scarceTTL = 500 * time.Millisecond
 	// askerTTL is how long a host that got fewer tokens than it wanted counts as one that waits.
 	askerTTL = time.Second
 )
@@ -80,6 +85,8 @@
 	// AskAfter is the time after which the host should ask again, and RetryAfter that after which callers should come again.
 	// Both are 0 if the host got all tokens.
 	AskAfter, RetryAfter time.Duration
+	// Scarce is set if what is left is kept for programs in progress.
+	Scarce bool
 }
 
 // Grant grants the host up to that many tokens of a team with the limit l.
@@ -95,9 +102,10 @@
 	if granted > 0 && !a.limiter.AllowN(at(now), granted) {
 		granted = 0 // a rounding error of the limiter
 	}
+	scarce := level-float64(granted) < scarceFraction*float64(a.bounds.capacity(a.limit))
 	if granted >= tokens {
 		delete(a.askers, host)
-		return Grant{Tokens: granted}
+		return Grant{Tokens: granted, Scarce: scarce}
 	}
 	a.askers[host] = now
 	for other, askedAt := range a.askers {
@@ -108,6 +116,7 @@
 	missing := max(1-(level-float64(granted)), 0)
 	return Grant{
 		Tokens:     granted,
+		Scarce:     scarce,
 		AskAfter:   min(max(a.duration(missing), minAskDelay), maxAskDelay),
 		RetryAfter: min(a.duration(missing+float64(len(a.askers)-1)/2), maxRetryAfter),
 	}
@@ -150,6 +159,8 @@
 	demandAt time.Duration
 	// deniedUntil is until when the host got fewer tokens than it wanted, and retryAfter what it was told then.
 	deniedUntil, retryAfter time.Duration
+	// scarceUntil is until when programs should not start.
+	scarceUntil time.Duration
 }
 
 type lease struct {
@@ -210,12 +221,21 @@
 	if g.Tokens > 0 && askedAt+leaseTime > now {
 		h.leases = append(h.leases, lease{tokens: g.Tokens, end: askedAt + leaseTime})
 	}
-	h.deniedUntil, h.retryAfter = 0, 0
+	h.deniedUntil, h.retryAfter, h.scarceUntil = 0, 0, 0
+	if g.Scarce {
+		h.scarceUntil = now + scarceTTL
+	}
 	if g.AskAfter > 0 {
 		h.deniedUntil, h.retryAfter = now+g.AskAfter, g.RetryAfter
 	}
 }
 
+// Scarce reports whether the tokens are kept for programs in progress.
+func (h *Holder) Scarce(now time.Duration) bool { return now < h.scarceUntil }
+
+// DeniedFor returns for how long the host asks for no more tokens; 0 if it was not denied any.
+func (h *Holder) DeniedFor(now time.Duration) time.Duration { return max(h.deniedUntil-now, 0) }
+
 // Denied reports whether the quota is used up for now, and after which time callers should come again.
 func (h *Holder) Denied(now time.Duration) (retryAfter time.Duration, denied bool) {
 	return h.retryAfter, now < h.deniedUntil
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -228,3 +228,29 @@
 	}
 	g.Expect(float64(granted)).To(BeNumerically("<=", allowed(lowered)))
 }
+
+// Guards against programs of a hot team that start and are refused midway, so that all that they have used is lost.
+func TestTokensBelowHalfOfTheCapacityAreKeptForProgramsInProgress(t *testing.T) {
+	limit := quota.Limit{PerSecond: 10, Burst: 20}
+	bounds := quota.Bounds{Window: 5 * time.Second, Tolerance: 0.1}
+	now := time.Minute
+	account := quota.NewAccount(now, limit, bounds, true)
+	var holder quota.Holder
+	lease := func(tokens int) { holder.Lease(now, now, bounds.LeaseTime(), account.Grant(now, "a-1", tokens, limit)) }
+	lease(10)
+	if holder.Scarce(now) {
+		t.Error("half of the tokens are left, and count as scarce")
+	}
+	lease(1)
+	if !holder.Scarce(now) {
+		t.Error("less than half of the tokens are left, and do not count as scarce")
+	}
+	if !holder.Use(now) {
+		t.Error("a program in progress gets no token")
+	}
+	now += time.Second
+	lease(1)
+	if holder.Scarce(now) {
+		t.Error("half of the tokens are left again, and count as scarce")
+	}
+}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -267,11 +267,11 @@
 func (x *exchange) forward(w http.ResponseWriter) *failure {
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
-	if fail := x.claimQuota(ctx); fail != nil {
-		return fail
-	}
 	defer x.releaseQuota()
 	if x.route.Kind != routing.Stream {
+		if fail := x.claimQuota(ctx); fail != nil {
+			return fail
+		}
 		resp, body, fail := x.forwardWithHedging(ctx)
 		if fail != nil {
 			return fail
@@ -294,6 +294,9 @@
 		}
 	}
 	fail := x.shedNewProgram()
+	if fail == nil {
+		fail = x.claimQuota(ctx)
+	}
 	if fail == nil {
 		fail = s.run(ctx)
 	}
@@ -318,10 +321,15 @@
 	return fail
 }
 
-// shedNewProgram refuses the first turn of a program while the engines are overloaded. Only the home of a program with
-// a budget records whether a turn has run, so that turns without a home are not shed.
+// startsProgram reports whether the request is the first turn of a program. Only the home of a program with a budget records
+// whether a turn has run, so that turns without a home count as later ones.
+func (x *exchange) startsProgram() bool {
+	return x.reserved.Home != "" && x.metadata.LastEventID == "" && x.reserved.CacheServer == ""
+}
+
+// shedNewProgram refuses the first turn of a program while the engines are overloaded.
 func (x *exchange) shedNewProgram() *failure {
-	if x.reserved.Home == "" || x.metadata.LastEventID != "" || x.reserved.CacheServer != "" {
+	if !x.startsProgram() {
 		return nil
 	}
 	pressure := x.ingress.servers.Pressure(x.service)
--- a/service/ingress/quota.go
+++ b/service/ingress/quota.go
@@ -20,9 +20,10 @@
 
 // Quotas keeps the requests of teams within their quotas.
 type Quotas interface {
-	// Admit claims a part of the team's quota for one request. The error is quota.ExceededError if the quota is used up,
+	// Admit claims a part of the team's quota for one request. A request that starts a program is refused earlier, and does
+	// not wait. The error is quota.ExceededError if the quota is used up,
 	// quota.ErrUnavailable if that is not known, or that of ctx.
-	Admit(ctx context.Context, team string, maxWait time.Duration) (QuotaClaim, error)
+	Admit(ctx context.Context, team string, startsProgram bool, maxWait time.Duration) (QuotaClaim, error)
 }
 
 // QuotaClaim is the claim of one request. It must be ended by Use or Release; calls after that do nothing.
@@ -36,8 +37,8 @@
 type hostQuotas struct{ service *quota.Service }
 
 // Admit implements Quotas.
-func (q hostQuotas) Admit(ctx context.Context, team string, maxWait time.Duration) (QuotaClaim, error) {
-	return q.service.Admit(ctx, team, maxWait)
+func (q hostQuotas) Admit(ctx context.Context, team string, startsProgram bool, maxWait time.Duration) (QuotaClaim, error) {
+	return q.service.Admit(ctx, team, startsProgram, maxWait)
 }
 
 // claimQuota claims a part of the quota of the request's team, or refuses the request.
@@ -46,7 +47,7 @@
 		return nil
 	}
 	remaining := x.deadline.Sub(x.ingress.now())
-	claim, err := x.ingress.options.Quotas.Admit(ctx, x.team.Name, min(maxQuotaWait, time.Duration(quotaWaitFraction*float64(remaining))))
+	claim, err := x.ingress.options.Quotas.Admit(ctx, x.team.Name, x.startsProgram(), min(maxQuotaWait, time.Duration(quotaWaitFraction*float64(remaining))))
 	if err == nil {
 		x.quotaClaim = claim
 		return nil
--- a/service/quota/quota.go
+++ b/service/quota/quota.go
@@ -27,6 +27,9 @@
 	retryDelay = 50 * time.Millisecond
 	// sendWait is how long a request that is about to be sent waits for a token: it occupies a place at a server.
 	sendWait = 250 * time.Millisecond
+	// startRetryAfter is the time after which a program that was not started may come again: its team has tokens for several
+	// requests then.
+	startRetryAfter = 500 * time.Millisecond
 	// idleTime is how long the tokens of a team are remembered without requests, and sweepInterval how often that is checked.
 	idleTime      = 10 * time.Second
 	sweepInterval = 2 * time.Second
@@ -114,9 +117,10 @@
 }
 
 // Admit claims a token for a request of the team, which waits for the answer of the account's keeper if necessary, at most
-// for maxWait. The error is an ExceededError, ErrUnavailable or that of ctx. The claim is nil if the team has no quota; it
+// for maxWait. A request that starts a program is refused at once if the quota is used up or nearly so; others wait for a
+// token, because a program that is refused midway is lost. The error is an ExceededError, ErrUnavailable or that of ctx. The claim is nil if the team has no quota; it
 // must be ended by Use or Release.
-func (s *Service) Admit(ctx context.Context, team string, maxWait time.Duration) (*Claim, error) {
+func (s *Service) Admit(ctx context.Context, team string, startsProgram bool, maxWait time.Duration) (*Claim, error) {
 	if _, ok := s.options.Limit(team); !ok {
 		return nil, nil
 	}
@@ -131,9 +135,12 @@
 	}
 	t.usedAt = now
 	t.RecordRequest(now)
-	if err := s.await(ctx, team, t, now+maxWait, func(now time.Duration) bool { return t.Available(now) > t.admitted }); err != nil {
+	if err := s.await(ctx, team, t, now+maxWait, !startsProgram, func(now time.Duration) bool { return t.Available(now) > t.admitted }); err != nil {
 		return nil, s.count(t, err)
 	}
+	if startsProgram && t.Scarce(s.now()) {
+		return nil, s.count(t, ExceededError{RetryAfter: startRetryAfter})
+	}
 	t.admitted++
 	return &Claim{service: s, team: team, tokens: t}, nil
 }
@@ -149,7 +156,7 @@
 	defer s.mu.Unlock()
 	c.ended = true
 	t.admitted--
-	return s.count(t, s.await(ctx, c.team, t, s.now()+sendWait, t.Use))
+	return s.count(t, s.await(ctx, c.team, t, s.now()+sendWait, true, t.Use))
 }
 
 // Release ends the claim of a request that is not sent.
@@ -181,10 +188,13 @@
 }
 
 // await returns nil as soon as done returns true, and asks for tokens until the quota turns out to be used up. It returns
-// ErrUnavailable if no keeper has answered by the deadline. s.mu is held; it is released while await waits.
-func (s *Service) await(ctx context.Context, team string, t *teamTokens, deadline time.Duration, done func(now time.Duration) bool) error {
+// ErrUnavailable if no keeper has answered by the deadline. If patient is set, it waits until the deadline for tokens of a
+// quota that is used up. s.mu is held; it is released while await waits.
+func (s *Service) await(ctx context.Context, team string, t *teamTokens, deadline time.Duration, patient bool, done func(now time.Duration) bool) error {
 	t.waiting++
 	defer func() { t.waiting-- }()
+	// failure is the error at the deadline.
+	failure := ErrUnavailable
 	for {
 		now := s.now()
 		isDone := done(now)
@@ -192,15 +202,16 @@
 		if isDone {
 			return nil
 		}
-		if retryAfter, denied := t.Denied(now); denied {
-			return ExceededError{RetryAfter: retryAfter}
+		retryAfter, denied := t.Denied(now)
+		if denied {
+			failure = ExceededError{RetryAfter: retryAfter}
 		}
-		if now >= deadline {
-			return ErrUnavailable
+		if denied && !patient || now >= deadline {
+			return failure
 		}
 		wait := deadline - now
 		if !t.asking {
-			wait = min(wait, max(t.unavailableUntil-now, time.Millisecond))
+			wait = min(wait, max(t.unavailableUntil-now, t.DeniedFor(now), time.Millisecond))
 		}
 		answered := t.answered
 		s.mu.Unlock()
@@ -242,6 +253,7 @@
 	Keeps                bool
 	Tokens               int
 	AskAfter, RetryAfter time.Duration
+	Scarce               bool
 }
 
 // ask asks the keepers of the team's account one after the other until one grants or denies tokens.
@@ -264,7 +276,7 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		t.Lease(s.now(), askedAt, s.options.Bounds.LeaseTime(), core.Grant{Tokens: a.Tokens, AskAfter: a.AskAfter, RetryAfter: a.RetryAfter})
+		t.Lease(s.now(), askedAt, s.options.Bounds.LeaseTime(), core.Grant{Tokens: a.Tokens, AskAfter: a.AskAfter, RetryAfter: a.RetryAfter, Scarce: a.Scarce})
 		t.keeper = peer.Name
 		s.endQuestion(t)
 		return
@@ -344,7 +356,7 @@
 		s.accounts[q.Team] = account
 	}
 	g := account.Grant(now, q.Host, q.Tokens, limit)
-	return answer{Keeps: true, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter}
+	return answer{Keeps: true, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter, Scarce: g.Scarce}
 }
 
 // TeamUsage is the state of one team at this host.
