Take over a newer configuration from the peer that tells of it

Cause: a host that learned from a peer that there was a newer configuration waited for the heartbeats to show it (a heartbeat, 0.3 s, another heartbeat). With stale watches its configuration was 1.6 s old by then, so that unknown keys got 503 for a moment; a run with the race detector on a busy machine saw 503 in place of 401 two seconds after a revocation. Ruled out: a longer bound for refusals (it must stay below 'configuration'). Change: a watcher that is still behind 100 ms after such an answer takes over the copy of the peer that gave it. The test demands that a revoked key is never accepted after the bound, and refused for good within 2 s more.

--- a/core/access/freshness.go
+++ b/core/access/freshness.go
@@ -75,6 +75,9 @@
 // ConfirmedAt returns the newest time at which the configuration in force was known to be the newest one.
 func (f *Freshness) ConfirmedAt() (at time.Duration, ok bool) { return f.confirmedAt, f.isConfirmed }
 
+// IsBehind reports whether the host has heard of a configuration that it has not put in force yet.
+func (f *Freshness) IsBehind() bool { return len(f.pending) > 0 }
+
 // Question asks another host for a newer fact.
 type Question struct {
 	// KnownAge is the age of the newest fact of the host that asks; negative if it has none.
--- a/service/access/access.go
+++ b/service/access/access.go
@@ -40,6 +40,9 @@
 	readAge      = 1800 * time.Millisecond
 	readInterval = time.Second
 	readTimeout  = time.Second
+	// catchUpDelay is how long a host waits for a configuration that a peer knows of before it takes it over from there: a
+	// watch may be stale.
+	catchUpDelay = 100 * time.Millisecond
 	// reportAge is the age from which the configuration is reported as not confirmed.
 	reportAge = 3 * time.Second
 )
@@ -57,6 +60,8 @@
 	Lists func() bool
 	// MayRead reports whether this host may read the configuration from the store although its peers answer.
 	MayRead func() bool
+	// CatchUp makes this host take over the newer configuration that the peer at the address knows of.
+	CatchUp func(peer string)
 	// Read reads the configuration from the store, puts it in force and returns its revision.
 	Read func(ctx context.Context) (revision uint64, err error)
 }
@@ -218,9 +223,22 @@
 	if isNews {
 		s.announce()
 	}
+	if isNews && s.freshness.IsBehind() {
+		time.AfterFunc(catchUpDelay, func() { s.catchUp(peer) })
+	}
 	return true, isNews
 }
 
+// catchUp takes over the configuration of a peer if this host is still behind.
+func (s *Service) catchUp(peer string) {
+	s.mu.Lock()
+	isBehind := s.freshness.IsBehind()
+	s.mu.Unlock()
+	if isBehind {
+		s.options.CatchUp(peer)
+	}
+}
+
 // serve answers a peer's question as soon as this host knows a newer fact, or after the longest wait.
 func (s *Service) serve(ctx context.Context, r *wire.Request) {
 	receivedAt := s.now()
--- a/service/ingress/access_host.go
+++ b/service/ingress/access_host.go
@@ -32,6 +32,11 @@
 		Lists:           h.pollsKind(h.adapter.KindConfig),
 		MayRead:         func() bool { return h.hosts.IsWatcher() && h.adapter.StoreAvailable() },
 		Read:            h.readConfig,
+		CatchUp: func(peer string) {
+			if h.hosts.IsWatcher() { // the others follow one
+				h.heartbeats.informers[h.adapter.KindConfig].RelistFrom(peer)
+			}
+		},
 	})
 }
 
