--- a/service/access/access.go
+++ b/service/access/access.go
@@ -30,8 +30,9 @@
 	maxAnswerWait = 1250 * time.Millisecond
 	answerTimeout = 350 * time.Millisecond
 	// idleInterval is the interval at which a host that has nothing to ask checks whether that changed, and
-	// inactiveInterval that where callers need no keys.
+	// startInterval and inactiveInterval those before there is a configuration and where callers need no keys.
 	idleInterval     = 100 * time.Millisecond
+	startInterval    = 20 * time.Millisecond
 	inactiveInterval = 500 * time.Millisecond
 	// askAge is the age of the newest fact from which a host asks that lists the configuration itself.
 	askAge = 1200 * time.Millisecond
@@ -168,6 +169,10 @@
 	next, failed, answered := 0, 0, false
 	for ctx.Err() == nil {
 		s.report()
+		if s.options.Table() == nil { // the host starts, and waits for this before it serves
+			sleep(ctx, startInterval)
+			continue
+		}
 		if !s.isActive() {
 			sleep(ctx, inactiveInterval)
 			continue
