Hand the accounts of quotas over when their keeper drains

Cause: after a planned stop of the host that keeps a team's account, its successor granted nothing for 1.5 s and started without tokens, so that a team within its quota had to wait, and then met an empty account. Ruled out: a shorter wait (the former keeper must have noticed, if it is lost and not stopped). Change: a draining host sends the balances to the next keepers and grants nothing from then on; these go on at once. The age of the configuration is a metric. Result: a team at its usual rate through two hosts while the third, which keeps its account, stops: all requests answered with 200.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -74,6 +74,13 @@
 	return a
 }
 
+// NewAdoptedAccount returns an account with the tokens that another host's account had when it was handed over.
+func NewAdoptedAccount(now time.Duration, l Limit, b Bounds, tokens float64) *Account {
+	a := NewAccount(now, l, b, true)
+	a.limiter.AllowN(at(now), b.capacity(l)-int(min(max(tokens, 0), float64(b.capacity(l)))))
+	return a
+}
+
 // Grant is what a host gets of the tokens that it asked for.
 type Grant struct {
 	Tokens int
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -227,6 +227,7 @@
 	defer cancelUnregister()
 	go h.unregister(unregisterCtx)
 	h.heartbeats.broadcast(ctx)
+	h.quotas.HandOver(ctx)
 	h.budgets.handOver(ctx, true)
 	select {
 	case <-time.After(min(drainListenTime, time.Duration(gracePeriod*drainListenFraction))):
@@ -281,6 +282,9 @@
 			h.ingress.poison.expire()
 			h.servers.DispatchAll()
 			h.hosts.SetSlots(h.servers.TotalSlots())
+			if h.needsKeys() {
+				h.metrics.Scope().Gauge("config_age_seconds").Update(h.access.Age().Seconds())
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/service/ingress/quota_test.go
+++ b/service/ingress/quota_test.go
@@ -185,6 +185,21 @@
 		Expect(all).To(BeNumerically(">=", int(3*quotaRate)), "requests are granted again after the handover")
 	})
 
+	// Guards against a team within its quota that is refused because the host that keeps its account is restarted.
+	It("refuse nothing within the quota while the host that keeps the account drains", func() {
+		hosts := start("a-1", "b-1", "c-1")
+		fill(hosts)
+		keeper := fleetOrder(hosts, "blue")
+		done := make(chan map[int]int, 1)
+		go func() {
+			defer GinkgoRecover()
+			done <- flood(keeper[1:], quotaRate/1.6, 4*time.Second)
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		keeper[0].stop()
+		Expect(<-done).To(And(HaveLen(1), HaveKey(200)))
+	})
+
 	// Guards against a limit that was lowered and is not applied.
 	It("apply a lowered quota", func() {
 		hosts := start("a-1", "b-1", "c-1")
--- a/service/quota/quota.go
+++ b/service/quota/quota.go
@@ -71,6 +71,10 @@
 	mu       sync.Mutex
 	teams    map[string]*teamTokens
 	accounts map[string]*keptAccount
+	// adopted holds the accounts that other hosts have handed over, until they are used, by team.
+	adopted map[string]adoptedAccount
+	// handedOver is set once this host has handed its accounts over; it grants nothing from then on.
+	handedOver bool
 	// silentUntil holds until when hosts that did not answer are not asked.
 	silentUntil map[string]time.Duration
 	sweptAt     time.Duration
@@ -100,7 +104,7 @@
 
 // New returns a service without tokens and accounts.
 func New(o Options) *Service {
-	s := &Service{options: o, now: clock.SinceBoot, teams: map[string]*teamTokens{}, accounts: map[string]*keptAccount{}, silentUntil: map[string]time.Duration{}}
+	s := &Service{options: o, now: clock.SinceBoot, teams: map[string]*teamTokens{}, accounts: map[string]*keptAccount{}, adopted: map[string]adoptedAccount{}, silentUntil: map[string]time.Duration{}}
 	o.Node.Handle(wire.TypeQuota, s.serve)
 	return s
 }
@@ -234,6 +238,8 @@
 	Host   string
 	Team   string
 	Tokens int
+	// HandedOver holds the accounts of a host that drains. Such a message asks for no tokens.
+	HandedOver []handedAccount `msgpack:",omitempty"`
 }
 
 // answer is the answer to a question.
@@ -309,6 +315,11 @@
 func (s *Service) serve(_ context.Context, r *wire.Request) {
 	var q question
 	err := r.Decode(&q)
+	if err == nil && len(q.HandedOver) > 0 {
+		s.adopt(q.HandedOver)
+		_ = r.Answer(answer{}) // fails only if the sender no longer waits
+		return
+	}
 	if err == nil && (q.Host == "" || q.Tokens < 1 || q.Tokens > core.MaxWanted) {
 		err = errors.Newf("host %q asks for %d tokens of team %q", q.Host, q.Tokens, q.Team)
 	}
@@ -328,13 +339,23 @@
 func (s *Service) grant(q question) answer {
 	limit, hasQuota := s.options.Limit(q.Team)
 	kept, since, handover, ok := s.options.KeptFor(q.Team)
-	if !ok || !hasQuota || kept < handover {
+	if !ok || !hasQuota {
 		return answer{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	account := s.accounts[q.Team]
+	if kept < handover && (account == nil || account.since != since) {
+		if account = s.takeAdopted(q.Team, now, limit, handover); account == nil {
+			return answer{}
+		}
+		account.since = since
+		s.accounts[q.Team] = account
+	}
+	if s.handedOver {
+		return answer{}
+	}
 	if account != nil && since == 0 {
 		account.since = 0 // this host has kept the account for longer than anybody remembers
 	}
@@ -395,6 +416,11 @@
 			delete(s.accounts, name)
 		}
 	}
+	for name, adopted := range s.adopted {
+		if now-adopted.at > idleTime {
+			delete(s.adopted, name)
+		}
+	}
 	for name, until := range s.silentUntil {
 		if now >= until {
 			delete(s.silentUntil, name)
