--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -144,7 +144,7 @@
 	It("ignore malformed messages of a peer", func(ctx SpecContext) {
 		peer := wire.NewNode(wire.Options{ProcessName: "malformed"})
 		DeferCleanup(peer.Close)
-		for _, kind := range []wire.Type{wire.TypeEntryHeartbeat, wire.TypeFollow, wire.TypeReserve, wire.TypeSettle, wire.TypeTransferAccounts, wire.TypeRecallAccount, wire.TypeStoreRelay} {
+		for _, kind := range []wire.Type{wire.TypeEntryHeartbeat, wire.TypeFollow, wire.TypeReserve, wire.TypeSettle, wire.TypeTransferAccounts, wire.TypeRecallAccount, wire.TypeStoreRelay, wire.TypeConfirm, wire.TypeQuota} {
 			for _, body := range []any{"text", 7, []byte{0xc1}, map[string]any{"Host": 3, "InFlight": "x"}, nil} {
 				callCtx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 				_ = peer.Call(callCtx, hosts[0].settings.Listen.Peer, kind, body, nil)
