--- a/service/ingress/host_test.go
+++ b/service/ingress/host_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -40,6 +41,28 @@
 	store  http.Handler
 	closed atomic.Bool
 	calls  atomic.Int64
+	// silence is closed at the end of a time in which no call is answered; nil while calls are.
+	silence atomic.Pointer[chan struct{}]
+}
+
+// setSilent begins or ends a time in which no call is answered. Calls that still wait are answered at its end.
+func (g *storeGate) setSilent(silent bool) {
+	if silent {
+		silence := make(chan struct{})
+		g.silence.Store(&silence)
+	} else if silence := g.silence.Swap(nil); silence != nil {
+		close(*silence)
+	}
+}
+
+// awaitEnd waits until the end of the silence or of ctx.
+func (g *storeGate) awaitEnd(ctx context.Context) {
+	if silence := g.silence.Load(); silence != nil {
+		select {
+		case <-*silence:
+		case <-ctx.Done():
+		}
+	}
 }
 
 func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -48,7 +71,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	g.store.ServeHTTP(w, r)
+	g.awaitEnd(r.Context())
+	answer := httptest.NewRecorder()
+	g.store.ServeHTTP(answer, r)
+	g.awaitEnd(r.Context())
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
 }
 
 // runningHost is an entry host that runs in the test's process.
