Remember as many servers without an entry as a deployment has

Cause: 1,024 servers were remembered, but in an outage the entries of all servers may lapse, 6,000 at the target; the rate limits of the others would be forgotten.

Change: 8,192. The memory is that which the servers had before.

--- a/service/ingress/departed.go
+++ b/service/ingress/departed.go
@@ -10,8 +10,9 @@
 	// departedTTL is how long a server without an entry is remembered with its rate limit and its failures: the longest
 	// outage of the store after which the same start of a server may have an entry again.
 	departedTTL = 5 * time.Minute
-	// maxDeparted bounds the number of remembered servers.
-	maxDeparted = 1024
+	// maxDeparted bounds the number of remembered servers: more than the servers of the largest deployment, whose entries may
+	// all lapse in one outage.
+	maxDeparted = 8192
 )
 
 // departedServer is a server whose entry was removed.
