Let a failed expectation in callAll not hang the tests

Cause: a whole run of service/ingress hung at a load average of 55 on 7 cores. The stacks show the callers of "refuse at once, with the time of the next chance, what no server takes" waiting for the lock of callAll: an expectation had failed in one of them with the lock held, and the panic was recovered without releasing it.

Ruled out: a deadlock of the product. No goroutine of a host waits for a lock in the stacks.

Change: the lock is released when the caller ends. What is measured and expected is the same.

--- a/service/ingress/rate_limits_test.go
+++ b/service/ingress/rate_limits_test.go
@@ -84,6 +84,14 @@
 	statuses := map[int]int{}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	record := func(r response, sentAt time.Time) {
+		mu.Lock()
+		defer mu.Unlock() // a failed expectation must not leave the other callers waiting
+		statuses[r.status]++
+		for _, f := range observe {
+			f(r, time.Since(sentAt))
+		}
+	}
 	end := time.Now().Add(d)
 	for i := range callersPerHost * len(hosts) {
 		wg.Go(func() {
@@ -91,12 +99,7 @@
 			for n := 0; time.Now().Before(end); n++ {
 				sentAt := time.Now()
 				resp := hosts[i%len(hosts)].call("GET", "/v1/", "", "Hyssopreel-Attempt-Id", fmt.Sprintf("%d-%d", i, n))
-				mu.Lock()
-				statuses[resp.status]++
-				for _, f := range observe {
-					f(resp, time.Since(sentAt))
-				}
-				mu.Unlock()
+				record(resp, sentAt)
 			}
 		})
 	}
