Let only a program's founder use tokens without a record

Cause: a host used its share of a program without a record, and lost it with its process; the next host, or the same one after its restart, used it again. Ruled out: a record for each program (a write for each start, and none can start while the store is unavailable); shares that are presumed used (any number of them can be lost); fixed parts of the budget (less than a turn). Change: core/founders numbers the hosts that account for programs in an object of the store. The founder of a program may use one share without a record, in one incarnation, for 30 s after its last knowledge that the generation is the newest, and only if no other founder can have used one. Everything else takes a grant. One host reads the object for all; the others learn from heartbeats. Records name what they cover; only the founder deletes them, and grants run out. 402 is answered when the delivered tokens reach the budget, 503 while other tokens prevent the turn. ShareIfStoreDown and PresumeSharesUsed are gone. Tests that changed: those of sharePolicy went with it (core/founders has their cases); tests that expected a share, or 402, within the first seconds of a fleet wait for the first generation, because there is no founder before. Conclusion: at most one share without a record, over all incarnations.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -34,7 +34,7 @@
 	}
 	all := make([]scored, 0, len(hosts))
 	for _, h := range hosts {
-		all = append(all, scored{h, rendezvousScore(h.Name, key)})
+		all = append(all, scored{h, RendezvousScore(h.Name, key)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.Name, b.host.Name))
@@ -46,7 +46,8 @@
 	return out
 }
 
-func rendezvousScore(name, key string) uint64 {
+// RendezvousScore returns the value by which RendezvousOrder orders the hosts, the highest first, and equal ones by name.
+func RendezvousScore(name, key string) uint64 {
 	var d xxhash.Digest
 	_, _ = d.WriteString(key) // never returns an error
 	_, _ = d.WriteString("\x00")
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -2,27 +2,26 @@
 // reducer: events go in, and effects come out as data.
 //
 // A program is accounted for by the first host of its rendezvous order. The used tokens of an account are the
-// delivered tokens plus the reserved tokens of running turns. Hosts lose their accounts when they restart, and go
-// on for a while without the store; still, the used tokens of all hosts together stay within total = budget + one
-// turn of the largest size:
+// delivered tokens plus the reserved tokens of running turns. Hosts lose their accounts when they restart, and the store
+// is unavailable at times; still, the used tokens of all hosts together stay within total = budget + one turn of the
+// largest size:
 //
-//   - The share is a third of total, and at least one turn. Without a grant, an account uses at most the share.
-//     Only the first host may use it at once, and the second host while the store is unavailable (SharePolicy).
-//   - A grant is recorded in the store by a conditional update. It covers all that its host uses, its share
-//     included. The grants of a program add up to at most total - share, so that the share of one other host, of
-//     which there is no record, still fits.
-//   - In one outage of the store, two shares can be used and lost: that of the first host, which then crashes, and
-//     that of the second. A host that starts in an outage is not ready before the store answers, and then presumes
-//     that both are used (PresumeSharesUsed). Grants leave room for one; the other counts as granted elsewhere.
-//     The host has total - 2*share left under a grant, or its share if the store is unavailable again: three
-//     shares are one total. If the share is a whole turn and more than a third of total, the check against the
-//     budget leaves the third account budget - share. Shares that are lost in a second outage are not covered.
+//   - The share is a third of the budget, and at least one turn. Only a program's founder (package founders) may use it
+//     without a record, so that at most one share of a program is ever used without one.
+//   - Everything else needs a grant, which is recorded in the store by a conditional update. The grants of a program add
+//     up to at most total - share. If the record covers the share, because a host that has the founder's account made it,
+//     they add up to at most total.
+//   - A host that may have forgotten that it used the share (its account expired or moved) uses none before it has listed
+//     the records: a program that goes on elsewhere has one.
+//   - A grant may be used for grantLease, and by the founder without a limit. Only the founder deletes a record, when
+//     every grant has run out and the program has ended.
 //
-// An exhausted program is recorded with the largest possible grant: hosts without an account refuse it too.
+// A program is refused permanently only when the tokens that are known to be delivered reach its budget. Tokens that may
+// have been used by hosts that lost their accounts make a refusal temporary. The permanent refusal is recorded, so that
+// hosts without an account refuse the program too.
 package ledger
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -30,24 +29,33 @@
 )
 
 const (
-	// sharesPerBudget is the number of shares that may be used without a record: two that were lost in an outage, and
-	// that of the host that accounts for the program now.
+	// sharesPerBudget makes the share a third of the budget: most programs use less. Hosts that must leave the share free
+	// have two thirds, and the whole budget if that is three turns or fewer, as of most programs that loop.
 	sharesPerBudget = 3
 	// grantHeadroomTurns is the number of turns that a grant covers beyond what is needed: few programs need a second
 	// grant, and enough of the budget is left for a grant of another host.
 	grantHeadroomTurns = 1
 	// writeRetryDelay is the time after a write of unknown outcome before the record is written again.
 	writeRetryDelay = clock.Millis(500)
-	// expiryGrace is added to a program's retention before its account is deleted.
-	expiryGrace = clock.Millis(10_000)
+	// grantLease is how long after the start of its write a grant may be used by a host that is not the founder. Records
+	// outlive their program by as much.
+	grantLease = time.Minute
+	// minRetention is the least retention that programs are taken to have.
+	minRetention = time.Minute
 )
 
 // GrantRecord is the record of a program's grants in the store.
 type GrantRecord struct {
 	// Granted is the sum of the grants of all hosts, in tokens.
 	Granted int `json:"granted"`
+	// CoversShare is set if the share that the founder may have used without a record is part of Granted.
+	CoversShare bool `json:"covers_share,omitempty"`
+	// Exhausted is set if the whole budget was delivered.
+	Exhausted bool `json:"exhausted,omitempty"`
 	// Holder is the host that received the latest grant.
 	Holder string `json:"holder"`
+	// RetentionMS is the program's retention in milliseconds.
+	RetentionMS int64 `json:"retention_ms,omitempty"`
 	// WriteID is unique to the write: a host recognizes its own write when the store's answer was lost.
 	WriteID string `json:"tag"`
 }
@@ -72,17 +80,13 @@
 	Tokens int
 }
 
-// SharePolicy says whether a host may use its share of a program of which it has no account.
-type SharePolicy int
-
-const (
-	// ShareAllowed allows the share at once: this host would have the account if the program had started before.
-	ShareAllowed SharePolicy = iota
-	// ShareIfStoreDown requires a grant, but allows the share if the store does not answer the first WriteGrant.
-	ShareIfStoreDown
-	// GrantRequired requires a grant, also while the store is unavailable.
-	GrantRequired
-)
+// Founders tells whether this host may use tokens of a program without a record.
+type Founders interface {
+	// IsFounder reports that for a moment. listedAt is when the last complete list of the records began.
+	IsFounder(at clock.Millis, program string, retention time.Duration, listedAt clock.Millis) bool
+	// Generation returns the newest generation of founders that this host knows; 0 if it knows none.
+	Generation() uint64
+}
 
 // Decision is the result of a request for a reservation.
 type Decision int
@@ -90,18 +94,21 @@
 const (
 	// Allowed means that the turn may run.
 	Allowed Decision = iota
-	// BudgetExhausted means that the rest of the budget is too small for the turn. The program is refused
-	// permanently.
+	// BudgetExhausted means that the budget is spent. The program is refused permanently.
 	BudgetExhausted
-	// GrantUnavailable means that the turn needs a grant and that the store is unavailable.
+	// GrantUnavailable means that the turn needs a grant and that the store is unavailable, or that running turns have
+	// reserved what is left.
 	GrantUnavailable
 	// NotReady means that this host has not listed the records yet.
 	NotReady
+	// BudgetUnknown means that other hosts may have used what is left. The program is refused for as long as it is not
+	// known that they have not.
+	BudgetUnknown
 )
 
 // String returns the name of the decision in logs.
 func (v Decision) String() string {
-	return [...]string{"allowed", "spent", "unavailable", "not ready"}[v]
+	return [...]string{"allowed", "spent", "unavailable", "not ready", "unknown"}[v]
 }
 
 // WriteResult is the outcome of a WriteGrant.
@@ -131,9 +138,22 @@
 // WriteGrant writes a program's record if the stored version is Version; 0 creates the record. The outcome is
 // reported to GrantWritten.
 type WriteGrant struct {
-	Program string
-	Granted int
-	Version uint64
+	Program     string
+	Granted     int
+	CoversShare bool
+	Exhausted   bool
+	Retention   time.Duration
+	Version     uint64
+
+	formerlyGranted int // by the record that is replaced
+	startedAt       clock.Millis
+}
+
+// Record returns the record to write, without its WriteID.
+func (w WriteGrant) Record(holder string) GrantRecord {
+	return GrantRecord{
+		Granted: w.Granted, CoversShare: w.CoversShare, Exhausted: w.Exhausted, Holder: holder, RetentionMS: w.Retention.Milliseconds(),
+	}
 }
 
 // RecallAccount requests the account of a program from the holder of its latest grant. A received account is
@@ -167,14 +187,13 @@
 	spent int
 	// reserved is the reserved tokens of the running turns, by attempt ID.
 	reserved map[string]int
-	// limit bounds spent plus reserved tokens: the share, or the grant if it is larger. 0 if the host may not use its
-	// share and has no grant.
-	limit int
-	// granted is this host's part of the record's Granted.
-	granted int
-	// presumedElsewhere is the tokens that may have been used without a record, beyond the one share that maxGranted
-	// leaves free. It counts while the program has no record.
-	presumedElsewhere int
+	// holdsShare is set if all tokens that were used without a record, by any host, are in this account.
+	holdsShare bool
+	// isOlder is set if the account is older than the first generation that this host read.
+	isOlder bool
+	// granted is this host's part of the record's Granted. It may be used until grantedUntil, and by the founder after it.
+	granted      int
+	grantedUntil clock.Millis
 
 	// cachedPrompts has the latest cached prompt of each session, and that of the whole program under "".
 	cachedPrompts map[string]CachedPrompt
@@ -184,52 +203,58 @@
 	// the record for which that was done, or of this host's own write.
 	recallPending   bool
 	recalledVersion uint64
-	// mayFallBackToShare is set under ShareIfStoreDown until the result of the first WriteGrant.
-	mayFallBackToShare bool
 	// exhausted is set once the program is refused permanently, exhaustionUnrecorded until the store has that.
 	exhausted, exhaustionUnrecorded bool
 	retryAt                         clock.Millis
 	pending                         []pendingTurn
 	lastUse                         clock.Millis
-	retention                       clock.Millis
+	retention                       time.Duration
 }
 
 type storedRecord struct {
 	GrantRecord
 	version uint64
 	seenAt  clock.Millis
+	// deleting is set while a DeleteRecord is in progress.
+	deleting bool
 }
 
 // Ledger is the state of the reducer: the accounts of this host, and the records of all programs in the store. It
 // is not safe for concurrent use.
 type Ledger struct {
+	founders Founders
 	accounts map[string]*account
 	records  map[string]storedRecord
-	ready    bool
-	// presumeSharesUntil is the end of the time in which a program without a record may have started before this host
-	// did, during an outage.
-	presumeSharesUntil clock.Millis
+	// forgotten holds the programs of which this host may have used the share and no longer has the account. It may use no
+	// share of them before it has listed the records after the given time.
+	forgotten map[string]clock.Millis
+	ready     bool
+	// listedAt is when the last complete list of the records began.
+	listedAt clock.Millis
+	// longestRetention is that of all programs so far, and at least minRetention.
+	longestRetention time.Duration
 }
 
-// PresumeSharesUsed makes the ledger presume, until the given time, that two shares are used of any program
-// without a record: one by this host before it restarted in an outage, the other by the second host, which served
-// in its stead.
-func (l *Ledger) PresumeSharesUsed(until clock.Millis) { l.presumeSharesUntil = until }
-
 // New returns a ledger that refuses new programs with NotReady until RecordsListed.
-func New() *Ledger {
-	return &Ledger{accounts: map[string]*account{}, records: map[string]storedRecord{}}
+func New(f Founders) *Ledger {
+	return &Ledger{
+		founders: f, accounts: map[string]*account{}, records: map[string]storedRecord{}, forgotten: map[string]clock.Millis{},
+		longestRetention: minRetention,
+	}
 }
 
-// share returns the tokens that one host may use without a grant: at least one turn, so that a program can start.
+// share returns the tokens that the founder may use without a grant: at least one turn, so that a program can start.
 func share(budget, maxTurnTokens int) int {
-	return max((budget+maxTurnTokens)/sharesPerBudget, maxTurnTokens)
+	return max(budget/sharesPerBudget, maxTurnTokens)
 }
 
-// maxGranted returns the bound of a record's Granted: the budget and one turn, less the share of one other host,
-// which has no record.
-func (a *account) maxGranted() int {
-	return a.budget + a.maxTurnTokens - share(a.budget, a.maxTurnTokens)
+// maxGranted returns the bound of a record's Granted: the budget and one turn, less the share if it has no record.
+func (a *account) maxGranted(r GrantRecord) int {
+	total := a.budget + a.maxTurnTokens
+	if r.CoversShare || a.holdsShare {
+		return total
+	}
+	return total - share(a.budget, a.maxTurnTokens)
 }
 
 func (a *account) reservedTokens() int {
@@ -241,73 +266,99 @@
 }
 
 // Reserve requests the reservation of a turn's MaxTokens. The ReserveReply comes at once, or after a write, a
-// recall or a settlement. policy applies if this host has no account of the program.
-func (l *Ledger) Reserve(at clock.Millis, requestID uint64, t Turn, policy SharePolicy) []Effect {
+// recall or a settlement.
+func (l *Ledger) Reserve(at clock.Millis, requestID uint64, t Turn) []Effect {
 	a, ok := l.accounts[t.Program]
 	if !ok {
 		if !l.ready {
 			return []Effect{ReserveReply{RequestID: requestID, Decision: NotReady}}
 		}
-		a = l.openAccount(at, t, policy)
+		a = l.openAccount(at, t)
 	}
 	a.lastUse = at
 	a.maxTurnTokens = max(a.maxTurnTokens, t.MaxTokens)
 	return l.admit(at, a, pendingTurn{requestID, t})
 }
 
-func (l *Ledger) openAccount(at clock.Millis, t Turn, policy SharePolicy) *account {
+func (l *Ledger) openAccount(at clock.Millis, t Turn) *account {
 	a := &account{
 		budget: t.Budget, maxTurnTokens: t.MaxTokens, reserved: map[string]int{}, cachedPrompts: map[string]CachedPrompt{},
-		retention: clock.Millis(t.Retention.Milliseconds()),
+		retention: max(t.Retention, minRetention),
 	}
 	_, recorded := l.records[t.Program]
-	if !recorded && at < l.presumeSharesUntil {
-		a.presumedElsewhere = share(t.Budget, t.MaxTokens)
-	}
-	switch {
-	case recorded || policy == GrantRequired:
-	case policy == ShareIfStoreDown:
-		a.mayFallBackToShare = true
-	default:
-		a.limit = share(t.Budget, t.MaxTokens)
-	}
+	_, forgotten := l.forgotten[t.Program]
+	a.isOlder = l.founders.Generation() == 0
+	a.holdsShare = !recorded && !forgotten && l.isFounder(at, t.Program, a)
+	l.longestRetention = max(l.longestRetention, a.retention)
 	l.accounts[t.Program] = a
 	return a
 }
 
+// retention returns the retention that a record names.
+func (r GrantRecord) retention() time.Duration {
+	return max(time.Duration(r.RetentionMS)*time.Millisecond, minRetention)
+}
+
+func (l *Ledger) isFounder(at clock.Millis, program string, a *account) bool {
+	return l.founders.IsFounder(at, program, a.retention, l.listedAt)
+}
+
+// limit returns the bound of the account's used tokens: the grant, or the share if there is none.
+func (l *Ledger) limit(at clock.Millis, program string, a *account) int {
+	switch {
+	case a.granted > 0 && (at < a.grantedUntil || l.isFounder(at, program, a)):
+		return a.granted
+	case a.granted == 0 && a.holdsShare && l.isFounder(at, program, a):
+		return share(a.budget, a.maxTurnTokens)
+	}
+	return 0
+}
+
 // admit decides on a turn, or adds it to the pending turns and returns the recall or write that it needs.
 func (l *Ledger) admit(at clock.Millis, a *account, p pendingTurn) []Effect {
 	t := p.turn
 	if _, isReserved := a.reserved[t.AttemptID]; isReserved {
 		return []Effect{a.allowedReply(p)}
 	}
-	need := a.spent + a.reservedTokens() + t.MaxTokens
+	// No generation precedes the first, so that nobody but its founder can have used the share, and this account shows that
+	// it has not.
+	if a.isOlder && l.founders.Generation() == 1 && l.isFounder(at, t.Program, a) {
+		a.holdsShare = true
+	}
 	r := l.records[t.Program]
+	reserved := a.reservedTokens()
+	need := a.spent + reserved + t.MaxTokens
+	limit := l.limit(at, t.Program, a)
 	elsewhere := l.grantedElsewhere(t.Program, a)
 	switch {
+	case a.exhausted || r.Exhausted || a.spent >= a.budget:
+		return append(l.markExhausted(at, t.Program, a), ReserveReply{RequestID: p.requestID, Decision: BudgetExhausted})
+	case a.spent+reserved >= a.budget: // the running turns may deliver less than they have reserved
+		a.pending = append(a.pending, p)
+		return nil
 	// The grants of other hosts count in full against the budget. A turn beyond the limit therefore requests the
 	// holder's account first, once for each version of the record: once adopted, only its used tokens count.
-	case !a.exhausted && elsewhere > 0 && r.version != 0 && need > a.limit && a.recalledVersion != r.version && !a.writePending:
+	case elsewhere > 0 && need > limit && a.recalledVersion != r.version && !a.writePending:
 		a.pending = append(a.pending, p)
 		if a.recallPending {
 			return nil
 		}
 		a.recallPending, a.recalledVersion = true, r.version
 		return []Effect{RecallAccount{Program: t.Program, Holder: r.Holder}}
-	case a.exhausted || elsewhere+need > a.budget || need > a.limit && need+elsewhere > a.maxGranted():
-		return append(l.markExhausted(at, t.Program, a), ReserveReply{RequestID: p.requestID, Decision: BudgetExhausted})
-	case need <= a.limit:
+	case need <= limit:
 		a.reserved[t.AttemptID] = t.MaxTokens
 		return []Effect{a.allowedReply(p)}
+	case elsewhere+need > a.maxGranted(r.GrantRecord) && reserved == 0 && !a.writePending && !a.recallPending:
+		return []Effect{ReserveReply{RequestID: p.requestID, Decision: BudgetUnknown}}
 	}
 	a.pending = append(a.pending, p)
 	switch {
-	case a.writePending || a.recallPending:
+	case a.writePending || a.recallPending || elsewhere+need > a.maxGranted(r.GrantRecord):
 		return nil
 	case at < a.retryAt:
 		return a.refusePendingIfIdle()
 	}
-	return l.requestGrant(t.Program, a, need)
+	return l.requestGrant(at, t.Program, a, need)
 }
 
 // refusePendingIfIdle refuses the turns that wait for a grant while the store is unavailable. As long as other
@@ -333,65 +384,64 @@
 	return ReserveReply{RequestID: p.requestID, Decision: Allowed, CachedPrompt: cached}
 }
 
-// grantedElsewhere returns the tokens that other hosts may have used under grants, or the presumed ones if the
-// program has no record.
+// grantedElsewhere returns the tokens that other hosts may have used under grants. This host may know less of the record
+// than the accounts that it adopted.
 func (l *Ledger) grantedElsewhere(program string, a *account) int {
-	r, recorded := l.records[program]
-	if !recorded {
-		return a.presumedElsewhere
-	}
-	return r.Granted - a.granted
+	return max(l.records[program].Granted-a.granted, 0)
 }
 
 // requestGrant requests a grant that covers need tokens of this host, and at least the share: the store may be
-// unavailable when the program needs more.
-func (l *Ledger) requestGrant(program string, a *account, need int) []Effect {
+// unavailable when the program needs more, and the founder goes on using its share while the record is written.
+func (l *Ledger) requestGrant(at clock.Millis, program string, a *account, need int) []Effect {
 	r := l.records[program]
-	elsewhere := l.grantedElsewhere(program, a)
 	own := max(need+grantHeadroomTurns*a.maxTurnTokens, share(a.budget, a.maxTurnTokens))
-	granted := min(elsewhere+own, a.maxGranted())
+	granted := max(min(l.grantedElsewhere(program, a)+own, a.maxGranted(r.GrantRecord)), r.Granted)
+	return l.write(at, a, WriteGrant{Program: program, Granted: granted})
+}
+
+// write completes a write of the program's record.
+func (l *Ledger) write(at clock.Millis, a *account, w WriteGrant) []Effect {
+	r := l.records[w.Program]
+	w.CoversShare = r.CoversShare || a.holdsShare
+	w.Exhausted = w.Exhausted || r.Exhausted
+	w.Version, w.Retention, w.formerlyGranted, w.startedAt = r.version, max(a.retention, r.retention()), r.Granted, at
 	a.writePending = true
-	return []Effect{WriteGrant{Program: program, Granted: granted, Version: r.version}}
+	return []Effect{w}
 }
 
-// markExhausted refuses the program permanently and records that as a grant of the whole budget, unless the record
-// says so already or a write is pending or was not answered within the last writeRetryDelay.
+// markExhausted refuses the program permanently and records that, unless the record says so already or a write is pending
+// or was not answered within the last writeRetryDelay.
 func (l *Ledger) markExhausted(at clock.Millis, program string, a *account) []Effect {
 	a.exhausted = true
 	r := l.records[program]
-	if a.writePending || a.exhaustionUnrecorded && at < a.retryAt || r.Granted >= a.maxGranted() {
+	if a.writePending || a.exhaustionUnrecorded && at < a.retryAt || r.Exhausted {
 		return nil
 	}
-	a.exhaustionUnrecorded, a.writePending = true, true
-	return []Effect{WriteGrant{Program: program, Granted: a.maxGranted(), Version: r.version}}
+	a.exhaustionUnrecorded = true
+	used := l.grantedElsewhere(program, a) + a.spent + a.reservedTokens()
+	return l.write(at, a, WriteGrant{Program: program, Granted: max(r.Granted, used), Exhausted: true})
 }
 
-// GrantWritten handles the outcome of a WriteGrant. holder (this host), granted and version are those of the new
-// record; they are used if it was stored.
-func (l *Ledger) GrantWritten(at clock.Millis, program, holder string, result WriteResult, granted int, version uint64) []Effect {
-	a, ok := l.accounts[program]
+// GrantWritten handles the outcome of a WriteGrant of this host, the holder. version is that of the new record; it is used
+// if the record was stored.
+func (l *Ledger) GrantWritten(at clock.Millis, w WriteGrant, holder string, result WriteResult, version uint64) []Effect {
+	a, ok := l.accounts[w.Program]
 	if !ok {
 		return nil
 	}
 	a.writePending = false
-	if result == WriteUnknown {
+	switch result {
+	case WriteUnknown:
 		a.retryAt = at + writeRetryDelay
-	}
-	if result == WriteStored {
-		elsewhere := l.grantedElsewhere(program, a)
-		l.records[program] = storedRecord{GrantRecord: GrantRecord{Granted: granted, Holder: holder}, version: version, seenAt: at}
+	case WriteStored:
+		l.RecordSeen(at, w.Program, w.Record(holder), version)
 		a.recalledVersion = version
-		a.granted = granted - elsewhere
-		a.limit = max(a.limit, a.granted)
-		a.exhaustionUnrecorded = false
-	}
-	if result != WriteUnknown {
-		a.mayFallBackToShare = false
-	} else if a.mayFallBackToShare {
-		a.mayFallBackToShare, a.limit = false, share(a.budget, a.maxTurnTokens)
-		return l.resumePending(at, program, a, true)
+		// Accounts that were adopted since the write began have brought their parts of the former record.
+		a.granted += w.Granted - w.formerlyGranted
+		a.grantedUntil = w.startedAt.Add(grantLease)
+		a.exhaustionUnrecorded = a.exhaustionUnrecorded && !w.Exhausted
 	}
-	return l.resumePending(at, program, a, result != WriteUnknown)
+	return l.resumePending(at, w.Program, a, result != WriteUnknown)
 }
 
 // AccountRecalled handles the end of a RecallAccount; the holder's account, if any, was passed to AdoptAccounts
@@ -470,113 +520,3 @@
 	}
 	return l.admitPending(at, a)
 }
-
-// RecordsListed sets the records of all programs and their versions, by program, and makes the ledger ready.
-func (l *Ledger) RecordsListed(at clock.Millis, records map[string]GrantRecord, versions map[string]uint64) {
-	for program := range l.records {
-		if _, ok := records[program]; !ok {
-			delete(l.records, program)
-		}
-	}
-	for program, r := range records {
-		l.RecordSeen(at, program, r, versions[program])
-	}
-	l.ready = true
-}
-
-// RecordSeen sets the record of one program unless the ledger has that version or a newer one.
-func (l *Ledger) RecordSeen(at clock.Millis, program string, r GrantRecord, version uint64) {
-	if old, ok := l.records[program]; ok && old.version >= version {
-		return
-	}
-	l.records[program] = storedRecord{GrantRecord: r, version: version, seenAt: at}
-}
-
-// RecordDeleted removes the record of a program that was deleted from the store.
-func (l *Ledger) RecordDeleted(program string) { delete(l.records, program) }
-
-// AccountSnapshot is an account in transfer to the host that accounts for the program from now on.
-type AccountSnapshot struct {
-	Program       string
-	Budget        int
-	MaxTurnTokens int `msgpack:"Most"`
-	Spent         int
-	Reserved      map[string]int `msgpack:"Held"`
-	Limit         int
-	Granted       int
-	Exhausted     bool                    `msgpack:"Closed"`
-	RetentionMS   int64                   `msgpack:"Retention"` // in milliseconds
-	CachedPrompts map[string]CachedPrompt `msgpack:"Places"`
-}
-
-// ReleaseAccounts removes and returns the accounts for which moves reports true. Accounts with a pending write or
-// recall stay.
-func (l *Ledger) ReleaseAccounts(moves func(program string) bool) []AccountSnapshot {
-	var out []AccountSnapshot
-	for program, a := range l.accounts {
-		if a.writePending || a.recallPending || !moves(program) {
-			continue
-		}
-		out = append(out, AccountSnapshot{
-			Program: program, Budget: a.budget, MaxTurnTokens: a.maxTurnTokens, Spent: a.spent, Reserved: a.reserved, Limit: a.limit,
-			Granted: a.granted, Exhausted: a.exhausted, RetentionMS: int64(a.retention), CachedPrompts: a.cachedPrompts,
-		})
-		delete(l.accounts, program)
-	}
-	return out
-}
-
-// AdoptAccounts adds the accounts of another host. If this host has an account of the program too, spent tokens,
-// reservations and grants add up; the limit is the larger of the two limits, or the sum of the grants if that is
-// larger.
-func (l *Ledger) AdoptAccounts(at clock.Millis, accounts []AccountSnapshot) {
-	for _, snapshot := range accounts {
-		a, ok := l.accounts[snapshot.Program]
-		if !ok {
-			a = &account{reserved: map[string]int{}, cachedPrompts: map[string]CachedPrompt{}}
-			l.accounts[snapshot.Program] = a
-		}
-		a.budget, a.maxTurnTokens = max(a.budget, snapshot.Budget), max(a.maxTurnTokens, snapshot.MaxTurnTokens)
-		a.spent += snapshot.Spent
-		for attempt, tokens := range snapshot.Reserved {
-			a.reserved[attempt] = tokens
-		}
-		a.granted += snapshot.Granted
-		a.limit = max(a.limit, snapshot.Limit, a.granted)
-		a.exhausted = a.exhausted || snapshot.Exhausted
-		maps.Copy(a.cachedPrompts, snapshot.CachedPrompts)
-		a.retention = max(a.retention, clock.Millis(snapshot.RetentionMS))
-		a.lastUse = at
-	}
-}
-
-// Tick deletes accounts and records of expired programs, and writes again that a program is exhausted if the store
-// has not confirmed it. owns reports whether this host accounts for a program.
-func (l *Ledger) Tick(at clock.Millis, owns func(program string) bool) []Effect {
-	var out []Effect
-	longestRetention := clock.Millis(0)
-	for program, a := range l.accounts {
-		longestRetention = max(longestRetention, a.retention)
-		switch {
-		case at-a.lastUse > a.retention+expiryGrace && !a.writePending:
-			delete(l.accounts, program)
-		case a.exhausted && !a.writePending && a.exhaustionUnrecorded && at >= a.retryAt:
-			out = append(out, l.markExhausted(at, program, a)...)
-		}
-	}
-	// Records have no retention; the longest of the accounts stands in for it.
-	for program, r := range l.records {
-		if _, ok := l.accounts[program]; ok || at-r.seenAt <= longestRetention+expiryGrace || longestRetention == 0 || !owns(program) {
-			continue
-		}
-		out = append(out, DeleteRecord{Program: program, Version: r.version})
-		delete(l.records, program)
-	}
-	return out
-}
-
-// HasAccount reports whether this host has an account of the program.
-func (l *Ledger) HasAccount(program string) bool {
-	_, ok := l.accounts[program]
-	return ok
-}
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
+	"github.com/hyssopreel/hyssopreel/core/founders"
 	"github.com/hyssopreel/hyssopreel/core/ledger"
 )
 
@@ -23,8 +23,8 @@
 	// reserveTimeout bounds a request to a program's home: a round trip between failure domains with one
 	// retransmission of a lost packet takes 200 ms.
 	reserveTimeout = 250 * time.Millisecond
-	// maxReserveHosts bounds the hosts that may fail to reply to one reservation. Each of them may have used its
-	// share, and the ledger's shares allow for three hosts.
+	// maxReserveHosts bounds the hosts that may fail to reply to one reservation. Each of them may have reserved the turn,
+	// and counts it with its max tokens until the account expires.
 	maxReserveHosts = 3
 	// localReserveTimeout bounds how long a home waits for the store, so that its reply arrives within
 	// reserveTimeout.
@@ -36,19 +36,10 @@
 	// findHomeTimeout bounds the wait for a host that can be a program's home. A host is ready within this time
 	// after its start.
 	findHomeTimeout = 600 * time.Millisecond
-	// handoverWait is how long after the first read of the records a host expects that other hosts hand accounts
-	// over to it.
-	handoverWait = 3 * time.Second
 	// discoveryWait is the time between a host's finding itself in the list and its first reservations: hosts that
 	// found themselves there at the same time send a heartbeat at once, which arrives within a few ms. It is less
 	// than half of findHomeTimeout.
 	discoveryWait = 250 * time.Millisecond
-	// startupOutageThreshold is the time to the first read of the records above which the store is taken to have been
-	// unavailable: three calls that time out take longer, calls to a slow store do not.
-	startupOutageThreshold = 2 * time.Second
-	// maxAccountLifetime is the longest retention of programs, 60 s, plus the 10 s for which the ledger keeps an
-	// account beyond it.
-	maxAccountLifetime = 70 * time.Second
 	// maxSettleTries and settleRetryInterval bound how often a settlement is sent. It must arrive within 1 s, after
 	// which an ended turn must no longer count with its max tokens.
 	maxSettleTries      = 4
@@ -70,25 +61,28 @@
 	// storeReachable reports whether the store is available to this host or a peer.
 	storeReachable func() bool
 
+	foundersLoop *foundersLoop
+
 	mu            sync.Mutex
 	ledger        *ledger.Ledger
+	founders      *founders.State
 	lastRequestID uint64
 	pending       map[uint64]chan ledger.ReserveReply // by request ID
 	// homeByAttempt holds the host that allowed a running turn, by attempt ID.
 	homeByAttempt map[string]fleet.Host
-	// recordsWantedSince is since when the records could have been read: the start, or when this host became a home.
-	recordsWantedSince time.Time
-	// recordsReadAt is when the records were first read; zero before.
-	recordsReadAt time.Time
+	// recordsRead is set once the records were read.
+	recordsRead bool
 	// handingOver is set once this host hands over all accounts because it leaves.
 	handingOver bool
 }
 
 func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeReachable func() bool) *budgetService {
+	state := founders.New(self.Name, self.Incarnation)
 	a := &budgetService{
-		self: self, hosts: hosts, node: node, store: store, clock: clock.System(), recordsWantedSince: time.Now(), storeReachable: storeReachable,
-		ledger: ledger.New(), pending: map[uint64]chan ledger.ReserveReply{}, homeByAttempt: map[string]fleet.Host{},
+		self: self, hosts: hosts, node: node, store: store, clock: bootClock{}, storeReachable: storeReachable, founders: state,
+		ledger: ledger.New(state), pending: map[uint64]chan ledger.ReserveReply{}, homeByAttempt: map[string]fleet.Host{},
 	}
+	a.foundersLoop = newFoundersLoop(a)
 	node.Handle(wire.TypeReserve, a.serveReserve)
 	node.Handle(wire.TypeSettle, a.serveSettle)
 	node.Handle(wire.TypeTransferAccounts, a.serveAccounts)
@@ -148,7 +142,7 @@
 		case reply.Decision == ledger.NotReady:
 			startingHosts++
 		case reply.Decision == ledger.GrantUnavailable && startingHosts > 0:
-			// A host earlier in the order may use its share without a grant as soon as it is ready.
+			// A host earlier in the order may have the program's account as soon as it is ready.
 			return ReservationResult{}, errNoHome
 		default:
 			return a.resultOf(h, turn, reply)
@@ -171,6 +165,8 @@
 			"request": turn.AttemptID, "program": turn.Program, "budget": turn.Budget, "most_tokens": turn.MaxTokens, "home": h.Name,
 		})
 		return result, ErrBudgetExhausted
+	case ledger.BudgetUnknown:
+		return result, errors.Newf("other hosts may have used what is left of the budget of program %q, by the account of host %s", turn.Program, h.Name)
 	default:
 		return result, errors.Newf("host %s cannot get a grant for program %q from the store now", h.Name, turn.Program)
 	}
@@ -211,42 +207,10 @@
 	return reply, err
 }
 
-// sharePolicy returns the policy for a program of which this host has no account. The rendezvous order includes all
-// primary hosts, reachable or not, and hosts that sent heartbeats lately and are not listed: if the store became
-// unavailable, the list lacks hosts that started later, and any of them may be a primary host. Until this host and the others have discovered each
-// other, every program needs a grant.
-func (a *budgetService) sharePolicy(program string) ledger.SharePolicy {
-	if !a.hasDiscoveredHosts() {
-		return ledger.GrantRequired
-	}
-	candidates := slices.Concat(a.hosts.Roles().Primaries, a.hosts.Unlisted(maxAccountLifetime))
-	accountsMoved := a.sinceRecordsRead() > handoverWait
-	for i, h := range fleet.RendezvousOrder(candidates, program) {
-		switch {
-		case h.Name != a.self.Name:
-		case i == 0 && accountsMoved:
-			return ledger.ShareAllowed
-		case i <= 1:
-			return ledger.ShareIfStoreDown
-		}
-	}
-	return ledger.GrantRequired
-}
-
 // hasDiscoveredHosts reports whether this host and the other hosts have discovered each other, by the list or by
 // heartbeats.
 func (a *budgetService) hasDiscoveredHosts() bool { return a.hosts.SelfListedFor() >= discoveryWait }
 
-// sinceRecordsRead returns the time since the records were first read; 0 if they were not.
-func (a *budgetService) sinceRecordsRead() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.recordsReadAt.IsZero() {
-		return 0
-	}
-	return time.Since(a.recordsReadAt)
-}
-
 // reserveLocally requests a reservation from the ledger of this host and waits up to localReserveTimeout for the
 // reply.
 func (a *budgetService) reserveLocally(ctx context.Context, turn ledger.Turn) ledger.ReserveReply {
@@ -254,13 +218,6 @@
 		return ledger.ReserveReply{Decision: ledger.NotReady}
 	}
 	a.mu.Lock()
-	hasAccount := a.ledger.HasAccount(turn.Program)
-	a.mu.Unlock()
-	policy := ledger.GrantRequired // not used if this host has an account
-	if !hasAccount {
-		policy = a.sharePolicy(turn.Program)
-	}
-	a.mu.Lock()
 	if a.handingOver {
 		a.mu.Unlock()
 		return ledger.ReserveReply{Decision: ledger.NotReady}
@@ -269,8 +226,7 @@
 	requestID := a.lastRequestID
 	replies := make(chan ledger.ReserveReply, 1)
 	a.pending[requestID] = replies
-	effects := a.ledger.Reserve(a.clock.Now(), requestID, turn, policy)
-	a.applyEffects(effects)
+	a.applyEffects(a.ledger.Reserve(a.clock.Now(), requestID, turn))
 	a.mu.Unlock()
 	timer := time.NewTimer(localReserveTimeout)
 	defer timer.Stop()
--- a/service/ingress/budget_handover.go
+++ b/service/ingress/budget_handover.go
@@ -38,7 +38,7 @@
 		return
 	}
 	a.mu.Lock()
-	accounts := a.ledger.ReleaseAccounts(func(p string) bool { return p == program })
+	accounts := a.ledger.ReleaseAccounts(a.clock.Now(), func(p string) bool { return p == program })
 	a.mu.Unlock()
 	_ = r.Answer(accounts) // if this fails, the account is lost and the requesting host counts its grant as spent
 }
@@ -69,7 +69,7 @@
 	}
 	a.mu.Lock()
 	a.handingOver = a.handingOver || leaving
-	moved := a.ledger.ReleaseAccounts(func(program string) bool { return newHome(program).Name != a.self.Name })
+	moved := a.ledger.ReleaseAccounts(a.clock.Now(), func(program string) bool { return newHome(program).Name != a.self.Name })
 	a.mu.Unlock()
 	byPeer := map[string][]ledger.AccountSnapshot{}
 	for _, m := range moved {
@@ -85,8 +85,10 @@
 }
 
 // run reads the records and hands accounts over at the start and whenever the homes change, and expires accounts
-// and records at every tick. It returns when ctx ends.
+// and records at every tick. It returns when ctx ends. While the store is unavailable, accounts stay where they are: the
+// next host could not use them without a grant, and the accounts of this host may have one.
 func (a *budgetService) run(ctx context.Context) {
+	go a.foundersLoop.run(ctx)
 	lastKey := ""
 	for {
 		if key := incarnationsKey(a.hosts.Roles().Homes); key != lastKey && a.hosts.HasSynced() {
@@ -94,8 +96,12 @@
 				logging.Emit(logging.GrantRecordsReadFailed, logging.Fields{"error": err})
 			} else {
 				lastKey = key
+				a.handOver(ctx, false)
+			}
+		} else if a.listIsDue() && a.storeReachable() {
+			if err := a.listRecords(ctx); err != nil {
+				logging.Emit(logging.GrantRecordsReadFailed, logging.Fields{"error": err})
 			}
-			a.handOver(ctx, false)
 		}
 		a.tick()
 		wait := budgetTickInterval
@@ -112,22 +118,29 @@
 
 // readRecordsIfHome reads the records if this host accounts for programs.
 func (a *budgetService) readRecordsIfHome(ctx context.Context) error {
-	if a.hosts.IsHome() {
-		return a.listRecords(ctx)
+	if !a.hosts.IsHome() {
+		return nil
 	}
+	return a.listRecords(ctx)
+}
+
+// listIsDue reports whether the records must be listed again so that this host can be the founder of more programs.
+func (a *budgetService) listIsDue() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.recordsReadAt.IsZero() {
-		a.recordsWantedSince = time.Now()
+	if !a.recordsRead {
+		return false
 	}
-	return nil
+	now, listedAt, forgotten := a.clock.Now(), a.ledger.ListedAt(), a.ledger.Forgotten()
+	return a.founders.NeedsList(now, a.ledger.LongestRetention(), listedAt) ||
+		forgotten > 0 && now.Sub(listedAt) >= forgottenListInterval || forgotten > maxForgotten && now.Sub(listedAt) >= time.Minute
 }
 
 // hasReadRecords reports whether the records were read at least once.
 func (a *budgetService) hasReadRecords() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.recordsReadAt.IsZero()
+	return a.recordsRead
 }
 
 // incarnationsKey returns a key that changes when a host joins, leaves or restarts.
@@ -140,11 +153,7 @@
 }
 
 func (a *budgetService) tick() {
-	isHome := func(program string) bool {
-		ordered := a.homeOrder(program)
-		return len(ordered) > 0 && ordered[0].Name == a.self.Name
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.applyEffects(a.ledger.Tick(a.clock.Now(), isHome))
+	a.applyEffects(a.ledger.Tick(a.clock.Now()))
 }
--- a/service/ingress/budget_records.go
+++ b/service/ingress/budget_records.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,7 +15,9 @@
 func (a *budgetService) writeRecord(w ledger.WriteGrant) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordWriteTimeout)
 	defer cancel()
-	value, err := json.Marshal(ledger.GrantRecord{Granted: w.Granted, Holder: a.self.Name, WriteID: newIncarnation()})
+	record := w.Record(a.self.Name)
+	record.WriteID = newIncarnation()
+	value, err := json.Marshal(record)
 	var version objectapi.Version
 	if err == nil && !a.storeReachable() {
 		err = objectapi.ErrUnavailable
@@ -43,7 +44,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.applyEffects(a.ledger.GrantWritten(a.clock.Now(), w.Program, a.self.Name, outcome, w.Granted, uint64(version)))
+	a.applyEffects(a.ledger.GrantWritten(a.clock.Now(), w, a.self.Name, outcome, uint64(version)))
 }
 
 // rereadRecord reports to the ledger the record that another host wrote or deleted. It returns WriteUnknown if the
@@ -63,13 +64,25 @@
 	return ledger.WriteConflict
 }
 
+// removeRecord deletes the record of an ended program. If another host has written it since, it is read again.
 func (a *budgetService) removeRecord(r ledger.DeleteRecord) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordWriteTimeout)
 	defer cancel()
 	err := a.store.Delete(ctx, KindBudgets, r.Program, objectapi.Version(r.Version))
-	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+	switch {
+	case err == nil, errors.Is(err, objectapi.ErrNotFound):
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.ledger.RecordDeleted(r.Program)
+		return
+	case errors.Is(err, objectapi.ErrConflict):
+		a.rereadRecord(ctx, r.Program)
+	default:
 		logging.Emit(logging.GrantRecordDeleteFailed, logging.Fields{"program": r.Program, "error": err})
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.DeleteFailed(r.Program)
 }
 
 func (a *budgetService) observeRecord(o objectapi.Object) {
@@ -83,9 +96,11 @@
 	a.ledger.RecordSeen(a.clock.Now(), o.Name, r, uint64(o.Version))
 }
 
-// listRecords reads all records. Records need no watch: a host that misses one uses no more than its share.
+// listRecords reads all records. Records need no watch: a host that misses one writes a grant and gets a conflict, and the
+// founder's share is left free.
 func (a *budgetService) listRecords(ctx context.Context) error {
-	objects, _, err := a.store.List(ctx, KindBudgets, "")
+	startedAt := a.clock.Now()
+	objects, revision, err := a.store.List(ctx, KindBudgets, "")
 	if err != nil {
 		return err
 	}
@@ -100,12 +115,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ledger.RecordsListed(a.clock.Now(), records, versions)
-	if a.recordsReadAt.IsZero() {
-		a.recordsReadAt = time.Now()
-		if a.recordsReadAt.Sub(a.recordsWantedSince) > startupOutageThreshold {
-			a.ledger.PresumeSharesUsed(a.clock.Now().Add(maxAccountLifetime))
-		}
-	}
+	a.ledger.RecordsListed(a.clock.Now(), startedAt, uint64(revision), records, versions)
+	a.recordsRead = true
 	return nil
 }
--- a/service/ingress/fleet_test.go
+++ b/service/ingress/fleet_test.go
@@ -135,6 +135,17 @@
 			}
 		}
 		Expect(allowed).To(And(BeNumerically(">=", 2), BeNumerically("<=", 4)))
+		// The refusal is temporary until the hosts, which have just started, know that none of them can have used more.
+		attempt := 0
+		Eventually(func() int {
+			attempt++
+			status := hosts[0].turn("p", fmt.Sprint("again-", attempt))
+			if status == 200 {
+				allowed++
+			}
+			return status
+		}, "8s", "200ms").Should(Equal(402))
+		Expect(allowed).To(Equal(3), "turns of 200 tokens while some of 580 are left")
 		for _, h := range hosts {
 			Expect(h.turn("p", "again-"+h.settings.Host.Name)).To(Equal(402))
 		}
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -120,6 +120,7 @@
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
+	h.heartbeats.sections = append(h.heartbeats.sections, h.budgets.foundersLoop)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
 	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
