service/ingress: answer a turn sooner while the store is known to be away

Ruled out: fewer tries for all turns; a home that waits for the program's other turns needs them. Change: such a host makes no store call for budgets, and a home that knows that it does not reach the store is asked three times instead of eight. Conclusion: callers come back after Retry-After instead of waiting here.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -104,11 +104,14 @@
 	// BudgetUnknown means that other hosts may have used what is left. The program is refused for as long as it is not
 	// known that they have not.
 	BudgetUnknown
+	// StoreUnavailable is GrantUnavailable of a host that knows that it does not reach the store. The ledger does not
+	// return it.
+	StoreUnavailable
 )
 
 // String returns the name of the decision in logs.
 func (v Decision) String() string {
-	return [...]string{"allowed", "spent", "unavailable", "not ready", "unknown"}[v]
+	return [...]string{"allowed", "spent", "unavailable", "not ready", "unknown", "store unavailable"}[v]
 }
 
 // WriteResult is the outcome of a WriteGrant.
--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -33,6 +33,8 @@
 	// program's other turns, to 2 s: callers give up a stream later than that.
 	maxReserveTries      = 8
 	reserveRetryInterval = 60 * time.Millisecond
+	// maxOutageTries bounds them while the home knows that it does not reach the store: the caller can come back then.
+	maxOutageTries = 3
 	// findHomeTimeout bounds the wait for a host that can be a program's home. A host is ready within this time
 	// after its start.
 	findHomeTimeout = 600 * time.Millisecond
@@ -58,8 +60,8 @@
 	node  *wire.Node
 	store objectapi.Store
 	clock clock.Clock
-	// storeReachable reports whether the store is available to this host or a peer.
-	storeReachable func() bool
+	// storeAvailable reports whether the store is available to this host, and storeReachable whether it may be to a peer.
+	storeAvailable, storeReachable func() bool
 
 	foundersLoop *foundersLoop
 
@@ -76,10 +78,10 @@
 	handingOver bool
 }
 
-func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeReachable func() bool) *budgetService {
+func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeAvailable, storeReachable func() bool) *budgetService {
 	state := founders.New(self.Name, self.Incarnation)
 	a := &budgetService{
-		self: self, hosts: hosts, node: node, store: store, clock: bootClock{}, storeReachable: storeReachable, founders: state,
+		self: self, hosts: hosts, node: node, store: store, clock: bootClock{}, storeAvailable: storeAvailable, storeReachable: storeReachable, founders: state,
 		ledger: ledger.New(state), pending: map[uint64]chan ledger.ReserveReply{}, homeByAttempt: map[string]fleet.Host{},
 	}
 	a.foundersLoop = newFoundersLoop(a)
@@ -141,7 +143,7 @@
 		switch {
 		case reply.Decision == ledger.NotReady:
 			startingHosts++
-		case reply.Decision == ledger.GrantUnavailable && startingHosts > 0:
+		case (reply.Decision == ledger.GrantUnavailable || reply.Decision == ledger.StoreUnavailable) && startingHosts > 0:
 			// A host earlier in the order may have the program's account as soon as it is ready.
 			return ReservationResult{}, errNoHome
 		default:
@@ -185,7 +187,10 @@
 func (a *budgetService) reserveWithRetry(ctx context.Context, h fleet.Host, turn ledger.Turn, maxTries int) (ledger.ReserveReply, error) {
 	for try := 1; ; try++ {
 		reply, err := a.reserveAt(ctx, h, turn)
-		if err != nil || reply.Decision != ledger.GrantUnavailable || try == maxTries {
+		if err != nil || reply.Decision != ledger.GrantUnavailable && reply.Decision != ledger.StoreUnavailable {
+			return reply, err
+		}
+		if try == maxTries || reply.Decision == ledger.StoreUnavailable && try == maxOutageTries {
 			return reply, err
 		}
 		select {
@@ -232,6 +237,9 @@
 	defer timer.Stop()
 	select {
 	case reply := <-replies:
+		if reply.Decision == ledger.GrantUnavailable && !a.reachesStore() {
+			reply.Decision = ledger.StoreUnavailable
+		}
 		return reply
 	case <-timer.C:
 	case <-ctx.Done():
@@ -243,6 +251,16 @@
 	return ledger.ReserveReply{Decision: ledger.GrantUnavailable}
 }
 
+// reachesStore reports whether a call to the store has a chance: it is available to this host, or may be to a peer. A host
+// that reaches no other one does not try its seeds, which takes long.
+func (a *budgetService) reachesStore() bool {
+	if a.storeAvailable() {
+		return true
+	}
+	isCutOff := a.hosts.Count() > 1 && len(a.hosts.Reachable()) <= 1
+	return !isCutOff && a.storeReachable()
+}
+
 // applyEffects executes the ledger's effects; a.mu is held.
 func (a *budgetService) applyEffects(effects []ledger.Effect) {
 	for _, e := range effects {
--- a/service/ingress/budget_founders.go
+++ b/service/ingress/budget_founders.go
@@ -97,7 +97,7 @@
 	}
 	now := a.clock.Now()
 	f.checkLapse(now)
-	if now < f.retryAt || !a.storeReachable() {
+	if now < f.retryAt || !a.reachesStore() {
 		return
 	}
 	if f.needsRead(now) {
--- a/service/ingress/budget_handover.go
+++ b/service/ingress/budget_handover.go
@@ -98,7 +98,7 @@
 				lastKey = key
 				a.handOver(ctx, false)
 			}
-		} else if a.listIsDue() && a.storeReachable() {
+		} else if a.listIsDue() && a.reachesStore() {
 			if err := a.listRecords(ctx); err != nil {
 				logging.Emit(logging.GrantRecordsReadFailed, logging.Fields{"error": err})
 			}
--- a/service/ingress/budget_records.go
+++ b/service/ingress/budget_records.go
@@ -19,7 +19,7 @@
 	record.WriteID = newIncarnation()
 	value, err := json.Marshal(record)
 	var version objectapi.Version
-	if err == nil && !a.storeReachable() {
+	if err == nil && !a.reachesStore() {
 		err = objectapi.ErrUnavailable
 	}
 	if err == nil {
--- a/service/ingress/budget_test.go
+++ b/service/ingress/budget_test.go
@@ -85,7 +85,7 @@
 	}
 	self := wire.NewNode(wire.Options{ProcessName: hosts.self.Name})
 	t.Cleanup(func() { _ = self.Close() })
-	a := newBudgetService(hosts.self, hosts, self, nil, func() bool { return false })
+	a := newBudgetService(hosts.self, hosts, self, nil, func() bool { return false }, func() bool { return false })
 	result, err := a.Reserve(t.Context(), Reservation{Program: program, Attempt: "1", Budget: 580, MaxTokens: 290})
 	if err != nil || result.Home != ordered[0] {
 		t.Errorf("home %q, error %v, want home %q", result.Home, err, ordered[0])
