--- a/core/founders/founders_test.go
+++ b/core/founders/founders_test.go
@@ -101,7 +101,10 @@
 	g.Expect(b.IsFounder(entitled, program, retention, entitled)).To(BeTrue())
 	g.Expect(b.NeedsList(entitled, retention, entitled)).To(BeFalse())
 	g.Expect(b.IsFounder(entitled, program, 2*retention, entitled)).To(BeFalse(), "such programs last longer")
-	g.Expect(b.IsFounder(entitled, program, 10*time.Minute, entitled)).To(BeFalse(), "the object does not reach back so far")
+	late := seconds(5000)
+	b.Confirm(2, late)
+	g.Expect(b.IsFounder(late, program, 2*retention, late)).To(BeTrue())
+	g.Expect(b.IsFounder(late, program, 10*time.Minute, late)).To(BeFalse(), "the object does not reach back so far")
 }
 
 // Guards against a host that reads an object for the first time and does not know when the earlier generations ended, or
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -273,6 +273,13 @@
 		}
 	})
 
+	// Guards against a program that gives up what it was granted when the grant is recorded again.
+	It("records a grant again in full", func() {
+		l := listedLedger(false, ledger.GrantRecord{Granted: 1000, Holder: "b"})
+		l.AdoptAccounts(0, []ledger.AccountSnapshot{{Program: program, Budget: 1200, MaxTurnTokens: 290, Spent: 100, Granted: 1000}})
+		Expect(l.Reserve(0, 1, testTurn("t1"))).To(ContainElement(HaveField("Granted", 1000)))
+	})
+
 	// Guards against a record that is deleted while its program goes on at a host that has a grant, or at the founder.
 	It("deletes a record only as the founder, when the program has ended", func() {
 		for _, isFounder := range []bool{false, true} {
