service/ingress: keep the program of a long turn for longer

Cause: accounts, records and the right of founders take a turn to end within 60 s of its reservation. A route may allow more. Ruled out: a larger constant: the time in which programs of a host that started again need a record grows with it. Change: what a route's time limit exceeds 60 s by is added to the retention. Conclusion: only routes without a time limit rest on the assumption.

--- a/service/ingress/budget_test.go
+++ b/service/ingress/budget_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/ledger"
+	"github.com/hyssopreel/hyssopreel/core/routing"
 )
 
 // listedHosts returns the host list of self with four hosts, and their names in rendezvous order for the program.
@@ -193,3 +194,14 @@
 		t.Error("the loop was not woken")
 	}
 }
+
+// Guards against a program whose account and record are deleted while a turn of it runs: the turn's tokens would be
+// forgotten.
+func TestLongTurnsKeepTheirProgramForLonger(t *testing.T) {
+	for timeout, want := range map[time.Duration]time.Duration{0: time.Minute, 4 * time.Second: time.Minute, 90 * time.Second: 90 * time.Second} {
+		x := &exchange{route: &routing.Route{Timeout: timeout, ProgramRetention: time.Minute}}
+		if got := x.newReservation().Retention; got != want {
+			t.Errorf("retention %v with turns of up to %v, want %v", got, timeout, want)
+		}
+	}
+}
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -19,6 +19,7 @@
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/admission"
+	"github.com/hyssopreel/hyssopreel/core/founders"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
@@ -316,7 +317,8 @@
 func (x *exchange) newReservation() Reservation {
 	return Reservation{
 		Program: x.metadata.Program, Attempt: x.metadata.Attempt, Session: x.metadata.Session, Budget: x.metadata.TokenBudget, MaxTokens: x.metadata.MaxTokens,
-		Retention: x.route.ProgramRetention,
+		// A turn that may run for longer than accounts expect keeps its program for as much longer.
+		Retention: x.route.ProgramRetention + max(x.route.Timeout-founders.MaxTurn, 0),
 	}
 }
 
