--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -13,10 +15,8 @@
 	// round trip.
 	maxLeaseTime = 400 * time.Millisecond
 	minLeaseTime = 50 * time.Millisecond
-	// defaultWindow is the window of a quota for which the settings have none.
-	defaultWindow = 5 * time.Second
-	// leaseFraction is the part of the window, as a fraction of the tolerance, for which tokens are leased: tokens that were
-	// granted before an interval are used in it.
+	// leaseFraction is the part of the tolerance that leases use up: tokens that were granted before an interval are used
+	// in it. The rest covers the time between the use of a token and the arrival of the request at the server.
 	leaseFraction = 0.8
 	// slackFraction is the part of the slack that is granted beyond the burst, because requests of a team within its quota
 	// reach the servers less evenly than callers send them.
@@ -29,8 +29,8 @@
 	// maxRetryAfter bounds the time after which callers are told to come again.
 	maxRetryAfter = 2 * time.Second
 	// scarceFraction is the part of its capacity below which an account keeps its tokens for programs in progress: a
-	// program that is refused midway is lost with all that it has used. Teams usually use 1/1.6 of their quotas.
-	scarceFraction = 0.2
+	// program that is refused midway is lost with all that it has used.
+	scarceFraction = 0.5
 	// scarceTTL is how long a host takes the tokens to be scarce after it was told so.
 	scarceTTL = 500 * time.Millisecond
 	// askerTTL is how long a host that got fewer tokens than it wanted counts as one that waits.
@@ -55,48 +55,35 @@
 	return min(max(time.Duration(leaseFraction*b.Tolerance*float64(b.Window)), minLeaseTime), maxLeaseTime)
 }
 
-// span returns the time in which the grants of an account are counted: a token that is used at the end of its lease in one
-// window may have been granted that much earlier.
-func (b Bounds) span() time.Duration {
-	window := b.Window
-	if window <= 0 {
-		window = defaultWindow
-	}
-	return window + b.LeaseTime() + window/windowSlots
-}
-
-// capacity returns the tokens that are granted within the window at most.
-func (b Bounds) capacity(l Limit) int {
-	window := b.Window
-	if window <= 0 {
-		window = defaultWindow
-	}
-	return max(int(l.PerSecond*window.Seconds()+l.Burst+slackFraction*b.Slack), 1)
-}
+// capacity returns the tokens that an account holds at most.
+func (b Bounds) capacity(l Limit) int { return max(int(l.Burst+slackFraction*b.Slack), 1) }
 
 // Account grants the tokens of one team. It is not safe for concurrent use.
 type Account struct {
 	bounds  Bounds
 	limit   Limit
-	granted window
+	limiter *rate.Limiter
 	askers  map[string]time.Duration
 	usedAt  time.Duration
 }
 
-// NewAccount returns an account at the time now. It has all tokens unless another host may have granted some lately.
+// at translates times of the host's clock to those of the limiter.
+func at(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
+
+// NewAccount returns an account at the time now. It is full unless another host may have granted tokens lately.
 func NewAccount(now time.Duration, l Limit, b Bounds, full bool) *Account {
-	tokens := b.capacity(l)
+	a := &Account{bounds: b, limit: l, limiter: rate.NewLimiter(rate.Limit(l.PerSecond), b.capacity(l)), askers: map[string]time.Duration{}, usedAt: now}
 	if !full {
-		tokens = 0
+		a.limiter.AllowN(at(now), b.capacity(l))
 	}
-	return NewAdoptedAccount(now, l, b, float64(tokens))
+	return a
 }
 
-// NewAdoptedAccount returns an account with the tokens that another host's account had when it was handed over. When the others
-// were granted is not known; they are taken to have been granted at a constant rate.
+// NewAdoptedAccount returns an account with the tokens that another host's account had when it was handed over.
 func NewAdoptedAccount(now time.Duration, l Limit, b Bounds, tokens float64) *Account {
-	used := b.capacity(l) - min(int(max(tokens, 0)), b.capacity(l))
-	return &Account{bounds: b, limit: l, granted: spread(now, b.span(), used), askers: map[string]time.Duration{}, usedAt: now}
+	a := NewAccount(now, l, b, true)
+	a.limiter.AllowN(at(now), b.capacity(l)-int(min(max(tokens, 0), float64(b.capacity(l)))))
+	return a
 }
 
 // Grant is what a host gets of the tokens that it asked for.
@@ -111,13 +98,18 @@
 
 // Grant grants the host up to that many tokens of a team with the limit l.
 func (a *Account) Grant(now time.Duration, host string, tokens int, l Limit) Grant {
-	a.limit, a.usedAt = l, now
-	a.granted.expire(now)
-	capacity := a.bounds.capacity(l)
-	granted := max(min(tokens, capacity-a.granted.total, MaxWanted), 0)
-	a.granted.add(now, granted)
-	left := capacity - a.granted.total
-	scarce := float64(left) < scarceFraction*float64(capacity)
+	if l != a.limit {
+		a.limit = l
+		a.limiter.SetLimitAt(at(now), rate.Limit(l.PerSecond))
+		a.limiter.SetBurstAt(at(now), a.bounds.capacity(l))
+	}
+	a.usedAt = now
+	level := a.limiter.TokensAt(at(now))
+	granted := max(min(tokens, int(level), MaxWanted), 0)
+	if granted > 0 && !a.limiter.AllowN(at(now), granted) {
+		granted = 0 // a rounding error of the limiter
+	}
+	scarce := level-float64(granted) < scarceFraction*float64(a.bounds.capacity(a.limit))
 	if granted >= tokens {
 		delete(a.askers, host)
 		return Grant{Tokens: granted, Scarce: scarce}
@@ -128,23 +120,31 @@
 			delete(a.askers, other)
 		}
 	}
+	missing := max(1-(level-float64(granted)), 0)
 	return Grant{
 		Tokens:     granted,
 		Scarce:     scarce,
-		AskAfter:   min(max(a.granted.freeIn(now, 1-left), minAskDelay), maxAskDelay),
-		RetryAfter: min(a.granted.freeIn(now, (len(a.askers)+1)/2-left), maxRetryAfter),
+		AskAfter:   min(max(a.duration(missing), minAskDelay), maxAskDelay),
+		RetryAfter: min(a.duration(missing+float64(len(a.askers)-1)/2), maxRetryAfter),
 	}
 }
 
-// IsIdle reports whether the account can be forgotten: it has all tokens again, so that a new one is the same.
-func (a *Account) IsIdle(now time.Duration) bool { return now-a.usedAt > a.granted.span }
+// duration returns the time in which that many tokens accrue.
+func (a *Account) duration(tokens float64) time.Duration {
+	if a.limit.PerSecond <= 0 {
+		return maxRetryAfter
+	}
+	return time.Duration(min(tokens/a.limit.PerSecond, 60) * float64(time.Second))
+}
 
-// Tokens returns the tokens of the account.
-func (a *Account) Tokens(now time.Duration) float64 {
-	a.granted.expire(now)
-	return float64(max(a.bounds.capacity(a.limit)-a.granted.total, 0))
+// IsIdle reports whether the account can be forgotten: it is full again, so that a new one is the same.
+func (a *Account) IsIdle(now time.Duration) bool {
+	return now-a.usedAt > a.duration(float64(a.bounds.capacity(a.limit)))+time.Second
 }
 
+// Tokens returns the tokens of the account.
+func (a *Account) Tokens(now time.Duration) float64 { return a.limiter.TokensAt(at(now)) }
+
 const (
 	// demandTime is the time over which the demand of a host is averaged.
 	demandTime = 500 * time.Millisecond
