Let requests wait for the tokens of an account that started empty

Cause: after the start of all hosts, or the loss of a keeper, requests of a team within its quota waited for the next keeper and were then refused with 429, because its account starts without tokens. Ruled out: a start with a burst (two keepers' grants would add up); 429 at the end of the wait (a trial: the team may be within its quota). The test of a hot team waits until the account has recovered. Hosts that start all at once still serve no team with a quota for about 1.5 s.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -227,3 +227,6 @@
 func (h *Holder) Denied(now time.Duration) (retryAfter time.Duration, denied bool) {
 	return h.retryAfter, now < h.deniedUntil
 }
+
+// AskableIn returns the time after which the host may ask again; 0 if it may ask now.
+func (h *Holder) AskableIn(now time.Duration) time.Duration { return max(h.deniedUntil-now, 0) }
--- a/service/ingress/quota_test.go
+++ b/service/ingress/quota_test.go
@@ -141,6 +141,7 @@
 	It("send what the quota allows, and refuse the rest with 429", func() {
 		hosts := start("a-1", "b-1", "c-1")
 		fill(hosts)
+		time.Sleep(5 * time.Second) // until the account, which started empty, refuses requests with 429
 		_, before := b.mostInWindow()
 		const hot = 4 * time.Second
 		statuses := flood(hosts, 6*quotaRate/1.6, hot)
@@ -200,6 +201,15 @@
 		Expect(<-done).To(And(HaveLen(1), HaveKey(200)))
 	})
 
+	// Guards against refusals of a team within its quota after the host that keeps its account was lost: the next one starts
+	// without tokens, and many requests wait for it.
+	It("serve the requests that waited for the next keeper", func() {
+		hosts := start("a-1", "b-1", "c-1")
+		statuses := flood(hosts, quotaRate/1.6, 5*time.Second)
+		Expect(statuses).NotTo(HaveKey(429), "the accounts start empty")
+		Expect(statuses).To(HaveKeyWithValue(200, BeNumerically(">=", 0.6*5*quotaRate/1.6)))
+	})
+
 	// Guards against a limit that was lowered and is not applied.
 	It("apply a lowered quota", func() {
 		hosts := start("a-1", "b-1", "c-1")
--- a/service/quota/quota.go
+++ b/service/quota/quota.go
@@ -27,6 +27,11 @@
 	retryDelay = 50 * time.Millisecond
 	// sendWait is how long a request that is about to be sent waits for a token: it occupies a place at a server.
 	sendWait = 250 * time.Millisecond
+	// recoveryTime is how long after its start an account that started empty counts as recovering: requests wait for its
+	// tokens and are not refused, because the team may be within its quota. maxRecoveryQueue bounds the requests that wait
+	// at one host.
+	recoveryTime     = 5 * time.Second
+	maxRecoveryQueue = 500
 	// idleTime is how long the tokens of a team are remembered without requests, and sweepInterval how often that is checked.
 	idleTime      = 10 * time.Second
 	sweepInterval = 2 * time.Second
@@ -90,6 +95,8 @@
 	// answered is closed when a question is answered or given up, and unavailableUntil set in the latter case.
 	answered         chan struct{}
 	unavailableUntil time.Duration
+	// recovering is set if the account was recovering when it last answered.
+	recovering bool
 	// keeper is the name of the host that granted or denied last.
 	keeper        string
 	usedAt        time.Duration
@@ -100,6 +107,8 @@
 type keptAccount struct {
 	*core.Account
 	since int64
+	// recoveringUntil is set for an account that started empty.
+	recoveringUntil time.Duration
 }
 
 // New returns a service without tokens and accounts.
@@ -185,7 +194,7 @@
 }
 
 // await returns nil as soon as done returns true, and asks for tokens until the quota turns out to be used up. It returns
-// ErrUnavailable if no keeper has answered by the deadline. s.mu is held; it is released while await waits.
+// ErrUnavailable if no keeper has answered by the deadline, or only one that is recovering. s.mu is held; it is released while await waits.
 func (s *Service) await(ctx context.Context, team string, t *teamTokens, deadline time.Duration, done func(now time.Duration) bool) error {
 	t.waiting++
 	defer func() { t.waiting-- }()
@@ -196,7 +205,7 @@
 		if isDone {
 			return nil
 		}
-		if retryAfter, denied := t.Denied(now); denied {
+		if retryAfter, denied := t.Denied(now); denied && (!t.recovering || t.waiting > maxRecoveryQueue) {
 			return ExceededError{RetryAfter: retryAfter}
 		}
 		if now >= deadline {
@@ -204,7 +213,7 @@
 		}
 		wait := deadline - now
 		if !t.asking {
-			wait = min(wait, max(t.unavailableUntil-now, time.Millisecond))
+			wait = min(wait, max(t.unavailableUntil-now, t.AskableIn(now), time.Millisecond))
 		}
 		answered := t.answered
 		s.mu.Unlock()
@@ -245,7 +254,9 @@
 // answer is the answer to a question.
 type answer struct {
 	// Keeps is set if the host keeps the account; otherwise another one is to be asked.
-	Keeps                bool
+	Keeps bool
+	// Recovering is set if the account started empty a moment ago.
+	Recovering           bool `msgpack:",omitempty"`
 	Tokens               int
 	AskAfter, RetryAfter time.Duration
 }
@@ -271,14 +282,14 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		t.Lease(s.now(), askedAt, s.options.Bounds.LeaseTime(), core.Grant{Tokens: a.Tokens, AskAfter: a.AskAfter, RetryAfter: a.RetryAfter})
-		t.keeper = peer.Name
+		t.keeper, t.recovering = peer.Name, a.Recovering
 		s.endQuestion(t)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.unavailableUntil = s.now() + retryDelay
-	t.keeper = ""
+	t.keeper, t.recovering = "", false
 	s.endQuestion(t)
 }
 
@@ -362,10 +373,13 @@
 	if account == nil || account.since != since {
 		// A new keeper starts without tokens at the end of the handover, and without a burst.
 		account = &keptAccount{since: since, Account: core.NewAccount(now-min(kept-handover, maxIdleStart), limit, s.options.Bounds, since == 0)}
+		if since != 0 {
+			account.recoveringUntil = now - (kept - handover) + recoveryTime
+		}
 		s.accounts[q.Team] = account
 	}
 	g := account.Grant(now, q.Host, q.Tokens, limit)
-	return answer{Keeps: true, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter}
+	return answer{Keeps: true, Recovering: now < account.recoveringUntil, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter}
 }
 
 // TeamUsage is the state of one team at this host.
