Start as many programs of a team as its quota completes

Change: the keeper of a team's account starts programs at the quota's rate divided by the requests of a program, which it estimates from all accounts that it keeps.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -229,28 +229,42 @@
 	g.Expect(float64(granted)).To(BeNumerically("<=", allowed(lowered)))
 }
 
-// Guards against programs of a hot team that start and are refused midway, so that all that they have used is lost.
-func TestTokensBelowHalfOfTheCapacityAreKeptForProgramsInProgress(t *testing.T) {
-	limit := quota.Limit{PerSecond: 10, Burst: 20}
-	bounds := quota.Bounds{Window: 5 * time.Second, Tolerance: 0.1}
-	now := time.Minute
-	account := quota.NewAccount(now, limit, bounds, true)
-	var holder quota.Holder
-	lease := func(tokens int) { holder.Lease(now, now, bounds.LeaseTime(), account.Grant(now, "a-1", tokens, limit)) }
-	lease(10)
-	if holder.Scarce(now) {
-		t.Error("half of the tokens are left, and count as scarce")
+// Guards against programs of a hot team that start and are refused midway, so that all that they have used is lost: with 10
+// requests a second and programs of 20 requests, one starts every two seconds, and a few may start together.
+func TestHotTeamStartsAsManyProgramsAsItsQuotaCompletes(t *testing.T) {
+	limit := quota.Limit{PerSecond: 10, Burst: 30}
+	account := quota.NewAccount(0, limit, quota.Bounds{Window: 5 * time.Second, Tolerance: 0.1}, true)
+	started := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 50 * time.Millisecond {
+		retryAfter, ok := account.StartProgram(now, limit, 20)
+		if ok {
+			started++
+		} else if retryAfter <= 0 || retryAfter > 2*time.Second {
+			t.Fatalf("retry after %v", retryAfter)
+		}
+	}
+	if started < 12 || started > 14 { // 4 at once, and 10 in 20 s
+		t.Errorf("%d programs started in 20 s", started)
 	}
-	lease(1)
-	if !holder.Scarce(now) {
-		t.Error("less than half of the tokens are left, and do not count as scarce")
+}
+
+// Guards against refusing programs before it is known how many requests they make.
+func TestProgramsOfUnknownSizeStart(t *testing.T) {
+	limit := quota.Limit{PerSecond: 1}
+	account := quota.NewAccount(0, limit, quota.Bounds{}, true)
+	var programs quota.Programs
+	for i := range 5 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		if _, ok := account.StartProgram(now, limit, programs.RequestsPerProgram(now)); !ok {
+			t.Fatal("refused")
+		}
+		programs.RecordStart(now)
 	}
-	if !holder.Use(now) {
-		t.Error("a program in progress gets no token")
+	programs.RecordRequests(time.Second, 60)
+	for range 5 {
+		programs.RecordStart(time.Second)
 	}
-	now += time.Second
-	lease(1)
-	if holder.Scarce(now) {
-		t.Error("half of the tokens are left again, and count as scarce")
+	if got := programs.RequestsPerProgram(time.Second); got < 5 || got > 7 {
+		t.Errorf("%v requests a program, want 6", got)
 	}
 }
--- a/service/quota/quota.go
+++ b/service/quota/quota.go
@@ -27,9 +27,11 @@
 	retryDelay = 50 * time.Millisecond
 	// sendWait is how long a request that is about to be sent waits for a token: it occupies a place at a server.
 	sendWait = 250 * time.Millisecond
-	// startRetryAfter is the time after which a program that was not started may come again: its team has tokens for several
-	// requests then.
-	startRetryAfter = 500 * time.Millisecond
+	// recoveryTime is how long after its start an account that started empty counts as recovering: requests wait for its
+	// tokens and are not refused, because the team may be within its quota. maxRecoveryQueue bounds the requests that wait
+	// at one host.
+	recoveryTime     = 5 * time.Second
+	maxRecoveryQueue = 500
 	// idleTime is how long the tokens of a team are remembered without requests, and sweepInterval how often that is checked.
 	idleTime      = 10 * time.Second
 	sweepInterval = 2 * time.Second
@@ -76,6 +78,8 @@
 	accounts map[string]*keptAccount
 	// adopted holds the accounts that other hosts have handed over, until they are used, by team.
 	adopted map[string]adoptedAccount
+	// programs estimates how many requests a program makes, from those of all teams whose accounts this host keeps.
+	programs core.Programs
 	// handedOver is set once this host has handed its accounts over; it grants nothing from then on.
 	handedOver bool
 	// silentUntil holds until when hosts that did not answer are not asked.
@@ -93,6 +97,8 @@
 	// answered is closed when a question is answered or given up, and unavailableUntil set in the latter case.
 	answered         chan struct{}
 	unavailableUntil time.Duration
+	// recovering is set if the account was recovering when it last answered.
+	recovering bool
 	// keeper is the name of the host that granted or denied last.
 	keeper        string
 	usedAt        time.Duration
@@ -103,6 +109,8 @@
 type keptAccount struct {
 	*core.Account
 	since int64
+	// recoveringUntil is set for an account that started empty.
+	recoveringUntil time.Duration
 }
 
 // New returns a service without tokens and accounts.
@@ -121,13 +129,16 @@
 }
 
 // Admit claims a token for a request of the team, which waits for the answer of the account's keeper if necessary, at most
-// for maxWait. A request that starts a program is refused at once if the quota is used up or nearly so; others wait for a
-// token, because a program that is refused midway is lost. The error is an ExceededError, ErrUnavailable or that of ctx. The claim is nil if the team has no quota; it
+// for maxWait. A request that starts a program is refused at once if the quota leaves no room for another program. The error is an ExceededError, ErrUnavailable or that of ctx. The claim is nil if the team has no quota; it
 // must be ended by Use or Release.
 func (s *Service) Admit(ctx context.Context, team string, startsProgram bool, maxWait time.Duration) (*Claim, error) {
 	if _, ok := s.options.Limit(team); !ok {
 		return nil, nil
 	}
+	var startErr error
+	if startsProgram {
+		startErr = s.claimStart(team)
+	}
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -138,13 +149,13 @@
 		s.teams[team] = t
 	}
 	t.usedAt = now
+	if startErr != nil {
+		return nil, s.count(t, startErr)
+	}
 	t.RecordRequest(now)
-	if err := s.await(ctx, team, t, now+maxWait, !startsProgram, func(now time.Duration) bool { return t.Available(now) > t.admitted }); err != nil {
+	if err := s.await(ctx, team, t, now+maxWait, func(now time.Duration) bool { return t.Available(now) > t.admitted }); err != nil {
 		return nil, s.count(t, err)
 	}
-	if startsProgram && t.Scarce(s.now()) {
-		return nil, s.count(t, ExceededError{RetryAfter: startRetryAfter})
-	}
 	t.admitted++
 	return &Claim{service: s, team: team, tokens: t}, nil
 }
@@ -160,7 +171,7 @@
 	defer s.mu.Unlock()
 	c.ended = true
 	t.admitted--
-	return s.count(t, s.await(ctx, c.team, t, s.now()+sendWait, true, t.Use))
+	return s.count(t, s.await(ctx, c.team, t, s.now()+sendWait, t.Use))
 }
 
 // Release ends the claim of a request that is not sent.
@@ -192,9 +203,9 @@
 }
 
 // await returns nil as soon as done returns true, and asks for tokens until the quota turns out to be used up. It returns
-// ErrUnavailable if no keeper has answered by the deadline. If patient is set, it waits until the deadline for tokens of a
-// quota that is used up. s.mu is held; it is released while await waits.
-func (s *Service) await(ctx context.Context, team string, t *teamTokens, deadline time.Duration, patient bool, done func(now time.Duration) bool) error {
+// ErrUnavailable if no keeper has answered by the deadline, or only one that is recovering. While tokens are denied, it waits
+// for them until the deadline: a program that is refused midway is lost. s.mu is held; it is released while await waits.
+func (s *Service) await(ctx context.Context, team string, t *teamTokens, deadline time.Duration, done func(now time.Duration) bool) error {
 	t.waiting++
 	defer func() { t.waiting-- }()
 	// failure is the error at the deadline.
@@ -207,15 +218,15 @@
 			return nil
 		}
 		retryAfter, denied := t.Denied(now)
-		if denied {
+		if denied && !t.recovering {
 			failure = ExceededError{RetryAfter: retryAfter}
 		}
-		if denied && !patient || now >= deadline {
+		if denied && t.waiting > maxRecoveryQueue || now >= deadline {
 			return failure
 		}
 		wait := deadline - now
 		if !t.asking {
-			wait = min(wait, max(t.unavailableUntil-now, t.DeniedFor(now), time.Millisecond))
+			wait = min(wait, max(t.unavailableUntil-now, t.AskableIn(now), time.Millisecond))
 		}
 		answered := t.answered
 		s.mu.Unlock()
@@ -233,6 +244,26 @@
 	}
 }
 
+// claimStart asks the keeper of the team's account whether a program may start. The error is an ExceededError; a program may
+// start if no keeper answers.
+func (s *Service) claimStart(team string) error {
+	q := question{Host: s.options.Self, Team: team, StartsProgram: true}
+	for i, peer := range s.options.Keepers(team) {
+		if i == maxKeepers {
+			break
+		}
+		a, ok := s.askPeer(peer, q)
+		switch {
+		case !ok || !a.Keeps:
+		case a.StartDenied:
+			return ExceededError{RetryAfter: a.RetryAfter}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
 // askIfNeeded asks for tokens in the background if the host should have more; s.mu is held.
 func (s *Service) askIfNeeded(team string, t *teamTokens, now time.Duration) {
 	if t.asking || now < t.unavailableUntil {
@@ -249,6 +280,8 @@
 	Host   string
 	Team   string
 	Tokens int
+	// StartsProgram is set if the host asks whether a program may start. Such a message asks for no tokens.
+	StartsProgram bool `msgpack:",omitempty"`
 	// HandedOver holds the accounts of a host that drains. Such a message asks for no tokens.
 	HandedOver []handedAccount `msgpack:",omitempty"`
 }
@@ -256,10 +289,13 @@
 // answer is the answer to a question.
 type answer struct {
 	// Keeps is set if the host keeps the account; otherwise another one is to be asked.
-	Keeps                bool
+	Keeps bool
+	// StartDenied is set if the program may not start, RetryAfter is the time after which it may come again then.
+	StartDenied bool `msgpack:",omitempty"`
+	// Recovering is set if the account started empty a moment ago.
+	Recovering           bool `msgpack:",omitempty"`
 	Tokens               int
 	AskAfter, RetryAfter time.Duration
-	Scarce               bool
 }
 
 // ask asks the keepers of the team's account one after the other until one grants or denies tokens.
@@ -282,15 +318,15 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		t.Lease(s.now(), askedAt, s.options.Bounds.LeaseTime(), core.Grant{Tokens: a.Tokens, AskAfter: a.AskAfter, RetryAfter: a.RetryAfter, Scarce: a.Scarce})
-		t.keeper = peer.Name
+		t.Lease(s.now(), askedAt, s.options.Bounds.LeaseTime(), core.Grant{Tokens: a.Tokens, AskAfter: a.AskAfter, RetryAfter: a.RetryAfter})
+		t.keeper, t.recovering = peer.Name, a.Recovering
 		s.endQuestion(t)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.unavailableUntil = s.now() + retryDelay
-	t.keeper = ""
+	t.keeper, t.recovering = "", false
 	s.endQuestion(t)
 }
 
@@ -332,7 +368,7 @@
 		_ = r.Answer(answer{}) // fails only if the sender no longer waits
 		return
 	}
-	if err == nil && (q.Host == "" || q.Tokens < 1 || q.Tokens > core.MaxWanted) {
+	if err == nil && (q.Host == "" || q.Tokens < 1 && !q.StartsProgram || q.Tokens < 0 || q.Tokens > core.MaxWanted) {
 		err = errors.Newf("host %q asks for %d tokens of team %q", q.Host, q.Tokens, q.Team)
 	}
 	if err != nil {
@@ -374,10 +410,21 @@
 	if account == nil || account.since != since {
 		// A new keeper starts without tokens at the end of the handover, and without a burst.
 		account = &keptAccount{since: since, Account: core.NewAccount(now-min(kept-handover, maxIdleStart), limit, s.options.Bounds, since == 0)}
+		if since != 0 {
+			account.recoveringUntil = now - (kept - handover) + recoveryTime
+		}
 		s.accounts[q.Team] = account
 	}
+	if q.StartsProgram {
+		retryAfter, ok := account.StartProgram(now, limit, s.programs.RequestsPerProgram(now))
+		if ok {
+			s.programs.RecordStart(now)
+		}
+		return answer{Keeps: true, StartDenied: !ok, RetryAfter: retryAfter}
+	}
 	g := account.Grant(now, q.Host, q.Tokens, limit)
-	return answer{Keeps: true, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter, Scarce: g.Scarce}
+	s.programs.RecordRequests(now, g.Tokens)
+	return answer{Keeps: true, Recovering: now < account.recoveringUntil, Tokens: g.Tokens, AskAfter: g.AskAfter, RetryAfter: g.RetryAfter}
 }
 
 // TeamUsage is the state of one team at this host.
