--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -104,7 +104,7 @@
 func (c *copier) run(ctx context.Context, s *shelf) {
 	for ctx.Err() == nil {
 		hosts, revision, changed := c.host.members.current()
-		delay := copyInterval
+		delay := c.host.copyInterval
 		switch {
 		case !c.host.members.hasListed():
 			delay = copyRetryDelay
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -64,6 +64,8 @@
 	// requestedAt is when another host last sent a request, in time since boot.
 	requestedAt atomic.Int64
 	copier      copier
+	// lostAfter and copyInterval are the constants of these names, except in tests.
+	lostAfter, copyInterval time.Duration
 
 	retireMu sync.Mutex
 }
@@ -73,6 +75,7 @@
 	incarnation := fmt.Sprintf("%012x-%d", time.Now().UnixMilli(), os.Getpid())
 	h := &Host{
 		settings: s, store: store, fs: vfs.Default, copies: s.Promises.TolerableHostLosses + 1,
+		lostAfter: lostAfter, copyInterval: copyInterval,
 		metrics:     metrics.New(s.Host.Name, s.Host.FailureDomain),
 		answerBytes: newByteGate(int64(float64(s.Limits.MemoryBytes) * answerMemoryFraction)),
 		copyLimit:   rate.NewLimiter(copyBytesPerSecond, maxCopyBatchBytes),
--- a/service/turns/members.go
+++ b/service/turns/members.go
@@ -212,6 +212,9 @@
 	for ctx.Err() == nil && isActive() {
 		m.repairOwnEntry(ctx)
 		changes, next, err := m.store.Watch(ctx, KindDiskHosts, "", revision)
+		if ctx.Err() != nil {
+			return nil // the list is to be read again
+		}
 		if err != nil {
 			return err
 		}
--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -31,7 +31,7 @@
 func (h *Host) watchPeers(ctx context.Context) {
 	answeredAt := map[string]time.Duration{}
 	for ctx.Err() == nil {
-		sleep(ctx, pingInterval)
+		sleep(ctx, min(pingInterval, h.lostAfter/4))
 		hosts, _, _ := h.members.current()
 		self := h.members.own()
 		if !h.isActive() || self.State != turnlog.Ready {
@@ -51,7 +51,7 @@
 				answeredAt[name] = now // asked for the first time
 			}
 			// A host to which no other answers is cut off itself.
-			if silent := now - answeredAt[name]; answer == nil && silent > lostAfter && slices.ContainsFunc(hosts, func(o turnlog.Host) bool { return answers[o.Name] != nil }) {
+			if silent := now - answeredAt[name]; answer == nil && silent > h.lostAfter && slices.ContainsFunc(hosts, func(o turnlog.Host) bool { return answers[o.Name] != nil }) {
 				h.markLost(ctx, name, silent)
 			}
 		}
