--- a/service/turns/cluster_test.go
+++ b/service/turns/cluster_test.go
@@ -396,3 +396,23 @@
 }
 
 func isNotFound(err error) bool { return errors.Is(err, ErrNotFound) }
+
+// Guards against a folder of the engine that a loss of power removes with all turns in it, because the process that created
+// it ended before it synced the folder above.
+func TestFolderOfTheEngineSurvivesALossOfPower(t *testing.T) {
+	c := newCluster(t, "a-1", "b-1", "c-1")
+	d := c.disks[0]
+	c.kill(d)
+	d.fs = vfs.NewCrashableMem()
+	c.Expect(d.fs.MkdirAll("data/"+engineFolder, 0o755)).To(Succeed())
+	c.start(d)
+	c.Eventually(func() bool { return d.host.shelf.Load() != nil && c.keep("p", "t1", "") == nil }, "5s").Should(BeTrue())
+	c.Eventually(func() int { return held(d) }, "5s").Should(Equal(1))
+	_ = d.host.node.Close()
+	after := d.fs.CrashClone(vfs.CrashCloneCfg{})
+	c.kill(d)
+	d.fs = after
+	c.start(d)
+	c.Eventually(func() int { return held(d) }, "5s").Should(Equal(1))
+	c.Expect(d.host.shelf.Load().disk.isNew).To(BeFalse())
+}
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -171,18 +171,40 @@
 // it is emptied, and the copies are made again from other hosts.
 func (h *Host) openDisk() (*disk, error) {
 	folder := filepath.Join(h.settings.Disk.Path, engineFolder)
-	if err := h.fs.MkdirAll(folder, 0o755); err != nil {
-		return nil, errors.Wrapf(err, "create %s", folder)
-	}
 	d, err := openDisk(folder, h.fs)
-	if err == nil || !pebble.IsCorruptionError(err) {
-		return d, err
+	if err != nil && pebble.IsCorruptionError(err) {
+		logging.Emit(logging.DiskReplaced, logging.Fields{"error": err})
+		if err := h.fs.RemoveAll(folder); err != nil {
+			return nil, errors.Wrapf(err, "empty %s", folder)
+		}
+		d, err = openDisk(folder, h.fs)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := h.syncFolders(); err != nil {
+		return nil, errors.CombineErrors(err, d.close())
 	}
-	logging.Emit(logging.DiskReplaced, logging.Fields{"error": err})
-	if err := h.fs.RemoveAll(folder); err != nil {
-		return nil, errors.Wrapf(err, "empty %s", folder)
+	return d, nil
+}
+
+// syncFolders syncs the entry of the engine's folder. Without that, a loss of power may remove the folder with all that was
+// synced in it. The engine does this only for a folder that it has just created, which the process may not have survived.
+func (h *Host) syncFolders() error {
+	path := h.settings.Disk.Path
+	for _, folder := range []string{path, filepath.Dir(path)} {
+		f, err := h.fs.OpenDir(folder)
+		if err != nil && folder != path {
+			return nil // the platform's folder: it existed before this process
+		}
+		if err != nil {
+			return errors.Wrapf(err, "open %s", folder)
+		}
+		if err := errors.CombineErrors(f.Sync(), f.Close()); err != nil && folder == path {
+			return errors.Wrapf(err, "sync %s", folder)
+		}
 	}
-	return openDisk(folder, h.fs)
+	return nil
 }
 
 func (h *Host) expire(ctx context.Context, s *shelf) {
