hyssopreelctl turns: show retained turns, space, and turns with too few copies

The table shows for each host with a disk its turns and bytes, the space on the disk, the turns of which it should have a copy and has none yet, the age of the oldest, and damaged records. A host that does not answer is shown as such. Measured: specs of cmd/hyssopreelctl pass.

--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -215,6 +215,9 @@
 	d.addCommand(p.Command, "fleet", "Show an entry host's view of the fleet, or compare the views of several",
 		"The table shows each entry host with its state, its roles, and the ages of its last heartbeat and load report. With several addresses, only the hosts on which the views differ are shown.",
 		"fleet 10.1.0.38:9464 10.2.0.40:9464", &fleetCommand{})
+	d.addCommand(p.Command, "turns", "Show the turns that hosts with a disk retain",
+		"The table shows for each host the retained turns and their size, the space on its disk, the turns of which the host should have a copy and has none yet with the age of the oldest, and the damaged records that were found.",
+		"turns 10.1.0.60:9464 10.2.0.61:9464", &turnsCommand{})
 	d.addCommand(p.Command, "replay", "Run an event log through the reducer and show its effects",
 		"A daemon writes the log if the setting event_log is given. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
 		"replay events.log --expect outcomes.json", &replayCommand{})
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -92,7 +92,7 @@
 	ginkgo.It("has an example in the help of each command", func() {
 		for _, c := range []string{
 			"ticket apply", "ticket show", "ticket list", "program list", "program show", "program history",
-			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain", "fleet",
+			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain", "fleet", "turns",
 		} {
 			r := ctl("", append(strings.Fields(c), "--help")...)
 			gomega.Expect(r.code).To(gomega.Equal(exitOK), c)
@@ -182,6 +182,21 @@
 		gomega.Expect(ctl("", "fleet", "127.0.0.1:1").code).To(gomega.Equal(exitNotRun))
 	})
 
+	// Guards against turns with too few copies that operators do not see, and against a host that does not answer and is left
+	// out.
+	ginkgo.It("shows the retained turns of hosts with a disk", func() {
+		view := api.DiskView{Host: "a-d1", State: "ready", Full: true, Turns: 12, Bytes: 3456, PendingCopies: 7, OldestPendingMS: 1500}
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			gomega.Expect(r.URL.Path).To(gomega.Equal("/v1/turns"))
+			_ = json.NewEncoder(w).Encode(view)
+		}))
+		ginkgo.DeferCleanup(s.Close)
+		r := ctl("", "turns", s.Listener.Addr().String(), "127.0.0.1:1")
+		gomega.Expect(r.out).To(gomega.MatchRegexp(`a-d1 +ready,full +12 +3456 .* 7 +1.5s`))
+		gomega.Expect(r.out).To(gomega.MatchRegexp(`127.0.0.1:1 +no answer`))
+		gomega.Expect(r.code).To(gomega.Equal(exitNotRun))
+	})
+
 	ginkgo.It("explains a request from the logs of several hosts", func() {
 		line := func(at, host, event, rest string) string {
 			return `-1.5 ` + host + ` {"fields":{"host":"` + host + `","event":` + event + rest + `},"level":"info","timestamp":"2026-04-09T03:34:` + at + `Z","message":"m` + event + `"}` + "\n"
