turns: sync the folder before a new file of the engine is used

Cause: found by TestAcknowledgedTurnsSurviveALossOfPowerAtEachOperation under -race: the engine creates a manifest and the marker that names it, and syncs the folder once. A loss of power in between may keep the marker without the manifest, and the engine then does not open. It replaces the manifest at each start, so that this also concerns disks with turns.

Change: a file system below the engine syncs the folder at each creation and rename. An entry host counts distinct disks, not addresses, and takes "no such turn" only from the host that it asked. A host that is slow is asked last but still counts as one that can retain turns. An input that is too large for a record gets 413.

Ruled out: to empty a disk whose manifest is missing; the disk may hold acknowledged turns.

--- a/service/ingress/turns.go
+++ b/service/ingress/turns.go
@@ -49,7 +49,10 @@
 	unavailable := func(reason string, err error) *failure {
 		return &failure{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.ingress.retryAfter(""), cause: err}
 	}
-	if err := x.ingress.turns.CheckCapacity(len(x.body)); err != nil {
+	switch err := x.ingress.turns.CheckCapacity(len(x.body)); {
+	case errors.Is(err, turns.ErrTooLarge):
+		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
+	case err != nil:
 		return unavailable("turn cannot be retained", err)
 	}
 	retained := &retainedTurn{}
--- a/service/turns/client.go
+++ b/service/turns/client.go
@@ -43,6 +43,8 @@
 	ErrUncertain = errors.New("turns cannot be read")
 	// ErrUnavailable means that too few hosts can retain a turn.
 	ErrUnavailable = errors.New("too few hosts can retain a turn")
+	// ErrTooLarge means that the input of a turn is too large to be retained.
+	ErrTooLarge = errors.New("input is too large to be retained")
 	// ErrNoMemory means that the turns do not fit into the memory for bodies.
 	ErrNoMemory = errors.New("no memory for the turns")
 )
@@ -58,7 +60,8 @@
 	hosts         *hostList
 
 	mu sync.Mutex
-	// failed holds the names of the hosts that failed or were full, until they work again.
+	// failed holds the hosts that failed, were full or slow, by name, until they work again. It is true for those that can
+	// retain no turns.
 	failed  map[string]bool
 	touches map[string][]string // turns by peer address
 
@@ -103,11 +106,11 @@
 	}
 }
 
-// CheckCapacity returns ErrUnavailable if so few hosts can retain turns that the response to a new turn could not be
+// CheckCapacity returns ErrTooLarge if the input cannot be retained, and ErrUnavailable if so few hosts can retain turns that the response to a new turn could not be
 // completed.
 func (c *Client) CheckCapacity(inputBytes int) error {
 	if inputBytes > maxRecordBytes/2 {
-		return errors.Wrapf(ErrUnavailable, "input of %d bytes", inputBytes)
+		return errors.Wrapf(ErrTooLarge, "input of %d bytes", inputBytes)
 	}
 	hosts, _, _ := c.hosts.current()
 	usable := 0
@@ -131,19 +134,36 @@
 	c.failed[name] = true
 }
 
+// recordSlow records that a host has not answered in the usual time. It still counts as one that can retain turns.
+func (c *Client) recordSlow(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.failed[name]; !known {
+		c.failed[name] = false
+	}
+}
+
+// hasFailed reports whether a host can retain no turns, and isAvoided whether it is asked last.
 func (c *Client) hasFailed(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.failed[name]
 }
 
+func (c *Client) isAvoided(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, avoided := c.failed[name]
+	return avoided
+}
+
 // probeFailed asks the hosts that failed whether they work again, until ctx ends.
 func (c *Client) probeFailed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, probeInterval)
 		hosts, _, _ := c.hosts.current()
 		c.mu.Lock()
-		failed := slices.DeleteFunc(slices.Clone(hosts), func(h turnlog.Host) bool { return !c.failed[h.Name] })
+		failed := slices.DeleteFunc(slices.Clone(hosts), func(h turnlog.Host) bool { _, avoided := c.failed[h.Name]; return !avoided })
 		c.mu.Unlock()
 		var group sync.WaitGroup
 		for _, h := range failed {
@@ -162,11 +182,11 @@
 	}
 }
 
-// workingFirst moves the hosts that failed to the end.
+// workingFirst moves the hosts that failed or were slow to the end.
 func (c *Client) workingFirst(hosts []turnlog.Host) []turnlog.Host {
 	var working, failed []turnlog.Host
 	for _, h := range hosts {
-		if c.hasFailed(h.Name) {
+		if c.isAvoided(h.Name) {
 			failed = append(failed, h)
 		} else {
 			working = append(working, h)
@@ -209,77 +229,78 @@
 		return errors.Wrapf(ErrUnavailable, "%d hosts, %d copies", len(candidates), c.copies)
 	}
 	type result struct {
-		host string
-		err  error
+		host, disk string
+		err        error
 	}
 	results := make(chan result, len(candidates))
 	waiting := map[string]bool{} // names of hosts that have not answered
-	next, kept := 0, 0
+	disks := map[string]bool{}   // IDs of those that have the turn
+	next := 0
 	launch := func() {
 		h := candidates[next]
 		next++
 		waiting[h.Name] = true
-		go func() { results <- result{h.Name, c.keepAt(ctx, h, r)} }()
-	}
-	for range c.copies {
-		launch()
+		go func() {
+			disk, err := c.keepAt(ctx, h, r)
+			results <- result{h.Name, disk, err}
+		}()
 	}
 	hedge := time.NewTimer(keepHedgeDelay)
 	defer hedge.Stop()
 	var failure error
-	for kept < c.copies {
+	for len(disks) < c.copies {
+		for len(disks)+len(waiting) < c.copies && next < len(candidates) {
+			launch()
+		}
 		if len(waiting) == 0 && next == len(candidates) {
-			return errors.Wrapf(ErrUnavailable, "%d of %d copies: %v", kept, c.copies, failure)
+			return errors.Wrapf(ErrUnavailable, "%d of %d copies: %v", len(disks), c.copies, failure)
 		}
 		select {
 		case answered := <-results:
 			delete(waiting, answered.host)
 			if answered.err == nil {
-				kept++
+				disks[answered.disk] = true
 				continue
 			}
 			failure = answered.err
 			if errors.Is(failure, turnlog.ErrOtherTurn) {
 				return failure
 			}
-			if next < len(candidates) {
-				launch()
-			}
 		case <-hedge.C:
 			// Those that have not answered are too slow for the next turns, too.
 			for name := range waiting {
-				c.recordFailure(name)
+				c.recordSlow(name)
 			}
-			for missing := c.copies - kept; missing > 0 && next < len(candidates); missing-- {
+			for missing := c.copies - len(disks); missing > 0 && next < len(candidates); missing-- {
 				launch()
 			}
 			hedge.Reset(keepHedgeDelay)
 		case <-ctx.Done():
-			return errors.Wrapf(ErrUnavailable, "%d of %d copies in time: %v", kept, c.copies, failure)
+			return errors.Wrapf(ErrUnavailable, "%d of %d copies in time: %v", len(disks), c.copies, failure)
 		}
 	}
 	return nil
 }
 
-// keepAt retains a turn at one host.
-func (c *Client) keepAt(ctx context.Context, h turnlog.Host, r turnlog.Record) error {
+// keepAt retains a turn at one host, and returns the ID of its disk.
+func (c *Client) keepAt(ctx context.Context, h turnlog.Host, r turnlog.Record) (disk string, err error) {
 	var answer keepAnswer
 	if err := c.node.Call(ctx, h.PeerAddress, wire.TypeKeepTurn, keepRequest{Record: r}, &answer); err != nil {
 		if ctx.Err() == nil {
 			c.recordFailure(h.Name)
 		}
-		return err
+		return "", err
 	}
 	switch {
 	case answer.Status == statusConflict:
-		return errors.Wrapf(turnlog.ErrOtherTurn, "turn %q", r.Meta.ID)
+		return "", errors.Wrapf(turnlog.ErrOtherTurn, "turn %q", r.Meta.ID)
 	case answer.Status != statusDone || answer.NearlyFull:
 		c.recordFailure(h.Name)
 	}
 	if answer.Status != statusDone {
-		return errors.Newf("host %s retains no turns: %d", h.Name, answer.Status)
+		return "", errors.Newf("host %s retains no turns: %d", h.Name, answer.Status)
 	}
-	return nil
+	return answer.DiskID, nil
 }
 
 // touchOthers tells the other hosts that should have a copy of the turn that it was read.
--- a/service/turns/disk.go
+++ b/service/turns/disk.go
@@ -54,7 +54,7 @@
 	cache := pebble.NewCache(blockCacheBytes)
 	defer cache.Unref()
 	db, err := pebble.Open(folder, &pebble.Options{
-		FS: fs, Cache: cache, MemTableSize: memTableBytes, MemTableStopWritesThreshold: maxMemTables, MaxOpenFiles: maxOpenFiles,
+		FS: syncedFS{fs}, Cache: cache, MemTableSize: memTableBytes, MemTableStopWritesThreshold: maxMemTables, MaxOpenFiles: maxOpenFiles,
 		// This format tells a write that was cut off by a loss of power from a synced one that is damaged.
 		FormatMajorVersion: pebble.FormatTableFormatV6,
 		Logger:             engineLogger{},
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	return r.Answer(keepAnswer{Status: result, NearlyFull: s.nearlyFull()})
+	return r.Answer(keepAnswer{Status: result, DiskID: s.disk.id, NearlyFull: s.nearlyFull()})
 }
 
 // serveChain sends the turns up to one.
@@ -254,7 +254,7 @@
 	if result == statusAbsent && !h.complete.Load() {
 		result = statusNotReady
 	}
-	piece := chainPiece{Status: result, Missing: missing}
+	piece := chainPiece{Status: result, Host: h.settings.Host.Name, Missing: missing}
 	if len(entries) > 0 {
 		piece.Anchor = entries[len(entries)-1].Anchor
 	}
--- a/service/turns/load.go
+++ b/service/turns/load.go
@@ -214,6 +214,8 @@
 			switch {
 			case result.err != nil:
 				uncertain = result.err
+			case result.Host != result.host.Name:
+				uncertain = errors.Newf("at the address of host %s is host %s", result.host.Name, result.Host)
 			case result.Status == statusDone:
 				found = append(found, result.host)
 			case result.Status == statusOtherTeam:
--- a/service/turns/messages.go
+++ b/service/turns/messages.go
@@ -34,6 +34,8 @@
 
 type keepAnswer struct {
 	Status status
+	// DiskID is that of the host, so that a host which is listed twice counts once.
+	DiskID string
 	// NearlyFull is set if the host will soon have no space.
 	NearlyFull bool `msgpack:",omitempty"`
 }
@@ -49,6 +51,8 @@
 // chainPiece is a part of the answer. The turns of all parts are in order, oldest first.
 type chainPiece struct {
 	Status status
+	// Host is the name of the host: at the address of a lost one there may be another.
+	Host string
 	// Missing is the ID of the turn that the first one continues and that the host does not have.
 	Missing string `msgpack:",omitempty"`
 	// Anchor is that of the chain.
--- a/service/turns/shelf.go
+++ b/service/turns/shelf.go
@@ -23,8 +23,11 @@
 	// that are being written.
 	cacheMemoryFraction   = 0.125
 	pendingMemoryFraction = 0.125
-	// stalledAfter is the time after which a write shows that the disk hangs: a sync takes 5 ms, and 35 ms on a slow disk.
-	stalledAfter = 300 * time.Millisecond
+	// stalledAfter is the time after which a write shows that the disk hangs: a sync takes 5 ms, and 35 ms on a slow disk. It
+	// is shorter than keepHedgeDelay, so that a host which did not answer a turn in time does not say that it accepts more.
+	stalledAfter = 100 * time.Millisecond
+	// closePollInterval is how often a retiring host checks whether all accepted turns are written.
+	closePollInterval = 10 * time.Millisecond
 )
 
 // shelf holds the turns on this host's disk. It is safe for concurrent use.
@@ -42,9 +45,8 @@
 	usedBytes    int64
 	// writing holds when the records that are being written were passed to the disk, by sequence.
 	writing map[uint64]time.Duration
-	// closed is set while no more turns of entry hosts are accepted; pending counts those that are being written.
-	closed  bool
-	pending sync.WaitGroup
+	// closed is set while no more turns of entry hosts are accepted.
+	closed bool
 }
 
 // openShelf reads the meta data of all records. They count as used now: when they were last used is not stored.
@@ -92,8 +94,6 @@
 	sequence := s.lastSequence
 	s.pendingBytes += size
 	s.writing[sequence] = clock.SinceBoot()
-	s.pending.Add(1)
-	defer s.pending.Done()
 	s.mu.Unlock()
 
 	err = s.disk.put(sequence, r)
@@ -142,9 +142,13 @@
 func (s *shelf) close() bool {
 	s.mu.Lock()
 	s.closed = true
-	s.mu.Unlock()
-	s.pending.Wait()
-	return s.len() > 0
+	for len(s.writing) > 0 {
+		s.mu.Unlock()
+		time.Sleep(closePollInterval)
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	return s.index.Len() > 0
 }
 
 func (s *shelf) len() int {
