--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -64,6 +64,8 @@
 	// requestedAt is when another host last sent a request, in time since boot.
 	requestedAt atomic.Int64
 	copier      copier
+	// lostAfter and copyInterval are the constants of these names, except in tests.
+	lostAfter, copyInterval time.Duration
 
 	retireMu sync.Mutex
 }
@@ -73,6 +75,7 @@
 	incarnation := fmt.Sprintf("%012x-%d", time.Now().UnixMilli(), os.Getpid())
 	h := &Host{
 		settings: s, store: store, fs: vfs.Default, copies: s.Promises.TolerableHostLosses + 1,
+		lostAfter: lostAfter, copyInterval: copyInterval,
 		metrics:     metrics.New(s.Host.Name, s.Host.FailureDomain),
 		answerBytes: newByteGate(int64(float64(s.Limits.MemoryBytes) * answerMemoryFraction)),
 		copyLimit:   rate.NewLimiter(copyBytesPerSecond, maxCopyBatchBytes),
@@ -168,18 +171,40 @@
 // it is emptied, and the copies are made again from other hosts.
 func (h *Host) openDisk() (*disk, error) {
 	folder := filepath.Join(h.settings.Disk.Path, engineFolder)
-	if err := h.fs.MkdirAll(folder, 0o755); err != nil {
-		return nil, errors.Wrapf(err, "create %s", folder)
-	}
 	d, err := openDisk(folder, h.fs)
-	if err == nil || !pebble.IsCorruptionError(err) {
-		return d, err
+	if err != nil && pebble.IsCorruptionError(err) {
+		logging.Emit(logging.DiskReplaced, logging.Fields{"error": err})
+		if err := h.fs.RemoveAll(folder); err != nil {
+			return nil, errors.Wrapf(err, "empty %s", folder)
+		}
+		d, err = openDisk(folder, h.fs)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := h.syncFolders(); err != nil {
+		return nil, errors.CombineErrors(err, d.close())
 	}
-	logging.Emit(logging.DiskReplaced, logging.Fields{"error": err})
-	if err := h.fs.RemoveAll(folder); err != nil {
-		return nil, errors.Wrapf(err, "empty %s", folder)
+	return d, nil
+}
+
+// syncFolders syncs the entry of the engine's folder. Without that, a loss of power may remove the folder with all that was
+// synced in it. The engine does this only for a folder that it has just created, which the process may not have survived.
+func (h *Host) syncFolders() error {
+	path := h.settings.Disk.Path
+	for _, folder := range []string{path, filepath.Dir(path)} {
+		f, err := h.fs.OpenDir(folder)
+		if err != nil && folder != path {
+			return nil // the platform's folder: it existed before this process
+		}
+		if err != nil {
+			return errors.Wrapf(err, "open %s", folder)
+		}
+		if err := errors.CombineErrors(f.Sync(), f.Close()); err != nil && folder == path {
+			return errors.Wrapf(err, "sync %s", folder)
+		}
 	}
-	return openDisk(folder, h.fs)
+	return nil
 }
 
 func (h *Host) expire(ctx context.Context, s *shelf) {
@@ -212,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	return r.Answer(keepAnswer{Status: result, NearlyFull: s.nearlyFull()})
+	return r.Answer(keepAnswer{Status: result, DiskID: s.disk.id, NearlyFull: s.nearlyFull()})
 }
 
 // serveChain sends the turns up to one.
@@ -229,7 +254,7 @@
 	if result == statusAbsent && !h.complete.Load() {
 		result = statusNotReady
 	}
-	piece := chainPiece{Status: result, Missing: missing}
+	piece := chainPiece{Status: result, Host: h.settings.Host.Name, Missing: missing}
 	if len(entries) > 0 {
 		piece.Anchor = entries[len(entries)-1].Anchor
 	}
