service/ingress: metrics of budgets

Cause: operators could see who uses tokens without a record in the log only. Change: reservations by decision, writes of records, the generation and the age of a host's knowledge of it.

--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssopreel/hyssopreel/common/clock"
 	"github.com/hyssopreel/hyssopreel/common/logging"
@@ -64,6 +65,8 @@
 	storeAvailable, storeReachable func() bool
 
 	foundersLoop *foundersLoop
+	// scope receives the metrics; it is set before the host runs.
+	scope tally.Scope
 
 	mu            sync.Mutex
 	ledger        *ledger.Ledger
@@ -81,7 +84,7 @@
 func newBudgetService(self fleet.Host, hosts *Hosts, node *wire.Node, store objectapi.Store, storeAvailable, storeReachable func() bool) *budgetService {
 	state := founders.New(self.Name, self.Incarnation)
 	a := &budgetService{
-		self: self, hosts: hosts, node: node, store: store, clock: bootClock{}, storeAvailable: storeAvailable, storeReachable: storeReachable, founders: state,
+		self: self, hosts: hosts, node: node, store: store, clock: bootClock{}, storeAvailable: storeAvailable, storeReachable: storeReachable, founders: state, scope: tally.NoopScope,
 		ledger: ledger.New(state), pending: map[uint64]chan ledger.ReserveReply{}, homeByAttempt: map[string]fleet.Host{},
 	}
 	a.foundersLoop = newFoundersLoop(a)
@@ -155,6 +158,7 @@
 
 // resultOf converts the reply of a home. The error is ErrBudgetExhausted, or reports that no grant is available now.
 func (a *budgetService) resultOf(h fleet.Host, turn ledger.Turn, reply ledger.ReserveReply) (ReservationResult, error) {
+	a.scope.Tagged(map[string]string{"decision": reply.Decision.String()}).Counter("budget_reservations").Inc(1)
 	result := ReservationResult{Home: h.Name, CacheServer: reply.CachedPrompt.Server, CachedTokens: reply.CachedPrompt.Tokens}
 	switch reply.Decision {
 	case ledger.Allowed:
--- a/service/ingress/budget_founders.go
+++ b/service/ingress/budget_founders.go
@@ -235,13 +235,17 @@
 	})
 }
 
-// checkLapse logs that this host can no longer rely on its knowledge of the generation.
+// checkLapse logs that this host can no longer rely on its knowledge of the generation, and reports the age of that.
 func (f *foundersLoop) checkLapse(now clock.Millis) {
 	a := f.budgets
 	a.mu.Lock()
 	newestAt, ok := a.founders.NewestAt()
 	generation, isMember := a.founders.Generation(), a.founders.IsMember()
 	a.mu.Unlock()
+	a.scope.Gauge("budget_generation").Update(float64(generation))
+	if ok {
+		a.scope.Gauge("budget_generation_age_seconds").Update(now.Sub(newestAt).Seconds())
+	}
 	lapsed := ok && isMember && now.Sub(newestAt) >= founders.Validity
 	if lapsed && !f.lapsed {
 		logging.Emit(logging.FoundersRightLapsed, logging.Fields{"generation": generation})
--- a/service/ingress/budget_records.go
+++ b/service/ingress/budget_records.go
@@ -29,6 +29,7 @@
 			version, err = objectapi.UpdateConfirmed(ctx, a.store, KindBudgets, w.Program, value, objectapi.Version(w.Version))
 		}
 	}
+	a.scope.Counter("budget_record_writes").Inc(1)
 	outcome := ledger.WriteStored
 	switch {
 	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -120,6 +120,7 @@
 	h.node.Handle(wire.TypeStoreRelay, relay.NewHandler(a.Store))
 	h.node.Handle(wire.TypeFollow, h.serveFollow)
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, a.StoreAvailable, h.heartbeats.storeReachable)
+	h.budgets.scope = scope
 	h.heartbeats.sections = append(h.heartbeats.sections, h.budgets.foundersLoop)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
