Decide how much of a domain's traffic leaves it, and price its bytes

Cause: a server in another failure domain cost 3 ms, whatever the request weighed, so that hosts sent turns abroad to even out loads that differed by 4 requests. Bytes between domains cost money; and nothing kept the hosts of a domain from all leaving together when it was short of servers.

Placement adds 0.7 ms a KiB (50 ms at most) to the 3 ms of the way, unless the request may leave. Requests and bytes are counted by domain and reason.

Result: tests. Without a body (TransferBytes 0) and a shortage the costs are as before; the tests that existed pass unchanged. Not measured on a deployment.

Conclusion: a turn of 10 KiB leaves if it would wait at home and not abroad, for a cached prompt of more than about 200 tokens, or as part of the share.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -47,6 +47,10 @@
 type Request struct {
 	PromptTokens  int
 	FailureDomain string // of this host
+	// TransferBytes is the expected size of the request and its response, and OpenDomain the failure domain to which they
+	// may be sent without paying for these bytes, because this host's own domain is short of servers; see core/spill.
+	TransferBytes int
+	OpenDomain    string
 	// NonRetryable is set if the request must not be sent again after a failure.
 	NonRetryable bool
 	// Suspect is set if the request may end the server that runs it.
@@ -69,7 +73,7 @@
 func (p Policy) Choose(r Request, candidates []Candidate) int {
 	best, lowestCost := -1, 0.0
 	for i, c := range candidates {
-		if !p.passes(r, c) {
+		if !p.Passes(r, c) {
 			continue
 		}
 		total := 0.0
@@ -83,7 +87,8 @@
 	return best
 }
 
-func (p Policy) passes(r Request, c Candidate) bool {
+// Passes reports whether the candidate passes all filters.
+func (p Policy) Passes(r Request, c Candidate) bool {
 	for _, filter := range p.Filters {
 		if !filter(r, c) {
 			return false
@@ -115,9 +120,15 @@
 
 // Parameters of the cost functions, most of them in milliseconds of expected delay.
 const (
-	// crossDomainCostMS is the cost of another failure domain: the round trip, 2.8 ms in the wider of the two
-	// deployments, and the price of the bytes between domains.
+	// crossDomainCostMS is the cost of the way to another failure domain: the round trip, 2.8 ms in the wider of the two
+	// deployments.
 	crossDomainCostMS = 3.0
+	// transferCostMSPerKiB is the price of the bytes between domains. A turn of 10 KiB pays about as much as for one more
+	// request in a full server's queue: it leaves the domain if it would wait there, and not for a lower load.
+	transferCostMSPerKiB = 0.7
+	// maxTransferCostMS bounds the price of the bytes: a long request does not wait for more than a quarter of the latency
+	// objective of a turn either.
+	maxTransferCostMS = 50.0
 	// prefillTokensPerMS is the rate at which an engine reads a prompt that is not in its cache; the pages of the
 	// deployments state 85 and 101.
 	prefillTokensPerMS = 85.0
@@ -149,12 +160,16 @@
 	return prefillWeight * float64(r.PromptTokens-c.CachedTokens) / prefillTokensPerMS
 }
 
-// CrossDomainCost is the cost of a server in another failure domain than this host.
+// CrossDomainCost is the cost of a server in another failure domain than this host: the way, and the price of the bytes
+// unless the domain is Request.OpenDomain.
 func CrossDomainCost(r Request, c Candidate) float64 {
-	if r.FailureDomain == c.Server.FailureDomain {
+	switch c.Server.FailureDomain {
+	case r.FailureDomain:
 		return 0
+	case r.OpenDomain:
+		return crossDomainCostMS
 	}
-	return crossDomainCostMS
+	return crossDomainCostMS + min(float64(r.TransferBytes)/1024*transferCostMSPerKiB, maxTransferCostMS)
 }
 
 // FailureCost is the expected cost of a failure of the request at the server.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -55,6 +55,39 @@
 		Expect(choose(placement.DefaultPolicy(), turn, engine("local", 12, 0), remote)).To(Equal("remote"))
 	})
 
+	// Guards against traffic between failure domains that only evens out their load.
+	DescribeTable("a turn of 10 KiB leaves its failure domain only if that pays for its bytes",
+		func(localLoad, remoteLoad float64, remoteCached int, openDomain, want string) {
+			local, remote := engine("local", localLoad, 0), engine("remote", remoteLoad, remoteCached)
+			local.Server.Slots, remote.Server.Slots, remote.Server.FailureDomain = 6, 6, "b"
+			r := placement.Request{PromptTokens: 2000, FailureDomain: "a", TransferBytes: 10 << 10, OpenDomain: openDomain}
+			Expect(choose(placement.DefaultPolicy(), r, local, remote)).To(Equal(want))
+		},
+		Entry("low load: an idle server abroad is no reason", 4.0, 0.0, 0, "", "local"),
+		Entry("waves: the last free slot is taken at home first", 5.0, 0.0, 0, "", "local"),
+		Entry("waves: the turn would wait at home and not abroad", 6.0, 2.0, 0, "", "remote"),
+		Entry("burst: both domains are full", 7.0, 6.0, 0, "", "local"),
+		Entry("low load: the prompt is cached abroad", 1.0, 2.0, 2000, "", "remote"),
+		Entry("low load: a few tokens of the prompt are cached abroad", 1.0, 2.0, 100, "", "local"),
+		Entry("shortage: an idle server in the open domain", 4.0, 0.0, 0, "b", "remote"),
+		Entry("shortage: another domain than the open one", 4.0, 0.0, 0, "c", "local"),
+	)
+
+	It("outage of a failure domain: all leave, also with long bodies", func() {
+		ejected, remote := engine("local", 0, 0), engine("remote", 15, 0)
+		ejected.Ejected, remote.Server.FailureDomain = true, "b"
+		r := placement.Request{FailureDomain: "a", TransferBytes: 4 << 20}
+		Expect(choose(placement.DefaultPolicy(), r, ejected, remote)).To(Equal("remote"))
+	})
+
+	It("long prompts: the price of the bytes does not outweigh a long queue", func() {
+		remote := engine("remote", 2, 0)
+		remote.Server.FailureDomain = "b"
+		r := placement.Request{FailureDomain: "a", TransferBytes: 4 << 20}
+		Expect(choose(placement.DefaultPolicy(), r, engine("local", 17, 0), remote)).To(Equal("local"))
+		Expect(choose(placement.DefaultPolicy(), r, engine("local", 20, 0), remote)).To(Equal("remote"))
+	})
+
 	It("release: chooses a server in warm-up only if the others are full", func() {
 		warmingUp := engine("warming up", 0, 0)
 		warmingUp.Server.WarmupRemaining = time.Second
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -180,6 +180,7 @@
 		Request: placement.Request{
 			PromptTokens:    x.metadata.PromptTokens,
 			FailureDomain:   x.ingress.options.FailureDomain,
+			TransferBytes:   len(x.body),
 			NonRetryable:    !x.route.Retryable(),
 			Suspect:         x.isSuspect(),
 			ExcludedServers: x.excludedServers,
@@ -208,6 +209,7 @@
 	})
 	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
 	var respMetadata ResponseMetadata
+	acquired.route.recordSent(len(x.body))
 	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
 		respMetadata = x.ingress.headerCodec.DecodeResponse(0, responseHeader)
@@ -324,6 +326,7 @@
 	}
 	result.resp = resp
 	result.body, err = x.readResponse(resp)
+	acquired.route.recordReceived(len(result.body))
 	switch {
 	case err != nil:
 		result.err = errors.Wrapf(err, "read response body of backend server %s", acquired.ID())
--- a/service/ingress/heartbeat.go
+++ b/service/ingress/heartbeat.go
@@ -309,6 +309,7 @@
 	b.mu.Unlock()
 	if message.InFlight != nil {
 		b.servers.SetHostLoad(message.Host, message.InFlight, now)
+		b.servers.SetHostInDomain(message.Host, b.hosts.inOwnDomain(message.Host))
 	}
 	b.poison.merge(message.Poison, message.Host)
 	b.servers.MergeRateLimits(message.RateLimits, message.Host)
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -105,6 +105,7 @@
 	h.servers.onRateLimitedResponse = func(server string) {
 		scope.Tagged(map[string]string{"server": server}).Counter("rate_limited_server_responses").Inc(1)
 	}
+	h.servers.onTraffic = newTrafficMetrics(scope).record
 	h.hosts = NewHosts(h.self, h.servers.SetHostCount)
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -44,6 +44,8 @@
 	inFlight int
 	// estimatedRemote is the estimate of the other hosts' active requests at the server, from their heartbeats.
 	estimatedRemote float64
+	// fromDomain is the part of these requests that other hosts of this host's failure domain sent, as last reported.
+	fromDomain int
 	// reportedRemote is the other hosts' part of the server's last load report, which was received at reportedAt.
 	reportedRemote float64
 	reportedAt     time.Time
@@ -69,6 +71,8 @@
 	onConnOpened func()
 	// onRateLimitedResponse is called with the ID of a server that named a rate limit, for each of its responses.
 	onRateLimitedResponse func(server string)
+	// onTraffic, if not nil, is called for each request that was sent, when its server is released.
+	onTraffic func(domainTraffic)
 
 	mu        sync.Mutex
 	byID      map[string]*backend
@@ -81,12 +85,16 @@
 	turnTime    time.Duration // moving average
 	// waiters holds the requests that wait for a free server, by service and in the order of dispatch.
 	waiters map[string][]*waiter
+	// traffic holds the traffic between failure domains, by service.
+	traffic map[string]*serviceTraffic
 }
 
 // hostLoad is another host's report of its active requests.
 type hostLoad struct {
 	inFlight   map[string]int // by server
 	receivedAt time.Time
+	// inDomain is set if the host is in this host's failure domain.
+	inDomain bool
 }
 
 const (
@@ -271,7 +279,7 @@
 func (s *Servers) SetHostLoad(host string, inFlight map[string]int, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hostLoads[host] = hostLoad{inFlight: inFlight, receivedAt: at}
+	s.hostLoads[host] = hostLoad{inFlight: inFlight, receivedAt: at, inDomain: s.hostLoads[host].inDomain}
 	for service := range s.waiters {
 		s.dispatchService(service)
 	}
@@ -302,7 +310,7 @@
 	}
 	s.estimatedAt, s.freshHosts = now, 0
 	for _, b := range s.byID {
-		b.estimatedRemote = 0
+		b.estimatedRemote, b.fromDomain = 0, 0
 	}
 	moved := map[string]float64{} // requests by service
 	for _, report := range s.hostLoads {
@@ -315,6 +323,9 @@
 		for id, n := range report.inFlight {
 			if b, ok := s.byID[id]; ok {
 				b.estimatedRemote += unmovedFraction * float64(n)
+				if report.inDomain {
+					b.fromDomain += n
+				}
 				moved[b.info.Service] += (1 - unmovedFraction) * float64(n)
 			}
 		}
@@ -396,11 +407,17 @@
 			candidates[i].CachedTokens = min(q.CachedTokens, q.Request.PromptTokens)
 		}
 	}
+	traffic := s.serviceTraffic(q.Service)
+	s.updateSpill(traffic, q, candidates, rotated, now)
+	request := traffic.priced(q.Request, rand.Float64())
 	for _, p := range policies {
-		if i := p.Choose(q.Request, candidates); i >= 0 {
+		if i := p.Choose(request, candidates); i >= 0 {
 			rotated[i].inFlight++
 			rotated[i].outliers.RecordSelection(now)
-			return &AcquiredServer{servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reportedAt)}
+			return &AcquiredServer{
+				servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reportedAt),
+				route: newDomainRoute(p, request, candidates, i),
+			}
 		}
 	}
 	return nil
@@ -418,7 +435,7 @@
 	now := s.now()
 	load := s.estimatedLoad(b, now)
 	b.inFlight++
-	return &AcquiredServer{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reportedAt)}, true
+	return &AcquiredServer{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reportedAt), route: domainRoute{reason: reasonResumed}}, true
 }
 
 func (s *Servers) candidate(b *backend, q PlacementQuery, now time.Time) placement.Candidate {
@@ -465,6 +482,8 @@
 	// report.
 	Load    float64
 	LoadAge time.Duration
+	// route says why the request goes to the server's failure domain. Only the request's goroutine uses it until Release.
+	route domainRoute
 }
 
 // ID returns the server's ID.
@@ -488,6 +507,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.backend.inFlight--
+	s.recordTraffic(l)
 	s.dispatchService(l.backend.info.Service)
 }
 
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -257,6 +257,7 @@
 	checkFirstID := s.interruptions > 0 && resumedAfter != ""
 	for {
 		n, readErr := resp.Read(buffer)
+		acquired.route.recordReceived(n)
 		progressBefore := s.reader.progress
 		events, err := s.reader.parse(buffer[:n])
 		if err != nil {
