spill: say why the capacity of a domain is not weighted by speed

Cause: the comment announced a weight. Slower servers have more active requests at the same rate (Little's law), so that a weight would count their speed twice. Change: the comment.

--- a/core/spill/spill.go
+++ b/core/spill/spill.go
@@ -41,7 +41,8 @@
 	// Load is the number of active requests at the servers, whichever domain sent them, and FromHome the number of those
 	// that the hosts of the home domain sent.
 	Load, FromHome float64
-	// Capacity is the number of requests that the servers run at once, weighted by their speed.
+	// Capacity is the number of requests that the servers run at once. It is not weighted by their speed, because slower
+	// servers show more load already.
 	Capacity float64
 }
 
