--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -62,11 +62,11 @@
 }
 
 // CostFunc returns the cost of a candidate for a request, in milliseconds of expected delay.
-type CostFunc func(r Request, c Candidate) float64
+type CostFunc func(r *Request, c *Candidate) float64
 
 // Policy selects the candidates that pass all filters, and among them the one with the lowest sum of costs.
 type Policy struct {
-	Filters []func(r Request, c Candidate) bool
+	Filters []func(r *Request, c *Candidate) bool
 	Costs   []CostFunc
 }
 
@@ -74,13 +74,14 @@
 // candidates it returns the first, so callers shuffle them.
 func (p Policy) Choose(r Request, candidates []Candidate) int {
 	best, lowestCost := -1, 0.0
-	for i, c := range candidates {
-		if !p.Passes(r, c) {
+	for i := range candidates {
+		c := &candidates[i]
+		if !p.Passes(&r, c) {
 			continue
 		}
 		total := 0.0
 		for _, cost := range p.Costs {
-			total += cost(r, c)
+			total += cost(&r, c)
 		}
 		if best < 0 || total < lowestCost {
 			best, lowestCost = i, total
@@ -90,7 +91,7 @@
 }
 
 // Passes reports whether the candidate passes all filters.
-func (p Policy) Passes(r Request, c Candidate) bool {
+func (p Policy) Passes(r *Request, c *Candidate) bool {
 	for _, filter := range p.Filters {
 		if !filter(r, c) {
 			return false
@@ -100,25 +101,25 @@
 }
 
 // NotExcluded passes servers that have not refused or failed the request.
-func NotExcluded(r Request, c Candidate) bool { return !r.ExcludedServers[c.Server.ID] }
+func NotExcluded(r *Request, c *Candidate) bool { return !r.ExcludedServers[c.Server.ID] }
 
 // NotDraining passes servers that are not draining.
-func NotDraining(_ Request, c Candidate) bool { return !c.Server.Draining }
+func NotDraining(_ *Request, c *Candidate) bool { return !c.Server.Draining }
 
 // BelowCapacity passes servers to which this host may send one more request.
-func BelowCapacity(_ Request, c Candidate) bool { return !c.AtCapacity }
+func BelowCapacity(_ *Request, c *Candidate) bool { return !c.AtCapacity }
 
 // NotEjected passes servers that outlier detection has not ejected.
-func NotEjected(_ Request, c Candidate) bool { return !c.Ejected }
+func NotEjected(_ *Request, c *Candidate) bool { return !c.Ejected }
 
 // NotRateLimited passes servers that name no rate limit.
-func NotRateLimited(_ Request, c Candidate) bool { return !c.RateLimited }
+func NotRateLimited(_ *Request, c *Candidate) bool { return !c.RateLimited }
 
 // PermitNotDeferred passes servers to which a request may be sent now as far as rate limits are known.
-func PermitNotDeferred(_ Request, c Candidate) bool { return !c.PermitDeferred }
+func PermitNotDeferred(_ *Request, c *Candidate) bool { return !c.PermitDeferred }
 
 // HasFreeSlot passes servers whose estimated load leaves a free slot.
-func HasFreeSlot(_ Request, c Candidate) bool { return c.Load < float64(c.Server.Slots) }
+func HasFreeSlot(_ *Request, c *Candidate) bool { return c.Load < float64(c.Server.Slots) }
 
 // Parameters of the cost functions, most of them in milliseconds of expected delay.
 const (
@@ -155,7 +156,7 @@
 )
 
 // LoadCost is the expected delay by the running and queued requests at the server.
-func LoadCost(_ Request, c Candidate) float64 {
+func LoadCost(_ *Request, c *Candidate) float64 {
 	running := min(c.Load, float64(c.Server.Slots))
 	queued := max(c.Load-float64(c.Server.Slots)+1, 0)
 	return c.workTime() * (running*runningRequestCostMS + queued*queuedRequestCostMS)
@@ -171,17 +172,17 @@
 
 // OwnWorkCost is the expected delay of the request's own work by a server that is slower than usual. It is negative for a
 // faster one.
-func OwnWorkCost(_ Request, c Candidate) float64 { return ownWorkCostMS * (c.workTime() - 1) }
+func OwnWorkCost(_ *Request, c *Candidate) float64 { return ownWorkCostMS * (c.workTime() - 1) }
 
 // PrefillCost is the weighted time to read the part of the prompt that is not in the server's cache. Only the request's own
 // part of the delay depends on the server's speed: with all of it, turns queued at a fast server while a slow one was idle.
-func PrefillCost(r Request, c Candidate) float64 {
+func PrefillCost(r *Request, c *Candidate) float64 {
 	return (prefillWeight - 1 + c.workTime()) * float64(r.PromptTokens-c.CachedTokens) / prefillTokensPerMS
 }
 
 // CrossDomainCost is the cost of a server in another failure domain than this host: the way, and the price of the bytes
 // unless the domain is Request.OpenDomain.
-func CrossDomainCost(r Request, c Candidate) float64 {
+func CrossDomainCost(r *Request, c *Candidate) float64 {
 	switch c.Server.FailureDomain {
 	case r.FailureDomain:
 		return 0
@@ -192,7 +193,7 @@
 }
 
 // FailureCost is the expected cost of a failure of the request at the server.
-func FailureCost(r Request, c Candidate) float64 {
+func FailureCost(r *Request, c *Candidate) float64 {
 	if r.NonRetryable {
 		return c.FailureRate * nonRetryableFailureCostMS
 	}
@@ -200,7 +201,7 @@
 }
 
 // SuspectCost is the cost of a suspect request to the others at the server.
-func SuspectCost(r Request, c Candidate) float64 {
+func SuspectCost(r *Request, c *Candidate) float64 {
 	if r.Suspect {
 		return c.Load * suspectCostMS
 	}
@@ -208,7 +209,7 @@
 }
 
 // RateLimitCost is the cost of a server that names a rate limit.
-func RateLimitCost(_ Request, c Candidate) float64 {
+func RateLimitCost(_ *Request, c *Candidate) float64 {
 	if c.RateLimited {
 		return rateLimitCostMS
 	}
@@ -216,7 +217,7 @@
 }
 
 // WarmupCost is the cost of a server that still warms up.
-func WarmupCost(_ Request, c Candidate) float64 {
+func WarmupCost(_ *Request, c *Candidate) float64 {
 	if c.Server.WarmupRemaining > 0 {
 		return queuedRequestCostMS
 	}
@@ -227,7 +228,7 @@
 // by expected delay.
 func DefaultPolicy() Policy {
 	return Policy{
-		Filters: []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred, NotEjected},
+		Filters: []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred, NotEjected},
 		Costs:   []CostFunc{LoadCost, OwnWorkCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost, RateLimitCost, SuspectCost},
 	}
 }
@@ -235,7 +236,7 @@
 // AllowEjectedPolicy returns the policy for when DefaultPolicy has no candidate: ejected servers are allowed.
 func AllowEjectedPolicy() Policy {
 	p := DefaultPolicy()
-	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred}
+	p.Filters = []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred}
 	return p
 }
 
@@ -248,8 +249,8 @@
 // RateLimitedPolicy returns the policy for requests that wait for a permit: servers that name a rate limit.
 func RateLimitedPolicy() Policy {
 	p := DefaultPolicy()
-	isRateLimited := func(_ Request, c Candidate) bool { return c.RateLimited }
-	p.Filters = []func(Request, Candidate) bool{NotExcluded, NotDraining, BelowCapacity, NotEjected, isRateLimited}
+	isRateLimited := func(_ *Request, c *Candidate) bool { return c.RateLimited }
+	p.Filters = []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, NotEjected, isRateLimited}
 	return p
 }
 
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -88,6 +88,9 @@
 	turnTime    time.Duration // moving average
 	// waiters holds the requests that wait for a free server, by service and in the order of dispatch.
 	waiters map[string][]*waiter
+	// candidates and rotated are buffers of acquire.
+	candidates []placement.Candidate
+	rotated    []*backend
 	// traffic holds the traffic between failure domains, by service.
 	traffic map[string]*serviceTraffic
 }
@@ -400,8 +403,7 @@
 	now := s.now()
 	// The random offset keeps hosts with the same state from all choosing the same server.
 	offset := rand.IntN(len(list))
-	candidates := make([]placement.Candidate, len(list))
-	rotated := make([]*backend, len(list))
+	candidates, rotated := s.candidateBuffers(len(list))
 	for i := range list {
 		b := list[(i+offset)%len(list)]
 		rotated[i] = b
--- a/service/ingress/spill.go
+++ b/service/ingress/spill.go
@@ -111,6 +111,15 @@
 	return &t.domains[len(t.domains)-1]
 }
 
+// candidateBuffers returns buffers for n candidates and their servers, which are used again by the next placement; s.mu is
+// held.
+func (s *Servers) candidateBuffers(n int) ([]placement.Candidate, []*backend) {
+	if cap(s.candidates) < n {
+		s.candidates, s.rotated = make([]placement.Candidate, n), make([]*backend, n)
+	}
+	return s.candidates[:n], s.rotated[:n]
+}
+
 // priced returns the request with the expected size of its response, and with the domain for which it need not pay for
 // its bytes. draw is uniform in [0, 1).
 func (t *serviceTraffic) priced(r placement.Request, draw float64) placement.Request {
@@ -139,7 +148,7 @@
 	}
 	atHome := false
 	for i := range candidates {
-		if candidates[i].Server.FailureDomain == r.FailureDomain && p.Passes(r, candidates[i]) {
+		if candidates[i].Server.FailureDomain == r.FailureDomain && p.Passes(&r, &candidates[i]) {
 			atHome = true
 			break
 		}
