speed: correct reports that the pace of streams contradicts

Cause: a server that reports a wrong speed attracts requests, or gets none, for as long as it does so. Ruled out: the pace as a second estimate beside the reports. It depends on the load and on this host's own processor time, so that it is compared with the other servers of the service and counts only beyond a factor of 1.3. Change: a host records the pace of each stream that ended (8 events or more), divides it by the growth of a step with the load and by the reported work time, and compares it with the service's average. Ten streams or so move the correction, one by a tenth of a factor of 3 at most. Servers that report nothing are not affected. Result: tests. Not measured on a deployment.

--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -1,5 +1,5 @@
-// Package speed estimates how long work takes at a backend server, relative to the usual, from what the server reports. It
-// is pure: times are arguments.
+// Package speed estimates how long work takes at a backend server, relative to the usual, from what the server reports and
+// from the pace of its streams. It is pure: times are arguments.
 //
 // A report holds for the moment. The estimate is the server's usual work time, an average over many reports, and the
 // present deviation from it, which counts the less the older it is. So a server that is always slow gets fewer requests, one
@@ -37,6 +37,9 @@
 	reportedAt time.Time
 	// usual and deviation are natural logarithms of factors, at reportedAt.
 	usual, deviation float64
+	// correction is the logarithm of the factor by which the pace of events differs from the reports, at correctedAt.
+	correction  float64
+	correctedAt time.Time
 }
 
 // Record adds a report: percent is how long work takes at the server now, 100 is usual. Reports of 0 or less are ignored.
@@ -69,7 +72,7 @@
 		return 0
 	}
 	usual, deviation := e.at(now)
-	return math.Exp(usual + deviation)
+	return math.Exp(usual + deviation + e.appliedCorrection(now))
 }
 
 // UsualWorkTime returns how long work usually takes at the server; 0 is not known.
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -91,6 +91,8 @@
 	// candidates and rotated are buffers of acquire.
 	candidates []placement.Candidate
 	rotated    []*backend
+	// paces holds the usual pace of the streams, by service.
+	paces map[string]*speed.Baseline
 	// traffic holds the traffic between failure domains, by service.
 	traffic map[string]*serviceTraffic
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -255,6 +255,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	resumedAfter := s.reader.lastID
 	checkFirstID := s.interruptions > 0 && resumedAfter != ""
+	var pace paceMeter
 	for {
 		n, readErr := resp.Read(buffer)
 		acquired.route.recordReceived(n)
@@ -271,6 +272,7 @@
 			}
 		}
 		if len(events) > 0 {
+			pace.record(s.ingress.now(), s.reader.progress)
 			if s.reader.progress > progressBefore && s.monitored.recordEvent(s.ingress.now()) {
 				acquired.RecordSuccess()
 			}
@@ -281,6 +283,7 @@
 		switch {
 		case readErr == io.EOF && len(s.reader.partialEvent()) == 0:
 			s.executions++
+			acquired.recordPace(pace)
 			return true, s.sendHeader(resp)
 		case readErr != nil:
 			return false, errors.Wrapf(readErr, "read stream of backend server %s", acquired.ID())
