hyssopreelctl explain-placement: where a host would send a request now, and why

Cause: the choice of a server depends on loads, speeds, cached prompts and the traffic between failure domains, and nothing showed them together. Change: GET /v1/placement at the metrics address of an entry host rates the servers of a service for a described request, with the filters that reject each, its costs by name, the state of the domains, and the choice of a request that pays for its bytes and of one that may leave. Filters and costs of a policy have names now. Nothing is sent or changed.

--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -215,6 +215,9 @@
 	d.addCommand(p.Command, "fleet", "Show an entry host's view of the fleet, or compare the views of several",
 		"The table shows each entry host with its state, its roles, and the ages of its last heartbeat and load report. With several addresses, only the hosts on which the views differ are shown.",
 		"fleet 10.1.0.38:9464 10.2.0.40:9464", &fleetCommand{})
+	d.addCommand(p.Command, "explain-placement", "Show where an entry host would send a request now, and why",
+		"The request is not sent. The table shows each server of the service with its costs in milliseconds of expected delay, and why it cannot take the request; the lines above show the load of the failure domains and which share of the requests may leave.",
+		"explain-placement --service engines --prompt-tokens 2000 --body-bytes 8000 10.1.0.38:9464", &explainPlacementCommand{})
 	d.addCommand(p.Command, "replay", "Run an event log through the reducer and show its effects",
 		"A daemon writes the log if the setting event_log is given. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
 		"replay events.log --expect outcomes.json", &replayCommand{})
--- a/cmd/hyssopreelctl/main_test.go
+++ b/cmd/hyssopreelctl/main_test.go
@@ -86,6 +86,8 @@
 		ginkgo.Entry("bad number", "ticket", "show", "x"),
 		ginkgo.Entry("no log", "explain", "9c41d07be2a35f68"),
 		ginkgo.Entry("no host", "fleet"),
+		ginkgo.Entry("no host to explain a placement", "explain-placement", "--service", "s"),
+		ginkgo.Entry("no service", "explain-placement", "127.0.0.1:1"),
 	)
 
 	// Guards against a command whose help lacks the example or the exit codes.
@@ -93,6 +95,7 @@
 		for _, c := range []string{
 			"ticket apply", "ticket show", "ticket list", "program list", "program show", "program history",
 			"program cancel", "host list", "host drain", "backend list", "pool list", "replay", "explain", "fleet",
+			"explain-placement",
 		} {
 			r := ctl("", append(strings.Fields(c), "--help")...)
 			gomega.Expect(r.code).To(gomega.Equal(exitOK), c)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -61,13 +61,22 @@
 	ExcludedServers map[string]bool
 }
 
-// CostFunc returns the cost of a candidate for a request, in milliseconds of expected delay.
-type CostFunc func(r *Request, c *Candidate) float64
+// Filter passes the candidates that may get a request. Its name says why the others may not.
+type Filter struct {
+	Name string
+	Pass func(r *Request, c *Candidate) bool
+}
+
+// Cost is one part of the cost of a candidate for a request, in milliseconds of expected delay.
+type Cost struct {
+	Name string
+	Of   func(r *Request, c *Candidate) float64
+}
 
 // Policy selects the candidates that pass all filters, and among them the one with the lowest sum of costs.
 type Policy struct {
-	Filters []func(r *Request, c *Candidate) bool
-	Costs   []CostFunc
+	Filters []Filter
+	Costs   []Cost
 }
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if none passes the filters. Of equal
@@ -80,8 +89,8 @@
 			continue
 		}
 		total := 0.0
-		for _, cost := range p.Costs {
-			total += cost(&r, c)
+		for i := range p.Costs {
+			total += p.Costs[i].Of(&r, c)
 		}
 		if best < 0 || total < lowestCost {
 			best, lowestCost = i, total
@@ -92,8 +101,8 @@
 
 // Passes reports whether the candidate passes all filters.
 func (p Policy) Passes(r *Request, c *Candidate) bool {
-	for _, filter := range p.Filters {
-		if !filter(r, c) {
+	for i := range p.Filters {
+		if !p.Filters[i].Pass(r, c) {
 			return false
 		}
 	}
@@ -224,33 +233,52 @@
 	return 0
 }
 
+var (
+	notExcluded       = Filter{"excluded", NotExcluded}
+	notDraining       = Filter{"draining", NotDraining}
+	belowCapacity     = Filter{"at capacity", BelowCapacity}
+	permitNotDeferred = Filter{"permit deferred", PermitNotDeferred}
+	notEjected        = Filter{"ejected", NotEjected}
+	notRateLimited    = Filter{"rate limited", NotRateLimited}
+	hasFreeSlot       = Filter{"no free slot", HasFreeSlot}
+)
+
 // DefaultPolicy returns the policy for engines and plain services: servers that are neither draining nor ejected,
 // by expected delay.
 func DefaultPolicy() Policy {
 	return Policy{
-		Filters: []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred, NotEjected},
-		Costs:   []CostFunc{LoadCost, OwnWorkCost, PrefillCost, CrossDomainCost, WarmupCost, FailureCost, RateLimitCost, SuspectCost},
+		Filters: []Filter{notExcluded, notDraining, belowCapacity, permitNotDeferred, notEjected},
+		Costs: []Cost{
+			{"load", LoadCost},
+			{"own work", OwnWorkCost},
+			{"prompt", PrefillCost},
+			{"domain", CrossDomainCost},
+			{"warm-up", WarmupCost},
+			{"failures", FailureCost},
+			{"rate limit", RateLimitCost},
+			{"suspect", SuspectCost},
+		},
 	}
 }
 
 // AllowEjectedPolicy returns the policy for when DefaultPolicy has no candidate: ejected servers are allowed.
 func AllowEjectedPolicy() Policy {
 	p := DefaultPolicy()
-	p.Filters = []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, PermitNotDeferred}
+	p.Filters = []Filter{notExcluded, notDraining, belowCapacity, permitNotDeferred}
 	return p
 }
 
 // WithoutRateLimited returns the policy without servers that name a rate limit.
 func (p Policy) WithoutRateLimited() Policy {
-	p.Filters = append(slices.Clone(p.Filters), NotRateLimited)
+	p.Filters = append(slices.Clone(p.Filters), notRateLimited)
 	return p
 }
 
 // RateLimitedPolicy returns the policy for requests that wait for a permit: servers that name a rate limit.
 func RateLimitedPolicy() Policy {
 	p := DefaultPolicy()
-	isRateLimited := func(_ *Request, c *Candidate) bool { return c.RateLimited }
-	p.Filters = []func(*Request, *Candidate) bool{NotExcluded, NotDraining, BelowCapacity, NotEjected, isRateLimited}
+	isRateLimited := Filter{"not rate limited", func(_ *Request, c *Candidate) bool { return c.RateLimited }}
+	p.Filters = []Filter{notExcluded, notDraining, belowCapacity, notEjected, isRateLimited}
 	return p
 }
 
@@ -258,6 +286,6 @@
 // without servers that name a rate limit.
 func HedgePolicy() Policy {
 	p := DefaultPolicy()
-	p.Filters = append(p.Filters, HasFreeSlot, NotRateLimited)
+	p.Filters = append(p.Filters, hasFreeSlot, notRateLimited)
 	return p
 }
--- a/service/ingress/operators.go
+++ b/service/ingress/operators.go
@@ -20,6 +20,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(h.fleetView()) // fails only if the operator has left
 	})
+	router.Get("/v1/placement", h.serveExplainPlacement)
 	router.Handle("/*", h.metrics.Handler())
 	return router
 }
