placement, spill: tests for mechanisms whose removal went unnoticed

Cause: of 25 mechanisms removed one after the other, four made no test fail: the work time in the cost of the load and in the reading of the prompt, the growth of a step with the load in the comparison of paces, and the requests of the domain's hosts in other domains. Change: a test for each; the tests no longer change the process's log output.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -99,12 +99,19 @@
 		Entry("low load: the faster one of two idle servers", 0, 0.0, 1.7, 0.0, 0.7, "other"),
 		Entry("even load: the faster one, although it has more requests", 0, 2.0, 1.7, 3.0, 0.7, "other"),
 		Entry("burst: the slow one before a long queue forms at the fast one", 0, 1.0, 1.7, 14.0, 0.7, "cached"),
+		Entry("burst: the fast one although a queue begins, if the whole prompt has to be read", 0, 0.0, 1.7, 6.0, 0.7, "other"),
 		Entry("low load: the slow one that has the prompt cached", 2000, 0.0, 1.7, 0.0, 0.7, "cached"),
 		Entry("busy machine: the fast one, for a prompt of which little is cached", 300, 1.0, 4.25, 1.0, 0.7, "other"),
 		Entry("hot prompt: another one when the one that has it cached is full", 2000, 18.0, 1.0, 3.0, 0.7, "other"),
 		Entry("no reports: as with the usual time", 500, 0.0, 0.0, 0.0, 1.0, "cached"),
 	)
 
+	It("uneven plain services: each request in progress counts by the server's speed", func() {
+		slow, fast := engine("slow", 2, 0), engine("fast", 4, 0)
+		slow.WorkTime, fast.WorkTime = 1.5, 1
+		Expect(choose(placement.DefaultPolicy(), placement.Request{FailureDomain: "a"}, slow, fast)).To(Equal("fast"))
+	})
+
 	It("equal servers: reports of the usual time change no choice", func() {
 		for load := range 20 {
 			x, y := engine("x", float64(load), 1000), engine("y", 6, 0)
--- a/core/speed/pace_test.go
+++ b/core/speed/pace_test.go
@@ -36,7 +36,7 @@
 		Entry("wrong reports: claims to be fast, and is slow", 50.0, 5.1, 1.0, 0.8, 1.7),
 		Entry("wrong reports: claims to be slow, and is not", 300.0, 3.0, 1.0, 1.0, 2.3),
 		// Guards against counting the load twice.
-		Entry("even load: a slower pace because of more requests is no contradiction", 100.0, 3.75, 6.0, 0.9, 1.1),
+		Entry("even load: a slower pace because of more requests is no contradiction", 100.0, 5.25, 16.0, 0.9, 1.1),
 	)
 
 	It("a server without reports: counts as before", func() {
--- a/service/ingress/spill_test.go
+++ b/service/ingress/spill_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
-	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 )
 
@@ -16,9 +14,6 @@
 // sees them, and a function that sends one turn of 10 KiB and returns the domain that it went to.
 func newSpillServers(t *testing.T, now *time.Time) (servers *Servers, send func() *AcquiredServer) {
 	t.Helper()
-	if err := logging.Setup(logging.Options{Level: "error", Format: "json", Host: "test", Output: io.Discard}); err != nil {
-		t.Fatal(err)
-	}
 	servers = NewServers(func() time.Time { return *now }, nil)
 	servers.SetHostCount(2)
 	for _, domain := range []string{"a", "b"} {
@@ -69,6 +64,25 @@
 	g.Expect(left).To(HaveLen(1))
 }
 
+// TestRequestsAbroadCountAsOffered guards against a domain that takes back what it has sent to others, because its own
+// servers are no longer short then.
+func TestRequestsAbroadCountAsOffered(t *testing.T) {
+	g := NewWithT(t)
+	leaving := func(inDomain bool) bool {
+		now := time.Unix(1000, 0)
+		servers, send := newSpillServers(t, &now)
+		for range 100 {
+			servers.SetHostLoad("other", map[string]int{"a0": 4, "a1": 4, "b0": 3, "b1": 2}, now)
+			servers.SetHostInDomain("other", inDomain)
+			send().Release()
+			now = now.Add(20 * time.Millisecond)
+		}
+		return servers.explainPlacement(PlacementQuery{Service: "s"}).Leaving
+	}
+	g.Expect(leaving(true)).To(BeTrue())
+	g.Expect(leaving(false)).To(BeFalse(), "another domain's requests")
+}
+
 // TestLostDomainLeaves guards against requests that fail because their own failure domain has no server.
 func TestLostDomainLeaves(t *testing.T) {
 	g, now := NewWithT(t), time.Unix(1000, 0)
