placement: send an object's requests to the servers that have handled it

Cause: on sticky routes a server that has handled an object is faster for the next request for it. Placement did not know of objects, so that each request went to any server. Ruled out: a preference that outweighs a queue: an object that many callers ask for would keep them at one full server. A table of objects at each host: hosts do not share it, and it grows with the objects. Routes that are not sticky, and requests without an object, are placed as before. Not measured on a deployment: whether the preference pays depends on how much faster such a server is.

--- a/cmd/hyssopreelctl/placement.go
+++ b/cmd/hyssopreelctl/placement.go
@@ -25,6 +25,7 @@
 	BodyBytes    int    `long:"body-bytes" description:"size of the request's body"`
 	CacheServer  string `long:"cache-server" description:"ID of the server that has a part of the prompt cached"`
 	CachedTokens int    `long:"cached-tokens" description:"number of tokens that it has cached"`
+	Object       string `long:"object" description:"object that the request concerns, on a route that is sticky"`
 	NonRetryable bool   `long:"non-retryable" description:"the request must not be sent again after a failure"`
 	Args         struct {
 		Address string `positional-arg-name:"ADDRESS:PORT" description:"metrics address of an entry host"`
@@ -34,7 +35,7 @@
 func (c *explainPlacementCommand) run(a *app) error {
 	query := url.Values{
 		"service": {c.Service}, "prompt_tokens": {strconv.Itoa(c.PromptTokens)}, "body_bytes": {strconv.Itoa(c.BodyBytes)},
-		"cache_server": {c.CacheServer}, "cached_tokens": {strconv.Itoa(c.CachedTokens)}, "non_retryable": {strconv.FormatBool(c.NonRetryable)},
+		"object": {c.Object}, "cache_server": {c.CacheServer}, "cached_tokens": {strconv.Itoa(c.CachedTokens)}, "non_retryable": {strconv.FormatBool(c.NonRetryable)},
 	}
 	request, err := http.NewRequestWithContext(a.ctx, http.MethodGet, "http://"+c.Args.Address+"/v1/placement?"+query.Encode(), nil)
 	if err != nil {
--- a/cmd/hyssopreelctl/placement_test.go
+++ b/cmd/hyssopreelctl/placement_test.go
@@ -44,9 +44,9 @@
 			code := run(context.Background(), append([]string{"explain-placement", server.Listener.Addr().String()}, args...), strings.NewReader(""), &out, &errOut)
 			return result{code, out.String(), errOut.String()}
 		}
-		r := ctl("--service", "s", "--prompt-tokens", "2000", "--body-bytes", "8000", "--cache-server", "i-1", "--cached-tokens", "500", "--non-retryable")
+		r := ctl("--service", "s", "--prompt-tokens", "2000", "--body-bytes", "8000", "--cache-server", "i-1", "--cached-tokens", "500", "--non-retryable", "--object", "o7")
 		gomega.Expect(r.code).To(gomega.Equal(exitOK), r.errOut)
-		gomega.Expect(query).To(gomega.Equal("/v1/placement?body_bytes=8000&cache_server=i-1&cached_tokens=500&non_retryable=true&prompt_tokens=2000&service=s"))
+		gomega.Expect(query).To(gomega.Equal("/v1/placement?body_bytes=8000&cache_server=i-1&cached_tokens=500&non_retryable=true&object=o7&prompt_tokens=2000&service=s"))
 		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?s)server i-1 \(home\), for 9000 bytes.*domain b: .*share of 0.25 may leave for it: server i-2 \(shortage\)`))
 		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?m)^i-1 +a +5.0 +6 +1.70 .*load=8.5,own-work=2.1`))
 		gomega.Expect(r.out).To(gomega.MatchRegexp(`(?m)^i-3 .*draining$`))
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -27,3 +27,20 @@
 		})
 	}
 }
+
+// BenchmarkRankForObject measures what the object of a request adds.
+func BenchmarkRankForObject(b *testing.B) {
+	for _, n := range []int{100, 1000} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			candidates := make([]placement.Candidate, n)
+			for i := range candidates {
+				candidates[i] = engine(fmt.Sprintf("i-%d", i), 0, 0)
+				candidates[i].Server.FailureDomain = string(rune('a' + i%3))
+			}
+			r := placement.Request{FailureDomain: "a"}
+			for b.Loop() {
+				placement.RankForObject(&r, "object", candidates)
+			}
+		})
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -33,6 +33,8 @@
 	CachedTokens int
 	// WorkTime is how long work takes at the server now; 1 is usual, 0 is not known. See core/speed.
 	WorkTime float64
+	// ObjectRank is the server's rank for the object of the request; see RankForObject.
+	ObjectRank int
 	// Ejected is set by outlier detection; see AllowEjectedPolicy.
 	Ejected bool
 	// AtCapacity is set if this host has as many requests at the server as it may, or the server refused one
@@ -252,6 +254,7 @@
 			{"load", LoadCost},
 			{"own work", OwnWorkCost},
 			{"prompt", PrefillCost},
+			{"object", ObjectCost},
 			{"domain", CrossDomainCost},
 			{"warm-up", WarmupCost},
 			{"failures", FailureCost},
--- a/service/ingress/explain.go
+++ b/service/ingress/explain.go
@@ -27,6 +27,9 @@
 		candidates = append(candidates, c)
 	}
 	request := q.Request
+	if q.Object != "" {
+		placement.RankForObject(&request, q.Object, candidates)
+	}
 	v := api.PlacementView{FailureDomain: request.FailureDomain, Service: q.Service}
 	if traffic, ok := s.traffic[q.Service]; ok {
 		request.TransferBytes += int(traffic.responseBytes)
@@ -69,10 +72,10 @@
 }
 
 // serveExplainPlacement serves GET /v1/placement. The query has service, and optionally prompt_tokens, body_bytes,
-// cache_server, cached_tokens, and non_retryable=true.
+// cache_server, cached_tokens, object, and non_retryable=true.
 func (h *Host) serveExplainPlacement(w http.ResponseWriter, r *http.Request) {
 	values := r.URL.Query()
-	q := PlacementQuery{Service: values.Get("service"), CacheServer: values.Get("cache_server")}
+	q := PlacementQuery{Service: values.Get("service"), CacheServer: values.Get("cache_server"), Object: values.Get("object")}
 	q.Request = placement.Request{FailureDomain: h.self.FailureDomain, NonRetryable: values.Get("non_retryable") == "true"}
 	var err error
 	for name, to := range map[string]*int{
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -186,11 +186,20 @@
 			ExcludedServers: x.excludedServers,
 		},
 		MaxConns:     x.table.Services[x.service].MaxConns,
+		Object:       x.stickyObject(),
 		CacheServer:  x.reserved.CacheServer,
 		CachedTokens: x.reserved.CachedTokens,
 	}
 }
 
+// stickyObject returns the object of the request if servers that have handled it are faster, else an empty string.
+func (x *exchange) stickyObject() string {
+	if !x.route.Sticky {
+		return ""
+	}
+	return x.metadata.Object
+}
+
 // recordPlacement records the acquired server and excludes it from further placements.
 func (x *exchange) recordPlacement(acquired *AcquiredServer) {
 	x.exclude(acquired.ID())
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -385,6 +385,8 @@
 	// is none.
 	CacheServer  string
 	CachedTokens int
+	// Object identifies the object that the request concerns, if servers that have handled it are faster; else empty.
+	Object string
 	// MaxConns is the number of connections that one server accepts from all hosts; 0 means no limit.
 	MaxConns int
 }
@@ -414,6 +416,9 @@
 			candidates[i].CachedTokens = min(q.CachedTokens, q.Request.PromptTokens)
 		}
 	}
+	if q.Object != "" {
+		placement.RankForObject(&q.Request, q.Object, candidates)
+	}
 	traffic := s.serviceTraffic(q.Service)
 	s.updateSpill(traffic, q, candidates, rotated, now)
 	request := traffic.priced(q.Request, rand.Float64())
