--- a/cmd/hyssopreelctl/main.go
+++ b/cmd/hyssopreelctl/main.go
@@ -218,6 +218,9 @@
 	d.addCommand(p.Command, "turns", "Show the turns that hosts with a disk retain",
 		"The table shows for each host the retained turns and their size, the space on its disk, the turns of which the host should have a copy and has none yet with the age of the oldest, and the damaged records that were found.",
 		"turns 10.1.0.60:9464 10.2.0.61:9464", &turnsCommand{})
+	d.addCommand(p.Command, "explain-placement", "Show where an entry host would send a request now, and why",
+		"The request is not sent. The table shows each server of the service with its costs in milliseconds of expected delay, and why it cannot take the request; the lines above show the load of the failure domains and which share of the requests may leave.",
+		"explain-placement --service engines --prompt-tokens 2000 --body-bytes 8000 10.1.0.38:9464", &explainPlacementCommand{})
 	d.addCommand(p.Command, "replay", "Run an event log through the reducer and show its effects",
 		"A daemon writes the log if the setting event_log is given. With --expect, the outcomes are compared with a file written by --outcomes, or the effects byte for byte with a file written by --output json.",
 		"replay events.log --expect outcomes.json", &replayCommand{})
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -195,16 +195,26 @@
 		Request: placement.Request{
 			PromptTokens:    x.metadata.PromptTokens,
 			FailureDomain:   x.ingress.options.FailureDomain,
+			TransferBytes:   len(x.body),
 			NonRetryable:    !x.route.Retryable(),
 			Suspect:         x.isSuspect(),
 			ExcludedServers: x.excludedServers,
 		},
 		MaxConns:     x.table.Services[x.service].MaxConns,
+		Object:       x.stickyObject(),
 		CacheServer:  x.reserved.CacheServer,
 		CachedTokens: x.reserved.CachedTokens,
 	}
 }
 
+// stickyObject returns the object of the request if servers that have handled it are faster, else an empty string.
+func (x *exchange) stickyObject() string {
+	if !x.route.Sticky {
+		return ""
+	}
+	return x.metadata.Object
+}
+
 // recordPlacement records the acquired server and excludes it from further placements.
 func (x *exchange) recordPlacement(acquired *AcquiredServer) {
 	x.exclude(acquired.ID())
@@ -226,6 +236,7 @@
 	})
 	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.upstreamBody()}
 	var respMetadata ResponseMetadata
+	acquired.route.recordSent(len(x.body))
 	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
 		respMetadata = x.ingress.headerCodec.DecodeResponse(0, responseHeader)
@@ -353,6 +364,7 @@
 	}
 	result.resp = resp
 	result.body, err = x.readResponse(resp)
+	acquired.route.recordReceived(len(result.body))
 	switch {
 	case err != nil:
 		result.err = errors.Wrapf(err, "read response body of backend server %s", acquired.ID())
