--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -12,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/core/outlier"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/ratelimit"
+	"github.com/hyssopreel/hyssopreel/core/speed"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -44,9 +45,13 @@
 	inFlight int
 	// estimatedRemote is the estimate of the other hosts' active requests at the server, from their heartbeats.
 	estimatedRemote float64
+	// fromDomain is the part of these requests that other hosts of this host's failure domain sent, as last reported.
+	fromDomain int
 	// reportedRemote is the other hosts' part of the server's last load report, which was received at reportedAt.
 	reportedRemote float64
 	reportedAt     time.Time
+	// speed is the estimate of how long work takes at the server, from its load reports.
+	speed speed.Estimate
 	// outliers records the outcomes of this host's requests to the server.
 	outliers outlier.State
 	// fullUntil is the end of fullBackoff after the server refused a request as full.
@@ -71,6 +76,8 @@
 	onRateLimitedResponse func(server string)
 	// onLeaving is called when a server is found to leave by a response.
 	onLeaving func()
+	// onTraffic, if not nil, is called for each request that was sent, when its server is released.
+	onTraffic func(domainTraffic)
 
 	mu       sync.Mutex
 	byID     map[string]*backend
@@ -86,12 +93,21 @@
 	turnTime    time.Duration // moving average
 	// waiters holds the requests that wait for a free server, by service and in the order of dispatch.
 	waiters map[string][]*waiter
+	// candidates and rotated are buffers of acquire.
+	candidates []placement.Candidate
+	rotated    []*backend
+	// paces holds the usual pace of the streams, by service.
+	paces map[string]*speed.Baseline
+	// traffic holds the traffic between failure domains, by service.
+	traffic map[string]*serviceTraffic
 }
 
 // hostLoad is another host's report of its active requests.
 type hostLoad struct {
 	inFlight   map[string]int // by server
 	receivedAt time.Time
+	// inDomain is set if the host is in this host's failure domain.
+	inDomain bool
 }
 
 const (
@@ -288,7 +304,7 @@
 func (s *Servers) SetHostLoad(host string, inFlight map[string]int, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hostLoads[host] = hostLoad{inFlight: inFlight, receivedAt: at}
+	s.hostLoads[host] = hostLoad{inFlight: inFlight, receivedAt: at, inDomain: s.hostLoads[host].inDomain}
 	for service := range s.waiters {
 		s.dispatchService(service)
 	}
@@ -319,7 +335,7 @@
 	}
 	s.estimatedAt, s.freshHosts = now, 0
 	for _, b := range s.byID {
-		b.estimatedRemote = 0
+		b.estimatedRemote, b.fromDomain = 0, 0
 	}
 	moved := map[string]float64{} // requests by service
 	for _, report := range s.hostLoads {
@@ -332,6 +348,9 @@
 		for id, n := range report.inFlight {
 			if b, ok := s.byID[id]; ok {
 				b.estimatedRemote += unmovedFraction * float64(n)
+				if report.inDomain {
+					b.fromDomain += n
+				}
 				moved[b.info.Service] += (1 - unmovedFraction) * float64(n)
 			}
 		}
@@ -383,6 +402,8 @@
 	// is none.
 	CacheServer  string
 	CachedTokens int
+	// Object identifies the object that the request concerns, if servers that have handled it are faster; else empty.
+	Object string
 	// MaxConns is the number of connections that one server accepts from all hosts; 0 means no limit.
 	MaxConns int
 }
@@ -403,8 +424,7 @@
 	now := s.now()
 	// The random offset keeps hosts with the same state from all choosing the same server.
 	offset := rand.IntN(len(list))
-	candidates := make([]placement.Candidate, len(list))
-	rotated := make([]*backend, len(list))
+	candidates, rotated := s.candidateBuffers(len(list))
 	for i := range list {
 		b := list[(i+offset)%len(list)]
 		rotated[i] = b
@@ -413,11 +433,20 @@
 			candidates[i].CachedTokens = min(q.CachedTokens, q.Request.PromptTokens)
 		}
 	}
+	if q.Object != "" {
+		placement.RankForObject(&q.Request, q.Object, candidates)
+	}
+	traffic := s.serviceTraffic(q.Service)
+	s.updateSpill(traffic, q, candidates, rotated, now)
+	request := traffic.priced(q.Request, rand.Float64())
 	for _, p := range policies {
-		if i := p.Choose(q.Request, candidates); i >= 0 {
+		if i := p.Choose(request, candidates); i >= 0 {
 			rotated[i].inFlight++
 			rotated[i].outliers.RecordSelection(now)
-			return &AcquiredServer{servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reportedAt)}
+			return &AcquiredServer{
+				servers: s, backend: rotated[i], Load: candidates[i].Load, LoadAge: now.Sub(rotated[i].reportedAt),
+				route: newDomainRoute(p, request, candidates, i),
+			}
 		}
 	}
 	return nil
@@ -435,7 +464,7 @@
 	now := s.now()
 	load := s.estimatedLoad(b, now)
 	b.inFlight++
-	return &AcquiredServer{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reportedAt)}, true
+	return &AcquiredServer{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reportedAt), route: domainRoute{reason: reasonResumed}}, true
 }
 
 func (s *Servers) candidate(b *backend, q PlacementQuery, now time.Time) placement.Candidate {
@@ -443,6 +472,7 @@
 		Server:      b.info,
 		InFlight:    b.inFlight,
 		Load:        s.estimatedLoad(b, now),
+		WorkTime:    b.speed.WorkTime(now),
 		Ejected:     b.outliers.Ejected(now),
 		AtCapacity:  now.Before(b.fullUntil) || q.MaxConns > 0 && b.inFlight >= s.connectionLimit(q.MaxConns),
 		FailureRate: b.outliers.FailureRate(now),
@@ -482,6 +512,8 @@
 	// report.
 	Load    float64
 	LoadAge time.Duration
+	// route says why the request goes to the server's failure domain. Only the request's goroutine uses it until Release.
+	route domainRoute
 }
 
 // ID returns the server's ID.
@@ -497,6 +529,7 @@
 	defer s.mu.Unlock()
 	l.backend.reportedRemote = max(float64(report.Running+report.Waiting-l.backend.inFlight), 0)
 	l.backend.reportedAt = s.now()
+	l.backend.speed.Record(l.backend.reportedAt, report.WorkTimePercent)
 }
 
 // Release ends the use of the server and dispatches waiting requests of its service. It must be called once.
@@ -505,6 +538,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l.backend.inFlight--
+	s.recordTraffic(l)
 	s.dispatchService(l.backend.info.Service)
 }
 
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -277,8 +277,10 @@
 	buffer := make([]byte, streamBufferBytes)
 	resumedAfter := s.reader.lastID
 	checkFirstID := s.interruptions > 0 && resumedAfter != ""
+	var pace paceMeter
 	for {
 		n, readErr := resp.Read(buffer)
+		acquired.route.recordReceived(n)
 		progressBefore := s.reader.progress
 		events, err := s.reader.parse(buffer[:n])
 		if err != nil {
@@ -292,6 +294,7 @@
 			}
 		}
 		if len(events) > 0 {
+			pace.record(s.ingress.now(), s.reader.progress)
 			if s.reader.progress > progressBefore && s.monitored.recordEvent(s.ingress.now()) {
 				acquired.RecordSuccess()
 			}
@@ -304,6 +307,7 @@
 			s.executions++
 			s.eventsComplete = true
 			s.recordCompletion(s.monitored.sentAt, resp.Status)
+			acquired.recordPace(pace)
 			return true, s.sendHeader(resp)
 		case readErr != nil:
 			return false, errors.Wrapf(readErr, "read stream of backend server %s", acquired.ID())
