ledger: a founder's share of three fifths of the budget

A third was needed while three shares could be used without a record; there is one now. Ruled out: a share of the whole budget, because a program whose founder is lost could then use one turn more only. Change: three fifths.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -6,7 +6,7 @@
 // is unavailable at times; still, the used tokens of all hosts together stay within total = budget + one turn of the
 // largest size:
 //
-//   - The share is a third of the budget, and at least one turn. Only a program's founder (package founders) may use it
+//   - The share is three fifths of the budget, and at least one turn. Only a program's founder (package founders) may use it
 //     without a record, so that at most one share of a program is ever used without one.
 //   - Everything else needs a grant, which is recorded in the store by a conditional update. The grants of a program add
 //     up to at most total - share. If the record covers the share, because a host that has the founder's account made it,
@@ -29,9 +29,9 @@
 )
 
 const (
-	// sharesPerBudget makes the share a third of the budget: most programs use less. Hosts that must leave the share free
-	// have two thirds, and the whole budget if that is three turns or fewer, as of most programs that loop.
-	sharesPerBudget = 3
+	// shareNumerator and shareDenominator make the share three fifths of the budget: programs that were measured use at most
+	// 0.47 of it, so that few need a record. Hosts that must leave the share free grant what is left and one turn.
+	shareNumerator, shareDenominator = 3, 5
 	// grantHeadroomTurns is the number of turns that a grant covers beyond what is needed: few programs need a second
 	// grant, and enough of the budget is left for a grant of another host.
 	grantHeadroomTurns = 1
@@ -248,7 +248,7 @@
 
 // share returns the tokens that the founder may use without a grant: at least one turn, so that a program can start.
 func share(budget, maxTurnTokens int) int {
-	return max(budget/sharesPerBudget, maxTurnTokens)
+	return max(budget*shareNumerator/shareDenominator, maxTurnTokens)
 }
 
 // maxGranted returns the bound of a record's Granted: the budget and one turn, less the share if it has no record.
