memlimit: count heads, bodies and responses before they are held

Cause: readBody compared one Content-Length with what was counted and counted a body after it was read, upstream copied each body once more, heads were not counted, and responses were released before they were written. Connections had no bound below the descriptors of the process, and their receive buffers grew to the kernel's limit.

Ruled out: reserving the whole Content-Length (senders at 2 Mbit/s would reserve twice what they use); an anonymous mapping outside the heap for bodies (one late use after its release ends the process); recycling the parts of bodies (a hedged request may still be sending them).

A head is counted by its bytes and lines before net/http parses it, a body in parts of up to 32 KB before each is allocated, a response before it is read until it was written. Bodies are sent to backend servers without a copy. If memory is short, connections that have waited 0.5 s for their clients are ended, the largest first; a body is given up after the operator's header timeout without a byte, or below 8 KB/s. Connections are bounded by the descriptors and by memory, the oldest idle one is closed for a new one. Receive buffers are 32 KB. Directory, readiness and metrics have bounds of their own.

Peers and the daemon's interface follow.

--- a/cmd/hyssopreeld/entry.go
+++ b/cmd/hyssopreeld/entry.go
@@ -13,12 +13,9 @@
 	"github.com/hyssopreel/hyssopreel/common/settings"
 	"github.com/hyssopreel/hyssopreel/platform"
 	"github.com/hyssopreel/hyssopreel/service/ingress"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 )
 
-// heapLimitFraction is the fraction of a host's memory that the Go runtime may use; the rest is for thread stacks,
-// kernel buffers and the C library.
-const heapLimitFraction = 0.6
-
 // hostCommand runs a host on the platform. It reads the settings file that the platform rendered, unless
 // --settings is given.
 type hostCommand struct {
@@ -46,7 +43,7 @@
 	if err := logging.Setup(logging.Options{Level: s.Log.Level, Format: s.Log.Format, Host: s.Host.Name, Output: logWriter}); err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * heapLimitFraction))
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * memlimit.HeapFraction))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan *settings.EntryHost, 1)
@@ -89,7 +86,7 @@
 		if len(problems) > 0 {
 			continue
 		}
-		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * heapLimitFraction))
+		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * memlimit.HeapFraction))
 		select {
 		case reload <- s:
 		case <-ctx.Done():
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -49,8 +49,8 @@
 const minPrefixBytes = 512
 
 // NewChain returns the fingerprints of a request: of the parts that identify what it is for and whose it is, and of its
-// body.
-func NewChain(parts []string, body []byte) Chain {
+// body, which may be in several pieces.
+func NewChain(parts []string, body ...[]byte) Chain {
 	h := sha256.New()
 	for _, part := range parts {
 		_ = binary.Write(h, binary.BigEndian, uint64(len(part))) // a hash returns no error
@@ -60,15 +60,27 @@
 		copy(f[:], h.Sum(nil))
 		return f
 	}
+	total := 0
+	for _, piece := range body {
+		total += len(piece)
+	}
 	var chain Chain
-	written := 0
-	for size := minPrefixBytes; size < len(body); size *= 2 {
-		_, _ = h.Write(body[written:size])
-		written = size
-		chain = append(chain, sum())
+	written, size := 0, minPrefixBytes
+	for _, piece := range body {
+		for len(piece) > 0 {
+			n := len(piece)
+			if size < total {
+				n = min(n, size-written)
+			}
+			_, _ = h.Write(piece[:n])
+			piece = piece[n:]
+			if written += n; written == size && size < total {
+				chain = append(chain, sum())
+				size *= 2
+			}
+		}
 	}
-	_, _ = h.Write(body[written:])
-	_ = binary.Write(h, binary.BigEndian, uint64(len(body)))
+	_ = binary.Write(h, binary.BigEndian, uint64(total))
 	return append(chain, sum())
 }
 
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -27,8 +27,6 @@
 	// without it.
 	maxRefusalBytes = 4 << 10
 	refusalTimeout  = 20 * time.Millisecond
-	// unaccountedResponseBytes is the part of each response that does not count against the memory for bodies.
-	unaccountedResponseBytes = 64 << 10
 	// maxPermitDenials is the number of denied permits after which a request goes to a server without a rate limit.
 	maxPermitDenials = 3
 	// queueTimeoutFraction is the fraction of a request's remaining time that it may wait for a free server.
@@ -44,7 +42,9 @@
 type exchange struct {
 	ingress   *Ingress
 	request   *http.Request
-	body      []byte
+	bodyParts [][]byte
+	// memory is what the request uses: its head, body and response.
+	memory    *memlimit.Reservation
 	metadata  RequestMetadata
 	table     *routing.Table
 	route     *routing.Route
@@ -85,7 +85,9 @@
 	retryAfter time.Duration
 	// fingerprint is that in quarantine; empty if the request is refused for another reason.
 	fingerprint string
-	cause       error
+	// closeConn is set if the caller's connection must end, because it may still send a body.
+	closeConn bool
+	cause     error
 }
 
 var errNoServer = errors.New("no backend server is available for the request")
@@ -206,7 +208,7 @@
 		Timeout:     x.deadline.Sub(x.ingress.now()),
 		LastEventID: lastEventID,
 	})
-	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.body}
+	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, BodyParts: x.bodyParts}
 	var respMetadata ResponseMetadata
 	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
@@ -339,40 +341,6 @@
 	return result
 }
 
-// errResponseMemory means that the responses in memory use all that bodies may use.
-var errResponseMemory = errors.New("no memory for the response")
-
-// readResponse reads the body of a response of up to maxResponseBytes and one more byte. What exceeds
-// unaccountedResponseBytes counts against the memory for bodies while it is read, because a faulty server may send bytes
-// without end to many requests.
-func (x *exchange) readResponse(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, unaccountedResponseBytes))
-	if err != nil || len(body) < unaccountedResponseBytes {
-		return body, err
-	}
-	reserved := int64(0)
-	defer func() { x.ingress.bufferedBodyBytes.Add(-reserved) }()
-	for len(body) <= maxResponseBytes {
-		size := len(body)
-		// While the body is copied, the old and the new buffer take memory.
-		if !x.ingress.reserveBodyMemory(int64(2 * size)) {
-			return body, errResponseMemory
-		}
-		reserved += int64(2 * size)
-		grown := make([]byte, 2*size)
-		copy(grown, body)
-		n, err := io.ReadFull(resp, grown[size:])
-		body = grown[:size+n]
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && resp.Complete() {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-	return body, nil
-}
-
 // recordResponseStatus records a whole response for outlier detection: 5xx is a failure of the server.
 func recordResponseStatus(acquired *AcquiredServer, status int) {
 	if status >= http.StatusInternalServerError {
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/hyssopreel/hyssopreel/core/fleet"
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 )
 
@@ -80,6 +80,7 @@
 	heartbeats *heartbeater
 	store      objectapi.Store // the platform's, through a peer while this host has no access to it
 
+	limits    *hostLimits
 	startedAt time.Time
 	// fullAnswers holds a value for each host that is getting all objects of a kind.
 	fullAnswers chan struct{}
@@ -122,7 +123,8 @@
 	h.budgets = newBudgetService(h.self, h.hosts, h.node, h.store, h.heartbeats.storeReachable)
 	permits := newFleetPermits(h.self, h.hosts, h.node)
 	h.heartbeats.onTick = permits.updateTenure
-	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.limits = newHostLimits(s, scope)
+	h.ingress = New(Options{FailureDomain: s.Host.FailureDomain, Memory: h.limits.callers, Permits: permits}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	return h
 }
@@ -133,27 +135,21 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, workCtx := errgroup.WithContext(workCtx)
-	callerServer := &http.Server{
-		Handler:           h.ingress,
-		ConnContext:       ConnContext,
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultMaxHeaderBytes,
-	}
+	callerServer := newLimitedServer(h.settings.Load().Listen.Callers, h.ingress)
+	callerServer.MaxHeaderBytes = defaultMaxHeaderBytes
 	listen := h.settings.Load().Listen
-	otherServers := []*http.Server{
-		{Addr: listen.Ready, Handler: h.adapter.ReadinessHandler(h.ready), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
-		{Addr: listen.Directory, Handler: h.adapter.DirectoryHandler(h.hosts.Lookup), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
-		{Addr: listen.Metrics, Handler: h.newOperatorHandler(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
+	otherServers := map[*http.Server]*memlimit.Limiter{
+		newGetServer(listen.Ready, h.adapter.ReadinessHandler(h.ready)):            h.limits.ready,
+		newGetServer(listen.Directory, h.adapter.DirectoryHandler(h.hosts.Lookup)): h.limits.directory,
+		newGetServer(listen.Metrics, h.newOperatorHandler()):                       h.limits.metrics,
 	}
-	callerServer.Addr = listen.Callers
 	// Heartbeats of other hosts are compared with the informers, so these exist before the node listens.
 	informers := h.newInformers()
 	if _, err := h.node.Listen(listen.Peer); err != nil {
 		return err
 	}
-	for _, server := range otherServers {
-		if err := startServer(group, server); err != nil {
+	for server, limiter := range otherServers {
+		if err := startServer(group, server, limiter); err != nil {
 			return err
 		}
 	}
@@ -176,7 +172,7 @@
 	}
 	requestsCut := h.drain(workCtx, callerServer)
 	stopWork()
-	for _, server := range otherServers {
+	for server := range otherServers {
 		_ = server.Close()
 	}
 	_ = h.node.Close()
@@ -185,8 +181,8 @@
 	return err
 }
 
-func startServer(group *errgroup.Group, server *http.Server) error {
-	listener, err := net.Listen("tcp", server.Addr)
+func startServer(group *errgroup.Group, server *http.Server, limiter *memlimit.Limiter) error {
+	listener, err := limiter.Listen(server.Addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", server.Addr)
 	}
@@ -231,7 +227,7 @@
 		select {
 		case s := <-h.reload:
 			h.settings.Store(s)
-			h.ingress.memoryLimitBytes.Store(s.Limits.MemoryBytes)
+			h.limits.callers.SetBytes(memlimit.ClientBytes(s.Limits.MemoryBytes))
 			logging.Emit(logging.SettingsReloaded, logging.Fields{
 				"host": h.self.Name, "memory": s.Limits.MemoryBytes, "grace": s.Shutdown.GracePeriod,
 			})
@@ -364,11 +360,12 @@
 	}
 	limits := h.ingress.table.Load().Limits
 	setIfPositive(&callerServer.ReadHeaderTimeout, limits.HeaderTimeout)
+	h.limits.callers.SetBodyStallTimeout(callerServer.ReadHeaderTimeout)
 	setIfPositive(&callerServer.IdleTimeout, limits.IdleTimeout)
 	setIfPositive(&callerServer.MaxHeaderBytes, limits.MaxHeaderBytes)
 	// A host that starts must know which requests are quarantined, and which servers are rate-limited, before it serves.
 	h.heartbeats.exchangeAndWait(ctx, h.hosts.Targets())
-	if err := startServer(group, callerServer); err != nil {
+	if err := startServer(group, callerServer, h.limits.callers); err != nil {
 		return err
 	}
 	h.hosts.SetSelfServing()
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
-	"io"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -20,29 +19,29 @@
 	"github.com/hyssopreel/hyssopreel/common/logging"
 	"github.com/hyssopreel/hyssopreel/core/admission"
 	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
 // Options describe the host of an ingress.
 type Options struct {
 	FailureDomain string
-	// MemoryLimitBytes is the memory that the process may use; 0 is no limit. It bounds the request bodies in memory.
+	// MemoryLimitBytes is the memory that the process may use; 0 is no limit. It bounds what callers make it hold, unless
+	// Memory is set.
 	MemoryLimitBytes int64
+	// Memory bounds what callers make the process hold.
+	Memory *memlimit.Limiter
 	// Permits grants requests to servers that name a rate limit. If it is nil, the host is the only one.
 	Permits Permits
 }
 
 const (
-	// maxBodyMemoryFraction is the fraction of the memory limit that all request bodies in memory may use together.
-	maxBodyMemoryFraction = 0.3
 	// defaultRequestTimeout holds unless the caller or the route sets a shorter one.
 	defaultRequestTimeout = 30 * time.Second
 	// minRetryAfter is the shortest Retry-After of a refused request: the duration of a few requests.
 	minRetryAfter = 100 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After of a host that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
-
-	mebibyte = 1 << 20
 )
 
 // Ingress is the http.Handler that serves callers' requests.
@@ -55,13 +54,10 @@
 	now         func() time.Time
 	scope       tally.Scope
 	draining    atomic.Bool
-	// memoryLimitBytes is Options.MemoryLimitBytes, as last reloaded.
-	memoryLimitBytes atomic.Int64
-	// bufferedBodyBytes is the size of all request bodies in memory.
-	bufferedBodyBytes atomic.Int64
-	budgets           Budgets
-	permits           Permits
-	poison            *poisonRecords
+	memory      *memlimit.Limiter
+	budgets     Budgets
+	permits     Permits
+	poison      *poisonRecords
 }
 
 // Budgets accounts for the tokens that programs generate.
@@ -113,7 +109,9 @@
 	if in.permits == nil {
 		in.permits = newPermitAccounts()
 	}
-	in.memoryLimitBytes.Store(o.MemoryLimitBytes)
+	if in.memory = o.Memory; in.memory == nil {
+		in.memory = memlimit.New(memlimit.Options{Bytes: memlimit.ClientBytes(o.MemoryLimitBytes)})
+	}
 	return in
 }
 
@@ -146,8 +144,11 @@
 	if in.draining.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	defer func() { in.bufferedBodyBytes.Add(-int64(len(x.body))) }()
-	fail := x.validateAndReadBody(w)
+	fail := x.beginRequest()
+	defer x.memory.End()
+	if fail == nil {
+		fail = x.validateAndReadBody(w)
+	}
 	if fail == nil {
 		fail = x.quarantineFailure()
 	}
@@ -191,63 +192,6 @@
 	return timeout
 }
 
-func (x *exchange) readBody(w http.ResponseWriter) *failure {
-	r, limit := x.request, x.table.Limits.MaxBodyBytes
-	if limit > 0 && r.ContentLength > limit {
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if !x.ingress.hasBodyMemory(max(r.ContentLength, 0)) {
-		return &failure{status: http.StatusServiceUnavailable, reason: "no memory for the body", retryAfter: x.ingress.retryAfter("")}
-	}
-	body, err := x.readAll(w, limit)
-	x.body = body
-	x.ingress.bufferedBodyBytes.Add(int64(len(body)))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	case err != nil:
-		return &failure{status: http.StatusBadRequest, reason: "body cannot be read", cause: err}
-	}
-	return nil
-}
-
-// hasBodyMemory reports whether size more bytes of bodies may be kept in memory.
-func (in *Ingress) hasBodyMemory(size int64) bool {
-	limit := int64(float64(in.memoryLimitBytes.Load()) * maxBodyMemoryFraction)
-	return limit <= 0 || in.bufferedBodyBytes.Load()+size <= limit
-}
-
-// reserveBodyMemory counts size bytes as kept in memory, or reports false if they may not be kept.
-func (in *Ingress) reserveBodyMemory(size int64) bool {
-	if !in.hasBodyMemory(size) {
-		return false
-	}
-	in.bufferedBodyBytes.Add(size)
-	return true
-}
-
-func (x *exchange) readAll(w http.ResponseWriter, limit int64) ([]byte, error) {
-	r := x.request
-	if limit <= 0 {
-		limit = mebibyte
-	}
-	reader := http.MaxBytesReader(w, r.Body, limit)
-	if r.ContentLength < 0 || r.ContentLength > mebibyte {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(reader, body)
-	if err == nil {
-		// net/http detects that the caller closed its connection only after the body was read up to EOF.
-		_, err = reader.Read(make([]byte, 1))
-	}
-	if err == io.EOF {
-		err = nil
-	}
-	return body, err
-}
-
 // forward forwards the request and its response. If the request is a turn of a program with a budget, it reserves and
 // settles the tokens.
 func (x *exchange) forward(w http.ResponseWriter) *failure {
@@ -259,7 +203,7 @@
 			return fail
 		}
 		x.ingress.poison.recordSuccess(x)
-		if err := writeResponse(w, resp, body); err != nil {
+		if err := x.writeResponse(w, resp, body); err != nil {
 			return &failure{reason: "caller left", cause: err}
 		}
 		return nil
@@ -332,19 +276,9 @@
 	return &failure{status: http.StatusServiceUnavailable, reason: "budget not known", retryAfter: x.ingress.retryAfter(""), cause: err}
 }
 
-// connKey is the context key of a request's net.Conn.
-type connKey struct{}
-
-// ConnContext is the http.Server.ConnContext that an Ingress needs to reset connections.
+// ConnContext is the http.Server.ConnContext that an Ingress needs to reset and limit connections.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// resetOnClose makes the connection end with a reset, so that a response that was cut off does not look complete.
-func resetOnClose(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok {
-		_ = c.SetLinger(0) // fails only if the connection is closed already
-	}
+	return memlimit.ConnContext(ctx, c)
 }
 
 // finish logs and counts the request, and answers one that failed. If no status can be sent, it resets the connection.
@@ -353,9 +287,12 @@
 	switch {
 	case fail == nil:
 	case fail.status == 0:
-		resetOnClose(x.request)
+		memlimit.ResetOnClose(x.request.Context())
 		panic(http.ErrAbortHandler)
 	default:
+		if fail.closeConn {
+			x.closeAfterResponse(w)
+		}
 		if fail.retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(fail.retryAfter.Seconds(), 'f', 3, 64))
 		}
@@ -416,7 +353,8 @@
 var requestDurationBuckets = tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 13)
 
 // writeResponse writes a backend server's whole response to the caller.
-func writeResponse(w http.ResponseWriter, resp *upstream.Response, body []byte) error {
+func (x *exchange) writeResponse(w http.ResponseWriter, resp *upstream.Response, body []byte) error {
+	x.limitWriteTime(len(body))
 	copyResponseHeader(w.Header(), resp.Header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(resp.Status)
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -206,7 +206,7 @@
 // fingerprints returns what identifies the request and its prefixes at any host: method, host, path, caller and body.
 func (x *exchange) fingerprints() poison.Chain {
 	x.fingerprintsOnce.Do(func() {
-		x.fingerprintChain = poison.NewChain([]string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller}, x.body)
+		x.fingerprintChain = poison.NewChain([]string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller}, x.bodyParts...)
 	})
 	return x.fingerprintChain
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -200,7 +200,7 @@
 	}
 	s.executions++
 	recordResponseStatus(acquired, resp.Status)
-	if err := writeResponse(s.w, resp, body); err != nil {
+	if err := s.writeResponse(s.w, resp, body); err != nil {
 		return false, errors.Mark(err, errCallerGone)
 	}
 	return true, nil
--- a/service/upstream/upstream.go
+++ b/service/upstream/upstream.go
@@ -53,6 +53,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// BodyParts follow Body. They are sent without a copy, so they must not change.
+	BodyParts [][]byte
+}
+
+func (r *Request) bodySize() int {
+	size := len(r.Body)
+	for _, part := range r.BodyParts {
+		size += len(part)
+	}
+	return size
 }
 
 // ResponseMatcher reports whether a response with the header h belongs to the request that was sent. reused is set on a
@@ -235,16 +245,22 @@
 
 func (resp *Response) roundTrip(r *Request, matches func(h http.Header) bool) error {
 	c := resp.conn
-	b := encodeRequest(r)
-	if len(b) <= maxInlineRequestBytes {
-		if _, err := c.netConn.Write(b); err != nil {
+	bodySize := r.bodySize()
+	head := encodeHead(r, bodySize)
+	if head.Len()+bodySize <= maxInlineRequestBytes {
+		head.Write(r.Body)
+		for _, part := range r.BodyParts {
+			head.Write(part)
+		}
+		if _, err := c.netConn.Write(head.Bytes()); err != nil {
 			return errors.Wrap(err, "write request")
 		}
 	} else {
 		// The server may respond before it has read the request, so reading must not wait for writing.
 		resp.requestWritten = &atomic.Bool{}
+		buffers := append(net.Buffers{head.Bytes(), r.Body}, r.BodyParts...)
 		go func() {
-			if _, err := c.netConn.Write(b); err == nil {
+			if _, err := buffers.WriteTo(c.netConn); err == nil {
 				resp.requestWritten.Store(true)
 			}
 		}()
@@ -375,15 +391,15 @@
 // Close ends the use of the response; the connection is closed unless the body was read to its end.
 func (resp *Response) Close() { resp.closeConn() }
 
-func encodeRequest(r *Request) []byte {
+// encodeHead returns the head of a request, with room for a body that is sent with it.
+func encodeHead(r *Request, bodySize int) *bytes.Buffer {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(bodySize, maxInlineRequestBytes))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.Write(&b) // a bytes.Buffer returns no error
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	if bodySize > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", bodySize)
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	return &b
 }
