daemon: bound the memory and connections of callers

Ruled out: a smaller max_body or max_header, which refuses single requests that are valid.

Change: `[limits] memory` (256 MB) and `[limits] descriptors` (4096) in the daemon's settings. The listener of its own interface is limited as an entry host's: heads before they are parsed, bodies at four times their bytes, for the decoder and what it returns. What exceeds the bound gets `overloaded` with outcome not_run. The Go heap is limited to 0.8 of the setting.

Values that decode to more than four times their bytes (lists of empty objects) are not counted in full.

--- a/cmd/hyssopreeld/main.go
+++ b/cmd/hyssopreeld/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -82,6 +83,10 @@
 }
 
 // serve runs the host until SIGTERM or SIGINT and returns the exit code.
+// daemonHeapFraction is the fraction of the memory setting that the Go runtime may use. It is larger than an entry host's,
+// because the programs in progress are in the heap.
+const daemonHeapFraction = 0.8
+
 func serve(s *settings.Settings) int {
 	logWriter := logging.NewAsyncWriter(os.Stdout)
 	defer func() { _ = logWriter.Close() }() // never fails
@@ -89,6 +94,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	debug.SetMemoryLimit(int64(float64(s.Limits.MemoryBytes) * daemonHeapFraction))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	tracer, err := tracing.New(ctx, tracing.Options{
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -45,6 +45,9 @@
 		ReconcileInterval time.Duration
 		DrainTimeout      time.Duration
 		RequestTimeout    time.Duration
+		// MemoryBytes is the memory that the process may use, and Descriptors the number of files that it may open.
+		MemoryBytes int64
+		Descriptors int
 	}
 	EventLog struct{ Path string }
 	Tracing  struct {
@@ -132,6 +135,9 @@
 	s.Limits.DrainTimeout = r.duration("limits", "drain_limit", 10*time.Minute)
 	s.Limits.RequestTimeout = r.duration("limits", "request_timeout", 5*time.Minute)
 
+	s.Limits.MemoryBytes = r.size("limits", "memory", 256*megabyte, 1<<40)
+	s.Limits.Descriptors = r.count("limits", "descriptors", 4096, 1<<20)
+
 	s.EventLog.Path = r.text("event_log", "path")
 	s.Tracing.File = r.text("tracing", "file")
 	s.Tracing.OTLPEndpoint = r.address("tracing", "otlp_endpoint", optional, "")
--- a/service/daemon/frontend.go
+++ b/service/daemon/frontend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/common/fault"
 	"github.com/hyssopreel/hyssopreel/common/settings"
 	"github.com/hyssopreel/hyssopreel/service/entry"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 )
 
 // readHeaderTimeout bounds the time in which the header of a request arrives. It is longer than any freeze of the
@@ -20,6 +20,28 @@
 // had not read.
 const readHeaderTimeout = time.Minute
 
+const (
+	// clientMemoryFraction is the part of the memory that clients may make the process hold. The rest is for the programs,
+	// the program itself and the kernel's buffers.
+	clientMemoryFraction = 0.3
+	// decodeFactor is the memory of a decoded body, with the buffers of its decoder, in multiples of its bytes.
+	decodeFactor = 4
+	// reservedDescriptors are left for files, the store, peers and backend servers' streams.
+	reservedDescriptors = 200
+	receiveBufferBytes  = 32 << 10
+	sendBufferBytes     = 128 << 10
+	// bodyStallTimeout and writeStallTimeout bound the time in which a client neither sends nor reads a byte.
+	bodyStallTimeout  = 10 * time.Second
+	writeStallTimeout = 30 * time.Second
+	// memoryRetryAfter is the retry delay of a request that was refused for want of memory.
+	memoryRetryAfter = 500 * time.Millisecond
+)
+
+// refuseForMemory answers a request for which there is no memory.
+func refuseForMemory(w http.ResponseWriter) {
+	entry.WriteError(w, fault.New(fault.CodeOverloaded, "serve request", "%v", memlimit.ErrNoMemory).WithRetryAfter(memoryRetryAfter))
+}
+
 // noIncarnationRetryAfter is the retry delay that callers get while no incarnation serves requests.
 const noIncarnationRetryAfter = 500 * time.Millisecond
 
@@ -32,6 +54,7 @@
 // not run.
 type frontend struct {
 	server      *http.Server
+	memory      *memlimit.Limiter
 	serveErrors chan error
 
 	mu sync.Mutex
@@ -48,13 +71,21 @@
 }
 
 func newFrontend(s *settings.Settings) (*frontend, error) {
-	l, err := net.Listen("tcp", s.Listen.HTTP)
+	memory := memlimit.New(memlimit.Options{
+		Bytes: int64(float64(s.Limits.MemoryBytes) * clientMemoryFraction), MaxConns: max(s.Limits.Descriptors-reservedDescriptors, reservedDescriptors) / 2,
+		ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes,
+		BodyStallTimeout: bodyStallTimeout, WriteStallTimeout: writeStallTimeout, Name: "callers",
+	})
+	l, err := memory.Listen(s.Listen.HTTP)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers at %s", s.Listen.HTTP)
 	}
-	f := &frontend{serveErrors: make(chan error, 1)}
+	f := &frontend{serveErrors: make(chan error, 1), memory: memory}
 	// The entry rejects headers up to twice the limit with a typed error; net/http rejects larger ones.
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeaderBytes)}
+	f.server = &http.Server{
+		Handler: memory.Handler(f, decodeFactor, refuseForMemory), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeaderBytes),
+		ConnContext: memlimit.ConnContext, ConnState: memlimit.ConnState,
+	}
 	go func() {
 		if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			f.serveErrors <- errors.Wrap(err, "serve callers")
--- a/service/entry/server.go
+++ b/service/entry/server.go
@@ -28,6 +28,7 @@
 	"github.com/hyssopreel/hyssopreel/common/wire"
 	"github.com/hyssopreel/hyssopreel/service/home"
 	"github.com/hyssopreel/hyssopreel/service/membership"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 )
 
 const (
@@ -36,6 +37,8 @@
 	HostsTTL = 5 * time.Second
 	// takeoverRetryAfter is the retry delay sent to callers while a program is being taken over.
 	takeoverRetryAfter = time.Second
+	// memoryRetryAfter is sent to callers whose bodies are refused for want of memory.
+	memoryRetryAfter = 500 * time.Millisecond
 	// homeWait bounds the wait for the record of the host that takes a program over, which members send to each other as
 	// it changes; homePollInterval is how often the member list is read in that time.
 	homeWait         = 300 * time.Millisecond
@@ -409,6 +412,8 @@
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, memlimit.ErrNoMemory), errors.Is(err, memlimit.ErrEvicted):
+		return fault.New(fault.CodeOverloaded, "read request", "%v", err).WithRetryAfter(memoryRetryAfter)
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.CodeTooLarge, "read request", "the body is larger than %d bytes", tooLarge.Limit)
 	default:
--- a/service/ingress/body.go
+++ b/service/ingress/body.go
@@ -42,8 +42,6 @@
 	return &failure{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.ingress.retryAfter(""), closeConn: true, cause: cause}
 }
 
-var errBodyMemory = errors.New("bodies use as much memory as they may")
-
 // readBody reads the body into bodyParts.
 func (x *exchange) readBody(w http.ResponseWriter) *failure {
 	r, limit := x.request, x.table.Limits.MaxBodyBytes
@@ -67,7 +65,7 @@
 		return nil
 	case errors.As(err, &tooLarge):
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large", closeConn: true}
-	case errors.Is(err, errBodyMemory), errors.Is(err, memlimit.ErrEvicted):
+	case errors.Is(err, memlimit.ErrNoMemory), errors.Is(err, memlimit.ErrEvicted):
 		return x.noMemoryFailure("no memory for the body", err)
 	case errors.Is(err, memlimit.ErrBodyStalled):
 		return &failure{status: http.StatusRequestTimeout, reason: "body too slow", closeConn: true, cause: err}
@@ -93,7 +91,7 @@
 			break
 		}
 		if !x.memory.Reserve(size) {
-			return errBodyMemory
+			return memlimit.ErrNoMemory
 		}
 		part := make([]byte, size)
 		n, err := io.ReadFull(body, part)
--- a/service/memlimit/conn.go
+++ b/service/memlimit/conn.go
@@ -43,6 +43,8 @@
 var (
 	// ErrBodyStalled means that the client sends its body too slowly or stopped.
 	ErrBodyStalled = errors.New("body stopped arriving")
+	// ErrNoMemory means that the connections use as much memory as they may.
+	ErrNoMemory = errors.New("connections use as much memory as they may")
 	// ErrEvicted means that others need the memory of the connection while it waits for its client.
 	ErrEvicted = errors.New("memory is needed for other requests")
 )
@@ -182,6 +184,9 @@
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	storeNow(&c.progressAt)
+	if d := c.limiter.options.WriteStallTimeout; d > 0 {
+		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(d)) // if this fails, the write does
+	}
 	c.writing.Store(true)
 	n, err := c.TCPConn.Write(b)
 	c.writing.Store(false)
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -53,6 +53,8 @@
 	SendBufferBytes    int
 	// BodyStallTimeout is the time without a byte after which a body is given up; SetBodyStallTimeout changes it.
 	BodyStallTimeout time.Duration
+	// WriteStallTimeout bounds each write; 0 if the server sets deadlines itself.
+	WriteStallTimeout time.Duration
 	// Name distinguishes the limiter in logs and metrics.
 	Name  string
 	Scope tally.Scope
