wire: bound the frames and connections of peers

Cause: a frame of up to 2 MB was allocated when its length had arrived, for any number of connections; accepted connections, bodies of running requests and one-way messages were counted by number only (4,096 for each link).

Ruled out: a bound for each link, which a client exceeds with more links; closing links that send large frames, because handovers do.

Change: the first frame of a link has at most 4 KB. Frames over 16 KB that are read at the same time, and the bodies of those whose handlers run, are bounded for the node (16 MB, on entry hosts 8 MB each): reading waits its turn, a request is refused as overloaded, a one-way message closes its link as a full inbox does. Small frames wait for nothing. More than 2,048 accepted links (entry hosts 512) close the oldest one of the address that has most. Receive buffers are 64 KB.

Conclusion: peers with links of their own are not locked out by a crowd at another address; a crowd that completes the hello may delay large frames by up to the keep-alive timeout, never heartbeats.

--- a/common/wire/frame.go
+++ b/common/wire/frame.go
@@ -115,14 +115,27 @@
 }
 
 func readFrame(r *bufio.Reader) (*frame, error) {
+	n, err := readFrameSize(r)
+	if err != nil {
+		return nil, err
+	}
+	return readFrameBody(r, n)
+}
+
+// readFrameSize reads the size of the next frame in bytes.
+func readFrameSize(r *bufio.Reader) (int64, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(header[:])
 	if n > MaxFrameBytes {
-		return nil, errFrameTooLarge
+		return 0, errFrameTooLarge
 	}
+	return int64(n), nil
+}
+
+func readFrameBody(r *bufio.Reader, n int64) (*frame, error) {
 	b := make([]byte, n)
 	if _, err := io.ReadFull(r, b); err != nil {
 		return nil, err
--- a/common/wire/link.go
+++ b/common/wire/link.go
@@ -197,14 +197,16 @@
 // link is one TCP connection. A dialed link has a peer and sends the frames of exchanges; an accepted link has its
 // own queue and receives requests.
 type link struct {
-	node    *Node
-	conn    net.Conn
-	peer    *peer               // dialed links
-	queue   chan *outgoingFrame // accepted links
-	done    chan struct{}
-	ctx     context.Context
-	cancel  context.CancelFunc
-	writeMu sync.Mutex // one frame is written at a time
+	node  *Node
+	conn  net.Conn
+	peer  *peer               // dialed links
+	queue chan *outgoingFrame // accepted links
+	// acceptedAt is set on accepted links.
+	acceptedAt time.Time
+	done       chan struct{}
+	ctx        context.Context
+	cancel     context.CancelFunc
+	writeMu    sync.Mutex // one frame is written at a time
 	// hasWritten is set by each written frame; a heartbeat is due only if it is not set at the end of an interval.
 	hasWritten atomic.Bool
 
@@ -226,7 +228,9 @@
 
 // serveConn starts the read loop of an accepted connection, which starts the write loop after the hello frames.
 func (n *Node) serveConn(conn net.Conn) {
+	n.makeRoom()
 	l := newLink(n, conn)
+	l.acceptedAt = time.Now()
 	l.queue = make(chan *outgoingFrame, n.opts.QueueFrames)
 	if !n.addLink(l) || !n.startGoroutine(l.readLoop) {
 		l.close(errNodeClosed)
@@ -287,7 +291,7 @@
 		// A link without a frame for KeepAliveTimeout is closed even if TCP reports no error: a connection can stop
 		// delivering permanently while new ones work.
 		_ = l.conn.SetReadDeadline(time.Now().Add(l.node.opts.KeepAliveTimeout))
-		f, err := readFrame(r)
+		f, done, err := l.readNextFrame(r, first)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = errors.Wrapf(errKeepAliveTimeout, "no frame for %s", l.node.opts.KeepAliveTimeout)
 		}
@@ -296,6 +300,7 @@
 		} else if err == nil {
 			err = l.handleFrame(f)
 		}
+		done()
 		if err != nil {
 			l.close(err)
 			return
@@ -439,6 +444,7 @@
 	l.node.mu.Unlock()
 	for _, r := range requests {
 		r.cancel()
+		l.node.unhold(r)
 	}
 	code := fault.CodePeerUnreachable
 	if errors.Is(cause, errNodeClosed) {
--- a/common/wire/node.go
+++ b/common/wire/node.go
@@ -24,6 +24,8 @@
 	DefaultBufferBytes       = 4 << 20 // two of the largest frames
 	DefaultInboxFrames       = 4096
 	DefaultMaxRequests       = 4096
+	DefaultMaxInboundBytes   = 16 << 20
+	DefaultMaxLinks          = 2048
 )
 
 // Options configures a Node. Zero fields take the defaults above; ProcessName and OnPeerDisconnected have none.
@@ -49,6 +51,11 @@
 	InboxFrames int
 	// MaxRequests bounds the unanswered requests of one link; further requests fail with fault.CodeOverloaded.
 	MaxRequests int
+	// MaxInboundBytes bounds the large frames that all peers make this node read at the same time, and the bodies of those
+	// whose handlers have not ended; at least two of the largest frames.
+	MaxInboundBytes int
+	// MaxLinks bounds the accepted connections; one more closes one of the remote address that has most.
+	MaxLinks int
 	// OnPeerDisconnected is called when a dialed link fails or reaches KeepAliveTimeout and when dialing fails, but not
 	// when a link is closed as idle or by Close. Each call runs on its own goroutine. It may be nil.
 	OnPeerDisconnected func(addr string)
@@ -64,6 +71,8 @@
 	setDefault(&o.BufferBytes, DefaultBufferBytes)
 	setDefault(&o.InboxFrames, DefaultInboxFrames)
 	setDefault(&o.MaxRequests, DefaultMaxRequests)
+	setDefault(&o.MaxInboundBytes, DefaultMaxInboundBytes)
+	setDefault(&o.MaxLinks, DefaultMaxLinks)
 	return o
 }
 
@@ -83,11 +92,12 @@
 // Node exchanges frames with other nodes. It dials one connection per peer address, which carries its own messages
 // and requests and the answers to them. All methods may be called from any goroutine.
 type Node struct {
-	opts   Options
-	ctx    context.Context
-	cancel context.CancelFunc
-	lastID atomic.Uint64
-	wg     sync.WaitGroup
+	opts    Options
+	inbound *inboundLimits
+	ctx     context.Context
+	cancel  context.CancelFunc
+	lastID  atomic.Uint64
+	wg      sync.WaitGroup
 
 	mu             sync.Mutex
 	closed         bool
@@ -110,6 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Node{
 		opts:        opts.withDefaults(),
+		inbound:     newInboundLimits(opts.withDefaults()),
 		ctx:         ctx,
 		cancel:      cancel,
 		peers:       map[string]*peer{},
@@ -125,7 +136,8 @@
 // Listen accepts connections at addr and returns the address in use, which differs from addr if its port
 // is 0.
 func (n *Node) Listen(addr string) (net.Addr, error) {
-	l, err := net.Listen("tcp", addr)
+	config := net.ListenConfig{Control: limitReceiveBuffer}
+	l, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers at %s", addr)
 	}
--- a/common/wire/request.go
+++ b/common/wire/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -23,6 +24,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// heldBytes is what Node.hold counted.
+	heldBytes atomic.Int64
+
 	mu       sync.Mutex
 	answered bool
 }
@@ -91,6 +95,7 @@
 	delete(r.link.requests, r.id)
 	r.link.mu.Unlock()
 	r.cancel()
+	r.link.node.unhold(r)
 }
 
 func (l *link) newRequest(parent context.Context, f *frame) *Request {
@@ -122,6 +127,11 @@
 		rejection = fault.New(fault.CodeInvalidRequest, f.Type.String(), "no handler for frames of type %s", f.Type)
 	case full:
 		rejection = fault.New(fault.CodeOverloaded, f.Type.String(), "limit of %d unanswered requests on one link is reached", l.node.opts.MaxRequests)
+	case !l.node.hold(r):
+		rejection = errTooMuchHeld(f.Type)
+	}
+	if l.isClosed() {
+		l.node.unhold(r) // the link closed before the body was counted
 	}
 	run := func() { h(r.ctx, r) }
 	if rejection != nil {
@@ -158,6 +168,9 @@
 	if len(box.queue) >= n.opts.InboxFrames {
 		return errInboxFull
 	}
+	if !n.hold(r) {
+		return errInboundFull
+	}
 	box.queue = append(box.queue, r)
 	if !running {
 		n.wg.Add(1)
@@ -190,5 +203,6 @@
 			s.deliver(r)
 		}
 		r.cancel()
+		n.unhold(r)
 	}
 }
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -110,7 +110,7 @@
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
 		ProcessName: s.Host.Name + "." + h.self.Incarnation, HeartbeatInterval: linkHeartbeatInterval,
-		KeepAliveTimeout: linkKeepAliveTimeout,
+		KeepAliveTimeout: linkKeepAliveTimeout, MaxInboundBytes: peerBytes, MaxLinks: maxPeerLinks,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
 	h.store = &objectapi.RelayStore{
--- a/service/ingress/limits.go
+++ b/service/ingress/limits.go
@@ -28,6 +28,10 @@
 	sendBufferBytes = 128 << 10
 	// smallReceiveBufferBytes holds the largest head at the ports that serve GET requests.
 	smallReceiveBufferBytes = 8 << 10
+	// peerBytes bounds the large frames of peers that are read or handled at the same time, and maxPeerLinks the connections
+	// from peers: a fleet of 370 hosts needs one from each.
+	peerBytes    = 8 << 20
+	maxPeerLinks = 512
 	// The memory for clients at the other ports.
 	directoryBytes = 3 << 20
 	readyBytes     = 1 << 20
