memlimit: measure what the process uses besides its clients

Cause: the memory for clients was computed with a fixed rest of 14 MB; hosts of large fleets hold more.

Ruled out: admission by the announced length, which lets clients that announce and send nothing refuse others.

Change: the rest is the least of the last 60 observations (30 s) of the live heap less what is counted, at least 14 MB.

--- a/core/membudget/membudget.go
+++ b/core/membudget/membudget.go
@@ -6,11 +6,11 @@
 const (
 	// maxLargeFraction bounds what all connections use together when one that already has more than SmallBytes asks. The
 	// rest stays for ordinary requests.
-	maxLargeFraction = 0.875
+	maxLargeFraction = 0.9
 	// maxAddressLargeFraction and maxAddressFraction bound, in the same two cases, what the connections of one caller
 	// address use, so that callers at other addresses can always reserve something.
-	maxAddressLargeFraction = 0.75
-	maxAddressFraction      = 0.9375
+	maxAddressLargeFraction = 0.85
+	maxAddressFraction      = 0.96
 	// maxConnFraction bounds what one connection uses: the largest request and its response.
 	maxConnFraction = 0.5
 )
@@ -96,7 +96,7 @@
 	if b.limit <= 0 {
 		return Granted
 	}
-	total, ofAddress := int64(b.limit), b.fraction(maxAddressFraction)
+	total, ofAddress := b.limit, b.fraction(maxAddressFraction)
 	if a.used+n > SmallBytes {
 		total, ofAddress = b.fraction(maxLargeFraction), b.fraction(maxAddressLargeFraction)
 	}
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -227,7 +227,7 @@
 		select {
 		case s := <-h.reload:
 			h.settings.Store(s)
-			h.limits.callers.SetBytes(memlimit.ClientBytes(s.Limits.MemoryBytes))
+			h.limits.callerSizer.SetMemory(s.Limits.MemoryBytes)
 			logging.Emit(logging.SettingsReloaded, logging.Fields{
 				"host": h.self.Name, "memory": s.Limits.MemoryBytes, "grace": s.Shutdown.GracePeriod,
 			})
@@ -258,6 +258,7 @@
 		select {
 		case <-ticker.C:
 			h.servers.Sweep()
+			h.limits.callerSizer.Update()
 			h.ingress.poison.expire()
 			h.servers.DispatchAll()
 			h.hosts.SetSlots(h.servers.TotalSlots())
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -110,7 +110,8 @@
 		in.permits = newPermitAccounts()
 	}
 	if in.memory = o.Memory; in.memory == nil {
-		in.memory = memlimit.New(memlimit.Options{Bytes: memlimit.ClientBytes(o.MemoryLimitBytes)})
+		in.memory = memlimit.New(memlimit.Options{})
+		memlimit.NewSizer(in.memory, o.MemoryLimitBytes)
 	}
 	return in
 }
--- a/service/ingress/limits.go
+++ b/service/ingress/limits.go
@@ -44,6 +44,8 @@
 // hostLimits bounds what clients make the host hold, for each of its ports.
 type hostLimits struct {
 	callers, directory, ready, metrics *memlimit.Limiter
+	// callerSizer sets the memory for callers.
+	callerSizer *memlimit.Sizer
 }
 
 func newHostLimits(s *settings.EntryHost, scope tally.Scope) *hostLimits {
@@ -52,9 +54,9 @@
 		o.Name, o.Scope = name, scope.Tagged(map[string]string{"port": name})
 		return memlimit.New(o)
 	}
-	return &hostLimits{
+	limits := &hostLimits{
 		callers: newLimiter("callers", memlimit.Options{
-			Bytes: memlimit.ClientBytes(s.Limits.MemoryBytes), MaxConns: int(descriptors * callerDescriptorFraction),
+			MaxConns:           int(descriptors * callerDescriptorFraction),
 			ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes, BodyStallTimeout: defaultHeaderTimeout,
 		}),
 		directory: newLimiter("directory", memlimit.Options{
@@ -63,6 +65,8 @@
 		ready:   newLimiter("ready", memlimit.Options{Bytes: readyBytes, MaxConns: maxReadyConns, ReceiveBufferBytes: smallReceiveBufferBytes}),
 		metrics: newLimiter("metrics", memlimit.Options{Bytes: metricsBytes, MaxConns: maxMetricsConns, ReceiveBufferBytes: smallReceiveBufferBytes}),
 	}
+	limits.callerSizer = memlimit.NewSizer(limits.callers, s.Limits.MemoryBytes)
+	return limits
 }
 
 // newLimitedServer returns a server for a listener of a memlimit.Limiter.
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -354,24 +354,3 @@
 
 // storeNow stores the present time in Unix nanoseconds.
 func storeNow(at *atomic.Int64) { at.Store(time.Now().UnixNano()) }
-
-const (
-	// HeapFraction is the fraction of a process's memory that the Go runtime may use. The rest is for the program itself
-	// (13 MB resident), thread stacks, the C library and bytes that arrived and were not read.
-	HeapFraction = 0.68
-	// liveFraction is the part of that which may be in use: with more, the garbage collector runs without a pause.
-	liveFraction = 0.85
-	// restBytes is what an entry host uses without requests, in the heap.
-	restBytes = 14 << 20
-	// minFraction bounds the result from below, for settings with little memory.
-	minFraction = 0.125
-)
-
-// ClientBytes returns Options.Bytes for a process that may use memoryBytes; 0 is no limit.
-func ClientBytes(memoryBytes int64) int64 {
-	if memoryBytes <= 0 {
-		return 0
-	}
-	m := float64(memoryBytes)
-	return int64(max(m*HeapFraction*liveFraction-restBytes, m*minFraction))
-}
