memlimit: no timeout on the read that detects the end of a connection

Cause: net/http starts a read of one byte when a body has ended, and may do so before the handler ends the phase of the body. Seen by reading.

Ruled out: ending the phase in the reader of the body only, because net/http starts the read before it returns EOF.

Change: reads of one byte have no timeout and are not counted.

Result: TestReadForTheEndOfAConnectionHasNoTimeout fails without the change (a stalled body after 20 ms).

--- a/service/daemon/frontend.go
+++ b/service/daemon/frontend.go
@@ -31,8 +31,9 @@
 	receiveBufferBytes  = 32 << 10
 	sendBufferBytes     = 128 << 10
 	// bodyStallTimeout and writeStallTimeout bound the time in which a client neither sends nor reads a byte.
-	bodyStallTimeout  = 10 * time.Second
-	writeStallTimeout = 30 * time.Second
+	bodyStallTimeout    = 10 * time.Second
+	writeStallTimeout   = 30 * time.Second
+	memorySweepInterval = time.Second
 	// memoryRetryAfter is the retry delay of a request that was refused for want of memory.
 	memoryRetryAfter = 500 * time.Millisecond
 )
@@ -55,6 +56,7 @@
 type frontend struct {
 	server      *http.Server
 	memory      *memlimit.Limiter
+	closed      chan struct{}
 	serveErrors chan error
 
 	mu sync.Mutex
@@ -80,12 +82,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers at %s", s.Listen.HTTP)
 	}
-	f := &frontend{serveErrors: make(chan error, 1), memory: memory}
+	f := &frontend{serveErrors: make(chan error, 1), memory: memory, closed: make(chan struct{})}
 	// The entry rejects headers up to twice the limit with a typed error; net/http rejects larger ones.
 	f.server = &http.Server{
 		Handler: memory.Handler(f, decodeFactor, refuseForMemory), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 2 * int(s.Limits.MaxHeaderBytes),
 		ConnContext: memlimit.ConnContext, ConnState: memlimit.ConnState,
 	}
+	go f.sweepMemory()
 	go func() {
 		if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			f.serveErrors <- errors.Wrap(err, "serve callers")
@@ -159,4 +162,21 @@
 // shutdown closes the listener and waits for active requests.
 func (f *frontend) shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
-func (f *frontend) close() { _ = f.server.Close() }
+func (f *frontend) close() {
+	close(f.closed)
+	_ = f.server.Close()
+}
+
+// sweepMemory closes connections whose clients do not read, until the frontend closes.
+func (f *frontend) sweepMemory() {
+	ticker := time.NewTicker(memorySweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			f.memory.Sweep()
+		case <-f.closed:
+			return
+		}
+	}
+}
--- a/service/ingress/body.go
+++ b/service/ingress/body.go
@@ -135,8 +135,8 @@
 // limitWriteTime bounds the time for which a response of size bytes is held for a caller that does not read it.
 func (x *exchange) limitWriteTime(size int) {
 	c := memlimit.ConnOf(x.request.Context())
-	if c == nil {
-		return
+	if c == nil || size <= maxSinglePartBytes {
+		return // a small one fits into the send buffer; memlimit.Options.WriteStallTimeout bounds the rest
 	}
 	until := x.ingress.now().Add(time.Duration(float64(size) / minReadBytesPerSecond * float64(time.Second)))
 	if x.deadline.After(until) {
--- a/service/ingress/limits.go
+++ b/service/ingress/limits.go
@@ -26,6 +26,8 @@
 	receiveBufferBytes = 32 << 10
 	// sendBufferBytes is the kernel's send buffer of a connection.
 	sendBufferBytes = 128 << 10
+	// writeStallTimeout is how long a caller may leave a response unread before its connection is closed.
+	writeStallTimeout = 30 * time.Second
 	// smallReceiveBufferBytes holds the largest head at the ports that serve GET requests.
 	smallReceiveBufferBytes = 8 << 10
 	// peerBytes bounds the large frames of peers that are read or handled at the same time, and maxPeerLinks the connections
@@ -57,7 +59,7 @@
 	limits := &hostLimits{
 		callers: newLimiter("callers", memlimit.Options{
 			MaxConns:           int(descriptors * callerDescriptorFraction),
-			ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes, BodyStallTimeout: defaultHeaderTimeout,
+			ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes, BodyStallTimeout: defaultHeaderTimeout, WriteStallTimeout: writeStallTimeout,
 		}),
 		directory: newLimiter("directory", memlimit.Options{
 			Bytes: directoryBytes, MaxConns: int(descriptors * directoryDescriptorFraction), ReceiveBufferBytes: smallReceiveBufferBytes,
--- a/service/memlimit/conn.go
+++ b/service/memlimit/conn.go
@@ -119,6 +119,10 @@
 
 // Read implements net.Conn. It counts the head of a request before net/http parses it.
 func (c *Conn) Read(b []byte) (int, error) {
+	// net/http reads one byte while it waits for a handler, to detect that the client leaves. All other reads fill a buffer.
+	if len(b) == 1 {
+		return c.TCPConn.Read(b)
+	}
 	switch phase(c.phase.Load()) {
 	case phaseBusy:
 		return c.TCPConn.Read(b)
@@ -184,9 +188,6 @@
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	storeNow(&c.progressAt)
-	if d := c.limiter.options.WriteStallTimeout; d > 0 {
-		_ = c.TCPConn.SetWriteDeadline(time.Now().Add(d)) // if this fails, the write does
-	}
 	c.writing.Store(true)
 	n, err := c.TCPConn.Write(b)
 	c.writing.Store(false)
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -53,7 +53,7 @@
 	SendBufferBytes    int
 	// BodyStallTimeout is the time without a byte after which a body is given up; SetBodyStallTimeout changes it.
 	BodyStallTimeout time.Duration
-	// WriteStallTimeout bounds each write; 0 if the server sets deadlines itself.
+	// WriteStallTimeout is the time for which a write may wait for the client; Sweep ends those that wait longer.
 	WriteStallTimeout time.Duration
 	// Name distinguishes the limiter in logs and metrics.
 	Name  string
@@ -297,13 +297,30 @@
 	c.evicted.Store(true)
 	c.evictedBytes = c.account.budget.Used()
 	l.evictedBytes += c.evictedBytes
-	if phase(c.phase.Load()) == phaseBody {
+	if phase(c.phase.Load()) == phaseBody && !c.writing.Load() {
 		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed already
 		return
 	}
 	go c.abort()
 }
 
+// Sweep closes connections whose clients have not read for Options.WriteStallTimeout. It is called every second or so: a
+// deadline for each write would cost an ordinary request more.
+func (l *Limiter) Sweep() {
+	timeout := l.options.WriteStallTimeout
+	if timeout <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := time.Now().Add(-timeout).UnixNano()
+	for c := range l.conns {
+		if c.writing.Load() && c.progressAt.Load() < before && !c.evicted.Load() {
+			l.evictLocked(c)
+		}
+	}
+}
+
 // countRefusal counts a refused reservation, and reports refusals and evictions at most once in refusalInterval.
 func (l *Limiter) countRefusal(refusal membudget.Refusal) {
 	l.refused++
--- a/service/memlimit/memlimit_test.go
+++ b/service/memlimit/memlimit_test.go
@@ -171,6 +171,33 @@
 	}
 }
 
+// Guards against a request that is canceled because its connection is silent after its body: net/http reads one byte to
+// detect that the client leaves, and may begin before the handler knows that the body has ended.
+func TestReadForTheEndOfAConnectionHasNoTimeout(t *testing.T) {
+	const stall = 20 * time.Millisecond
+	l := New(Options{Bytes: 8 << 20, BodyStallTimeout: stall})
+	listener, err := l.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	accepted.(*Conn).BeginBody()
+	time.AfterFunc(4*stall, func() { _, _ = client.Write([]byte("x")) })
+	if n, err := accepted.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("%d bytes, error %v", n, err)
+	}
+}
+
 // Guards against a caller that waits for its answer and loses its connection, because its client seems to be silent.
 func TestConnectionThatWaitsForTheProcessIsNotEvicted(t *testing.T) {
 	release := make(chan struct{})
@@ -220,3 +247,24 @@
 		}
 	}
 }
+
+// Guards against a response that is held for good for a client that does not read it.
+func TestUnreadResponseIsGivenUp(t *testing.T) {
+	ended := make(chan struct{})
+	s := startServer(t, Options{Bytes: 64 << 20, WriteStallTimeout: 20 * time.Millisecond}, func(w http.ResponseWriter, _ *http.Request) {
+		defer close(ended)
+		_, _ = w.Write(make([]byte, 64<<20))
+	})
+	if _, err := io.WriteString(s.dial(t), get); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		s.limiter.Sweep()
+		select {
+		case <-ended:
+			return
+		default:
+		}
+	}
+	t.Fatal("the response is still being written")
+}
--- a/service/memlimit/size.go
+++ b/service/memlimit/size.go
@@ -38,8 +38,9 @@
 	s.apply()
 }
 
-// Update measures what the process uses besides its clients. It is called every 500 ms.
+// Update measures what the process uses besides its clients, and calls Limiter.Sweep. It is called every 500 ms.
 func (s *Sizer) Update() {
+	s.limiter.Sweep()
 	sample := []metrics.Sample{{Name: liveMetric}}
 	metrics.Read(sample)
 	if sample[0].Value.Kind() != metrics.KindUint64 {
