--- a/service/ingress/limits.go
+++ b/service/ingress/limits.go
@@ -24,6 +24,8 @@
 	// receiveBufferBytes is the kernel's receive buffer of a connection. Its bytes count as memory of the process. The kernel
 	// doubles the value; half of that holds 0.5 s of a sender at 2 Mbit/s, or a round trip of 5 ms at 100 Mbit/s.
 	receiveBufferBytes = 32 << 10
+	// unreadFraction is the part of the memory that callers' bytes may use that have arrived and were not read.
+	unreadFraction = 0.06
 	// sendBufferBytes is the kernel's send buffer of a connection.
 	sendBufferBytes = 128 << 10
 	// writeStallTimeout is how long a caller may leave a response unread before its connection is closed.
@@ -60,6 +62,7 @@
 		callers: newLimiter("callers", memlimit.Options{
 			MaxConns:           int(descriptors * callerDescriptorFraction),
 			ReceiveBufferBytes: receiveBufferBytes, SendBufferBytes: sendBufferBytes, BodyStallTimeout: defaultHeaderTimeout, WriteStallTimeout: writeStallTimeout,
+			UnreadBytes: int64(float64(s.Limits.MemoryBytes) * unreadFraction),
 		}),
 		directory: newLimiter("directory", memlimit.Options{
 			Bytes: directoryBytes, MaxConns: int(descriptors * directoryDescriptorFraction), ReceiveBufferBytes: smallReceiveBufferBytes,
--- a/service/memlimit/conn.go
+++ b/service/memlimit/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/hyssopreel/hyssopreel/core/membudget"
 )
@@ -220,6 +221,17 @@
 	c.phase.Store(int32(phaseIdle))
 }
 
+// unreadBytes returns the number of bytes that have arrived and were not read.
+func (c *Conn) unreadBytes() int64 {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // 0 on a closed connection
+	return int64(n)
+}
+
 // abort closes the connection with a reset.
 func (c *Conn) abort() {
 	_ = c.TCPConn.SetLinger(0) // fails only if the connection is closed already
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -4,9 +4,12 @@
 package memlimit
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +54,9 @@
 	// of a response.
 	ReceiveBufferBytes int
 	SendBufferBytes    int
+	// UnreadBytes bounds what the kernel keeps of all connections before it is read: Sweep closes those with most. Only
+	// connections whose requests are being handled are not read.
+	UnreadBytes int64
 	// BodyStallTimeout is the time without a byte after which a body is given up; SetBodyStallTimeout changes it.
 	BodyStallTimeout time.Duration
 	// WriteStallTimeout is the time for which a write may wait for the client; Sweep ends those that wait longer.
@@ -304,18 +310,50 @@
 	go c.abort()
 }
 
-// Sweep closes connections whose clients have not read for Options.WriteStallTimeout. It is called every second or so: a
-// deadline for each write would cost an ordinary request more.
+// Sweep closes connections whose clients have not read for Options.WriteStallTimeout, and those with most unread bytes over
+// Options.UnreadBytes. It is called every second or so: a deadline for each write would cost an ordinary request more.
 func (l *Limiter) Sweep() {
-	timeout := l.options.WriteStallTimeout
-	if timeout <= 0 {
+	if timeout := l.options.WriteStallTimeout; timeout > 0 {
+		before := time.Now().Add(-timeout).UnixNano()
+		l.mu.Lock()
+		for c := range l.conns {
+			if c.writing.Load() && c.progressAt.Load() < before && !c.evicted.Load() {
+				l.evictLocked(c)
+			}
+		}
+		l.mu.Unlock()
+	}
+	if l.options.UnreadBytes > 0 {
+		l.closeUnread()
+	}
+}
+
+// closeUnread closes the connections with most unread bytes until the others are within Options.UnreadBytes.
+func (l *Limiter) closeUnread() {
+	l.mu.Lock()
+	var conns []*Conn
+	// The kernel keeps up to twice the size that was set.
+	if int64(len(l.conns)*2*l.options.ReceiveBufferBytes) > l.options.UnreadBytes {
+		conns = slices.Collect(maps.Keys(l.conns))
+	}
+	l.mu.Unlock()
+	total, unread := int64(0), make(map[*Conn]int64, len(conns))
+	for _, c := range conns {
+		unread[c] = c.unreadBytes()
+		total += unread[c]
+	}
+	if total <= l.options.UnreadBytes {
 		return
 	}
+	slices.SortFunc(conns, func(a, b *Conn) int { return cmp.Compare(unread[b], unread[a]) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := time.Now().Add(-timeout).UnixNano()
-	for c := range l.conns {
-		if c.writing.Load() && c.progressAt.Load() < before && !c.evicted.Load() {
+	for _, c := range conns {
+		if total <= l.options.UnreadBytes {
+			return
+		}
+		total -= unread[c]
+		if !c.evicted.Load() {
 			l.evictLocked(c)
 		}
 	}
--- a/service/memlimit/memlimit_test.go
+++ b/service/memlimit/memlimit_test.go
@@ -268,3 +268,38 @@
 	}
 	t.Fatal("the response is still being written")
 }
+
+// Guards against bytes behind a request that is being handled: nobody reads them, and they count as memory of the process.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	s := startServer(t, Options{Bytes: 64 << 20, ReceiveBufferBytes: 32 << 10, UnreadBytes: 64 << 10}, func(http.ResponseWriter, *http.Request) { <-release })
+	quiet := s.dial(t)
+	statuses := make(chan int, 1)
+	go func() {
+		status, _ := send(quiet, get)
+		statuses <- status
+	}()
+	const crowd = 16
+	for range crowd {
+		c := s.dial(t)
+		_ = c.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)) // the buffers fill
+		_, _ = io.WriteString(c, get+strings.Repeat("x", 4<<20))
+	}
+	unread := func() (total int64) {
+		s.limiter.mu.Lock()
+		defer s.limiter.mu.Unlock()
+		for c := range s.limiter.conns {
+			total += c.unreadBytes()
+		}
+		return total
+	}
+	if before := unread(); before <= 64<<10 {
+		t.Fatalf("%d unread bytes of the crowd", before)
+	}
+	s.limiter.Sweep()
+	s.awaitUsed(t, "after the sweep", func(int64, int) bool { return unread() <= 64<<10 })
+	close(release)
+	if status := <-statuses; status != 200 {
+		t.Errorf("status %d of the request without unread bytes", status)
+	}
+}
