memlimit, upstream: three allocations less for each request

Cause: a reservation, the list of the body's parts and two formatted lines of the head were allocated for each request.

Change: the reservation and the first part lie in the exchange; the head is written without fmt.

--- a/service/ingress/body.go
+++ b/service/ingress/body.go
@@ -30,9 +30,7 @@
 
 // beginRequest counts the request's head.
 func (x *exchange) beginRequest() *failure {
-	memory, ok := x.ingress.memory.BeginRequest(x.request.Context())
-	x.memory = memory
-	if !ok {
+	if !x.ingress.memory.BeginRequest(x.request.Context(), &x.memory) {
 		return x.noMemoryFailure("no memory for the request", nil)
 	}
 	return nil
@@ -75,6 +73,7 @@
 
 // readParts reads the body up to its end.
 func (x *exchange) readParts(body io.Reader) error {
+	x.bodyParts = x.firstPart[:0]
 	remaining, size := x.request.ContentLength, int64(minPartBytes)
 	if remaining > maxSinglePartBytes {
 		size = maxPartBytes
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -43,8 +43,10 @@
 	ingress   *Ingress
 	request   *http.Request
 	bodyParts [][]byte
+	// firstPart is the array of bodyParts while there is one.
+	firstPart [1][]byte
 	// memory is what the request uses: its head, body and response.
-	memory    *memlimit.Reservation
+	memory    memlimit.Reservation
 	metadata  RequestMetadata
 	table     *routing.Table
 	route     *routing.Route
--- a/service/memlimit/body.go
+++ b/service/memlimit/body.go
@@ -30,7 +30,8 @@
 // there is no memory.
 func (l *Limiter) Handler(next http.Handler, factor int64, refuse func(http.ResponseWriter)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		reservation, ok := l.BeginRequest(r.Context())
+		reservation := &Reservation{}
+		ok := l.BeginRequest(r.Context(), reservation)
 		defer reservation.End()
 		if !ok {
 			w.Header().Set("Connection", "close")
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -157,7 +157,7 @@
 	return l.budget.Reserve(a.budget, n)
 }
 
-// Reservation is the memory of one request. Its methods are safe for concurrent use, also after its end.
+// Reservation is the memory of one request; BeginRequest begins it. Its methods are safe for concurrent use, also after its end.
 type Reservation struct {
 	account *account
 	// owned is set if the account ends with the request.
@@ -168,19 +168,18 @@
 	ended bool
 }
 
-// BeginRequest counts a request whose head was read, and a copy of the head for the backend server. It reports false if
-// there is no memory for it. The caller ends the reservation in either case.
-func (l *Limiter) BeginRequest(ctx context.Context) (*Reservation, bool) {
+// BeginRequest sets r to a reservation for a request whose head was read, and for a copy of the head for the backend
+// server. It reports false if there is no memory for it. The caller ends the reservation in either case.
+func (l *Limiter) BeginRequest(ctx context.Context, r *Reservation) bool {
 	if c := ConnOf(ctx); c != nil {
 		c.phase.Store(int32(phaseBusy))
-		r := &Reservation{account: c.account}
-		return r, r.Reserve(RequestBytes + c.headBytes)
+		r.account = c.account
+		return r.Reserve(RequestBytes + c.headBytes)
 	}
 	l.mu.Lock()
-	a := &account{limiter: l, budget: l.budget.Open("")}
+	r.account, r.owned = &account{limiter: l, budget: l.budget.Open("")}, true
 	l.mu.Unlock()
-	r := &Reservation{account: a, owned: true}
-	return r, r.Reserve(RequestBytes)
+	return r.Reserve(RequestBytes)
 }
 
 // Reserve counts n bytes before they are held, or reports false if they must not be held.
--- a/service/upstream/upstream.go
+++ b/service/upstream/upstream.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -395,10 +394,14 @@
 func encodeHead(r *Request, bodySize int) *bytes.Buffer {
 	var b bytes.Buffer
 	b.Grow(1024 + min(bodySize, maxInlineRequestBytes))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	for _, text := range [...]string{r.Method, " ", r.URI, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		b.WriteString(text)
+	}
 	_ = r.Header.Write(&b) // a bytes.Buffer returns no error
 	if bodySize > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", bodySize)
+		b.WriteString("Content-Length: ")
+		b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(bodySize), 10))
+		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
 	return &b
