memlimit: pause between fruitless searches for stalled connections

Cause: each refused reservation searched all connections, and up to a hundred times while it waited for connections that were being closed. Seen by reading; not measured.

Ruled out: a list of connections ordered by their last byte, which each read would have to change.

Change: after a search that found nothing to close, the next one of its kind comes 10 ms later. A test that fingerprints do not depend on the pieces of a body.

--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -146,3 +146,17 @@
 		}
 	})
 }
+
+// Guards against a request that is not recognized because its body arrived in other pieces.
+func TestFingerprintsDoNotDependOnThePiecesOfABody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 0, 5000).Draw(t, "body")
+		var pieces [][]byte
+		for rest := body; len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "piece")
+			pieces = append(pieces, rest[:n])
+			rest = rest[n:]
+		}
+		NewWithT(t).Expect(poison.NewChain([]string{"a"}, pieces...)).To(Equal(poison.NewChain([]string{"a"}, body)))
+	})
+}
--- a/service/memlimit/memlimit.go
+++ b/service/memlimit/memlimit.go
@@ -40,6 +40,8 @@
 	evictionWait = 200 * time.Millisecond
 	// evictionPoll is the interval in which it looks.
 	evictionPoll = 2 * time.Millisecond
+	// searchPause is the time between two searches of all connections of which the first found nothing to close.
+	searchPause = 10 * time.Millisecond
 	// refusalInterval is the interval between two log lines about refusals.
 	refusalInterval = time.Second
 )
@@ -75,6 +77,8 @@
 	mu     sync.Mutex
 	budget *membudget.Budget
 	conns  map[*Conn]struct{}
+	// searchAfter is when connections are searched again for stalled ones, by the kind of search, after one found none.
+	searchAfter map[search]time.Time
 	// evictedBytes is what evicted connections still use.
 	evictedBytes int64
 	refused      int
@@ -87,7 +91,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	l := &Limiter{options: o, budget: membudget.New(o.Bytes), conns: map[*Conn]struct{}{}}
+	l := &Limiter{options: o, budget: membudget.New(o.Bytes), conns: map[*Conn]struct{}{}, searchAfter: map[search]time.Time{}}
 	l.SetBodyStallTimeout(o.BodyStallTimeout)
 	return l
 }
@@ -256,9 +260,14 @@
 // none. Only connections from the address of a are considered if sameAddress is set, and only large ones if a is large.
 func (l *Limiter) largestStalled(a *account, n int64, sameAddress bool) *Conn {
 	var victim *Conn
-	before := time.Now().Add(-minStall).UnixNano()
+	now := time.Now()
+	kind := search{large: a.budget.Used()+n > membudget.SmallBytes, sameAddress: sameAddress}
+	if now.Before(l.searchAfter[kind]) {
+		return nil
+	}
+	before := now.Add(-minStall).UnixNano()
 	atLeast := int64(0)
-	if a.budget.Used()+n > membudget.SmallBytes {
+	if kind.large {
 		atLeast = membudget.SmallBytes
 	}
 	for c := range l.conns {
@@ -270,9 +279,15 @@
 			victim = c
 		}
 	}
+	if victim == nil {
+		l.searchAfter[kind] = now.Add(searchPause)
+	}
 	return victim
 }
 
+// search is a kind of search for stalled connections.
+type search struct{ large, sameAddress bool }
+
 // longestWaiting returns the connection to close for a new one: the one that has been idle longest, or else the one
 // whose client has been silent longest.
 func (l *Limiter) longestWaiting() *Conn {
