--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/poison"
 	"github.com/hyssopreel/hyssopreel/core/routing"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 	"github.com/hyssopreel/hyssopreel/service/upstream"
 )
 
@@ -27,8 +27,6 @@
 	// without it.
 	maxRefusalBytes = 4 << 10
 	refusalTimeout  = 20 * time.Millisecond
-	// unaccountedResponseBytes is the part of each response that does not count against the memory for bodies.
-	unaccountedResponseBytes = 64 << 10
 	// maxPermitDenials is the number of denied permits after which a request goes to a server without a rate limit.
 	maxPermitDenials = 3
 	// queueTimeoutFraction is the fraction of a request's remaining time that it may wait for a free server.
@@ -42,9 +40,13 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	ingress *Ingress
-	request *http.Request
-	body    []byte
+	ingress   *Ingress
+	request   *http.Request
+	bodyParts [][]byte
+	// firstPart is the array of bodyParts while there is one.
+	firstPart [1][]byte
+	// memory is what the request uses: its head, body and response, and the turns that it continues.
+	memory memlimit.Reservation
 	// retained is nil unless the route retains turns.
 	retained *retainedTurn
 	metadata RequestMetadata
@@ -93,7 +95,9 @@
 	retryAfter time.Duration
 	// fingerprint is that in quarantine; empty if the request is refused for another reason.
 	fingerprint string
-	cause       error
+	// closeConn is set if the caller's connection must end, because it may still send a body.
+	closeConn bool
+	cause     error
 }
 
 var errNoServer = errors.New("no backend server is available for the request")
@@ -195,7 +199,7 @@
 		Request: placement.Request{
 			PromptTokens:    x.metadata.PromptTokens,
 			FailureDomain:   x.ingress.options.FailureDomain,
-			TransferBytes:   len(x.body),
+			TransferBytes:   x.upstreamBytes(),
 			NonRetryable:    !x.route.Retryable(),
 			Suspect:         x.isSuspect(),
 			ExcludedServers: x.excludedServers,
@@ -234,9 +238,9 @@
 		Team:        x.teamName(),
 		FromStart:   x.retained != nil && lastEventID == "",
 	})
-	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, Body: x.upstreamBody()}
+	upstreamRequest := &upstream.Request{Method: x.request.Method, URI: x.request.RequestURI, Host: x.request.Host, Header: header, BodyParts: x.upstreamBody()}
 	var respMetadata ResponseMetadata
-	acquired.route.recordSent(len(x.body))
+	acquired.route.recordSent(x.upstreamBytes())
 	sentAt := x.ingress.now()
 	resp, err := acquired.Pool().Send(ctx, upstreamRequest, func(responseHeader http.Header, reused bool) bool {
 		respMetadata = x.ingress.headerCodec.DecodeResponse(0, responseHeader)
@@ -380,40 +384,6 @@
 	return result
 }
 
-// errResponseMemory means that the responses in memory use all that bodies may use.
-var errResponseMemory = errors.New("no memory for the response")
-
-// readResponse reads the body of a response of up to maxResponseBytes and one more byte. What exceeds
-// unaccountedResponseBytes counts against the memory for bodies while it is read, because a faulty server may send bytes
-// without end to many requests.
-func (x *exchange) readResponse(resp *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, unaccountedResponseBytes))
-	if err != nil || len(body) < unaccountedResponseBytes {
-		return body, err
-	}
-	reserved := int64(0)
-	defer func() { x.ingress.bufferedBodyBytes.Add(-reserved) }()
-	for len(body) <= maxResponseBytes {
-		size := len(body)
-		// While the body is copied, the old and the new buffer take memory.
-		if !x.ingress.reserveBodyMemory(int64(2 * size)) {
-			return body, errResponseMemory
-		}
-		reserved += int64(2 * size)
-		grown := make([]byte, 2*size)
-		copy(grown, body)
-		n, err := io.ReadFull(resp, grown[size:])
-		body = grown[:size+n]
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && resp.Complete() {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-	return body, nil
-}
-
 // recordResponseStatus records a whole response for outlier detection: 5xx is a failure of the server.
 func recordResponseStatus(acquired *AcquiredServer, status int) {
 	if status >= http.StatusInternalServerError {
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/hyssopreel/hyssopreel/core/placement"
 	"github.com/hyssopreel/hyssopreel/core/routing"
 	"github.com/hyssopreel/hyssopreel/service/access"
+	"github.com/hyssopreel/hyssopreel/service/memlimit"
 	"github.com/hyssopreel/hyssopreel/service/quota"
 	"github.com/hyssopreel/hyssopreel/service/relay"
 	"github.com/hyssopreel/hyssopreel/service/turns"
@@ -90,6 +90,7 @@
 	verdicts     *verdicts.Keeper
 	store        objectapi.Store // the platform's, through a peer while this host has no access to it
 
+	limits    *hostLimits
 	startedAt time.Time
 	// configRevision is the revision of the configuration that was last put in force or rejected.
 	configRevision atomic.Uint64
@@ -123,7 +124,7 @@
 	h.hosts.onDraining = h.publishDraining
 	h.node = wire.NewNode(wire.Options{
 		ProcessName: s.Host.Name + "." + h.self.Incarnation, HeartbeatInterval: linkHeartbeatInterval,
-		KeepAliveTimeout: linkKeepAliveTimeout,
+		KeepAliveTimeout: linkKeepAliveTimeout, MaxInboundBytes: peerBytes, MaxLinks: maxPeerLinks,
 	})
 	h.heartbeats = newHeartbeater(h.self, h.hosts, h.node, h.servers, a.StoreAvailable, s.Seeds.Peers)
 	h.heartbeats.contact = &storeContact{onOutage: func() { scope.Counter("store_silences").Inc(1) }}
@@ -147,8 +148,9 @@
 	}
 	h.access, h.quotas = h.newAccess(s), h.newQuotas(s, scope)
 	h.turns = turns.NewClient(h.node, h.store, s.Promises.TolerableHostLosses, s.Host.FailureDomain, s.Host.Region, scope)
+	h.limits = newHostLimits(s, scope)
 	h.ingress = New(Options{
-		FailureDomain: s.Host.FailureDomain, MemoryLimitBytes: s.Limits.MemoryBytes, Permits: permits, Access: h.access, Turns: h.turns, Quotas: hostQuotas{h.quotas},
+		FailureDomain: s.Host.FailureDomain, Memory: h.limits.callers, Permits: permits, Access: h.access, Turns: h.turns, Quotas: hostQuotas{h.quotas},
 	}, a.HeaderCodec, h.servers, h.budgets, scope)
 	h.heartbeats.poison = h.ingress.poison
 	h.verdicts = h.newVerdictKeeper()
@@ -162,27 +164,21 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	group, workCtx := errgroup.WithContext(workCtx)
-	callerServer := &http.Server{
-		Handler:           h.ingress,
-		ConnContext:       ConnContext,
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdleTimeout,
-		MaxHeaderBytes:    defaultMaxHeaderBytes,
-	}
+	callerServer := newLimitedServer(h.settings.Load().Listen.Callers, h.ingress)
+	callerServer.MaxHeaderBytes = defaultMaxHeaderBytes
 	listen := h.settings.Load().Listen
-	otherServers := []*http.Server{
-		{Addr: listen.Ready, Handler: h.adapter.ReadinessHandler(h.ready), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
-		{Addr: listen.Directory, Handler: h.adapter.DirectoryHandler(h.hosts.Lookup), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
-		{Addr: listen.Metrics, Handler: h.newOperatorHandler(), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout},
+	otherServers := map[*http.Server]*memlimit.Limiter{
+		newGetServer(listen.Ready, h.adapter.ReadinessHandler(h.ready)):            h.limits.ready,
+		newGetServer(listen.Directory, h.adapter.DirectoryHandler(h.hosts.Lookup)): h.limits.directory,
+		newGetServer(listen.Metrics, h.newOperatorHandler()):                       h.limits.metrics,
 	}
-	callerServer.Addr = listen.Callers
 	// Heartbeats of other hosts are compared with the informers, so these exist before the node listens.
 	informers := h.newInformers()
 	if _, err := h.node.Listen(listen.Peer); err != nil {
 		return err
 	}
-	for _, server := range otherServers {
-		if err := startServer(group, server); err != nil {
+	for server, limiter := range otherServers {
+		if err := startServer(group, server, limiter); err != nil {
 			return err
 		}
 	}
@@ -208,7 +204,7 @@
 	}
 	requestsCut := h.drain(workCtx, callerServer)
 	stopWork()
-	for _, server := range otherServers {
+	for server := range otherServers {
 		_ = server.Close()
 	}
 	_ = h.node.Close()
@@ -217,8 +213,8 @@
 	return err
 }
 
-func startServer(group *errgroup.Group, server *http.Server) error {
-	listener, err := net.Listen("tcp", server.Addr)
+func startServer(group *errgroup.Group, server *http.Server, limiter *memlimit.Limiter) error {
+	listener, err := limiter.Listen(server.Addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", server.Addr)
 	}
@@ -264,7 +260,7 @@
 		select {
 		case s := <-h.reload:
 			h.settings.Store(s)
-			h.ingress.memoryLimitBytes.Store(s.Limits.MemoryBytes)
+			h.limits.callerSizer.SetMemory(s.Limits.MemoryBytes)
 			logging.Emit(logging.SettingsReloaded, logging.Fields{
 				"host": h.self.Name, "memory": s.Limits.MemoryBytes, "grace": s.Shutdown.GracePeriod,
 			})
@@ -301,6 +297,7 @@
 		select {
 		case <-ticker.C:
 			h.servers.Sweep()
+			h.limits.callerSizer.Update()
 			h.ingress.poison.expire()
 			h.servers.DispatchAll()
 			h.hosts.SetSlots(h.servers.TotalSlots())
@@ -418,12 +415,13 @@
 	}
 	limits := h.ingress.table.Load().Limits
 	setIfPositive(&callerServer.ReadHeaderTimeout, limits.HeaderTimeout)
+	h.limits.callers.SetBodyStallTimeout(callerServer.ReadHeaderTimeout)
 	setIfPositive(&callerServer.IdleTimeout, limits.IdleTimeout)
 	setIfPositive(&callerServer.MaxHeaderBytes, limits.MaxHeaderBytes)
 	// A host that starts must know which requests are quarantined, and which servers are rate-limited, before it serves.
 	h.heartbeats.exchangeAndWait(ctx, h.hosts.Targets())
 	h.access.AwaitConfirmed(ctx, confirmAtStartTimeout)
-	if err := startServer(group, callerServer); err != nil {
+	if err := startServer(group, callerServer, h.limits.callers); err != nil {
 		return err
 	}
 	h.hosts.SetSelfServing()
--- a/service/ingress/turns.go
+++ b/service/ingress/turns.go
@@ -27,10 +27,10 @@
 type retainedTurn struct {
 	// anchor is that of the chain; it is not set at the start of one.
 	anchor turnlog.Anchor
+	// input is the body that the caller sent.
+	input []byte
 	// prompt is the body for backend servers: the turns that are continued and the caller's input.
 	prompt []byte
-	// reservedBytes count as bodies in memory until the exchange ends.
-	reservedBytes int64
 	// output is the data of the events that were forwarded, each followed by a line feed.
 	output []byte
 }
@@ -46,28 +46,28 @@
 	unavailable := func(reason string, err error) *failure {
 		return &failure{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.ingress.retryAfter(""), cause: err}
 	}
-	switch err := x.ingress.turns.CheckCapacity(len(x.body)); {
+	input, ok := x.input()
+	if !ok {
+		return x.noMemoryFailure("no memory for the turns", nil)
+	}
+	switch err := x.ingress.turns.CheckCapacity(len(input)); {
 	case errors.Is(err, turns.ErrTooLarge):
 		return &failure{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
 	case err != nil:
 		return unavailable("turn cannot be retained", err)
 	}
-	retained := &retainedTurn{}
+	retained := &retainedTurn{input: input}
 	x.retained = retained
 	if x.metadata.PreviousTurn == "" {
-		retained.prompt = x.body
+		retained.prompt = input
 		return nil
 	}
 	reserve := func(n int) bool {
 		// While the prompt is put together, the turns take memory twice.
-		if !x.ingress.reserveBodyMemory(int64(2 * n)) {
-			return false
-		}
-		retained.reservedBytes += int64(2 * n)
-		return true
+		return x.memory.Reserve(int64(2 * n))
 	}
 	chain, err := x.ingress.turns.Load(ctx, turns.Request{
-		Turn: x.metadata.PreviousTurn, Team: x.teamName(), Program: x.metadata.Program, Input: x.body, Reserve: reserve,
+		Turn: x.metadata.PreviousTurn, Team: x.teamName(), Program: x.metadata.Program, Input: input, Reserve: reserve,
 	})
 	switch {
 	case errors.Is(err, turns.ErrNotFound):
@@ -81,19 +81,34 @@
 	return nil
 }
 
-// releaseTurns gives the memory of the turns back.
-func (x *exchange) releaseTurns() {
-	if x.retained != nil {
-		x.ingress.bufferedBodyBytes.Add(-x.retained.reservedBytes)
+// input returns the body that the caller sent in one piece; ok is false if there is no memory for that.
+func (x *exchange) input() (input []byte, ok bool) {
+	if len(x.bodyParts) == 1 {
+		return x.bodyParts[0], true
 	}
+	if !x.memory.Reserve(int64(partsBytes(x.bodyParts))) {
+		return nil, false
+	}
+	return bytes.Join(x.bodyParts, nil), true
 }
 
 // upstreamBody returns the body for backend servers.
-func (x *exchange) upstreamBody() []byte {
+func (x *exchange) upstreamBody() [][]byte {
 	if x.retained != nil {
-		return x.retained.prompt
+		return [][]byte{x.retained.prompt}
 	}
-	return x.body
+	return x.bodyParts
+}
+
+// upstreamBytes returns the size of the body for backend servers.
+func (x *exchange) upstreamBytes() int { return partsBytes(x.upstreamBody()) }
+
+func partsBytes(parts [][]byte) int {
+	n := 0
+	for _, part := range parts {
+		n += len(part)
+	}
+	return n
 }
 
 // collectOutput adds whole events of a server to the output of the turn.
@@ -105,10 +120,10 @@
 			t.output = append(append(t.output, bytes.TrimPrefix(data, []byte(" "))...), '\n')
 		}
 	}
-	added := int64(len(t.output) - before)
-	t.reservedBytes += added
-	x.ingress.bufferedBodyBytes.Add(added)
-	if len(t.output) > turns.MaxOutputBytes(len(x.body)) {
+	if !x.memory.Reserve(int64(len(t.output) - before)) {
+		return errors.Wrap(errOutputTooLarge, "no memory")
+	}
+	if len(t.output) > turns.MaxOutputBytes(len(t.input)) {
 		return errOutputTooLarge
 	}
 	return nil
@@ -122,7 +137,7 @@
 			ID: x.metadata.Attempt, Previous: x.metadata.PreviousTurn, Team: x.teamName(), Program: x.metadata.Program,
 			Anchor: x.retained.anchor, Retention: x.route.ProgramRetention,
 		},
-		Input: x.body, Output: x.retained.output,
+		Input: x.retained.input, Output: x.retained.output,
 	})
 	if err == nil {
 		return nil
