service/ingress: a timed-out reservation says as well that the store is away

Suspected, not traced: a late heartbeat made a peer look reachable, so that the home tried the store; its tries that timed out counted as if it were near. Change: the reply after the timeout tells an unreachable store as other replies do, so that the caller of the home stops after three tries.

--- a/service/ingress/budget.go
+++ b/service/ingress/budget.go
@@ -239,20 +239,26 @@
 	a.mu.Unlock()
 	timer := time.NewTimer(localReserveTimeout)
 	defer timer.Stop()
+	reply := ledger.ReserveReply{Decision: ledger.GrantUnavailable}
 	select {
-	case reply := <-replies:
-		if reply.Decision == ledger.GrantUnavailable && !a.reachesStore() {
-			reply.Decision = ledger.StoreUnavailable
-		}
-		return reply
+	case reply = <-replies:
 	case <-timer.C:
+		a.cancelReservation(requestID, turn.Program)
 	case <-ctx.Done():
+		a.cancelReservation(requestID, turn.Program)
+	}
+	if reply.Decision == ledger.GrantUnavailable && !a.reachesStore() {
+		reply.Decision = ledger.StoreUnavailable
 	}
+	return reply
+}
+
+// cancelReservation withdraws a request that nobody waits for any more.
+func (a *budgetService) cancelReservation(requestID uint64, program string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.pending, requestID)
-	a.ledger.CancelPending(requestID, turn.Program)
-	return ledger.ReserveReply{Decision: ledger.GrantUnavailable}
+	a.ledger.CancelPending(requestID, program)
 }
 
 // reachesStore reports whether a call to the store has a chance: it is available to this host, or may be to a peer. A host
