--- a/service/ingress/hosts.go
+++ b/service/ingress/hosts.go
@@ -230,12 +230,6 @@
 	})
 }
 
-// Unlisted returns the hosts that are not listed, of which a heartbeat arrived within d and that are not draining. Only
-// name and incarnation are set.
-func (l *Hosts) Unlisted(d time.Duration) []fleet.Host {
-	return read(l, func(v *fleet.View) []fleet.Host { return v.Unlisted(time.Now(), d) })
-}
-
 // HeardWithin reports whether a heartbeat of the host arrived within d.
 func (l *Hosts) HeardWithin(name string, d time.Duration) bool {
 	return read(l, func(v *fleet.View) bool { return v.HeardWithin(time.Now(), name, d) })
