review: calm hosts send requests to a worker that is gone after another host was frozen (DRAIN)

Cause: a host that stood still takes that for an outage of the store and passes it on to the hosts that follow it; these keep removed workers in use for two seconds from when they learn of the removal.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(w *world) (broken bool, err error){
 	"poison":  runPoison,
 	"drain":   runDrain,
+	"freeze":  runFreeze,
 	"lost":    runLost,
 	"verdict": runVerdict,
 }
--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -108,7 +108,8 @@
 	}
 	_ = server.Close()
 	s.world.logf("worker %s ends: %s", id, why)
-	time.AfterFunc(3*pingInterval, func() { s.world.store.Delete("servers", id) })
+	store := s.world.store
+	time.AfterFunc(3*pingInterval, func() { store.Delete("servers", id) })
 }
 
 // unlist removes the worker's entry, as a worker does that leaves without a report. It goes on serving.
