--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -258,8 +258,30 @@
 	<-h.ended
 }
 
-// startAll starts all hosts and waits until the entry hosts are ready.
+// startAll starts all hosts and waits until the entry hosts are ready. If a port was taken meanwhile, it starts all hosts
+// again with other ones.
 func (w *world) startAll() error {
+	var err error
+	for range 3 {
+		if err = w.startOnce(); err == nil {
+			return nil
+		}
+		w.logf("the deployment did not start: %v", err)
+		for _, h := range w.hosts {
+			if h.cmd != nil {
+				_ = h.cmd.Process.Kill()
+				<-h.ended
+			}
+			h.peer = freeAddress()
+			if h.role == "entry" {
+				h.callers, h.ready = freeAddress(), freeAddress()
+			}
+		}
+	}
+	return err
+}
+
+func (w *world) startOnce() error {
 	for _, h := range w.hosts {
 		if err := w.start(h, true); err != nil {
 			return err
@@ -279,6 +301,11 @@
 		return nil
 	}
 	for deadline := time.Now().Add(readyTimeout); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-h.ended:
+			return errors.New("host " + h.name + " has ended")
+		default:
+		}
 		resp, err := http.Get("http://" + h.ready + "/readyz")
 		if err != nil {
 			continue
