poison: count servers that end together as one event (RECOVER)

Cause: core/poison counted ends of servers. Three ends under different requests with a common prefix quarantine the prefix, also if the servers end at the same moment for a reason of their own. Evidence: one host logged three ends (1182) within 0.1 ms and the quarantine (1183) 0.6 ms later. Ruled out: a verdict that only came from the store; the refusals began before the restart.

Ends now carry their observer, their age and the time since the request was sent. They count separately only if the request was sent to the later server after the earlier one had ended. A request that ends one server after the other counts as before. A full table evicts 64 records at a time, because the verdict of a record costs more to compute.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
-	"maps"
 	"slices"
 	"time"
 
@@ -16,13 +15,15 @@
 )
 
 const (
-	// quarantineScore is the evidence at which a request is quarantined: two servers ended as they began to run it, or five
-	// while it was there. prefixQuarantineScore is that for all requests with the same prefix, which takes different
-	// requests and one server more.
+	// quarantineScore is the evidence at which a request is quarantined: servers ended as they began to run it at two
+	// moments, or at five while it was there. prefixQuarantineScore is that for all requests with the same prefix, which
+	// takes different requests and one moment more.
 	quarantineScore       = 2.0
 	prefixQuarantineScore = 3.0
 	beganScore            = 1.0
 	presentScore          = 0.4
+	// observationLag bounds how much later one host learns of a server's end than another one.
+	observationLag = 500 * time.Millisecond
 	// maxEnds is the number of ends that a record keeps. A cleared one makes room for a later one, so that a request that
 	// has run to its end many times can still be quarantined.
 	maxEnds = 16
@@ -33,6 +34,8 @@
 	quarantineTTL = 10 * time.Minute
 	// maxRecords bounds the memory of a table.
 	maxRecords = 4096
+	// evictedTogether is the number of records that make room in a full table.
+	evictedTogether = maxRecords / 64
 )
 
 // Fingerprint identifies a request, or all requests with a common prefix, by what makes it the same at any host: path,
@@ -94,6 +97,11 @@
 // End is the end of a server to which a request had been sent.
 type End struct {
 	Lifetime
+	// Observer is the host that observed the end, Age the time since then, and Ran the time from the moment at which the
+	// request was sent to the server until then.
+	Observer string        `json:",omitempty" msgpack:",omitempty"`
+	Age      time.Duration `json:",omitempty" msgpack:",omitempty"`
+	Ran      time.Duration `json:",omitempty" msgpack:",omitempty"`
 	// Began is set if the server had begun to run the request and had not produced anything yet. Requests that waited there,
 	// or that it had been running, are less suspicious.
 	Began bool
@@ -101,10 +109,51 @@
 	Cleared bool `json:",omitempty" msgpack:",omitempty"`
 }
 
+// score returns what the end counts as evidence.
+func (e End) score() float64 {
+	if e.Began {
+		return beganScore
+	}
+	return presentScore
+}
+
+// precedes reports whether the request was sent to the server of the later end only after e. Otherwise both servers may
+// have ended for one reason, such as the loss of a rack, that has nothing to do with the request. The clocks of two
+// observers are compared by the ages that they reported.
+func (e End) precedes(later End) bool {
+	sentAge := later.Age + later.Ran
+	if e.Observer != later.Observer {
+		sentAge += observationLag
+	}
+	return e.Age >= sentAge
+}
+
 func compareEnds(a, b End) int {
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAtMS, b.StartedAtMS))
 }
 
+// score returns the evidence of the ends that count: the greatest sum over ends at separate moments.
+func score(ends []End, counts func(End) bool) float64 {
+	counted := make([]End, 0, maxEnds)
+	for _, end := range ends {
+		if counts(end) {
+			counted = append(counted, end)
+		}
+	}
+	slices.SortFunc(counted, func(a, b End) int { return cmp.Or(cmp.Compare(b.Age, a.Age), compareEnds(a, b)) })
+	best, highest := make([]float64, len(counted)), 0.0
+	for i, end := range counted {
+		for j, earlier := range counted[:i] {
+			if earlier.precedes(end) {
+				best[i] = max(best[i], best[j])
+			}
+		}
+		best[i] += end.score()
+		highest = max(highest, best[i])
+	}
+	return highest
+}
+
 // Verdict is how a request is treated.
 type Verdict int
 
@@ -126,17 +175,38 @@
 	// with different ones ended servers: only then is the prefix to blame.
 	Next     Fingerprint
 	Diverged bool
-	// Ends holds the ends of servers to which the request had been sent, sorted.
+	// Ends holds the ends of servers to which the request had been sent, sorted by server.
 	Ends []End
 	// Age is the time since the record last changed.
 	Age time.Duration
 }
 
+// entry is a record in a table. The ages in it are not kept up to date; see record.
 type entry struct {
 	Record
 	at time.Time
-	// learnedAt holds when this host learned of each of the ends.
-	learnedAt []time.Time
+	// times holds those of the ends, in the same order.
+	times []endTimes
+}
+
+// endTimes holds when a server ended and when this host learned of it.
+type endTimes struct{ endedAt, learnedAt time.Time }
+
+// record returns the record with its ages.
+func (e *entry) record(now time.Time) Record {
+	r := e.Record
+	r.Age = max(now.Sub(e.at), 0)
+	r.Ends = slices.Clone(e.Ends)
+	for i := range r.Ends {
+		r.Ends[i].Age = max(now.Sub(e.times[i].endedAt), 0)
+	}
+	return r
+}
+
+// verdict returns the verdict that follows from the entry.
+func (e *entry) verdict(now time.Time) Verdict {
+	r := e.record(now)
+	return r.Verdict()
 }
 
 // Verdict returns the verdict that follows from the record.
@@ -146,16 +216,7 @@
 
 // verdict returns the verdict that follows from the ends that count.
 func (r *Record) verdict(counts func(End) bool) Verdict {
-	score := 0.0
-	for _, end := range r.Ends {
-		switch {
-		case !counts(end):
-		case end.Began:
-			score += beganScore
-		default:
-			score += presentScore
-		}
-	}
+	score := score(r.Ends, counts)
 	threshold := quarantineScore
 	if r.IsPrefix() {
 		threshold = prefixQuarantineScore
@@ -181,7 +242,10 @@
 // IsPrefix reports whether the record is that of a prefix.
 func (r *Record) IsPrefix() bool { return r.Next != Fingerprint{} }
 
-func (e *entry) expired(now time.Time) bool { return now.Sub(e.at) > e.TTL() }
+func (e *entry) expired(now time.Time) bool {
+	r := e.record(now)
+	return now.Sub(e.at) > r.TTL()
+}
 
 // Table holds the records of one host. It is not safe for concurrent use.
 type Table struct {
@@ -203,8 +267,9 @@
 		if !ok || e.expired(now) {
 			continue
 		}
-		if v := e.Verdict(); v >= verdict {
-			verdict, record = v, e.Record
+		r := e.record(now)
+		if v := r.Verdict(); v >= verdict {
+			verdict, record = v, r
 		}
 	}
 	return verdict, record
@@ -239,7 +304,7 @@
 		cleared := false
 		ends := slices.Clone(e.Ends)
 		for i := range ends {
-			if !ends[i].Cleared && e.learnedAt[i].Before(sentAt) {
+			if !ends[i].Cleared && e.times[i].learnedAt.Before(sentAt) {
 				ends[i].Cleared, cleared = true, true
 			}
 		}
@@ -255,8 +320,8 @@
 	var quarantined []Fingerprint
 	for _, r := range records {
 		e, ok := t.entries[r.Fingerprint]
-		before := ok && e.Verdict() == Quarantined
-		if t.merge(now, r) && !before && t.entries[r.Fingerprint].Verdict() == Quarantined {
+		before := ok && e.verdict(now) == Quarantined
+		if t.merge(now, r) && !before && t.entries[r.Fingerprint].verdict(now) == Quarantined {
 			quarantined = append(quarantined, r.Fingerprint)
 		}
 	}
@@ -265,7 +330,7 @@
 
 func (t *Table) merge(now time.Time, r Record) bool {
 	at := now.Add(-r.Age)
-	if (&entry{Record: r, at: at}).expired(now) {
+	if r.Age > r.TTL() {
 		return false
 	}
 	e, ok := t.entries[r.Fingerprint]
@@ -293,18 +358,14 @@
 	return changed
 }
 
-// addEnd adds an end, or what another host knows of it. It reports whether the entry changed.
+// addEnd adds an end, or what another host knows of it. It reports whether the entry changed. If several hosts observed
+// the end, the first one by name determines when it was.
 func (e *entry) addEnd(now time.Time, end End) bool {
+	times := endTimes{endedAt: now.Add(-end.Age), learnedAt: now}
+	end.Age = 0
 	i, found := slices.BinarySearchFunc(e.Ends, end, compareEnds)
 	if found {
-		merged := e.Ends[i]
-		merged.Began, merged.Cleared = merged.Began || end.Began, merged.Cleared || end.Cleared
-		if merged == e.Ends[i] {
-			return false
-		}
-		e.Ends = slices.Clone(e.Ends)
-		e.Ends[i] = merged
-		return true
+		return e.mergeEnd(i, end, times.endedAt)
 	}
 	if len(e.Ends) >= maxEnds {
 		cleared := slices.IndexFunc(e.Ends, func(known End) bool { return known.Cleared })
@@ -312,26 +373,61 @@
 			return false
 		}
 		e.Ends = slices.Delete(slices.Clone(e.Ends), cleared, cleared+1)
-		e.learnedAt = slices.Delete(e.learnedAt, cleared, cleared+1)
+		e.times = slices.Delete(e.times, cleared, cleared+1)
 		if cleared < i {
 			i--
 		}
 	}
 	e.Ends = slices.Insert(slices.Clone(e.Ends), i, end)
-	e.learnedAt = slices.Insert(e.learnedAt, i, now)
+	e.times = slices.Insert(e.times, i, times)
 	return true
 }
 
-// evict removes the expired entries, or else the oldest one, of those that are not quarantined if there are any.
+// mergeEnd adds what another report says of the end with index i. It reports whether the end changed; a correction of its
+// time is no change.
+func (e *entry) mergeEnd(i int, end End, endedAt time.Time) bool {
+	merged := e.Ends[i]
+	merged.Began, merged.Cleared = merged.Began || end.Began, merged.Cleared || end.Cleared
+	switch {
+	case end.Observer < merged.Observer:
+		merged.Observer, merged.Ran, e.times[i].endedAt = end.Observer, end.Ran, endedAt
+	case end.Observer == merged.Observer:
+		merged.Ran = min(merged.Ran, end.Ran)
+		if endedAt.Before(e.times[i].endedAt) {
+			e.times[i].endedAt = endedAt
+		}
+	}
+	if merged == e.Ends[i] {
+		return false
+	}
+	e.Ends = slices.Clone(e.Ends)
+	e.Ends[i] = merged
+	return true
+}
+
+// evict removes the expired entries, or else the oldest ones of those that are not quarantined if there are any.
 func (t *Table) evict(now time.Time) {
 	t.Expire(now)
 	if len(t.entries) < maxRecords {
 		return
 	}
-	oldest := slices.MinFunc(slices.Collect(maps.Values(t.entries)), func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.Verdict()/Quarantined, b.Verdict()/Quarantined), a.at.Compare(b.at))
+	type candidate struct {
+		*entry
+		quarantined int
+	}
+	candidates := make([]candidate, 0, len(t.entries))
+	for _, e := range t.entries {
+		candidates = append(candidates, candidate{e, int(e.verdict(now) / Quarantined)})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.quarantined, b.quarantined), a.at.Compare(b.at))
 	})
-	t.remove(oldest.Fingerprint)
+	for i, c := range candidates[:evictedTogether] {
+		if i > 0 && c.quarantined > 0 {
+			return
+		}
+		t.remove(c.Fingerprint)
+	}
 }
 
 // Expire removes the expired records.
@@ -355,10 +451,8 @@
 func (t *Table) Records(now time.Time, maxAge time.Duration, limit int) []Record {
 	var out []Record
 	for _, e := range t.entries {
-		if age := now.Sub(e.at); age <= maxAge && !e.expired(now) {
-			r := e.Record
-			r.Age = age
-			out = append(out, r)
+		if now.Sub(e.at) <= maxAge && !e.expired(now) {
+			out = append(out, e.record(now))
 		}
 	}
 	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Age, b.Age) })
@@ -367,10 +461,10 @@
 
 // Digest returns a hash of the fingerprints in quarantine, the same at all hosts that have the same ones; 0 if there are
 // none.
-func (t *Table) Digest() uint64 {
+func (t *Table) Digest(now time.Time) uint64 {
 	digest := uint64(0)
 	for f, e := range t.entries {
-		if e.Verdict() == Quarantined {
+		if e.verdict(now) == Quarantined {
 			digest ^= xxhash.Sum64(f[:])
 		}
 	}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -139,6 +139,44 @@
 	g.Expect(verdict(table, start, deadly)).To(Equal(poison.Quarantined))
 }
 
+// observed returns the end of a server that had begun to run a request when the request had been sent ran before.
+func observed(server, observer string, ran time.Duration) poison.End {
+	return poison.End{Lifetime: poison.Lifetime{Server: server}, Observer: observer, Ran: ran, Began: true}
+}
+
+// Guards against requests that are refused because they ran at several servers that ended together, such as those of a rack.
+func TestServersThatEndTogetherCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.NewTable()
+	prefix := fingerprint(1)
+	first, second, third := poison.Chain{prefix, fingerprint(2)}, poison.Chain{prefix, fingerprint(3)}, poison.Chain{prefix, fingerprint(4)}
+	common := poison.Chain{fingerprint(9)}
+	for i, chain := range []poison.Chain{first, second, third} {
+		server, observer := fmt.Sprint(i), fmt.Sprint("host-", i)
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond) // the observers' delays differ
+		table.RecordEnd(now, chain, 7, observed(server, observer, 20*time.Millisecond))
+		table.RecordEnd(now, common, 7, observed(server, observer, 20*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	g.Expect(verdict(table, now, poison.Chain{prefix, fingerprint(5)})).To(Equal(poison.Suspect))
+	g.Expect(verdict(table, now, common)).To(Equal(poison.Suspect))
+	table.RecordEnd(now, common, 7, observed("later", "host-0", 100*time.Millisecond))
+	g.Expect(verdict(table, now, common)).To(Equal(poison.Quarantined), "another moment")
+}
+
+// Guards against a request that ends one server after the other, within milliseconds, and counts as a bystander of one event.
+func TestServersThatEndInTurnCountEach(t *testing.T) {
+	g := NewWithT(t)
+	table, other := poison.NewTable(), poison.NewTable()
+	chain := poison.Chain{fingerprint(1)}
+	table.RecordEnd(start, chain, 7, observed("a", "host", 20*time.Millisecond))
+	now := start.Add(30 * time.Millisecond)
+	table.RecordEnd(now, chain, 7, observed("b", "host", 25*time.Millisecond))
+	g.Expect(verdict(table, now, chain)).To(Equal(poison.Quarantined))
+	other.Merge(now, table.Records(now, time.Hour, 10))
+	g.Expect(verdict(other, now, chain)).To(Equal(poison.Quarantined))
+}
+
 // Guards against verdicts that last forever and against a table that grows without bound.
 func TestRecordsExpireAndAreBounded(t *testing.T) {
 	g := NewWithT(t)
@@ -155,7 +193,7 @@
 	g.Expect(verdict(table, start.Add(11*time.Minute), deadly)).To(Equal(poison.Innocent), "also if it is seen all the time")
 	table.Expire(start.Add(time.Hour))
 	g.Expect(table.MayContain(1) || table.MayContain(2)).To(BeFalse())
-	g.Expect(table.Digest()).To(BeZero())
+	g.Expect(table.Digest(start.Add(time.Hour))).To(BeZero())
 }
 
 // Guards against hosts that disagree for good because records arrive in another order, twice, or late.
@@ -188,7 +226,7 @@
 			}
 		}
 		for _, table := range tables[1:] {
-			if table.Digest() != tables[0].Digest() {
+			if table.Digest(start) != tables[0].Digest(start) {
 				t.Fatalf("digests differ")
 			}
 			for _, chain := range chains {
--- a/core/sched/quarantine.go
+++ b/core/sched/quarantine.go
@@ -35,7 +35,9 @@
 func (g *group) recordOutcome(c *call, w *framework.Worker, m Finished) {
 	switch {
 	case m.WorkerEnded:
-		g.poison.RecordEnd(g.time(), c.fingerprints, 0, poison.End{Lifetime: g.endedLifetime(w.Name), Began: m.Began})
+		g.poison.RecordEnd(g.time(), c.fingerprints, 0, poison.End{
+			Lifetime: g.endedLifetime(w.Name), Ran: time.Duration(g.Now-c.GrantedAt) * time.Millisecond, Began: m.Began,
+		})
 	case !m.Failed:
 		g.poison.RecordSuccess(g.time(), time.UnixMilli(int64(c.GrantedAt)), c.fingerprints)
 	}
--- a/service/ingress/forward.go
+++ b/service/ingress/forward.go
@@ -355,7 +355,7 @@
 		var sendErr *upstream.SendError
 		result.notRun = errors.As(err, &sendErr) && !sendErr.MaybeSent
 		result.err = err
-		x.recordSendError(ctx, acquired, err)
+		x.recordSendError(ctx, acquired, result.sentAt, err)
 		return result
 	}
 	defer resp.Close()
@@ -372,11 +372,11 @@
 	switch {
 	case err != nil:
 		result.err = errors.Wrapf(err, "read response body of backend server %s", acquired.ID())
-		x.recordSendError(ctx, acquired, result.err)
+		x.recordSendError(ctx, acquired, result.sentAt, result.err)
 	default:
 		if err := x.validateResponse(resp, respMetadata, len(result.body)); err != nil {
 			result.err = errors.Wrapf(err, "invalid response of backend server %s", acquired.ID())
-			x.recordSendError(ctx, acquired, result.err)
+			x.recordSendError(ctx, acquired, result.sentAt, result.err)
 			break
 		}
 		recordResponseStatus(acquired, resp.Status)
@@ -393,8 +393,9 @@
 	acquired.RecordSuccess()
 }
 
-// recordSendError records a failure of a server, unless the request was canceled or timed out.
-func (x *exchange) recordSendError(ctx context.Context, acquired *AcquiredServer, err error) {
+// recordSendError records a failure of a server to which the request was sent at sentAt, unless the request was canceled
+// or timed out.
+func (x *exchange) recordSendError(ctx context.Context, acquired *AcquiredServer, sentAt time.Time, err error) {
 	var sendErr *upstream.SendError
 	switch {
 	case ctx.Err() != nil:
@@ -403,7 +404,7 @@
 	default:
 		acquired.RecordResponseFailure(err)
 		// The response of a plain service does not show when the server began to run the request.
-		x.recordBreak(ctx, acquired, true)
+		x.recordBreak(ctx, acquired, sentAt, true)
 	}
 }
 
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -152,6 +152,7 @@
 	h.ingress = New(Options{
 		FailureDomain: s.Host.FailureDomain, Memory: h.limits.callers, Permits: permits, Access: h.access, Turns: h.turns, Quotas: hostQuotas{h.quotas},
 	}, a.HeaderCodec, h.servers, h.budgets, scope)
+	h.ingress.poison.host = h.self.Name
 	h.heartbeats.poison = h.ingress.poison
 	h.verdicts = h.newVerdictKeeper()
 	h.heartbeats.sections = append(h.heartbeats.sections, leavingSection{h.servers})
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -35,6 +35,8 @@
 	now func() time.Time
 	// changed receives a value when the records of this host's requests have changed, so that other hosts are told.
 	changed chan struct{}
+	// host is the name of this host, the observer of the ends that it records.
+	host string
 	// onEnd is called with the fingerprints of a request under which a server has ended at this host.
 	onEnd func(poison.Chain)
 
@@ -56,6 +58,7 @@
 // recordEnd records the end of a server to which the request had been sent.
 func (p *poisonRecords) recordEnd(x *exchange, end poison.End) {
 	chain := x.fingerprints()
+	end.Observer = p.host
 	p.mu.Lock()
 	before, _ := p.table.Verdict(p.now(), chain)
 	changed := p.table.RecordEnd(p.now(), chain, x.poisonKey(), end)
@@ -94,7 +97,7 @@
 func (p *poisonRecords) recent() (records []poison.Record, digest uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Records(p.now(), recentRecordAge, maxRecentRecords), p.table.Digest()
+	return p.table.Records(p.now(), recentRecordAge, maxRecentRecords), p.table.Digest(p.now())
 }
 
 // all returns the newest records of the table.
@@ -150,6 +153,11 @@
 		if r.Age < 0 || len(r.Ends) > maxEndsInRecord {
 			return errors.Newf("record of request %s: age %v, %d ends", r.Fingerprint, r.Age, len(r.Ends))
 		}
+		for _, end := range r.Ends {
+			if end.Age < 0 || end.Ran < 0 {
+				return errors.Newf("record of request %s: server %s ended %v ago, after %v", r.Fingerprint, end.Server, end.Age, end.Ran)
+			}
+		}
 	}
 	return nil
 }
@@ -217,13 +225,15 @@
 
 // recordBreak is called after the response of a server broke off or is missing. If the server refuses connections or has
 // started again, it has ended. A server that drains, or whose entry is gone, ends as planned; a silent one may have lost
-// its power or its network. began is set if the server had begun to run the request and had not produced anything yet.
-func (x *exchange) recordBreak(ctx context.Context, acquired *AcquiredServer, began bool) {
+// its power or its network. sentAt is when the request was sent to the server; began is set if the server had begun to run
+// the request and had not produced anything yet.
+func (x *exchange) recordBreak(ctx context.Context, acquired *AcquiredServer, sentAt time.Time, began bool) {
+	brokeAt := x.ingress.now()
 	if ctx.Err() != nil || acquired.isLeaving() || !acquired.hasEnded() {
 		return
 	}
 	lifetime := poison.Lifetime{Server: acquired.ID(), StartedAtMS: acquired.backend.info.StartedAtMS}
-	x.ingress.poison.recordEnd(x, poison.End{Lifetime: lifetime, Began: began})
+	x.ingress.poison.recordEnd(x, poison.End{Lifetime: lifetime, Ran: brokeAt.Sub(sentAt), Age: x.ingress.now().Sub(brokeAt), Began: began})
 }
 
 // refusesConnections reports whether the server refuses a connection now. Requests that break off together share one
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -255,7 +255,7 @@
 	default:
 		s.recordExecution(acquired, false)
 		acquired.RecordResponseFailure(err)
-		s.recordBreak(ctx, acquired, s.monitored.accepted && !s.monitored.started.Load())
+		s.recordBreak(ctx, acquired, s.monitored.sentAt, s.monitored.accepted && !s.monitored.started.Load())
 		if s.canResumeOnSameServer(acquired) {
 			s.resumeServer = acquired.ID()
 		}
--- a/service/verdicts/document.go
+++ b/service/verdicts/document.go
@@ -32,6 +32,11 @@
 	StartedAtMS int64  `json:"startedAtMs"`
 	Began       bool   `json:"began,omitempty"`
 	Cleared     bool   `json:"cleared,omitempty"`
+	// Observer is the host that observed the end, EndedMS when it did, in Unix milliseconds, and RanMS how long before that
+	// the request had been sent.
+	Observer string `json:"observer,omitempty"`
+	EndedMS  int64  `json:"endedMs,omitempty"`
+	RanMS    int64  `json:"ranMs,omitempty"`
 }
 
 func encode(r poison.Record, now time.Time) ([]byte, error) {
@@ -40,7 +45,10 @@
 		d.Next = r.Next.String()
 	}
 	for _, end := range r.Ends {
-		d.Ends = append(d.Ends, documentEnd{Server: end.Server, StartedAtMS: end.StartedAtMS, Began: end.Began, Cleared: end.Cleared})
+		d.Ends = append(d.Ends, documentEnd{
+			Server: end.Server, StartedAtMS: end.StartedAtMS, Began: end.Began, Cleared: end.Cleared,
+			Observer: end.Observer, EndedMS: now.Add(-end.Age).UnixMilli(), RanMS: end.Ran.Milliseconds(),
+		})
 	}
 	return json.Marshal(d)
 }
@@ -63,8 +71,15 @@
 		}
 	}
 	for _, end := range d.Ends {
+		if end.RanMS < 0 {
+			return r, errors.Newf("server %q ran the request for %d ms", end.Server, end.RanMS)
+		}
+		if end.EndedMS == 0 { // written by an earlier version
+			end.EndedMS = d.ChangedMS
+		}
 		r.Ends = append(r.Ends, poison.End{
 			Lifetime: poison.Lifetime{Server: end.Server, StartedAtMS: end.StartedAtMS}, Began: end.Began, Cleared: end.Cleared,
+			Observer: end.Observer, Age: max(now.Sub(time.UnixMilli(end.EndedMS)), 0), Ran: time.Duration(end.RanMS) * time.Millisecond,
 		})
 	}
 	return r, nil
