--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -177,6 +178,27 @@
 	g.Expect(verdict(other, now, chain)).To(Equal(poison.Quarantined))
 }
 
+// Guards against turns that are taken for each other because their inputs are equal, and against an input that ends servers
+// whatever turn it continues.
+func TestContinuedTurnsDifferByTheTurnBefore(t *testing.T) {
+	g := NewWithT(t)
+	chain := func(previous, input string) poison.Chain {
+		return poison.NewChain([]string{"route"}, []byte(input)).Continue(previous, len(input))
+	}
+	g.Expect(chain("a", "yes")).To(HaveLen(1))
+	g.Expect(chain("a", "yes")).To(Equal(chain("a", "yes")))
+	g.Expect(chain("a", "yes")).NotTo(Equal(chain("b", "yes")))
+	g.Expect(chain("", "yes")).NotTo(Equal(chain("a", "yes")))
+	long := strings.Repeat("x", 600)
+	table := poison.NewTable()
+	for i, previous := range []string{"a", "b", "c"} {
+		table.RecordEnd(start, chain(previous, long), 7, end(fmt.Sprint(i), true))
+	}
+	g.Expect(verdict(table, start, chain("d", long))).To(Equal(poison.Quarantined))
+	g.Expect(verdict(table, start, chain("d", long+"y"))).To(Equal(poison.Innocent), "another input")
+	g.Expect(verdict(table, start, chain("d", "yes"))).To(Equal(poison.Innocent))
+}
+
 // Guards against verdicts that last forever and against a table that grows without bound.
 func TestRecordsExpireAndAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -215,10 +215,14 @@
 	return d.Sum64()
 }
 
-// fingerprints returns what identifies the request and its prefixes at any host: method, host, path, caller and body.
+// fingerprints returns what identifies the request and its prefixes at any host: method, host, path, caller and body, and
+// the turn that it continues.
 func (x *exchange) fingerprints() poison.Chain {
 	x.fingerprintsOnce.Do(func() {
 		x.fingerprintChain = poison.NewChain([]string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller}, x.bodyParts...)
+		if x.route.RetainTurns {
+			x.fingerprintChain = x.fingerprintChain.Continue(x.metadata.PreviousTurn, partsBytes(x.bodyParts))
+		}
 	})
 	return x.fingerprintChain
 }
--- a/service/ingress/turns_test.go
+++ b/service/ingress/turns_test.go
@@ -188,6 +188,28 @@
 		Consistently(other.kinds, "1s").ShouldNot(ContainElement(turns.KindDiskHosts))
 	})
 
+	// Guards against a program that is lost because programs with other histories said the same at servers that ended.
+	It("are not taken for those of other programs with the same input", func() {
+		for _, p := range []string{"p1", "p2", "p3"} {
+			Expect(retainedTurn(p, p+"-first", "", "the history of "+p).status).To(Equal(200))
+		}
+		say := func(p string) func() int {
+			return func() int { return retainedTurn(p, p+"-next", p+"-first", "yes").status }
+		}
+		last := b.id
+		replaceBy := func(next *backend) {
+			putServer(store, next, "ready")
+			store.Delete(platform.KindServers, last)
+			last = next.id
+		}
+		replaceBy(startMortalServer("i-2"))
+		Eventually(say("p1"), "3s").Should(Equal(502))
+		replaceBy(startMortalServer("i-3"))
+		Eventually(say("p2"), "3s").Should(Equal(502))
+		replaceBy(b)
+		Eventually(say("p3"), "3s").Should(Equal(200))
+	})
+
 	// Guards against turns that are lost with the memory of the processes.
 	It("survive the end of all processes", func() {
 		Expect(retainedTurn("p", "t1", "", "one;").status).To(Equal(200))
