ingress: end a broken stream whose server left long ago (DRAIN)

Cause: a stream goes on at a server without an entry, because that may still work on it, however long ago the entry was removed. Evidence: the host removed the server (1132) 2.16 s before the stream broke off (1112), and the server got the rest 1 ms later. Ruled out: a list of servers that lagged.

The server gets the rest only within half of the drain bound after this host has learned of the removal; later the stream ends. A server whose entry has been missing since an outage for longer than the grace is not resumed either, as placement had it already.

Before: "ends if the entry was removed long ago" failed, the response was complete.

--- a/service/ingress/departed.go
+++ b/service/ingress/departed.go
@@ -13,6 +13,11 @@
 	// maxDeparted bounds the number of remembered servers: more than the servers of the largest deployment, whose entries may
 	// all lapse in one outage.
 	maxDeparted = 8192
+	// defaultDrainDelay holds where the operator sets no bound.
+	defaultDrainDelay = 2 * time.Second
+	// departedUseFraction is the part of the drain delay in which a stream that broke off goes on at a server without an
+	// entry. The rest is for the time until this host learns of the removal and until the request is there.
+	departedUseFraction = 0.5
 )
 
 // departedServer is a server whose entry was removed.
@@ -26,9 +31,27 @@
 	if len(s.departed) >= maxDeparted {
 		s.forgetDeparted(s.now().Add(-departedTTL))
 	}
-	if len(s.departed) < maxDeparted {
-		s.departed[b.info.ID] = departedServer{backend: b, removedAt: s.now()}
+	if len(s.departed) >= maxDeparted {
+		return
+	}
+	removedAt := s.now()
+	if !b.missingSince.IsZero() {
+		removedAt = b.missingSince
 	}
+	s.departed[b.info.ID] = departedServer{backend: b, removedAt: removedAt}
+}
+
+// SetDrainDelay sets how long after the removal of its entry a server may get requests.
+func (s *Servers) SetDrainDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainDelay = d
+}
+
+// departedUseTime returns how long after this host has learned of the removal of its entry a server may get the rest of a
+// request; s.mu is held.
+func (s *Servers) departedUseTime() time.Duration {
+	return time.Duration(float64(s.drainDelay) * departedUseFraction)
 }
 
 // recall returns the remembered server if the entry is that of the same start, and nil otherwise; s.mu is held.
--- a/service/ingress/executors.go
+++ b/service/ingress/executors.go
@@ -48,11 +48,15 @@
 }
 
 // acquireAgain acquires the same start of the server for the rest of a request that it may still execute, although its
-// entry was removed.
+// entry was removed. It returns nil if that was so long ago that the server may get no more requests.
 func (l *AcquiredServer) acquireAgain() *AcquiredServer {
 	s := l.servers
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	removed, ok := s.departed[l.backend.info.ID]
+	if !ok || removed.backend != l.backend || s.now().Sub(removed.removedAt) >= s.departedUseTime() {
+		return nil
+	}
 	l.backend.inFlight++
 	return &AcquiredServer{servers: s, backend: l.backend, Load: l.Load, LoadAge: l.LoadAge}
 }
--- a/service/ingress/executors_test.go
+++ b/service/ingress/executors_test.go
@@ -46,6 +46,27 @@
 		Expect(leaving.requests()[1].Get("Last-Event-Id")).To(Equal("2"))
 	})
 
+	// Guards against a request at a server that left long ago, and against two servers that work on one stream.
+	It("ends if the entry was removed long ago", func() {
+		var h *testIngress
+		other := newBackend("i-2", rest)
+		leaving := newBackend("i-1", func(w http.ResponseWriter, r *http.Request, n int) {
+			if n > 1 {
+				rest(w, r, n)
+				return
+			}
+			streamEvents(w, 1, 2)
+			h.servers.Remove("i-1", "test")
+			h.servers.Put(placement.Server{ID: other.id, Service: "s", Address: other.address, Slots: 4})
+			time.Sleep(1100 * time.Millisecond) // more than half of the 2 s in which it may get requests
+			resetConnection(w)
+		})
+		h = newConfiguredIngress(leaving)
+		Expect(h.call("POST", "/turns/", "").err).To(HaveOccurred())
+		Expect(leaving.requests()).To(HaveLen(1))
+		Expect(other.requests()).To(BeEmpty())
+	})
+
 	// Guards against streams that are lost with a server although another one may go on with them.
 	It("goes on at another server if it refuses connections", func() {
 		var h *testIngress
--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -115,6 +115,7 @@
 	h.metrics = metrics.New(s.Host.Name, s.Host.FailureDomain)
 	scope := h.metrics.Scope()
 	h.servers = NewServers(time.Now, func() { scope.Counter("backend_connections").Inc(1) })
+	h.servers.SetDrainDelay(s.Promises.DrainDelay)
 	h.servers.onRateLimitedResponse = func(server string) {
 		scope.Tagged(map[string]string{"server": server}).Counter("rate_limited_server_responses").Inc(1)
 	}
--- a/service/ingress/servers.go
+++ b/service/ingress/servers.go
@@ -82,6 +82,8 @@
 	mu       sync.Mutex
 	byID     map[string]*backend
 	departed map[string]departedServer // by ID, without an entry
+	// drainDelay is how long after the removal of its entry a server may get requests.
+	drainDelay time.Duration
 	// leaving holds when a response of a server first said that it leaves.
 	leaving   map[serverStart]time.Time
 	byService map[string][]*backend
@@ -126,7 +128,7 @@
 
 // NewServers returns an empty set. onConnOpened is called for each new connection to a backend server.
 func NewServers(now func() time.Time, onConnOpened func()) *Servers {
-	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, onLeaving: func() {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, leaving: map[serverStart]time.Time{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
+	return &Servers{now: now, onConnOpened: onConnOpened, onRateLimitedResponse: func(string) {}, onLeaving: func() {}, byID: map[string]*backend{}, departed: map[string]departedServer{}, drainDelay: defaultDrainDelay, leaving: map[serverStart]time.Time{}, byService: map[string][]*backend{}, hostCount: 1, hostLoads: map[string]hostLoad{}, waiters: map[string][]*waiter{}}
 }
 
 // TotalSlots returns the number of requests that all servers can run at once.
@@ -452,21 +454,27 @@
 	return nil
 }
 
-// AcquireServer acquires the server with that ID until Release. It returns nil if the server is draining or not in
-// use; inUse is true for a draining server too.
+// AcquireServer acquires the server with that ID until Release. It returns nil if the server gets no new requests or is not
+// in use; inUse is true for a server that only gets no new requests.
 func (s *Servers) AcquireServer(id string) (server *AcquiredServer, inUse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, inUse := s.byID[id]
-	if !inUse || s.isDraining(b) {
+	now := s.now()
+	if !inUse || !s.acceptsRequests(b, now) {
 		return nil, inUse
 	}
-	now := s.now()
 	load := s.estimatedLoad(b, now)
 	b.inFlight++
 	return &AcquiredServer{servers: s, backend: b, Load: load, LoadAge: now.Sub(b.reportedAt), route: domainRoute{reason: reasonResumed}}, true
 }
 
+// acceptsRequests reports whether the server gets new requests: it does not leave, and its entry has not been missing for
+// long; s.mu is held.
+func (s *Servers) acceptsRequests(b *backend, now time.Time) bool {
+	return !s.isDraining(b) && (b.missingSince.IsZero() || now.Sub(b.missingSince) < missingEntryGrace)
+}
+
 func (s *Servers) candidate(b *backend, q PlacementQuery, now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		Server:      b.info,
@@ -480,9 +488,7 @@
 
 		PermitDeferred: b.rateLimit.Limited && now.Before(b.permitDeferredUntil),
 	}
-	if s.isDraining(b) || !b.missingSince.IsZero() && now.Sub(b.missingSince) >= missingEntryGrace {
-		c.Server.Draining = true
-	}
+	c.Server.Draining = !s.acceptsRequests(b, now)
 	c.Server.WarmupRemaining = max(b.info.WarmupRemaining-now.Sub(b.receivedAt), 0)
 	return c
 }
--- a/service/ingress/stream.go
+++ b/service/ingress/stream.go
@@ -87,7 +87,7 @@
 	return s.noResponseFailure(ctx)
 }
 
-// acquireForStream acquires a server: resumeServer if it is set and not draining, even without an entry. Another one is
+// acquireForStream acquires a server: resumeServer if it is set and not draining, for a short time even without an entry. Another one is
 // acquired only if fewer possible executors are left than the route allows.
 func (s *stream) acquireForStream(ctx context.Context) (*AcquiredServer, error) {
 	s.onResumeServer = false
