--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -298,6 +298,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			h.heartbeats.contact.tick(time.Now())
 			h.servers.Sweep()
 			h.limits.callerSizer.Update()
 			h.ingress.poison.expire()
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -82,7 +82,7 @@
 	// recoveredAtNanos is when objects were first listed after the last outage of the store, in Unix nanoseconds.
 	recoveredAtNanos atomic.Int64
 	// outageBeganNanos is when the store last answered before that outage. polledSinceNanos is since when it has been
-	// listed without a break, and polledAtNanos when it was last.
+	// listed without a break, by this host or the one before it, and polledAtNanos when it was last.
 	outageBeganNanos, polledSinceNanos, polledAtNanos atomic.Int64
 
 	// listRevision is the revision of the last list, and newestRevision that of the newest object that was
@@ -298,10 +298,11 @@
 // maxPollGap returns the time between two lists up to which no outage was missed.
 func (f *Informer) maxPollGap() time.Duration { return 2 * f.PollInterval }
 
-// recordPoll records that the store was listed.
+// recordPoll records that the store was listed. A host that takes the lists over from another one vouches for the time in
+// which that one listed, too: the store has answered since then without a break.
 func (f *Informer) recordPoll(now time.Time) {
 	if now.Sub(time.Unix(0, f.polledAtNanos.Swap(now.UnixNano()))) > f.maxPollGap() {
-		f.polledSinceNanos.Store(now.UnixNano())
+		f.polledSinceNanos.Store(f.Contact.answeredSince(now).UnixNano())
 	}
 }
 
@@ -322,7 +323,7 @@
 // and records that it answers now.
 func (f *Informer) recoveredFromOutage() bool {
 	now := time.Now()
-	outage := !f.failedSince.IsZero() && now.Sub(f.failedSince) > outageThreshold && now.Sub(f.lastResponse) > outageThreshold
+	outage := !f.failedSince.IsZero() && f.Contact.ranFor(f.failedSince, now) > outageThreshold && f.Contact.ranFor(f.lastResponse, now) > outageThreshold
 	if outage {
 		f.outageBeganNanos.Store(f.lastResponse.UnixNano())
 	}
--- a/service/ingress/store_contact.go
+++ b/service/ingress/store_contact.go
@@ -18,18 +18,84 @@
 	onOutage func()
 
 	mu sync.Mutex
-	// until is when the store last answered.
-	until time.Time
+	// since and until bound the last time in which the store answered without a break of more than outageThreshold.
+	since, until time.Time
 	// outageBegan and outageEnded bound the last time of more than outageThreshold without an answer.
 	outageBegan, outageEnded time.Time
+	// ranAt is when tick was last called, and pauseBegan and pauseEnded bound the last time in which it should have been and
+	// was not.
+	ranAt, pauseBegan, pauseEnded time.Time
+}
+
+// minPause is the time without a tick after which the process has not run: several of its intervals.
+const minPause = 2 * sweepInterval
+
+// tick records that the process runs. It is called every sweepInterval; a host that did not run, for instance because it
+// was suspended, has missed the answers of that time.
+func (c *storeContact) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordPause(now)
+	c.ranAt = now
+}
+
+// recordPause records a pause that has just ended; c.mu is held.
+func (c *storeContact) recordPause(now time.Time) {
+	if !c.ranAt.IsZero() && now.Sub(c.ranAt) >= minPause {
+		c.pauseBegan, c.pauseEnded = c.ranAt, now
+	}
+}
+
+// paused returns how long the process did not run between two times, as far as is known of the last pause; c.mu is held.
+func (c *storeContact) paused(from, until time.Time) time.Duration {
+	if from.Before(c.pauseBegan) {
+		from = c.pauseBegan
+	}
+	if until.After(c.pauseEnded) {
+		until = c.pauseEnded
+	}
+	return max(until.Sub(from), 0)
+}
+
+// silence returns how long this process has run between two times; a nil storeContact knows of no pause.
+func (c *storeContact) ranFor(from, until time.Time) time.Duration {
+	if c == nil {
+		return until.Sub(from)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordPause(until)
+	return until.Sub(from) - c.paused(from, until)
+}
+
+// answeredSince returns since when the store has answered without a break, by its last answer; now if contact is nil.
+func (c *storeContact) answeredSince(now time.Time) time.Time {
+	if c == nil {
+		return now
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.since.IsZero() {
+		return now
+	}
+	return c.since
 }
 
 // observe records that the store has answered without a break from one time until the other.
 func (c *storeContact) observe(from, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.until.IsZero() && from.Sub(c.until) > outageThreshold {
-		c.outageBegan, c.outageEnded = c.until, from
+	c.recordPause(time.Now())
+	switch gap := from.Sub(c.until); {
+	case c.until.IsZero():
+		c.since = from
+	case gap > outageThreshold:
+		if gap-c.paused(c.until, from) > outageThreshold {
+			c.outageBegan, c.outageEnded = c.until, from
+		}
+		c.since = from
+	case from.Before(c.since) && until.After(c.since):
+		c.since = from
 	}
 	if from.Before(c.outageBegan) && until.After(c.outageEnded) {
 		c.outageBegan, c.outageEnded = time.Time{}, time.Time{} // only this host had no answer
--- a/service/ingress/store_contact_test.go
+++ b/service/ingress/store_contact_test.go
@@ -96,3 +96,63 @@
 		}
 	}
 }
+
+// Guards against a host that takes the time in which it was suspended for an outage of the store, and so makes the hosts that
+// follow it send requests to servers that have left. Guards against the opposite too: an outage beside a pause is one.
+func TestPauseOfTheProcessIsNoOutage(t *testing.T) {
+	now := time.Now()
+	at := func(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		ticks []float64
+		want  bool
+	}{
+		"suspended":                      {ticks: []float64{-4, -3.5, -3.2}, want: false},
+		"suspended, a tick came first":   {ticks: []float64{-4, -3.5, -3.2, 0}, want: false},
+		"ran all the time":               {ticks: []float64{-4, -3.5, -3, -2.5, -2, -1.5, -1, -0.5}, want: true},
+		"a short pause in the silence":   {ticks: []float64{-4, -3.5, -3, -2.5, -1.3, -0.8, -0.3}, want: true},
+		"a pause long before":            {ticks: []float64{-60, -4, -3.5, -3, -2.5, -2, -1.5, -1, -0.5}, want: true},
+		"no ticks, as in other packages": {want: true},
+	} {
+		contact := &storeContact{}
+		contact.observe(at(-90), at(-3.3))
+		for _, tick := range c.ticks {
+			contact.tick(at(tick))
+		}
+		contact.observe(now, now)
+		if _, _, got := contact.recoveredWithin(at(0.5), outageDeleteWindow); got != c.want {
+			t.Errorf("%s: the store has recovered: %v, want %v", name, got, c.want)
+		}
+		f := &Informer{Contact: contact, failedSince: at(-3.2), lastResponse: at(-3.3)}
+		if got := f.recoveredFromOutage(); got != c.want {
+			t.Errorf("%s: a call that failed before and succeeds now shows an outage: %v, want %v", name, got, c.want)
+		}
+		if got := contact.answeredSince(now); got.Before(now) {
+			t.Errorf("%s: the host vouches for %v in which it had no answer", name, now.Sub(got))
+		}
+	}
+}
+
+// Guards against a cut of the host that lists the servers that counts as an outage of the store, because the host that takes
+// the lists over does not vouch for the time before.
+func TestHostThatTakesOverTheListsVouchesForTheOneBefore(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		lastListAgo time.Duration
+		want        time.Duration
+	}{
+		"the lists went on":            {lastListAgo: 1500 * time.Millisecond, want: time.Minute},
+		"nobody listed for some time":  {lastListAgo: 3 * time.Second, want: 0},
+		"no other host has listed yet": {want: 0},
+	} {
+		contact := &storeContact{}
+		if c.lastListAgo > 0 {
+			contact.observe(now.Add(-time.Minute), now.Add(-c.lastListAgo)) // by the heartbeats of the host that listed
+		}
+		contact.observe(now, now)
+		f := &Informer{PollInterval: time.Second, Contact: contact}
+		f.recordPoll(now)
+		if got := f.PolledFor(now); got != c.want {
+			t.Errorf("%s: vouches for %v, want %v", name, got, c.want)
+		}
+	}
+}
