ingress: followers count the time after an outage from its end (DRAIN)

Entries that are removed within 2 s after an outage of the store keep their servers in use for 2 s more. A host that follows another one counted these 2 s from when it heard of the outage, and each answer in its last moment prolonged them, so that removals up to 4 s after the outage were late there, beyond the 3 s in which the operator's bound does not hold.

Answers now carry the time since the outage. Without it, TestFollowerForgetsAnOutageWithItsSource fails in its third row.

--- a/service/ingress/feed.go
+++ b/service/ingress/feed.go
@@ -203,6 +203,8 @@
 	NewestRevision objectapi.Version `msgpack:",omitempty"`
 	// AfterOutage is set if entries may be missing because the store has been unavailable until a moment ago.
 	AfterOutage bool `msgpack:",omitempty"`
+	// SinceOutage is the time since then.
+	SinceOutage time.Duration `msgpack:",omitempty"`
 }
 
 // size returns the number of objects of the copy.
--- a/service/ingress/follow.go
+++ b/service/ingress/follow.go
@@ -98,7 +98,10 @@
 	}
 	answer := followAnswer{
 		Epoch: c.epoch, Sequence: c.sequence, Full: c.full, Deleted: c.deleted,
-		ListRevision: f.lastListRevision(), NewestRevision: f.NewestRevision(), AfterOutage: f.RecentlyRecovered(),
+		ListRevision: f.lastListRevision(), NewestRevision: f.NewestRevision(),
+	}
+	if recoveredAt, ok := f.recovery(); ok {
+		answer.AfterOutage, answer.SinceOutage = true, time.Since(recoveredAt)
 	}
 	for len(c.objects) > maxObjectsPerPart {
 		part := answer
--- a/service/ingress/follow_test.go
+++ b/service/ingress/follow_test.go
@@ -140,3 +140,25 @@
 		t.Fatal("the host still waits for the store")
 	}
 }
+
+// Guards against a follower that expects lapsed entries for longer after an outage of the store than the host that it
+// follows, and so sends requests to a server that leaves then.
+func TestFollowerForgetsAnOutageWithItsSource(t *testing.T) {
+	for _, c := range []struct {
+		sinceOutage time.Duration
+		want        bool
+	}{{0, true}, {outageDeleteWindow - time.Second, true}, {outageDeleteWindow - time.Millisecond, false}} {
+		source, follower := newInformer("servers"), newInformer("servers")
+		source.recoveredAtNanos.Store(time.Now().Add(-c.sinceOutage).UnixNano())
+		follower.Apply = func(objectapi.Change) {}
+		recoveredAt, ok := source.recovery()
+		if !ok {
+			t.Fatalf("%v after the outage, the source has forgotten it", c.sinceOutage)
+		}
+		follower.applyAnswer(followAnswer{AfterOutage: true, SinceOutage: time.Since(recoveredAt)})
+		time.Sleep(2 * time.Millisecond)
+		if got := follower.RecentlyRecovered(); got != c.want {
+			t.Errorf("%v after the outage: the follower expects lapsed entries: %v, want %v", c.sinceOutage, got, c.want)
+		}
+	}
+}
--- a/service/ingress/informer.go
+++ b/service/ingress/informer.go
@@ -262,30 +262,35 @@
 // RecentlyRecovered reports whether the store was unavailable until a moment ago, so that a deleted entry may have been
 // deleted only because of that. An outage through which a peer listed the objects was one of this host's network.
 func (f *Informer) RecentlyRecovered() bool {
-	if _, silent := f.storeSilence(); silent {
-		return true
+	_, ok := f.recovery()
+	return ok
+}
+
+// recovery returns when the store was available again if it was unavailable until a moment ago.
+func (f *Informer) recovery() (at time.Time, ok bool) {
+	if began, duration, silent := f.storeSilence(); silent {
+		return began.Add(duration), true
 	}
 	recoveredAt := time.Unix(0, f.recoveredAtNanos.Load())
 	if time.Since(recoveredAt) >= outageDeleteWindow {
-		return false
+		return time.Time{}, false
 	}
 	began := f.outageBeganNanos.Load()
-	return began == 0 || f.PolledByPeer == nil || !f.PolledByPeer(time.Unix(0, began), recoveredAt)
+	return recoveredAt, began == 0 || f.PolledByPeer == nil || !f.PolledByPeer(time.Unix(0, began), recoveredAt)
 }
 
-// storeSilence returns how long the store had answered nobody until a moment ago. A host that follows another one relies on
-// that one: it makes few calls itself.
-func (f *Informer) storeSilence() (time.Duration, bool) {
+// storeSilence returns since when and how long the store had answered nobody until a moment ago. A host that follows another
+// one relies on that one: it makes few calls itself.
+func (f *Informer) storeSilence() (began time.Time, duration time.Duration, recovered bool) {
 	if f.Contact == nil || f.currentSource() != storeSource {
-		return 0, false
+		return time.Time{}, 0, false
 	}
-	_, duration, recovered := f.Contact.recoveredWithin(time.Now(), outageDeleteWindow)
-	return duration, recovered
+	return f.Contact.recoveredWithin(time.Now(), outageDeleteWindow)
 }
 
 // logSilence logs an outage that this informer has not logged.
 func (f *Informer) logSilence() {
-	duration, silent := f.storeSilence()
+	_, duration, silent := f.storeSilence()
 	if silent && !f.silenceLogged {
 		logging.Emit(logging.StoreWasSilent, logging.Fields{"kind": f.Kind, "silent_for": duration})
 		if f.Contact.onOutage != nil {
--- a/service/ingress/informer_sources.go
+++ b/service/ingress/informer_sources.go
@@ -138,7 +138,7 @@
 	f.setLastResponse(time.Now())
 	f.recordRecovery()
 	if answer.AfterOutage && !f.RecentlyRecovered() {
-		f.recoveredAtNanos.Store(time.Now().UnixNano())
+		f.recoveredAtNanos.Store(time.Now().Add(-max(answer.SinceOutage, 0)).UnixNano())
 		f.outageBeganNanos.Store(0) // not observed by this host
 	}
 	if answer.Full {
