--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -27,11 +27,13 @@
 	// maxEnds is the number of ends that a record keeps. A cleared one makes room for a later one, so that a request that
 	// has run to its end many times can still be quarantined.
 	maxEnds = 16
-	// suspicionTTL is how long a request is suspected after the last server ended under it.
-	suspicionTTL = time.Minute
+	// evidenceTTL is how long a record is kept after its last change: longer than the callers of an event come again.
+	evidenceTTL = 24 * time.Hour
 	// quarantineTTL is how long a quarantined request is refused after the last server ended under it, however often it
-	// comes: the verdict may be wrong.
-	quarantineTTL = 10 * time.Minute
+	// comes: the verdict may be wrong. Then it is on trial as a suspect, and one more end quarantines it again. A request
+	// under which servers ended at maxTrialMoments moments is refused for as long as its record is kept.
+	quarantineTTL   = 10 * time.Minute
+	maxTrialMoments = 5
 	// maxRecords bounds the memory of a table.
 	maxRecords = 4096
 	// evictedTogether is the number of records that make room in a full table.
@@ -147,11 +149,11 @@
 	return cmp.Or(cmp.Compare(a.Server, b.Server), cmp.Compare(a.StartedAtMS, b.StartedAtMS))
 }
 
-// score returns the evidence of the ends that count: the greatest sum over ends at separate moments.
-func score(ends []End, counts func(End) bool) float64 {
+// sumOfMoments returns the greatest sum of values over ends at separate moments that are not cleared.
+func sumOfMoments(ends []End, value func(End) float64) float64 {
 	counted := make([]End, 0, maxEnds)
 	for _, end := range ends {
-		if counts(end) {
+		if !end.Cleared {
 			counted = append(counted, end)
 		}
 	}
@@ -163,7 +165,7 @@
 				best[i] = max(best[i], best[j])
 			}
 		}
-		best[i] += end.score()
+		best[i] += value(end)
 		highest = max(highest, best[i])
 	}
 	return highest
@@ -226,12 +228,7 @@
 
 // Verdict returns the verdict that follows from the record.
 func (r *Record) Verdict() Verdict {
-	return r.verdict(func(end End) bool { return !end.Cleared })
-}
-
-// verdict returns the verdict that follows from the ends that count.
-func (r *Record) verdict(counts func(End) bool) Verdict {
-	score := score(r.Ends, counts)
+	score := sumOfMoments(r.Ends, End.score)
 	threshold := quarantineScore
 	if r.IsPrefix() {
 		threshold = prefixQuarantineScore
@@ -239,28 +236,41 @@
 	switch {
 	case score < beganScore || r.IsPrefix() && !r.Diverged:
 		return Innocent
-	case score < threshold:
+	case score < threshold || r.isOnTrial():
 		return Suspect
 	}
 	return Quarantined
 }
 
-// TTL returns how long the record is kept after its last change. Cleared ends count, because another host, or the store,
-// may still have the verdict from before they were cleared.
-func (r *Record) TTL() time.Duration {
-	if r.verdict(func(End) bool { return true }) == Quarantined {
-		return quarantineTTL
+// isOnTrial reports whether a quarantine on account of the record has ended.
+func (r *Record) isOnTrial() bool {
+	for _, end := range r.Ends {
+		if !end.Cleared && end.Age <= quarantineTTL {
+			return false
+		}
 	}
-	return suspicionTTL
+	return r.IsPrefix() || sumOfMoments(r.Ends, func(End) float64 { return 1 }) < maxTrialMoments
+}
+
+// Expired reports whether the record is kept no longer. Records with cleared ends are kept as long as others, because another
+// host, or the store, may still have the verdict from before they were cleared.
+func (r *Record) Expired() bool { return r.Age > evidenceTTL }
+
+// UnclearedEnds returns the number of ends that are not cleared.
+func (r *Record) UnclearedEnds() int {
+	n := 0
+	for _, end := range r.Ends {
+		if !end.Cleared {
+			n++
+		}
+	}
+	return n
 }
 
 // IsPrefix reports whether the record is that of a prefix.
 func (r *Record) IsPrefix() bool { return r.Next != Fingerprint{} }
 
-func (e *entry) expired(now time.Time) bool {
-	r := e.record(now)
-	return now.Sub(e.at) > r.TTL()
-}
+func (e *entry) expired(now time.Time) bool { return now.Sub(e.at) > evidenceTTL }
 
 // Table holds the records of one host. It is not safe for concurrent use.
 type Table struct {
@@ -345,7 +355,7 @@
 
 func (t *Table) merge(now time.Time, r Record) bool {
 	at := now.Add(-r.Age)
-	if r.Age > r.TTL() {
+	if r.Expired() {
 		return false
 	}
 	e, ok := t.entries[r.Fingerprint]
@@ -420,7 +430,7 @@
 	return true
 }
 
-// evict removes the expired entries, or else the oldest ones of those that are not quarantined if there are any.
+// evict removes the expired entries, or else the oldest ones with the mildest verdict.
 func (t *Table) evict(now time.Time) {
 	t.Expire(now)
 	if len(t.entries) < maxRecords {
@@ -428,17 +438,17 @@
 	}
 	type candidate struct {
 		*entry
-		quarantined int
+		verdict Verdict
 	}
 	candidates := make([]candidate, 0, len(t.entries))
 	for _, e := range t.entries {
-		candidates = append(candidates, candidate{e, int(e.verdict(now) / Quarantined)})
+		candidates = append(candidates, candidate{e, e.verdict(now)})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.quarantined, b.quarantined), a.at.Compare(b.at))
+		return cmp.Or(cmp.Compare(a.verdict, b.verdict), a.at.Compare(b.at))
 	})
 	for i, c := range candidates[:evictedTogether] {
-		if i > 0 && c.quarantined > 0 {
+		if i > 0 && c.verdict > candidates[0].verdict {
 			return
 		}
 		t.remove(c.Fingerprint)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -199,6 +199,33 @@
 	g.Expect(verdict(table, start, chain("d", "yes"))).To(Equal(poison.Innocent))
 }
 
+// Guards against a request that ends servers without bound because it pauses until the ends before are forgotten.
+func TestPausesHideNoRequestThatEndsServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		began bool
+		pause time.Duration
+	}{
+		"after the first event, a minute": {pause: 62 * time.Second},
+		"after the first event, an hour":  {pause: time.Hour},
+		"as it begins, eleven minutes":    {began: true, pause: 11 * time.Minute},
+		"as it begins, an hour":           {began: true, pause: time.Hour},
+	} {
+		g := NewWithT(t)
+		table := poison.NewTable()
+		chain := poison.Chain{fingerprint(1)}
+		now := start
+		ends := 0
+		for n := 0; now.Before(start.Add(20 * time.Hour)); n++ {
+			if verdict(table, now, chain) != poison.Quarantined {
+				table.RecordEnd(now, chain, 7, poison.End{Lifetime: poison.Lifetime{Server: fmt.Sprint(n)}, Ran: time.Second, Began: c.began})
+				ends++
+			}
+			now = now.Add(c.pause)
+		}
+		g.Expect(ends).To(BeNumerically("<=", 3+3), name+": the third end and three retries")
+	}
+}
+
 // Guards against verdicts that last forever and against a table that grows without bound.
 func TestRecordsExpireAndAreBounded(t *testing.T) {
 	g := NewWithT(t)
@@ -212,10 +239,11 @@
 	g.Expect(len(table.Records(start.Add(time.Second), time.Hour, 1<<20))).To(BeNumerically("<=", 4096))
 	g.Expect(verdict(table, start.Add(5*time.Minute), deadly)).To(Equal(poison.Quarantined))
 	g.Expect(verdict(table, start.Add(9*time.Minute), deadly)).To(Equal(poison.Quarantined))
-	g.Expect(verdict(table, start.Add(11*time.Minute), deadly)).To(Equal(poison.Innocent), "also if it is seen all the time")
-	table.Expire(start.Add(time.Hour))
+	g.Expect(verdict(table, start.Add(11*time.Minute), deadly)).To(Equal(poison.Suspect), "on trial, also if it is seen all the time")
+	g.Expect(table.Digest(start.Add(11 * time.Minute))).To(BeZero())
+	g.Expect(verdict(table, start.Add(25*time.Hour), deadly)).To(Equal(poison.Innocent))
+	table.Expire(start.Add(25 * time.Hour))
 	g.Expect(table.MayContain(1) || table.MayContain(2)).To(BeFalse())
-	g.Expect(table.Digest(start.Add(time.Hour))).To(BeZero())
 }
 
 // Guards against hosts that disagree for good because records arrive in another order, twice, or late.
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -100,11 +100,21 @@
 	return p.table.Records(p.now(), recentRecordAge, maxRecentRecords), p.table.Digest(p.now())
 }
 
-// all returns the newest records of the table.
+// all returns the newest records of the table, after those of quarantined requests, of which a host that lacks one is told
+// even if there are many others.
 func (p *poisonRecords) all() []poison.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Records(p.now(), math.MaxInt64, maxSentRecords)
+	var quarantined, others []poison.Record
+	for _, r := range p.table.Records(p.now(), math.MaxInt64, math.MaxInt) {
+		if r.Verdict() == poison.Quarantined {
+			quarantined = append(quarantined, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	records := append(quarantined, others...)
+	return records[:min(len(records), maxSentRecords)]
 }
 
 // quarantined returns the requests in quarantine for operators.
--- a/service/ingress/poison_verdicts_test.go
+++ b/service/ingress/poison_verdicts_test.go
@@ -39,3 +39,18 @@
 		t.Error("merged a short section")
 	}
 }
+
+// Guards against a host that never learns of a quarantine, because the records of many bystanders are newer.
+func TestHostsAreToldOfQuarantinesFirst(t *testing.T) {
+	records := newPoisonRecords(time.Now)
+	start := time.Now().Add(-time.Minute)
+	for _, server := range []string{"a", "b"} {
+		records.table.RecordEnd(start, poison.Chain{{1}}, 7, poison.End{Lifetime: poison.Lifetime{Server: server}, Began: true})
+	}
+	for i := range maxSentRecords {
+		records.table.RecordEnd(time.Now(), poison.Chain{{2, byte(i), byte(i >> 8)}}, 7, poison.End{Lifetime: poison.Lifetime{Server: "c"}})
+	}
+	if sent := records.all(); len(sent) != maxSentRecords || sent[0].Fingerprint != (poison.Fingerprint{1}) {
+		t.Errorf("%d records, the first one of request %s", len(sent), sent[0].Fingerprint)
+	}
+}
--- a/service/verdicts/verdicts.go
+++ b/service/verdicts/verdicts.go
@@ -77,9 +77,15 @@
 	suspectSince map[poison.Fingerprint]time.Time
 }
 
+// storedVerdict is what the store has of a record: its verdict, and the number of ends from which that follows.
 type storedVerdict struct {
 	version objectapi.Version
 	verdict poison.Verdict
+	ends    int
+}
+
+func newStoredVerdict(version objectapi.Version, r poison.Record) storedVerdict {
+	return storedVerdict{version: version, verdict: r.Verdict(), ends: r.UnclearedEnds()}
 }
 
 // NewKeeper returns a keeper of the records in table.
@@ -165,11 +171,11 @@
 		switch {
 		case err != nil:
 			logging.Emit(logging.VerdictRejected, logging.Fields{"fingerprint": o.Name, "error": err})
-		case r.Age > r.TTL():
+		case r.Expired():
 			expired = append(expired, o)
 		default:
 			records = append(records, r)
-			k.stored[r.Fingerprint] = storedVerdict{version: o.Version, verdict: r.Verdict()}
+			k.stored[r.Fingerprint] = newStoredVerdict(o.Version, r)
 		}
 	}
 	k.table.Merge(records, "store")
@@ -220,7 +226,7 @@
 	isObserver := k.observed[f]
 	k.mu.Unlock()
 	switch {
-	case verdict <= stored.verdict && !(isStored && verdict == poison.Innocent):
+	case verdict == poison.Innocent && !isStored, verdict != poison.Innocent && verdict <= stored.verdict && r.UnclearedEnds() <= stored.ends:
 		return nil
 	case verdict == poison.Suspect && k.now().Sub(k.suspectSince[f]) < suspicionDelay:
 		return nil
@@ -259,7 +265,7 @@
 	case err != nil:
 		return err
 	}
-	k.stored[r.Fingerprint] = storedVerdict{version: version, verdict: r.Verdict()}
+	k.stored[r.Fingerprint] = newStoredVerdict(version, r)
 	k.OnStored()
 	logging.Emit(logging.VerdictStored, logging.Fields{"fingerprint": name, "ends": len(r.Ends), "quarantined": r.Verdict() == poison.Quarantined})
 	return nil
@@ -282,8 +288,8 @@
 		return nil
 	}
 	k.table.Merge([]poison.Record{r}, "store")
-	k.stored[f] = storedVerdict{version: o.Version, verdict: r.Verdict()}
-	if r.Age > r.TTL() {
+	k.stored[f] = newStoredVerdict(o.Version, r)
+	if r.Expired() {
 		k.stored[f] = storedVerdict{version: o.Version}
 	}
 	return nil
--- a/service/verdicts/verdicts_test.go
+++ b/service/verdicts/verdicts_test.go
@@ -79,7 +79,7 @@
 	g.Expect(later.records.MayContain(7)).To(BeTrue())
 	expired := newTestHost(store, start.Add(11*time.Minute))
 	expired.check(t.Context())
-	g.Expect(expired.verdict()).To(Equal(poison.Innocent), "the age counts from the last end, not from the start of the host")
+	g.Expect(expired.verdict()).To(Equal(poison.Suspect), "the age counts from the last end, not from the start of the host")
 }
 
 // Guards against ends that count from the start again after each loss of all hosts, and against a write for each bystander
@@ -123,6 +123,27 @@
 	g.Expect(storedObjects(t, store)).To(Equal(1))
 }
 
+// Guards against ends that are lost with all hosts because an earlier one is stored: a request on trial then ends servers
+// again and again.
+func TestLaterEndsAreStoredToo(t *testing.T) {
+	g := NewWithT(t)
+	store := objectapi.NewMemoryStore()
+	h := newTestHost(store, start)
+	h.end("a")
+	h.end("b")
+	h.check(t.Context())
+	for i, server := range []string{"c", "d", "e"} {
+		h.at = start.Add(time.Duration(i+1) * 11 * time.Minute)
+		g.Expect(h.verdict()).To(Equal(poison.Suspect))
+		h.end(server)
+		h.check(t.Context())
+	}
+	next := newTestHost(store, h.at.Add(time.Hour))
+	next.check(t.Context())
+	g.Expect(next.verdict()).To(Equal(poison.Quarantined), "five servers have ended")
+	g.Expect(storedObjects(t, store)).To(Equal(1))
+}
+
 // Guards against a verdict that is not stored because the host at which the server ended is lost in the meantime, and
 // against all hosts that write it.
 func TestOwnerStoresWhatTheObserverHasNot(t *testing.T) {
@@ -181,7 +202,7 @@
 	h.end("d")
 	h.checkAt(t, start.Add(2*time.Second))
 	g.Expect(storedObjects(t, store)).To(Equal(1))
-	sweeper := newTestHost(store, start.Add(20*time.Minute))
+	sweeper := newTestHost(store, start.Add(25*time.Hour))
 	sweeper.owner = true
 	sweeper.check(t.Context())
 	g.Expect(storedObjects(t, store)).To(BeZero())
