--- a/service/upstream/upstream.go
+++ b/service/upstream/upstream.go
@@ -38,6 +38,8 @@
 	maxStaleResponses = 2
 	// maxStaleResponseBytes bounds the body of a discarded response.
 	maxStaleResponseBytes = 64 << 10
+	// maxStatus is the greatest status that HTTP defines.
+	maxStatus = 599
 	// maxInformationalResponses is the number of responses with status 1xx before the response itself.
 	maxInformationalResponses = 8
 	// readBufferBytes is the size of a connection's read buffer: a typical response of a plain service.
@@ -287,7 +289,8 @@
 	return errors.Newf("%d responses to other requests", maxStaleResponses+1)
 }
 
-// readHeader reads the header of the next response, and skips informational ones (1xx).
+// readHeader reads the header of the next response, and skips informational ones (1xx). The parser accepts any three digits
+// as a status; a response with one that HTTP does not define is none.
 func readHeader(c *conn, method string) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
 		c.limitedReader.N = maxHeaderBytes
@@ -296,6 +299,9 @@
 			return nil, errors.Wrap(err, "read response")
 		}
 		c.limitedReader.N = 1 << 62
+		if status := httpResp.StatusCode; status < http.StatusContinue || status > maxStatus {
+			return nil, errors.Newf("read response: %03d is no HTTP status", status)
+		}
 		if httpResp.StatusCode >= http.StatusOK {
 			return httpResp, nil
 		}
