--- a/service/home/dispatcher.go
+++ b/service/home/dispatcher.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,8 +44,12 @@
 	// leaseRetryDelay is the retry delay for calls that an expired lease rejects; a renewal after an outage of the
 	// store is expected within it.
 	leaseRetryDelay = 2 * time.Second
-	// maxResponseBytes bounds the response of a tool or service, and a line of an engine's stream.
+	// maxResponseBytes bounds the response of a tool or service, and a line and the text of an engine's stream.
 	maxResponseBytes = 256 << 10
+	// maxResponseHeaderBytes bounds the header of a response.
+	maxResponseHeaderBytes = 64 << 10
+	// maxStatus is the greatest status that HTTP defines.
+	maxStatus = 599
 
 	headerNotRun         = "Request-Not-Run"
 	headerIdempotencyKey = "Idempotency-Key"
@@ -83,6 +88,7 @@
 		t.Proxy = nil
 		t.DisableKeepAlives = !keepAlive
 		t.MaxIdleConnsPerHost = 64
+		t.MaxResponseHeaderBytes = maxResponseHeaderBytes
 		t.DialContext = dialer.DialContext
 		return t
 	}
@@ -201,6 +207,11 @@
 		e.WorkerEnded = d.refusesConnections(req)
 		return nil, &e
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		_ = resp.Body.Close()
+		e := interrupted(fault.New(fault.CodeBackendFailed, "dispatch", "backend server responded with %03d, which is no HTTP status", resp.StatusCode).WithPeer(peer))
+		return nil, &e
+	}
 	if resp.Header.Get(headerNotRun) == "true" {
 		_ = resp.Body.Close()
 		e := notRun(fault.New(fault.CodeBackendUnreachable, "dispatch", "backend server refused the request: %s", resp.Status).WithPeer(peer))
@@ -238,7 +249,10 @@
 		return *failed
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Newf("body is larger than %d bytes", maxResponseBytes)
+	}
 	if err != nil {
 		return interrupted(fault.New(fault.CodeBackendFailed, "read answer", "%v", err).WithPeer(peer))
 	}
@@ -352,12 +366,11 @@
 	ended := program.DispatchEnded{Result: program.ResultInterrupted}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxResponseBytes)
-	for lines.Scan() {
+	for text.Len() <= maxResponseBytes && lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
 			continue
 		}
-		idleTimer.Reset(tokenTimeout)
 		if data == "[DONE]" {
 			ended.Result = program.ResultCompleted
 			break
@@ -376,6 +389,7 @@
 			if c.Delta.Content == "" {
 				continue
 			}
+			idleTimer.Reset(tokenTimeout)
 			text.WriteString(c.Delta.Content)
 			tokens := len(strings.Fields(c.Delta.Content))
 			d.hub.addPiece(key, api.Piece{Offset: offset, Text: c.Delta.Content}, tokens)
@@ -385,6 +399,9 @@
 	ended.Text = text.String()
 	if ended.Result == program.ResultInterrupted {
 		reason := "stream ended without [DONE]"
+		if text.Len() > maxResponseBytes {
+			reason = fmt.Sprintf("text is larger than %d bytes", maxResponseBytes)
+		}
 		if err := lines.Err(); err != nil {
 			reason = err.Error()
 		}
