--- a/common/objectapi/http.go
+++ b/common/objectapi/http.go
@@ -13,6 +13,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hyssopreel/hyssopreel/common/jsonparts"
+	"github.com/hyssopreel/hyssopreel/common/logging"
 )
 
 // MaxWatchWait is the time after which the platform answers a watch without changes; it is the platform's maximum.
@@ -159,17 +162,44 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.backendsBody == nil || !bytes.Equal(b, s.backendsBody) {
-		var response struct {
-			Backends []Backend `json:"backends"`
-		}
-		if err := s.decode(c, b, &response); err != nil {
-			return nil, err
+		backends, err := decodeBackends(b)
+		if err != nil {
+			return nil, withSentinel(errors.Wrapf(err, "GET %s at %s: decode response", c.Path, s.client.baseURL), ErrUnavailable)
 		}
-		s.backendsBody, s.backends = b, response.Backends
+		s.backendsBody, s.backends = b, backends
 	}
 	return slices.Clone(s.backends), nil
 }
 
+// decodeBackends decodes the list of backend servers without the entries that can't be decoded.
+func decodeBackends(body []byte) ([]Backend, error) {
+	var response struct {
+		Backends []Backend `json:"backends"`
+	}
+	err := json.Unmarshal(body, &response)
+	if err == nil {
+		return response.Backends, nil
+	}
+	fields, splitErr := jsonparts.Object(body)
+	if splitErr != nil {
+		return nil, errors.CombineErrors(err, splitErr)
+	}
+	entries, splitErr := jsonparts.Array(fields["backends"])
+	if splitErr != nil {
+		return nil, errors.CombineErrors(err, splitErr)
+	}
+	backends := make([]Backend, 0, len(entries))
+	for i, entry := range entries {
+		var b Backend
+		if err := json.Unmarshal(entry, &b); err != nil {
+			logging.Emit(logging.BackendRejected, logging.Fields{"entry": i, "error": err})
+			continue
+		}
+		backends = append(backends, b)
+	}
+	return backends, nil
+}
+
 func (s *HTTPStore) getJSON(ctx context.Context, c Request, out any) error {
 	c.Method = http.MethodGet
 	_, _, b, err := s.client.Do(ctx, c)
