--- a/service/ingress/host.go
+++ b/service/ingress/host.go
@@ -229,13 +229,13 @@
 	return nil
 }
 
-// drain removes the host from the directory, hands its accounts over and waits for the running requests. It reports
-// whether some were cut off.
+// drain removes the host from the directory, hands its accounts over, takes requests for the time in which callers still come,
+// and waits for the running ones. It reports whether some were cut off.
 func (h *Host) drain(ctx context.Context, callerServer *http.Server) bool {
 	logging.Emit(logging.IngressDraining, logging.Fields{"signal": "TERM"})
 	gracePeriod := float64(h.settings.Load().Shutdown.GracePeriod)
 	deadline := time.Now().Add(time.Duration(gracePeriod * shutdownFraction))
-	h.ingress.Drain()
+	h.ingress.DrainUntil(deadline)
 	h.hosts.SetSelfDraining()
 	unregisterCtx, cancelUnregister := context.WithCancel(ctx)
 	defer cancelUnregister()
@@ -247,6 +247,7 @@
 	case <-time.After(min(drainListenTime, time.Duration(gracePeriod*drainListenFraction))):
 	case <-ctx.Done():
 	}
+	h.ingress.Refuse()
 	shutdownCtx, cancelShutdown := context.WithDeadline(context.Background(), deadline)
 	defer cancelShutdown()
 	if err := callerServer.Shutdown(shutdownCtx); err != nil {
--- a/service/ingress/ingress.go
+++ b/service/ingress/ingress.go
@@ -49,6 +49,8 @@
 	minRetryAfter = 100 * time.Millisecond
 	// noConfigRetryAfter is the Retry-After of a host that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// drainAnswerTime is the time before the end of a draining host at which its last requests are answered.
+	drainAnswerTime = 50 * time.Millisecond
 )
 
 // Ingress is the http.Handler that serves callers' requests.
@@ -61,12 +63,15 @@
 	now         func() time.Time
 	scope       tally.Scope
 	draining    atomic.Bool
-	memory      *memlimit.Limiter
-	budgets     Budgets
-	permits     Permits
-	access      Access
-	turns       Turns
-	poison      *poisonRecords
+	// drainEnd is when a draining host closes the remaining connections. refusing is set once it takes no more requests.
+	drainEnd atomic.Pointer[time.Time]
+	refusing atomic.Bool
+	memory   *memlimit.Limiter
+	budgets  Budgets
+	permits  Permits
+	access   Access
+	turns    Turns
+	poison   *poisonRecords
 }
 
 // Budgets accounts for the tokens that programs generate.
@@ -145,6 +150,25 @@
 // Drain makes the ingress close each caller's connection after its next response.
 func (in *Ingress) Drain() { in.draining.Store(true) }
 
+// DrainUntil is Drain for a host that closes the remaining connections at end: requests that begin from now on are answered
+// before it.
+func (in *Ingress) DrainUntil(end time.Time) {
+	in.drainEnd.Store(&end)
+	in.Drain()
+}
+
+// Refuse makes the ingress refuse the requests that have not been sent to a server yet. A request on an open connection, or
+// whose body arrives slowly, would otherwise begin so late that it is cut off.
+func (in *Ingress) Refuse() { in.refusing.Store(true) }
+
+// shutdownFailure returns the refusal of a request that came too late to be answered before the host ends.
+func (x *exchange) shutdownFailure() *failure {
+	if !x.ingress.refusing.Load() {
+		return nil
+	}
+	return &failure{status: http.StatusServiceUnavailable, reason: "host is shutting down", retryAfter: x.ingress.retryAfter(""), closeConn: true}
+}
+
 // retryAfter returns a random Retry-After, so that refused callers do not retry together.
 func (in *Ingress) retryAfter(string) time.Duration {
 	return minRetryAfter + time.Duration(mathrand.Int64N(int64(2*minRetryAfter)))
@@ -159,9 +183,15 @@
 	}
 	fail := x.beginRequest()
 	defer x.memory.End()
+	if fail == nil {
+		fail = x.shutdownFailure()
+	}
 	if fail == nil {
 		fail = x.validateAndReadBody(w)
 	}
+	if fail == nil {
+		fail = x.shutdownFailure()
+	}
 	if fail == nil {
 		fail = x.quarantineFailure()
 	}
@@ -194,9 +224,19 @@
 	}
 	x.service = x.route.PickService(mathrand.Float64())
 	x.deadline = x.startedAt.Add(x.timeout())
+	if end := in.drainEnd.Load(); end != nil {
+		x.deadline = earlier(x.deadline, end.Add(-drainAnswerTime))
+	}
 	return x.readBody(w)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (x *exchange) timeout() time.Duration {
 	timeout := defaultRequestTimeout
 	if x.metadata.Timeout > 0 {
