--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -91,15 +91,12 @@
 }
 
 // Continue returns the fingerprints of a request that continues a retained turn, or begins a chain of turns if previous is
-// empty: servers run its body after that of the turns before, so that requests with the same body are different ones. Their
-// body, of bodyBytes bytes, identifies what they have in common only if it is as long as a prefix.
-func (c Chain) Continue(previous string, bodyBytes int) Chain {
+// empty: servers run its body after that of the turns before, so that requests with the same body are different ones, which
+// have the body in common as if it were a prefix.
+func (c Chain) Continue(previous string) Chain {
 	h := sha256.New()
 	_, _ = h.Write(c[len(c)-1][:]) // a hash returns no error
 	_, _ = io.WriteString(h, previous)
-	if bodyBytes < minPrefixBytes {
-		c = c[:len(c)-1]
-	}
 	var f Fingerprint
 	copy(f[:], h.Sum(nil))
 	return append(c, f)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -183,20 +183,22 @@
 func TestContinuedTurnsDifferByTheTurnBefore(t *testing.T) {
 	g := NewWithT(t)
 	chain := func(previous, input string) poison.Chain {
-		return poison.NewChain([]string{"route"}, []byte(input)).Continue(previous, len(input))
+		return poison.NewChain([]string{"route"}, []byte(input)).Continue(previous)
 	}
-	g.Expect(chain("a", "yes")).To(HaveLen(1))
 	g.Expect(chain("a", "yes")).To(Equal(chain("a", "yes")))
 	g.Expect(chain("a", "yes")).NotTo(Equal(chain("b", "yes")))
 	g.Expect(chain("", "yes")).NotTo(Equal(chain("a", "yes")))
-	long := strings.Repeat("x", 600)
-	table := poison.NewTable()
-	for i, previous := range []string{"a", "b", "c"} {
-		table.RecordEnd(start, chain(previous, long), 7, end(fmt.Sprint(i), true))
+	for _, input := range []string{"yes", strings.Repeat("x", 600)} {
+		table := poison.NewTable()
+		for i, previous := range []string{"a", "b", ""} {
+			g.Expect(verdict(table, start, chain("d", input))).NotTo(Equal(poison.Quarantined))
+			table.RecordEnd(start, chain(previous, input), 7, end(fmt.Sprint(i), true))
+		}
+		g.Expect(verdict(table, start, chain("d", input))).To(Equal(poison.Quarantined))
+		g.Expect(verdict(table, start, chain("d", input+"y"))).To(Equal(poison.Innocent), "another input")
+		table.RecordSuccess(start, start.Add(time.Millisecond), chain("e", input))
+		g.Expect(verdict(table, start, chain("d", input))).To(Equal(poison.Innocent), "it has run to its end after another turn")
 	}
-	g.Expect(verdict(table, start, chain("d", long))).To(Equal(poison.Quarantined))
-	g.Expect(verdict(table, start, chain("d", long+"y"))).To(Equal(poison.Innocent), "another input")
-	g.Expect(verdict(table, start, chain("d", "yes"))).To(Equal(poison.Innocent))
 }
 
 // Guards against a request that ends servers without bound because it pauses until the ends before are forgotten.
--- a/service/ingress/poison.go
+++ b/service/ingress/poison.go
@@ -231,7 +231,7 @@
 	x.fingerprintsOnce.Do(func() {
 		x.fingerprintChain = poison.NewChain([]string{x.request.Method, x.request.Host, x.request.URL.Path, x.metadata.Caller}, x.bodyParts...)
 		if x.route.RetainTurns {
-			x.fingerprintChain = x.fingerprintChain.Continue(x.metadata.PreviousTurn, partsBytes(x.bodyParts))
+			x.fingerprintChain = x.fingerprintChain.Continue(x.metadata.PreviousTurn)
 		}
 	})
 	return x.fingerprintChain
