poison: assess a record when it changes, not when it is read

What follows from the ends does not depend on the time, except for the end of a quarantine, so it is computed once for each change.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -27,13 +27,14 @@
 	// maxEnds is the number of ends that a record keeps. A cleared one makes room for a later one, so that a request that
 	// has run to its end many times can still be quarantined.
 	maxEnds = 16
-	// evidenceTTL is how long a record is kept after its last change: longer than the callers of an event come again.
+	// evidenceTTL is how long a record is kept after its last change. It is longer than an event, so that a request whose
+	// caller pauses is recognized.
 	evidenceTTL = 24 * time.Hour
 	// quarantineTTL is how long a quarantined request is refused after the last server ended under it, however often it
-	// comes: the verdict may be wrong. Then it is on trial as a suspect, and one more end quarantines it again. A request
-	// under which servers ended at maxTrialMoments moments is refused for as long as its record is kept.
-	quarantineTTL   = 10 * time.Minute
-	maxTrialMoments = 5
+	// comes: the verdict may be wrong. Then it is a suspect, and one more end quarantines it again. A request under which
+	// servers ended at permanentMoments moments stays in quarantine for as long as its record is kept.
+	quarantineTTL    = 10 * time.Minute
+	permanentMoments = 5
 	// maxRecords bounds the memory of a table.
 	maxRecords = 4096
 	// evictedTogether is the number of records that make room in a full table.
@@ -148,12 +149,10 @@
 
 // sumOfMoments returns the greatest sum of values over ends at separate moments that are not cleared.
 func sumOfMoments(ends []End, value func(End) float64) float64 {
-	counted := make([]End, 0, maxEnds)
-	for _, end := range ends {
-		if !end.Cleared {
-			counted = append(counted, end)
-		}
+	if len(ends) == 1 && !ends[0].Cleared { // most records have one end
+		return value(ends[0])
 	}
+	counted := slices.DeleteFunc(slices.Clone(ends), func(end End) bool { return end.Cleared })
 	slices.SortFunc(counted, func(a, b End) int { return cmp.Or(cmp.Compare(b.Age, a.Age), compareEnds(a, b)) })
 	best, highest := make([]float64, len(counted)), 0.0
 	for i, end := range counted {
@@ -201,6 +200,9 @@
 	at time.Time
 	// times holds those of the ends, in the same order.
 	times []endTimes
+	// assessment is that of the record, and lastEndAt when the last server ended that is not cleared.
+	assessment
+	lastEndAt time.Time
 }
 
 // endTimes holds when a server ended and when this host learned of it.
@@ -217,14 +219,34 @@
 	return r
 }
 
-// verdict returns the verdict that follows from the entry.
-func (e *entry) verdict(now time.Time) Verdict {
+// assess must be called after each change of the ends.
+func (e *entry) assess(now time.Time) {
 	r := e.record(now)
-	return r.Verdict()
+	e.assessment, e.lastEndAt = r.assess(), now.Add(-r.lastEndAge())
+}
+
+// verdict returns the verdict that follows from the entry.
+func (e *entry) verdict(now time.Time) Verdict { return e.assessment.after(now.Sub(e.lastEndAt)) }
+
+// assessment is what follows from the ends of a record, which does not depend on the time.
+type assessment struct {
+	// verdict is that at the last end, and permanent is set if a quarantine does not end before the record.
+	verdict   Verdict
+	permanent bool
+}
+
+// after returns the verdict at a time after the last end.
+func (a assessment) after(d time.Duration) Verdict {
+	if a.verdict == Quarantined && !a.permanent && d > quarantineTTL {
+		return Suspect
+	}
+	return a.verdict
 }
 
 // Verdict returns the verdict that follows from the record.
-func (r *Record) Verdict() Verdict {
+func (r *Record) Verdict() Verdict { return r.assess().after(r.lastEndAge()) }
+
+func (r *Record) assess() assessment {
 	score := sumOfMoments(r.Ends, End.score)
 	threshold := quarantineScore
 	if r.IsPrefix() {
@@ -232,21 +254,23 @@
 	}
 	switch {
 	case score < beganScore || r.IsPrefix() && !r.Diverged:
-		return Innocent
-	case score < threshold || r.isOnTrial():
-		return Suspect
+		return assessment{verdict: Innocent}
+	case score < threshold:
+		return assessment{verdict: Suspect}
 	}
-	return Quarantined
+	moments := sumOfMoments(r.Ends, func(End) float64 { return 1 })
+	return assessment{verdict: Quarantined, permanent: !r.IsPrefix() && moments >= permanentMoments}
 }
 
-// isOnTrial reports whether a quarantine on account of the record has ended.
-func (r *Record) isOnTrial() bool {
+// lastEndAge returns the age of the last end that is not cleared; 0 if there is none.
+func (r *Record) lastEndAge() time.Duration {
+	age, found := time.Duration(0), false
 	for _, end := range r.Ends {
-		if !end.Cleared && end.Age <= quarantineTTL {
-			return false
+		if !end.Cleared && (!found || end.Age < age) {
+			age, found = end.Age, true
 		}
 	}
-	return r.IsPrefix() || sumOfMoments(r.Ends, func(End) float64 { return 1 }) < maxTrialMoments
+	return age
 }
 
 // Expired reports whether the record is kept no longer. Records with cleared ends are kept as long as others, because another
@@ -289,9 +313,8 @@
 		if !ok || e.expired(now) {
 			continue
 		}
-		r := e.record(now)
-		if v := r.Verdict(); v >= verdict {
-			verdict, record = v, r
+		if v := e.verdict(now); v >= verdict {
+			verdict, record = v, e.record(now)
 		}
 	}
 	return verdict, record
@@ -332,6 +355,7 @@
 		}
 		if cleared {
 			e.Ends, e.at, changed = ends, now, true
+			e.assess(now)
 		}
 	}
 	return changed
@@ -377,6 +401,7 @@
 	if at.After(e.at) {
 		e.at = at
 	}
+	e.assess(now)
 	return changed
 }
 
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -241,7 +241,7 @@
 	g.Expect(len(table.Records(start.Add(time.Second), time.Hour, 1<<20))).To(BeNumerically("<=", 4096))
 	g.Expect(verdict(table, start.Add(5*time.Minute), deadly)).To(Equal(poison.Quarantined))
 	g.Expect(verdict(table, start.Add(9*time.Minute), deadly)).To(Equal(poison.Quarantined))
-	g.Expect(verdict(table, start.Add(11*time.Minute), deadly)).To(Equal(poison.Suspect), "on trial, also if it is seen all the time")
+	g.Expect(verdict(table, start.Add(11*time.Minute), deadly)).To(Equal(poison.Suspect), "also if it is seen all the time")
 	g.Expect(table.Digest(start.Add(11 * time.Minute))).To(BeZero())
 	g.Expect(verdict(table, start.Add(25*time.Hour), deadly)).To(Equal(poison.Innocent))
 	table.Expire(start.Add(25 * time.Hour))
--- a/service/verdicts/verdicts_test.go
+++ b/service/verdicts/verdicts_test.go
@@ -123,8 +123,8 @@
 	g.Expect(storedObjects(t, store)).To(Equal(1))
 }
 
-// Guards against ends that are lost with all hosts because an earlier one is stored: a request on trial then ends servers
-// again and again.
+// Guards against ends that are lost with all hosts because an earlier one is stored: a request whose quarantine is over
+// then ends servers again and again.
 func TestLaterEndsAreStoredToo(t *testing.T) {
 	g := NewWithT(t)
 	store := objectapi.NewMemoryStore()
