--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"11": machineReplaced,
 	"12": disksLostInTurn,
+	"13": chainsAtOnce,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/hyssopreel/hyssopreel/standin/objects"
 )
 
@@ -109,6 +111,7 @@
 	name, zone string
 	ip         string
 	firstStart bool
+	core       int
 	values     map[string]string
 	process    *exec.Cmd
 	ended      chan struct{}
@@ -132,18 +135,18 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 	v := map[string]string{
 		"node": h.name, "zone": h.zone, "region": "region", "ip": h.ip, "provider.address": r.storeAddress(), "portRange.0": fmt.Sprint(r.ports.peer),
-		"limits.memoryMb": "144", "limits.cores": "1", "limits.cpuShare": "0.8", "limits.linkMbps": "600.0", "limits.fds": "8200",
+		"limits.memoryMb": "134", "limits.cores": "1", "limits.cpuShare": "0.8", "limits.linkMbps": "600.0", "limits.fds": "8200",
 		"seeds": fmt.Sprintf("127.41.1.1:%d,127.41.2.1:%d,127.41.3.1:%d", r.ports.control, r.ports.control, r.ports.control),
 	}
 	if role == "disk" {
-		v["dataDir"], v["limits.diskMb"] = filepath.Join(r.folder, h.name), "260"
+		v["dataDir"], v["limits.diskMb"], v["limits.memoryMb"] = filepath.Join(r.folder, h.name), "260", "144"
 	} else {
 		v["listen.front"], v["listen.ready"], v["listen.directory"], v["listen.control"] = at(r.ports.front), at(r.ports.ready), at(r.ports.directory), at(r.ports.control)
 	}
 	for name, value := range bounds {
 		v[name] = value
 	}
-	h.values = v
+	h.values, h.core = v, len(r.hosts)
 	r.hosts = append(r.hosts, h)
 	return h
 }
@@ -184,6 +187,25 @@
 	return c
 })
 
+// onOneCore lets this thread, and the processes that it starts, run on one of the cores that this process may use.
+func onOneCore(number int) error {
+	var all, one unix.CPUSet
+	if err := unix.SchedGetaffinity(os.Getpid(), &all); err != nil {
+		return err
+	}
+	number %= all.Count()
+	for core := 0; ; core++ {
+		if !all.IsSet(core) {
+			continue
+		}
+		if number == 0 {
+			one.Set(core)
+			return unix.SchedSetaffinity(0, &one)
+		}
+		number--
+	}
+}
+
 // start starts the process with the command of the deploy file.
 func (h *host) start() error {
 	text, err := os.ReadFile(template)
@@ -209,7 +231,14 @@
 	h.process.Stdout, h.process.Stderr = log, log
 	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
-	startThread() <- func() { started <- h.process.Start() }
+	startThread() <- func() {
+		// Each machine has one core.
+		if err := onOneCore(h.core); err != nil {
+			started <- err
+			return
+		}
+		started <- h.process.Start()
+	}
 	if err := <-started; err != nil {
 		return err
 	}
