--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,6 +21,7 @@
 	"11": machineReplaced,
 	"12": disksLostInTurn,
 	"13": chainsAtOnce,
+	"14": foreignEntry,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -91,15 +91,23 @@
 	return execution{}, false
 }
 
-// putConfig writes the operator's configuration: one route whose turns the system retains.
+// putConfig writes the operator's configuration: a route whose turns the system retains, and two of a plain service.
 func (r *rig) putConfig() {
 	r.store.Put("config", "main", map[string]any{
 		"version": 7,
 		"routes": []map[string]any{{
 			"name": "r-turns", "host": siteName, "pathPrefix": "/turns/", "kind": "streaming", "timeoutMs": 3000, "targetLatencyMs": 250, "priority": 1,
 			"service": modelService, "attempts": 1, "retain": true, "retentionS": retention.Seconds(), "sticky": true, "resumable": false, "gapAimMs": 200,
+		}, {
+			"name": "r-look", "host": siteName, "pathPrefix": "/look/", "kind": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 200, "priority": 2,
+			"service": appService,
+		}, {
+			"name": "r-order", "host": siteName, "pathPrefix": "/order/", "kind": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 500, "priority": 2,
+			"service": appService, "attempts": 1,
 		}},
 		"services": []map[string]any{{
+			"name": appService, "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": false,
+		}, {
 			"name": modelService, "healthPath": "/healthz", "maxConns": 440, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 16, "strideTokens": 16},
 		}},
