--- a/review/rig3/entries.go
+++ b/review/rig3/entries.go
@@ -39,7 +39,7 @@
 	}
 	var received atomic.Int64
 	if r.trouble {
-		address := fmt.Sprintf("127.44.1.1:%d", r.ports.worker)
+		address := r.address(40, 1, r.ports.worker)
 		if err := r.serve(address, http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 			received.Add(1)
 			r.note("the server of the other writer gets %s %s, attempt %s", in.Method, in.URL.Path, in.Header.Get("Hyssopreel-Attempt-Id"))
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,12 +16,15 @@
 	exitFailed = 2
 )
 
-// cases are the scripts by the number of their folder. Each reports whether the rule was broken.
+// cases are the scripts by the number of their folder, and one that is no case. Each reports whether the rule was broken.
 var cases = map[string]func(*rig) (broken bool, err error){
 	"11": machineReplaced,
-	"12": disksLostInTurn,
-	"13": chainsAtOnce,
-	"14": foreignEntry,
+	"12": answerCutShort,
+	"13": headSpoiled,
+	"14": disksLostInTurn,
+	"15": foreignEntry,
+	// Not a case, because of the limit of five.
+	"memory": chainsAtOnce,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -35,7 +35,7 @@
 // addWorker adds a worker of a service, which registers itself in the store.
 func (r *rig) addWorker(service string, zone, number, slots int) (*worker, error) {
 	w := &worker{
-		rig: r, id: fmt.Sprintf("i-%s-%d-%d", service, zone, number), address: fmt.Sprintf("127.43.%d.%d:%d", zone, number, r.ports.worker),
+		rig: r, id: fmt.Sprintf("i-%s-%d-%d", service, zone, number), address: r.address(30+zone, number, r.ports.worker),
 		pieces: 4, work: 20 * time.Millisecond, runs: map[string]execution{},
 	}
 	if err := r.serve(w.address, w); err != nil {
