--- a/review/rig3/disks.go
+++ b/review/rig3/disks.go
@@ -14,10 +14,10 @@
 	margin = time.Second
 	// downTime is how long a machine that lost its disk is down.
 	downTime = 2 * time.Second
-	// inputBytes is the largest body of a turn on the sheets.
-	inputBytes = 26_000
-	// firstTurns and turnsPerSecond give the programs that begin before the losses; fewer than on the sheets.
-	firstTurns, turnsPerSecond = 3200, 110
+	// inputBytes is the largest body of a turn on the sheet of cedarline-quote-grown.
+	inputBytes = 13_000
+	// firstTurns and turnsPerSecond give the programs that begin before the losses; fewer than on the sheet.
+	firstTurns, turnsPerSecond = 6400, 220
 )
 
 // disksLostInTurn starts programs, lets one machine lose its disk, and another one when the first one counts as back. Then
