--- a/review/rig3/disks.go
+++ b/review/rig3/disks.go
@@ -1,77 +1,73 @@
 package main
 
 import (
+	"errors"
 	"strings"
 	"sync"
 	"time"
 )
 
+// The bounds are those of demands/cedarline-quote-grown, the deployment in force whose turns are retained.
 const (
-	// catchUp is catchUpS of a site that bears the loss of one machine with a disk. Such a machine counts as lost until
-	// catchUp after it is back.
-	catchUp = 4 * time.Second
-	// margin is added to catchUp between the two losses.
-	margin = time.Second
+	catchUp      = 6 * time.Second // catchUpS
+	stableWindow = 4 * time.Second // stableWindowMs
+	// lostFor is how long after its last impairment a machine with a disk counts as lost: catchUpS starts again once the store
+	// is stable, which it isn't for stableWindowMs after impairment on such a machine.
+	lostFor = stableWindow + catchUp + 500*time.Millisecond
 	// downTime is how long a machine that lost its disk is down.
 	downTime = 2 * time.Second
-	// inputBytes is the largest body of a turn on the sheet of cedarline-quote-grown.
+	// copyTime is the time in which the machines that lost their disks last can copy what is left.
+	copyTime = 13 * time.Second
+	// inputBytes is the largest body of a turn on the sheet.
 	inputBytes = 13_000
-	// firstTurns and turnsPerSecond give the programs that begin before the losses; fewer than on the sheet.
-	firstTurns, turnsPerSecond = 6400, 220
+	// firstTurns and turnsPerSecond give the programs that begin before the losses.
+	firstTurns, turnsPerSecond = 8400, 400
 )
 
-// disksLostInTurn starts programs, lets one machine lose its disk, and another one when the first one counts as back. Then
-// each program goes on with a second turn.
+var cedarline = map[string]string{
+	"faultTolerance.machines": "2", "bounds.configApplyMs": "3000", "bounds.drainMs": "3000", "bounds.stableWindowMs": "4000", "bounds.graceS": "8",
+}
+
+// disksLostInTurn starts programs, lets two machines lose their disks at once, and the third one when these count as back.
+// Then each program goes on with a second turn.
 func disksLostInTurn(r *rig) (bool, error) {
-	disks, c, addresses, err := r.startDeployment()
+	disks, c, addresses, err := r.startCedarline()
 	if err != nil {
 		return false, err
 	}
 	turns := c.firstTurns(addresses, firstTurns, inputBytes)
 	if r.trouble {
-		if err := disks[0].loseDisk(downTime); err != nil {
+		if err := loseDisks(disks[:2]); err != nil {
 			return false, err
 		}
-		time.Sleep(catchUp + margin)
-		r.note("%s has been back for %v, and counts no longer as lost", disks[0].name, catchUp+margin)
-		if err := disks[1].loseDisk(downTime); err != nil {
+		time.Sleep(lostFor)
+		r.note("both have been back for %v, and count no longer as lost", lostFor)
+		if err := loseDisks(disks[2:]); err != nil {
 			return false, err
 		}
-		time.Sleep(catchUp + margin)
-		r.note("%s has been back for %v, and counts no longer as lost", disks[1].name, catchUp+margin)
 	} else {
-		time.Sleep(2 * (downTime + catchUp + margin))
+		time.Sleep(2*downTime + lostFor)
 	}
+	time.Sleep(copyTime)
 	return c.goOn(addresses, turns), nil
 }
 
-// machineReplaced removes a machine with a disk for good while another one takes its place, and lets a second one lose its
-// disk when the removed one counts no longer as lost. Then each program goes on with a second turn.
+// machineReplaced removes a machine with a disk for good while another one takes its place, and lets the two others lose
+// their disks when the removed one counts no longer as lost. Then each program goes on with a second turn.
 func machineReplaced(r *rig) (bool, error) {
-	const (
-		count = 600
-		// seedLag is seedLagS, which is also the time in which the core is not stable after the change. The bench adds it to
-		// catchUp.
-		seedLag = 3 * time.Second
-		// startDelay is the time until the successor starts, and lossDelay that from its start to the second loss.
-		startDelay = time.Second
-		lossDelay  = catchUp + seedLag + 300*time.Millisecond
-		// settleTime is the time after the removal by which the removed machine is forgotten.
-		settleTime = 18 * time.Second
-	)
-	disks, c, addresses, err := r.startDeployment()
+	// startDelay is the time until the successor starts.
+	const startDelay = time.Second
+	disks, c, addresses, err := r.startCedarline()
 	if err != nil {
 		return false, err
 	}
-	turns := c.firstTurns(addresses, count, 2100)
-	removedAt := time.Now()
+	turns := c.firstTurns(addresses, firstTurns, inputBytes)
 	if r.trouble {
 		disks[0].kill()
 		r.note("%s is removed for good", disks[0].name)
 		time.Sleep(startDelay)
 		successor := r.addHost("disk", 1, 2)
 		successor.firstStart = false
-		startedAt := time.Now()
 		if err := successor.start(); err != nil {
 			return false, err
 		}
@@ -79,20 +75,38 @@
 			return false, err
 		}
 		r.note("%s is there in its place, at another address", successor.name)
-		time.Sleep(time.Until(startedAt.Add(lossDelay)))
-		r.note("%s started %v ago: the removed machine counts no longer as lost", successor.name, lossDelay)
-		if err := disks[1].loseDisk(downTime); err != nil {
+		time.Sleep(lostFor)
+		r.note("%s has been there for %v: the removed machine counts no longer as lost", successor.name, lostFor)
+		if err := loseDisks(disks[1:]); err != nil {
 			return false, err
 		}
-		time.Sleep(catchUp + margin)
-		r.note("%s has been back for %v, and counts no longer as lost", disks[1].name, catchUp+margin)
+	} else {
+		time.Sleep(startDelay + lostFor + downTime)
 	}
-	time.Sleep(time.Until(removedAt.Add(settleTime)))
+	time.Sleep(copyTime)
 	return c.goOn(addresses, turns), nil
 }
 
-// startDeployment starts three zones with an entry host, a host with a disk and two workers each. The loss of one disk is to be
-// borne. It returns the hosts with a disk and a consumer with the addresses that the directory names.
+// loseDisks lets machines lose their disks at the same time, and returns once all are back.
+func loseDisks(hosts []*host) error {
+	results := make(chan error, len(hosts))
+	for _, h := range hosts {
+		go func() { results <- h.loseDisk(downTime) }()
+	}
+	var err error
+	for range hosts {
+		err = errors.Join(err, <-results)
+	}
+	return err
+}
+
+// startCedarline is startDeployment with the bounds and disks of that site.
+func (r *rig) startCedarline() (disks []*host, c *consumer, addresses []string, err error) {
+	r.bounds, r.diskMB, r.diskMemoryMB = cedarline, "340", "154"
+	return r.startDeployment()
+}
+
+// startDeployment starts three zones with an entry host, a host with a disk and two workers each. It returns the hosts with a disk and a consumer with the addresses that the directory names.
 func (r *rig) startDeployment() (disks []*host, c *consumer, addresses []string, err error) {
 	for zone := 1; zone <= 3; zone++ {
 		for i := 1; i <= 2; i++ {
@@ -147,7 +161,7 @@
 // put together wrongly. The tries that a consumer makes after a refusal are made, too.
 func (c *consumer) goOn(addresses []string, turns []turn) (broken bool) {
 	const (
-		parallel = 24
+		parallel = 48
 		tries    = 3
 	)
 	var mu sync.Mutex
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -44,6 +44,10 @@
 		return exitFailed
 	}
 	defer r.close()
+	if err := r.serve(r.storeAddress(), r.store); err != nil {
+		r.note("the case could not run: %v", err)
+		return exitFailed
+	}
 	broken, err := play(r)
 	switch {
 	case err != nil:
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -41,6 +41,9 @@
 	ports   ports
 	workers []*worker
 	hosts   []*host
+	// bounds, diskMB and diskMemoryMB are settings of the hosts.
+	bounds               map[string]string
+	diskMB, diskMemoryMB string
 
 	mu     sync.Mutex
 	record *os.File
@@ -58,13 +61,18 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{trouble: trouble, network: 16 + rand.IntN(200), started: time.Now(), folder: folder, record: f, store: objects.New()}
+	r := &rig{trouble: trouble, network: 16 + rand.IntN(200), started: time.Now(), folder: folder, record: f, store: objects.New(),
+		bounds: bounds, diskMB: "260", diskMemoryMB: "144"}
 	for _, p := range []*int{&r.ports.store, &r.ports.front, &r.ports.ready, &r.ports.directory, &r.ports.control, &r.ports.peer, &r.ports.metrics, &r.ports.worker} {
-		if *p, err = freePort(); err != nil {
+		// Held until all are chosen, so that no two are the same.
+		l, err := net.Listen("tcp", "0.0.0.0:0")
+		if err != nil {
 			return nil, err
 		}
+		defer func() { _ = l.Close() }()
+		*p = l.Addr().(*net.TCPAddr).Port
 	}
-	return r, r.serve(r.storeAddress(), r.store)
+	return r, nil
 }
 
 // ip returns a loopback address of this run, so that runs beside each other don't meet.
@@ -77,16 +85,6 @@
 	return net.JoinHostPort(r.ip(third, fourth), strconv.Itoa(port))
 }
 
-// freePort returns a port that is free on all loopback addresses.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp", "0.0.0.0:0")
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 func (r *rig) storeAddress() string { return r.address(0, 1, r.ports.store) }
 
 // serve serves HTTP at an address until the process ends.
@@ -152,11 +150,11 @@
 		"seeds": strings.Join([]string{r.address(11, 1, r.ports.control), r.address(12, 1, r.ports.control), r.address(13, 1, r.ports.control)}, ","),
 	}
 	if role == "disk" {
-		v["dataDir"], v["limits.diskMb"], v["limits.memoryMb"] = filepath.Join(r.folder, h.name), "260", "144"
+		v["dataDir"], v["limits.diskMb"], v["limits.memoryMb"] = filepath.Join(r.folder, h.name), r.diskMB, r.diskMemoryMB
 	} else {
 		v["listen.front"], v["listen.ready"], v["listen.directory"], v["listen.control"] = at(r.ports.front), at(r.ports.ready), at(r.ports.directory), at(r.ports.control)
 	}
-	for name, value := range bounds {
+	for name, value := range r.bounds {
 		v[name] = value
 	}
 	h.values, h.core = v, len(r.hosts)
