--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -61,8 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{trouble: trouble, network: 16 + rand.IntN(200), started: time.Now(), folder: folder, record: f, store: objects.New(),
-		bounds: bounds, diskMB: "260", diskMemoryMB: "144"}
+	r := &rig{
+		trouble: trouble, network: 16 + rand.IntN(200), started: time.Now(), folder: folder, record: f, store: objects.New(),
+		bounds: bounds, diskMB: "260", diskMemoryMB: "144",
+	}
 	for _, p := range []*int{&r.ports.store, &r.ports.front, &r.ports.ready, &r.ports.directory, &r.ports.control, &r.ports.peer, &r.ports.metrics, &r.ports.worker} {
 		// Held until all are chosen, so that no two are the same.
 		l, err := net.Listen("tcp", "0.0.0.0:0")
