turns: the rate of copies follows from the bound in which a lost disk must be filled again

Cause: a host made its copies at 8 MB/s, a constant chosen for 40 MB. Disks that may hold 153 MB were filled again after 16 s instead of 6 s. Ruled out: the storage engine and the network (without the limit, 136 MB in 1 s on a file system in memory).

Change: the setting `recovery` holds the bound (the platform's catchUpS, 6 s if absent); turnlog.PlanRecovery computes the rate from it, from what a disk may hold and from the bandwidth. Four requests run at the same time, hosts are listed at the same time, and hosts that make the same copies take them from each other. What a host sends to others is bounded, too.

--- a/common/settings/entry.go
+++ b/common/settings/entry.go
@@ -52,6 +52,9 @@
 	Promises struct {
 		// TolerableHostLosses is the number of hosts with a disk that may be lost at the same time.
 		TolerableHostLosses int
+		// RecoveryDelay is the time after its start from which a host with a disk no longer counts as lost, so that the copies of
+		// its turns must be there again.
+		RecoveryDelay time.Duration
 		// RevocationDelay is the time after which a revoked API key must no longer be accepted.
 		RevocationDelay time.Duration
 		// ConfigDelay is the time after which a configuration must be in force everywhere.
@@ -76,6 +79,9 @@
 	}
 }
 
+// DefaultRecoveryDelay applies where a deployment does not say how fast copies must be made again.
+const DefaultRecoveryDelay = 6 * time.Second
+
 // LoadEntryHost reads the settings file of an entry host. The settings are valid only if no problems are returned.
 func LoadEntryHost(path string) (*EntryHost, []Problem) {
 	s := &EntryHost{}
@@ -115,6 +121,7 @@
 	s.Disk.Bytes = r.size("disk", "size", 256*megabyte, 1<<50)
 
 	s.Promises.TolerableHostLosses = int(r.number("promises", "host_losses", 0, 16))
+	s.Promises.RecoveryDelay = r.duration("promises", "recovery", DefaultRecoveryDelay)
 	s.Promises.RevocationDelay = r.duration("promises", "revocation", 0)
 	s.Promises.ConfigDelay = r.duration("promises", "configuration", 2*time.Second)
 	s.Promises.DrainDelay = r.duration("promises", "drain", 2*time.Second)
--- a/service/turns/cluster_test.go
+++ b/service/turns/cluster_test.go
@@ -40,11 +40,16 @@
 	store  *objectapi.MemoryStore
 	client *Client
 	disks  []*testDisk
+	// configure changes the settings of hosts; nil in tests with short intervals.
+	configure func(*settings.EntryHost)
 }
 
-// newCluster starts hosts: the first letter of a name is its failure domain.
-func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{WithT: NewWithT(t), t: t, store: objectapi.NewMemoryStore()}
+// newCluster starts hosts with short intervals: the first letter of a name is its failure domain.
+func newCluster(t *testing.T, names ...string) *cluster { return newClusterWith(t, nil, names...) }
+
+// newClusterWith starts hosts with the intervals of the product, if configure is not nil.
+func newClusterWith(t *testing.T, configure func(*settings.EntryHost), names ...string) *cluster {
+	c := &cluster{WithT: NewWithT(t), t: t, store: objectapi.NewMemoryStore(), configure: configure}
 	node := wire.NewNode(wire.Options{ProcessName: "entry"})
 	t.Cleanup(func() { _ = node.Close() })
 	c.client = NewClient(node, c.store, 2, "a", "r", tally.NoopScope)
@@ -73,6 +78,9 @@
 	s.Listen.Peer, s.Listen.Metrics = freeAddress(c.t), "127.0.0.1:0"
 	s.Disk.Path, s.Disk.Bytes, s.Limits.MemoryBytes = "data", 256<<20, 128<<20
 	s.Promises.TolerableHostLosses = 2
+	if c.configure != nil {
+		c.configure(s)
+	}
 	d := &testDisk{settings: s, fs: vfs.NewCrashableMem()}
 	c.disks = append(c.disks, d)
 	c.start(d)
@@ -93,7 +101,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop, d.done = stop, make(chan error, 1)
 	d.host = NewHost(d.settings, c.store)
-	d.host.lostAfter, d.host.copyInterval = time.Second, 200*time.Millisecond
+	if c.configure == nil {
+		d.host.lostAfter, d.host.copyInterval = time.Second, 200*time.Millisecond
+	}
 	d.host.fs = d.fs
 	if d.inject != nil {
 		d.host.fs = errorfs.Wrap(d.fs, d.inject)
--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -1,12 +1,15 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hyssopreel/hyssopreel/common/logging"
@@ -15,28 +18,33 @@
 )
 
 const (
-	// copyInterval is how often a host asks the others for turns that it should have and that were retained elsewhere
-	// because it was slow or could not be reached.
-	copyInterval = 5 * time.Second
+	// maxCopyInterval bounds the interval at which a host asks the others for turns that it should have and that were retained
+	// elsewhere because it was slow or could not be reached.
+	maxCopyInterval = 5 * time.Second
 	// copyRetryDelay is the delay after a round in which a host could not be asked.
 	copyRetryDelay = 500 * time.Millisecond
-	// copyBytesPerSecond bounds the copies that one host makes: a lost disk of 40 MB is replaced within 5 s, and a host of
-	// 100 Mbit/s still serves callers.
-	copyBytesPerSecond = 8 << 20
+	// parallelFetches is the number of requests for turns that run at the same time, so that the link is used while others
+	// wait for the disk.
+	parallelFetches = 4
 	// maxCopyBatchBytes and maxCopyBatchTurns bound the turns that are requested at once.
 	maxCopyBatchBytes = 2 << 20
 	maxCopyBatchTurns = 128
+	// fetchWindowTurns is the number of wanted turns among which those of the next request are chosen.
+	fetchWindowTurns = 2048
+	// copyMemoryFraction is the fraction of the memory for turns that are being written which copies may use at the same time.
+	copyMemoryFraction = 0.5
+	// relistDelay is the time after which the hosts are asked again while turns are copied.
+	relistDelay = 250 * time.Millisecond
 	// maxListedTurns bounds the turns in one part of a list, so that it fits into a frame.
 	maxListedTurns = 4096
-	// listTimeout and fetchTimeout bound one request.
-	listTimeout  = 3 * time.Second
-	fetchTimeout = 3 * time.Second
 )
 
 // copier copies the turns that this host should have from other hosts with a disk.
 type copier struct {
 	host  *Host
 	again chan struct{}
+	// wake is sent to when there may be something new to request.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// seen is how far the turns of each host have been looked at, by name. It counts for the list of hosts in seenHosts.
@@ -44,8 +52,10 @@
 	seenHosts []turnlog.Host
 	// copiedRevision is the revision of the list of hosts for which all copies have been made.
 	copiedRevision uint64
-	// wanted are the turns that are to be copied.
-	wanted map[string]wantedTurn
+	// wanted are the turns that are to be copied, and queue their IDs in the order in which they are requested.
+	wanted map[string]*wantedTurn
+	queue  []string
+	sorted bool
 	copied copyTotals
 }
 
@@ -59,12 +69,19 @@
 type wantedTurn struct {
 	listedTurn
 	since time.Time
+	// order is the place in the queue. It differs from host to host, so that hosts which make the same copies can take them
+	// from each other.
+	order uint64
 	// peers are the addresses of the hosts that have the turn.
 	peers []string
+	// fetching is set while the turn is requested.
+	fetching bool
 }
 
 func newCopier(h *Host) copier {
-	return copier{host: h, again: make(chan struct{}, 1), seen: map[string]seenTurns{}, wanted: map[string]wantedTurn{}}
+	return copier{
+		host: h, again: make(chan struct{}, 1), wake: make(chan struct{}, 1), seen: map[string]seenTurns{}, wanted: map[string]*wantedTurn{},
+	}
 }
 
 // requestRound starts a round in which all turns are looked at.
@@ -72,8 +89,13 @@
 	c.mu.Lock()
 	c.seenHosts = nil
 	c.mu.Unlock()
+	notify(c.again)
+}
+
+// notify sends to a channel with a buffer of one, if that is empty.
+func notify(c chan<- struct{}) {
 	select {
-	case c.again <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -108,7 +130,7 @@
 		switch {
 		case !c.host.members.hasListed():
 			delay = copyRetryDelay
-		case !c.round(ctx, s, hosts):
+		case !c.round(ctx, s, hosts, changed):
 			delay = copyRetryDelay
 		default:
 			c.mu.Lock()
@@ -126,118 +148,208 @@
 }
 
 // round asks all hosts for the turns of which this one should have copies, and copies those that it does not have. It
-// reports whether it has all of them.
-func (c *copier) round(ctx context.Context, s *shelf, hosts []turnlog.Host) bool {
+// reports whether it has all of them. It ends early when changed is closed.
+func (c *copier) round(ctx context.Context, s *shelf, hosts []turnlog.Host, changed <-chan struct{}) bool {
 	c.mu.Lock()
-	if !slices.EqualFunc(hosts, c.seenHosts, func(a, b turnlog.Host) bool {
-		return a.Name == b.Name && a.State == b.State && a.FailureDomain == b.FailureDomain
-	}) {
+	if !haveSameTargets(hosts, c.seenHosts) {
+		// Turns that this host no longer should have are left out.
 		c.seen, c.seenHosts = map[string]seenTurns{}, hosts
+		c.wanted, c.queue = map[string]*wantedTurn{}, nil
 	}
 	c.mu.Unlock()
+	startedAt, before := time.Now(), c.totals()
+	complete := c.copyAll(ctx, s, hosts, changed)
+	pending, _ := c.pending()
+	if after := c.totals(); after != before {
+		logging.Emit(logging.TurnsCopied, logging.Fields{
+			"turns": after.turns - before.turns, "bytes": after.bytes - before.bytes, "ms": time.Since(startedAt).Milliseconds(), "pending": pending,
+		})
+	}
+	return complete && pending == 0
+}
+
+// haveSameTargets reports whether turns should have the same copies by both lists.
+func haveSameTargets(a, b []turnlog.Host) bool {
+	return slices.EqualFunc(a, b, func(x, y turnlog.Host) bool {
+		return x.Name == y.Name && x.State == y.State && x.FailureDomain == y.FailureDomain
+	})
+}
+
+// copyAll lists the turns and requests them at the same time, so that a host which does not answer delays no others. While
+// turns are wanted, the hosts are asked again for what they got meanwhile. It reports whether all hosts have answered.
+func (c *copier) copyAll(ctx context.Context, s *shelf, hosts []turnlog.Host, changed <-chan struct{}) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	listed := make(chan bool, 1)
+	list := func() { group.Go(func() { listed <- c.listAll(ctx, s, hosts) }) }
+	list()
+	var relist <-chan time.Time
+	isListing, allAnswered := true, false
+	running := map[string]int{} // requests by address of the host
+	failed := map[string]bool{}
+	type result struct {
+		peer string
+		err  error
+	}
+	results := make(chan result, parallelFetches)
+	count := 0
+	for ctx.Err() == nil {
+		for count < parallelFetches {
+			peer, batch := c.nextBatch(s, running, failed)
+			if len(batch) == 0 {
+				break
+			}
+			count++
+			running[peer]++
+			group.Go(func() { results <- result{peer, c.fetch(ctx, s, peer, batch)} })
+		}
+		if count == 0 && !isListing {
+			return allAnswered
+		}
+		select {
+		case r := <-results:
+			count--
+			running[r.peer]--
+			if r.err != nil {
+				failed[r.peer] = true
+				turns, _ := c.pending()
+				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": r.peer, "pending": turns, "error": r.err})
+			}
+		case allAnswered = <-listed:
+			isListing, relist = false, time.After(relistDelay)
+		case <-relist:
+			isListing, relist = true, nil
+			list()
+		case <-c.wake:
+		case <-changed:
+			return false
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+// listAll asks all hosts for the turns that this one should have. It reports whether all have answered.
+func (c *copier) listAll(ctx context.Context, s *shelf, hosts []turnlog.Host) bool {
 	self := c.host.members.own()
-	complete := true
+	failures := atomic.Int64{}
+	var group sync.WaitGroup
 	for _, peer := range hosts {
 		if peer.Name == self.Name || peer.State == turnlog.Lost || self.State != turnlog.Ready {
 			continue
 		}
-		if err := c.list(ctx, s, peer, hosts); err != nil {
-			complete = false
-			turns, _ := c.pending()
-			logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": peer.Name, "pending": turns, "error": err})
-		}
+		group.Go(func() {
+			if err := c.list(ctx, s, peer, hosts); err != nil && ctx.Err() == nil {
+				failures.Add(1)
+				turns, _ := c.pending()
+				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": peer.Name, "pending": turns, "error": err})
+			}
+		})
 	}
-	return c.fetchAll(ctx, s) && complete
+	group.Wait()
+	return failures.Load() == 0 && ctx.Err() == nil
 }
 
 // list asks a host for the turns that this one should have.
 func (c *copier) list(ctx context.Context, s *shelf, peer turnlog.Host, hosts []turnlog.Host) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	c.mu.Lock()
 	seen := c.seen[peer.Name]
 	c.mu.Unlock()
-	request := listRequest{Host: c.host.members.own().Name, Hosts: hosts, Copies: c.host.copies, Incarnation: seen.incarnation, After: seen.last, Retains: s.len() > 0}
-	return call(ctx, c.host.node, peer.PeerAddress, wire.TypeListTurns, request, func(piece listPiece) error {
+	self := c.host.members.own().Name
+	request := listRequest{Host: self, Hosts: hosts, Copies: c.host.copies, Incarnation: seen.incarnation, After: seen.last, Retains: s.len() > 0}
+	defer notify(c.wake)
+	return callWithin(ctx, c.host.recovery.LostAfter, c.host.node, peer.PeerAddress, wire.TypeListTurns, request, func(piece listPiece) error {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if !haveSameTargets(hosts, c.seenHosts) {
+			return errors.New("the list of hosts has changed")
+		}
 		for _, turn := range piece.Turns {
 			if s.has(turn.ID) {
 				continue
 			}
-			w, ok := c.wanted[turn.ID]
-			if !ok {
-				w = wantedTurn{listedTurn: turn, since: time.Now()}
+			w := c.wanted[turn.ID]
+			if w == nil {
+				w = &wantedTurn{listedTurn: turn, since: time.Now(), order: xxhash.Sum64String(self + "\x00" + turn.ID)}
+				c.wanted[turn.ID] = w
+				c.queue, c.sorted = append(c.queue, turn.ID), false
 			}
 			if !slices.Contains(w.peers, peer.PeerAddress) {
 				w.peers = append(w.peers, peer.PeerAddress)
 			}
-			c.wanted[turn.ID] = w
 		}
 		if piece.Last > 0 || piece.Incarnation != "" {
 			c.seen[peer.Name] = seenTurns{incarnation: piece.Incarnation, last: piece.Last}
 		}
+		notify(c.wake)
 		return nil
 	})
 }
 
-// fetchAll copies the wanted turns. It reports whether it has all of them.
-func (c *copier) fetchAll(ctx context.Context, s *shelf) bool {
-	startedAt, before := time.Now(), c.totals()
-	failed := map[string]bool{}
-	for ctx.Err() == nil {
-		peer, batch := c.nextBatch(s, failed)
-		if len(batch) == 0 {
-			break
-		}
-		if err := c.fetch(ctx, s, peer, batch); err != nil {
-			failed[peer] = true
-			turns, _ := c.pending()
-			logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": peer, "pending": turns, "error": err})
-		}
-	}
-	pending, _ := c.pending()
-	if after := c.totals(); after != before {
-		logging.Emit(logging.TurnsCopied, logging.Fields{
-			"turns": after.turns - before.turns, "bytes": after.bytes - before.bytes, "ms": time.Since(startedAt).Milliseconds(), "pending": pending,
-		})
-	}
-	return pending == 0
-}
-
-// nextBatch returns wanted turns and the address of a host that has them, other than those in failed. The turns that have
-// been used last come first, because they are needed soonest.
-func (c *copier) nextBatch(s *shelf, failed map[string]bool) (peer string, batch []listedTurn) {
+// nextBatch returns wanted turns and the address of a host that has them, other than those in failed. Hosts with fewer
+// running requests come first.
+func (c *copier) nextBatch(s *shelf, running map[string]int, failed map[string]bool) (peer string, batch []listedTurn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var wanted []wantedTurn
-	for id, w := range c.wanted {
-		if s.has(id) {
+	if !c.sorted {
+		slices.SortFunc(c.queue, func(a, b string) int { return cmp.Compare(c.orderOf(a), c.orderOf(b)) })
+		c.sorted = true
+	}
+	var window []*wantedTurn
+	kept := c.queue[:0]
+	for i, id := range c.queue {
+		w := c.wanted[id]
+		if w == nil || s.has(id) {
 			delete(c.wanted, id)
 			continue
 		}
-		wanted = append(wanted, w)
+		kept = append(kept, id)
+		if w.fetching {
+			continue
+		}
+		available := false
+		for _, p := range w.peers {
+			available = available || !failed[p]
+			if !failed[p] && (peer == "" || running[p] < running[peer]) {
+				peer = p
+			}
+		}
+		if !available {
+			continue
+		}
+		if window = append(window, w); len(window) == fetchWindowTurns {
+			kept = append(kept, c.queue[i+1:]...)
+			break
+		}
 	}
-	slices.SortFunc(wanted, func(a, b wantedTurn) int { return int(a.Unused - b.Unused) })
+	c.queue = kept
 	size := 0
-	for _, w := range wanted {
-		i := slices.IndexFunc(w.peers, func(p string) bool { return !failed[p] })
-		if i < 0 || peer != "" && !slices.Contains(w.peers, peer) {
+	for _, w := range window {
+		if !slices.Contains(w.peers, peer) {
 			continue
 		}
-		if peer == "" {
-			peer = w.peers[i]
-		}
+		w.fetching = true
 		batch = append(batch, w.listedTurn)
-		if size += w.Bytes; size >= maxCopyBatchBytes/2 || len(batch) == maxCopyBatchTurns {
+		if size += w.Bytes; size >= c.host.copyBatchBytes/2 || len(batch) == maxCopyBatchTurns {
 			break
 		}
 	}
 	return peer, batch
 }
 
+// orderOf returns the place of a turn in the queue; c.mu is held.
+func (c *copier) orderOf(id string) uint64 {
+	if w := c.wanted[id]; w != nil {
+		return w.order
+	}
+	return 0
+}
+
 // fetch copies turns from a host. Those that the host no longer has have expired, or are asked of the next one.
 func (c *copier) fetch(ctx context.Context, s *shelf, peer string, batch []listedTurn) error {
+	defer c.endFetch(batch)
 	request, size := fetchRequest{}, 0
 	for _, turn := range batch {
 		request.Turns = append(request.Turns, turn.ID)
@@ -246,13 +358,11 @@
 	if err := c.host.copyLimit.WaitN(ctx, min(size, maxCopyBatchBytes)); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	var group sync.WaitGroup
 	defer group.Wait()
 	var mu sync.Mutex
 	var failure error
-	err := call(ctx, c.host.node, peer, wire.TypeFetchTurns, request, func(piece fetchPiece) error {
+	err := callWithin(ctx, c.host.recovery.LostAfter, c.host.node, peer, wire.TypeFetchTurns, request, func(piece fetchPiece) error {
 		for i, record := range piece.Records {
 			if !record.IsIntact() || i >= len(piece.Unused) {
 				return errors.Newf("copy of turn %q is damaged", record.Meta.ID)
@@ -280,12 +390,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, turn := range batch {
-		w, ok := c.wanted[turn.ID]
-		if !ok {
+		w := c.wanted[turn.ID]
+		if w == nil {
 			continue
 		}
 		w.peers = slices.DeleteFunc(w.peers, func(p string) bool { return p == peer })
-		c.wanted[turn.ID] = w
 		if len(w.peers) == 0 {
 			delete(c.wanted, turn.ID) // expired everywhere
 		}
@@ -293,6 +402,17 @@
 	return nil
 }
 
+// endFetch marks turns as no longer requested.
+func (c *copier) endFetch(batch []listedTurn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, turn := range batch {
+		if w := c.wanted[turn.ID]; w != nil {
+			w.fetching = false
+		}
+	}
+}
+
 func (c *copier) recordCopy(m turnlog.Meta) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -340,6 +460,9 @@
 	size := 0
 	now := sinceBoot()
 	for _, e := range s.lookUp(request.Turns) {
+		if err := h.serveLimit.WaitN(ctx, min(e.Bytes, maxCopyBatchBytes)); err != nil {
+			return err
+		}
 		record, err := s.read(e)
 		if errors.Is(err, turnlog.ErrCorrupt) {
 			h.copier.requestRound()
@@ -359,6 +482,22 @@
 	return r.Answer(piece)
 }
 
+// callWithin is call with a bound on the time until each part of the answer.
+func callWithin[T any](ctx context.Context, stalled time.Duration, node *wire.Node, address string, t wire.Type, request any, handle func(T) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(stalled, func() { cancel(errors.Newf("no answer for %v", stalled)) })
+	defer timer.Stop()
+	err := call(ctx, node, address, t, request, func(part T) error {
+		timer.Reset(stalled)
+		return handle(part)
+	})
+	if err != nil && ctx.Err() != nil {
+		err = errors.CombineErrors(context.Cause(ctx), err)
+	}
+	return err
+}
+
 // call sends a request and passes the parts of the answer to handle.
 func call[T any](ctx context.Context, node *wire.Node, address string, t wire.Type, request any, handle func(T) error) error {
 	x, err := node.Open(ctx, address, t, request)
--- a/service/turns/disk_test.go
+++ b/service/turns/disk_test.go
@@ -114,7 +114,7 @@
 	g := NewWithT(t)
 	d, err := openDisk("turns", vfs.NewMem())
 	g.Expect(err).NotTo(HaveOccurred())
-	s, err := openShelf(d, 256<<20, 0) // no cache
+	s, err := openShelf(d, 256<<20, 256<<20, 0) // no cache
 	g.Expect(err).NotTo(HaveOccurred())
 	result, err := s.keep(testRecord("t1", "", 100), 0, false)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -136,7 +136,7 @@
 	g := NewWithT(t)
 	d, err := openDisk("turns", vfs.NewMem())
 	g.Expect(err).NotTo(HaveOccurred())
-	s, err := openShelf(d, 10<<20, 64<<20)
+	s, err := openShelf(d, 10<<20, 10<<20*45/100, 64<<20)
 	g.Expect(err).NotTo(HaveOccurred())
 	kept, nearlyFullAt := 0, 0
 	for i := range 200 {
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -3,6 +3,7 @@
 package turns
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -54,7 +55,12 @@
 	copies   int
 	// answerBytes bounds the records that are read for answers.
 	answerBytes *byteGate
-	copyLimit   *rate.Limiter
+	// recovery says how fast copies are made, and copyLimit and serveLimit bound what this host copies and what it sends to
+	// hosts that copy.
+	recovery              turnlog.Recovery
+	copyLimit, serveLimit *rate.Limiter
+	// copyBatchBytes is about the size of the turns that are requested at once.
+	copyBatchBytes int
 
 	// shelf is nil until the disk has been read.
 	shelf   atomic.Pointer[shelf]
@@ -73,12 +79,15 @@
 // NewHost returns a host that does not listen yet. store is the platform's store.
 func NewHost(s *settings.EntryHost, store objectapi.Store) *Host {
 	incarnation := fmt.Sprintf("%012x-%d", time.Now().UnixMilli(), os.Getpid())
+	recoveryDelay := cmp.Or(s.Promises.RecoveryDelay, settings.DefaultRecoveryDelay)
+	recovery := turnlog.PlanRecovery(recoveryDelay, int64(float64(s.Disk.Bytes)*maxLiveFraction), s.Limits.LinkMbps*1e6/8)
 	h := &Host{
 		settings: s, store: store, fs: vfs.Default, copies: s.Promises.TolerableHostLosses + 1,
-		lostAfter: lostAfter, copyInterval: copyInterval,
+		recovery: recovery, copyInterval: min(maxCopyInterval, recoveryDelay/2), lostAfter: lostAfter,
 		metrics:     metrics.New(s.Host.Name, s.Host.FailureDomain),
 		answerBytes: newByteGate(int64(float64(s.Limits.MemoryBytes) * answerMemoryFraction)),
-		copyLimit:   rate.NewLimiter(copyBytesPerSecond, maxCopyBatchBytes),
+		copyLimit:   newByteLimiter(recovery.CopyBytesPerSecond), serveLimit: newByteLimiter(recovery.ServeBytesPerSecond),
+		copyBatchBytes: min(maxCopyBatchBytes, int(float64(s.Limits.MemoryBytes)*pendingMemoryFraction*copyMemoryFraction/parallelFetches)),
 	}
 	h.members = newMembers(store, turnlog.Host{
 		Name: s.Host.Name, Incarnation: incarnation, PeerAddress: s.Listen.Peer,
@@ -97,6 +106,15 @@
 	return h
 }
 
+// newByteLimiter returns a limiter of bytes a second; 0 means no limit.
+func newByteLimiter(bytesPerSecond float64) *rate.Limiter {
+	limit := rate.Limit(bytesPerSecond)
+	if bytesPerSecond == 0 {
+		limit = rate.Inf
+	}
+	return rate.NewLimiter(limit, maxCopyBatchBytes)
+}
+
 // handle sets the handler of a frame type. Requests fail until the disk has been read.
 func (h *Host) handle(t wire.Type, serve func(ctx context.Context, r *wire.Request, s *shelf) error) {
 	h.node.Handle(t, func(ctx context.Context, r *wire.Request) {
@@ -136,7 +154,7 @@
 		return err
 	}
 	defer func() { _ = d.close() }()
-	s, err := openShelf(d, h.settings.Disk.Bytes, h.settings.Limits.MemoryBytes)
+	s, err := openShelf(d, h.settings.Disk.Bytes, h.recovery.MaxBytes, h.settings.Limits.MemoryBytes)
 	if err != nil {
 		return err
 	}
--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -212,7 +212,7 @@
 			}
 			waitingFor = "copies"
 		}
-		if time.Since(logged) > copyInterval {
+		if time.Since(logged) > maxCopyInterval {
 			logged = time.Now()
 			logging.Emit(logging.RetirementWaits, logging.Fields{"host": h.settings.Host.Name, "turns": s.len(), "waiting_for": waitingFor})
 		}
--- a/service/turns/shelf.go
+++ b/service/turns/shelf.go
@@ -32,10 +32,11 @@
 
 // shelf holds the turns on this host's disk. It is safe for concurrent use.
 type shelf struct {
-	disk            *disk
-	diskBytes       int64
-	maxPendingBytes int64
-	damaged         int // records that could not be read at the start
+	disk *disk
+	// diskBytes is the size of the disk, and maxBytes that of the inputs and outputs that the host may retain.
+	diskBytes, maxBytes int64
+	maxPendingBytes     int64
+	damaged             int // records that could not be read at the start
 
 	mu           sync.Mutex
 	index        *turnlog.Index
@@ -50,9 +51,9 @@
 }
 
 // openShelf reads the meta data of all records. They count as used now: when they were last used is not stored.
-func openShelf(d *disk, diskBytes, memoryBytes int64) (*shelf, error) {
+func openShelf(d *disk, diskBytes, maxBytes, memoryBytes int64) (*shelf, error) {
 	s := &shelf{
-		disk: d, diskBytes: diskBytes, maxPendingBytes: int64(float64(memoryBytes) * pendingMemoryFraction),
+		disk: d, diskBytes: diskBytes, maxBytes: maxBytes, maxPendingBytes: int64(float64(memoryBytes) * pendingMemoryFraction),
 		index: turnlog.NewIndex(), cache: newRecordCache(int64(float64(memoryBytes) * cacheMemoryFraction)), writing: map[uint64]time.Duration{},
 	}
 	now := clock.SinceBoot()
@@ -115,8 +116,8 @@
 
 // isFull reports whether size more bytes exceed the fraction of the limits; s.mu is held.
 func (s *shelf) isFull(size int64, fraction float64) bool {
-	limit := float64(s.diskBytes) * fraction
-	return float64(s.index.Bytes()+s.pendingBytes+size) > limit*maxLiveFraction || float64(s.usedBytes) > limit*maxUsedFraction
+	return float64(s.index.Bytes()+s.pendingBytes+size) > float64(s.maxBytes)*fraction ||
+		float64(s.usedBytes) > float64(s.diskBytes)*maxUsedFraction*fraction
 }
 
 // acceptsTurns reports whether the host can retain turns: it has space, does not retire, and its disk does not hang.
