turns: a host that is gone counts as lost in time for its copies to be made again

Cause: a host that was gone stayed among the hosts that should have copies until it had not answered for 10 s, a constant. Its successor made only a part of the copies before. Ruled out: the rate alone, since the test fails with the faster copies, too.

Change: a host counts as lost after a quarter of the bound `recovery`, and is asked four times within it.

--- a/service/turns/cluster_test.go
+++ b/service/turns/cluster_test.go
@@ -102,7 +102,7 @@
 	d.stop, d.done = stop, make(chan error, 1)
 	d.host = NewHost(d.settings, c.store)
 	if c.configure == nil {
-		d.host.lostAfter, d.host.copyInterval = time.Second, 200*time.Millisecond
+		d.host.recovery.LostAfter, d.host.copyInterval = time.Second, 200*time.Millisecond
 	}
 	d.host.fs = d.fs
 	if d.inject != nil {
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -70,8 +70,8 @@
 	// requestedAt is when another host last sent a request, in time since boot.
 	requestedAt atomic.Int64
 	copier      copier
-	// lostAfter and copyInterval are the constants of these names, except in tests.
-	lostAfter, copyInterval time.Duration
+	// copyInterval is how often the host asks the others for turns that it should have.
+	copyInterval time.Duration
 
 	retireMu sync.Mutex
 }
@@ -83,7 +83,7 @@
 	recovery := turnlog.PlanRecovery(recoveryDelay, int64(float64(s.Disk.Bytes)*maxLiveFraction), s.Limits.LinkMbps*1e6/8)
 	h := &Host{
 		settings: s, store: store, fs: vfs.Default, copies: s.Promises.TolerableHostLosses + 1,
-		recovery: recovery, copyInterval: min(maxCopyInterval, recoveryDelay/2), lostAfter: lostAfter,
+		recovery: recovery, copyInterval: min(maxCopyInterval, recoveryDelay/2),
 		metrics:     metrics.New(s.Host.Name, s.Host.FailureDomain),
 		answerBytes: newByteGate(int64(float64(s.Limits.MemoryBytes) * answerMemoryFraction)),
 		copyLimit:   newByteLimiter(recovery.CopyBytesPerSecond), serveLimit: newByteLimiter(recovery.ServeBytesPerSecond),
--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -14,14 +14,11 @@
 )
 
 const (
-	// pingInterval is how often a host asks the next ones whether they work.
-	pingInterval = time.Second
-	pingTimeout  = 900 * time.Millisecond
+	// pingsBeforeLost is how often a host asks the next ones whether they work in the time after which they count as lost.
+	pingsBeforeLost = 4
+	maxPingInterval = time.Second
 	// pingedHosts is the number of hosts that each one asks: those that follow it in the order of names.
 	pingedHosts = 3
-	// lostAfter is the time without an answer after which a host is marked as lost in the store. A host that is restarted or
-	// frozen for some seconds keeps its place, because copying what it has would cost more than waiting.
-	lostAfter = 10 * time.Second
 )
 
 func sinceBoot() time.Duration { return clock.SinceBoot() }
@@ -31,7 +28,7 @@
 func (h *Host) watchPeers(ctx context.Context) {
 	answeredAt := map[string]time.Duration{}
 	for ctx.Err() == nil {
-		sleep(ctx, min(pingInterval, h.lostAfter/4))
+		sleep(ctx, h.pingInterval())
 		hosts, _, _ := h.members.current()
 		self := h.members.own()
 		if !h.isActive() || self.State != turnlog.Ready {
@@ -51,7 +48,7 @@
 				answeredAt[name] = now // asked for the first time
 			}
 			// A host to which no other answers is cut off itself.
-			if silent := now - answeredAt[name]; answer == nil && silent > h.lostAfter && slices.ContainsFunc(hosts, func(o turnlog.Host) bool { return answers[o.Name] != nil }) {
+			if silent := now - answeredAt[name]; answer == nil && silent > h.recovery.LostAfter && slices.ContainsFunc(hosts, func(o turnlog.Host) bool { return answers[o.Name] != nil }) {
 				h.markLost(ctx, name, silent)
 			}
 		}
@@ -64,6 +61,11 @@
 	}
 }
 
+// pingInterval returns the time between two questions, and the time in which a host must answer.
+func (h *Host) pingInterval() time.Duration {
+	return min(maxPingInterval, h.recovery.LostAfter/pingsBeforeLost)
+}
+
 // successors returns the n hosts after name in the order of names, without lost ones.
 func successors(hosts []turnlog.Host, name string, n int) []turnlog.Host {
 	start := slices.IndexFunc(hosts, func(h turnlog.Host) bool { return h.Name == name })
@@ -78,7 +80,7 @@
 
 // ping asks hosts for their status at the same time. Those that do not answer have nil.
 func (h *Host) ping(ctx context.Context, hosts []turnlog.Host) map[string]*statusAnswer {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	ctx, cancel := context.WithTimeout(ctx, h.pingInterval())
 	defer cancel()
 	_, newest, _ := h.members.current()
 	request := statusRequest{Newest: newest}
--- a/service/turns/recovery_test.go
+++ b/service/turns/recovery_test.go
@@ -18,7 +18,9 @@
 // Bounds of a deployment of three hosts with a disk, two of which may be lost at once.
 const (
 	recoveryBound = 6 * time.Second
-	largeInput    = 13_000
+	// successorDelay is the time from the end of a host to the start of its successor.
+	successorDelay = time.Second
+	largeInput     = 13_000
 )
 
 // newFullCluster starts three hosts with the bounds of a deployment and without changed constants, and retains turns until
@@ -121,3 +123,15 @@
 	c.replaceDisk(c.disks[2])
 	c.expectAll(ids)
 }
+
+// Guards against a host that is gone and counts as a holder of copies, so that its successor does not make them in time.
+func TestSuccessorOfAFullHostHasItsCopiesInTime(t *testing.T) {
+	c, ids := newFullCluster(t)
+	c.kill(c.disks[0])
+	time.Sleep(successorDelay)
+	c.add("a-2")
+	time.Sleep(recoveryBound)
+	c.replaceDisk(c.disks[1])
+	c.replaceDisk(c.disks[2])
+	c.expectAll(ids)
+}
