turns: turns whose copies were lost get 503, and a host that nobody reaches holds no copies

Cause: an empty disk counted as complete after one round of copies. Taken for evidence that a turn never was or has expired were: a holder that no longer has it, although its disk was replaced; a round without hosts that are marked as lost; a start with a disk that is not empty, although its copies were still being made. And a host that the store lists and nobody reaches wrote its entry again each time that it was marked as lost.

Change: the loss of a disk is recorded in the host's entry and on the disk until all ready hosts have made their copies by a list that shows it. If more than host_losses hosts are in this state at the same time, they answer 503 for unknown turns until the longest retention has passed. A host returns to the list only if it reaches half of the others; if too few hosts are ready, turns are kept at lost ones, too, so that hosts which cannot reach each other refuse none.

--- a/common/logging/events_turns.go
+++ b/common/logging/events_turns.go
@@ -19,5 +19,7 @@
 	DiskFull           = Declare(1255, Warning, "disk has no space for more turns; they are refused", "turns", "bytes", "used")
 	TurnNotFound       = Declare(1256, Info, "turn that a caller continues is not retained", "request", "turn", "error")
 	TurnUncertain      = Declare(1257, Warning, "turns that a caller continues could not be read", "request", "turn", "error")
+	TurnsMayBeMissing  = Declare(1249, Error, "more disks were lost at the same time than tolerated; unknown turns are uncertain until they would have expired", "refilling", "tolerated")
+	DiskRefilled       = Declare(1259, Info, "all copies have been made again after the loss of the disk", "host", "revision", "turns")
 	RetirementWaits    = Declare(1258, Info, "retirement waits until the turns have their copies at other hosts", "host", "turns", "waiting_for")
 )
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -118,7 +118,8 @@
 	Limits   Limits
 	Services map[string]Service
 
-	retainsTurns bool
+	retainsTurns     bool
+	longestRetention time.Duration // of routes that retain turns
 
 	routes     map[string]map[string]*Route // by host, then by path prefix
 	teams      map[string]*Team             // by name
@@ -144,6 +145,9 @@
 		}
 		t.routes[host][r.PathPrefix] = r
 		t.retainsTurns = t.retainsTurns || r.RetainTurns
+		if r.RetainTurns {
+			t.longestRetention = max(t.longestRetention, r.ProgramRetention)
+		}
 	}
 	return t
 }
@@ -168,6 +172,9 @@
 // RetainsTurns reports whether a route retains turns.
 func (t *Table) RetainsTurns() bool { return t.retainsTurns }
 
+// LongestRetention returns the longest time for which a route retains turns after their last use.
+func (t *Table) LongestRetention() time.Duration { return t.longestRetention }
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
--- a/core/turnlog/index.go
+++ b/core/turnlog/index.go
@@ -7,9 +7,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// expirySlack is added to each retention: other hosts learn of a use of a turn with a delay, and a caller measures the
+// ExpirySlack is added to each retention: other hosts learn of a use of a turn with a delay, and a caller measures the
 // retention from when it received the response.
-const expirySlack = 10 * time.Second
+const ExpirySlack = 10 * time.Second
 
 // maxChainTurns bounds the turns of one chain.
 const maxChainTurns = 8192
@@ -123,7 +123,7 @@
 	// Turns come after those that they continue, except those that were copied from other hosts, which wait for the next call.
 	for i := len(x.ordered) - 1; i >= 0; i-- {
 		e := x.ordered[i]
-		if e == nil || x.children[e.ID] > 0 || e.Unused(now) < e.Retention+expirySlack {
+		if e == nil || x.children[e.ID] > 0 || e.Unused(now) < e.Retention+ExpirySlack {
 			continue
 		}
 		x.remove(e)
--- a/core/turnlog/index_test.go
+++ b/core/turnlog/index_test.go
@@ -102,7 +102,7 @@
 			"expire": func(*rapid.T) {
 				x.Expire(now)
 				for i := len(model) - 1; i >= 0; i-- {
-					if o := model[i]; !continued(o.id) && now-o.lastUse >= time.Minute+expirySlack {
+					if o := model[i]; !continued(o.id) && now-o.lastUse >= time.Minute+ExpirySlack {
 						model = slices.Delete(model, i, i+1)
 					}
 				}
--- a/core/turnlog/placement.go
+++ b/core/turnlog/placement.go
@@ -29,6 +29,8 @@
 	FailureDomain string `json:"failure_domain" msgpack:"failure_domain"`
 	Region        string `json:"region" msgpack:"region"`
 	State         State  `json:"state" msgpack:"state"`
+	// Refilling is set from the loss of the host's disk until all copies have been made again.
+	Refilling bool `json:"refilling,omitempty" msgpack:"refilling,omitempty"`
 }
 
 // Order returns the hosts in the order in which they should have a copy of the turns with the anchor: the first ones have
@@ -69,6 +71,18 @@
 	return ordered
 }
 
+// Candidates returns the hosts that may get new turns with the anchor, in the order in which they are asked. If too few hosts
+// are ready, those that others have marked as lost follow: they may be cut off from other hosts with a disk only.
+func Candidates(hosts []Host, a Anchor, copies int) []Host {
+	candidates := Order(hosts, a)
+	for _, h := range hosts {
+		if len(candidates) < copies && h.State == Lost {
+			candidates = append(candidates, h)
+		}
+	}
+	return candidates
+}
+
 // Targets returns the hosts that should have a copy of the turns with the anchor.
 func Targets(hosts []Host, a Anchor, copies int) []Host {
 	ordered := Order(hosts, a)
--- a/core/turnlog/placement_test.go
+++ b/core/turnlog/placement_test.go
@@ -60,3 +60,17 @@
 	}
 	g.Expect(moved).To(BeNumerically("~", 500/3, 60))
 }
+
+// Guards against turns that are refused because hosts with a disk cannot reach each other, although entry hosts reach them.
+func TestCandidates(t *testing.T) {
+	g := NewWithT(t)
+	hosts := testHosts(3, 1)
+	a := Anchor{Key: "p", FailureDomain: "a"}
+	hosts[1].State = Lost
+	candidates := Candidates(hosts, a, 3)
+	g.Expect(candidates).To(HaveLen(3))
+	g.Expect(candidates[2].Name).To(Equal(hosts[1].Name), "asked last")
+	g.Expect(Candidates(hosts, a, 2)).To(HaveLen(2), "ready hosts suffice")
+	hosts[0].State = Retiring
+	g.Expect(Candidates(hosts, a, 3)).To(HaveLen(2), "a host that retires gets no turns")
+}
--- a/service/ingress/turns.go
+++ b/service/ingress/turns.go
@@ -67,7 +67,7 @@
 		return x.memory.Reserve(int64(2 * n))
 	}
 	chain, err := x.ingress.turns.Load(ctx, turns.Request{
-		Turn: x.metadata.PreviousTurn, Team: x.teamName(), Program: x.metadata.Program, Input: input, Reserve: reserve,
+		Turn: x.metadata.PreviousTurn, Team: x.teamName(), Program: x.metadata.Program, Input: input, Reserve: reserve, Retention: x.table.LongestRetention(),
 	})
 	switch {
 	case errors.Is(err, turns.ErrNotFound):
--- a/service/turns/client.go
+++ b/service/turns/client.go
@@ -113,12 +113,19 @@
 		return errors.Wrapf(ErrTooLarge, "input of %d bytes", inputBytes)
 	}
 	hosts, _, _ := c.hosts.current()
-	usable := 0
+	ready, usable, usableLost := 0, 0, 0
 	for _, h := range hosts {
-		if h.State == turnlog.Ready && !c.hasFailed(h.Name) {
-			usable++
+		works := !c.hasFailed(h.Name)
+		switch {
+		case h.State == turnlog.Ready && works:
+			ready, usable = ready+1, usable+1
+		case h.State == turnlog.Ready:
+			ready++
+		case h.State == turnlog.Lost && works:
+			usableLost++
 		}
 	}
+	usable += min(usableLost, max(c.copies-ready, 0)) // as turnlog.Candidates
 	if usable < c.copies {
 		return errors.Wrapf(ErrUnavailable, "%d of %d hosts, %d copies", usable, len(hosts), c.copies)
 	}
@@ -224,7 +231,7 @@
 
 func (c *Client) keep(ctx context.Context, r turnlog.Record) error {
 	hosts, _, _ := c.hosts.current()
-	candidates := c.workingFirst(turnlog.Order(hosts, r.Meta.Anchor))
+	candidates := c.workingFirst(turnlog.Candidates(hosts, r.Meta.Anchor, c.copies))
 	if len(candidates) < c.copies {
 		return errors.Wrapf(ErrUnavailable, "%d hosts, %d copies", len(candidates), c.copies)
 	}
--- a/service/turns/cluster_test.go
+++ b/service/turns/cluster_test.go
@@ -260,7 +260,7 @@
 	ids := c.keepMany(40)
 	added := c.add("a-2")
 	c.Eventually(func() int { return held(added) }, "10s").Should(BeNumerically(">", 8), "about half of those of failure domain a")
-	c.Eventually(added.host.complete.Load, "10s").Should(BeTrue())
+	c.Eventually(added.host.shelf.Load().hasAllTurns, "10s").Should(BeTrue())
 	for i, id := range ids {
 		c.Expect(c.load(id, fmt.Sprint("p", i))).Error().NotTo(HaveOccurred())
 	}
--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -62,8 +62,8 @@
 type copyTotals struct{ turns, bytes int64 }
 
 type seenTurns struct {
-	incarnation string
-	last        uint64
+	incarnation, disk string
+	last              uint64
 }
 
 type wantedTurn struct {
@@ -72,12 +72,15 @@
 	// order is the place in the queue. It differs from host to host, so that hosts which make the same copies can take them
 	// from each other.
 	order uint64
-	// peers are the addresses of the hosts that have the turn.
-	peers []string
+	// holders are the disks that have the turn.
+	holders []holder
 	// fetching is set while the turn is requested.
 	fetching bool
 }
 
+// holder is a disk of which a host has said that it has a turn.
+type holder struct{ address, disk string }
+
 func newCopier(h *Host) copier {
 	return copier{
 		host: h, again: make(chan struct{}, 1), wake: make(chan struct{}, 1), seen: map[string]seenTurns{}, wanted: map[string]*wantedTurn{},
@@ -127,6 +130,10 @@
 	for ctx.Err() == nil {
 		hosts, revision, changed := c.host.members.current()
 		delay := c.host.copyInterval
+		if c.host.members.hasListed() {
+			// Before other hosts can take the copies of this one for made.
+			c.host.checkLosses(s, hosts)
+		}
 		switch {
 		case !c.host.members.hasListed():
 			delay = copyRetryDelay
@@ -136,7 +143,9 @@
 			c.mu.Lock()
 			c.copiedRevision = max(c.copiedRevision, revision)
 			c.mu.Unlock()
-			c.host.complete.Store(true)
+			if !c.host.members.own().Refilling && s.copyState() == copiesMissing {
+				s.setCopyState(copiesMade) // a new host
+			}
 		}
 		select {
 		case <-time.After(delay):
@@ -187,23 +196,23 @@
 	list()
 	var relist <-chan time.Time
 	isListing, allAnswered := true, false
-	running := map[string]int{} // requests by address of the host
-	failed := map[string]bool{}
+	running := map[holder]int{} // requests
+	failed := map[holder]bool{}
 	type result struct {
-		peer string
+		from holder
 		err  error
 	}
 	results := make(chan result, parallelFetches)
 	count := 0
 	for ctx.Err() == nil {
 		for count < parallelFetches {
-			peer, batch := c.nextBatch(s, running, failed)
+			from, batch := c.nextBatch(s, running, failed)
 			if len(batch) == 0 {
 				break
 			}
 			count++
-			running[peer]++
-			group.Go(func() { results <- result{peer, c.fetch(ctx, s, peer, batch)} })
+			running[from]++
+			group.Go(func() { results <- result{from, c.fetch(ctx, s, from, batch)} })
 		}
 		if count == 0 && !isListing {
 			return allAnswered
@@ -211,11 +220,11 @@
 		select {
 		case r := <-results:
 			count--
-			running[r.peer]--
+			running[r.from]--
 			if r.err != nil {
-				failed[r.peer] = true
+				failed[r.from] = true
 				turns, _ := c.pending()
-				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": r.peer, "pending": turns, "error": r.err})
+				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": r.from.address, "pending": turns, "error": r.err})
 			}
 		case allAnswered = <-listed:
 			isListing, relist = false, time.After(relistDelay)
@@ -276,21 +285,24 @@
 				c.wanted[turn.ID] = w
 				c.queue, c.sorted = append(c.queue, turn.ID), false
 			}
-			if !slices.Contains(w.peers, peer.PeerAddress) {
-				w.peers = append(w.peers, peer.PeerAddress)
+			if from := (holder{peer.PeerAddress, piece.DiskID}); !slices.Contains(w.holders, from) {
+				w.holders = append(w.holders, from)
 			}
 		}
+		if before := c.seen[peer.Name].disk; before != "" && before != piece.DiskID {
+			c.dropReplaced(peer.PeerAddress, piece.DiskID)
+		}
 		if piece.Last > 0 || piece.Incarnation != "" {
-			c.seen[peer.Name] = seenTurns{incarnation: piece.Incarnation, last: piece.Last}
+			c.seen[peer.Name] = seenTurns{incarnation: piece.Incarnation, disk: piece.DiskID, last: piece.Last}
 		}
 		notify(c.wake)
 		return nil
 	})
 }
 
-// nextBatch returns wanted turns and the address of a host that has them, other than those in failed. Hosts with fewer
-// running requests come first.
-func (c *copier) nextBatch(s *shelf, running map[string]int, failed map[string]bool) (peer string, batch []listedTurn) {
+// nextBatch returns wanted turns and a disk that has them, other than those in failed. Disks with fewer running requests come
+// first.
+func (c *copier) nextBatch(s *shelf, running map[holder]int, failed map[holder]bool) (from holder, batch []listedTurn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.sorted {
@@ -310,10 +322,10 @@
 			continue
 		}
 		available := false
-		for _, p := range w.peers {
+		for _, p := range w.holders {
 			available = available || !failed[p]
-			if !failed[p] && (peer == "" || running[p] < running[peer]) {
-				peer = p
+			if !failed[p] && (from == holder{} || running[p] < running[from]) {
+				from = p
 			}
 		}
 		if !available {
@@ -327,7 +339,7 @@
 	c.queue = kept
 	size := 0
 	for _, w := range window {
-		if !slices.Contains(w.peers, peer) {
+		if !slices.Contains(w.holders, from) {
 			continue
 		}
 		w.fetching = true
@@ -336,7 +348,7 @@
 			break
 		}
 	}
-	return peer, batch
+	return from, batch
 }
 
 // orderOf returns the place of a turn in the queue; c.mu is held.
@@ -348,7 +360,7 @@
 }
 
 // fetch copies turns from a host. Those that the host no longer has have expired, or are asked of the next one.
-func (c *copier) fetch(ctx context.Context, s *shelf, peer string, batch []listedTurn) error {
+func (c *copier) fetch(ctx context.Context, s *shelf, from holder, batch []listedTurn) error {
 	defer c.endFetch(batch)
 	request, size := fetchRequest{}, 0
 	for _, turn := range batch {
@@ -362,7 +374,10 @@
 	defer group.Wait()
 	var mu sync.Mutex
 	var failure error
-	err := callWithin(ctx, c.host.recovery.LostAfter, c.host.node, peer, wire.TypeFetchTurns, request, func(piece fetchPiece) error {
+	err := callWithin(ctx, c.host.recovery.LostAfter, c.host.node, from.address, wire.TypeFetchTurns, request, func(piece fetchPiece) error {
+		if piece.DiskID != from.disk {
+			return errors.Newf("the host has disk %s instead of %s", piece.DiskID, from.disk)
+		}
 		for i, record := range piece.Records {
 			if !record.IsIntact() || i >= len(piece.Unused) {
 				return errors.Newf("copy of turn %q is damaged", record.Meta.ID)
@@ -394,14 +409,24 @@
 		if w == nil {
 			continue
 		}
-		w.peers = slices.DeleteFunc(w.peers, func(p string) bool { return p == peer })
-		if len(w.peers) == 0 {
-			delete(c.wanted, turn.ID) // expired everywhere
+		w.holders = slices.DeleteFunc(w.holders, func(o holder) bool { return o == from })
+		if len(w.holders) == 0 {
+			delete(c.wanted, turn.ID) // expired on each disk that had it
 		}
 	}
 	return nil
 }
 
+// dropReplaced removes what an earlier disk of a host had; c.mu is held.
+func (c *copier) dropReplaced(address, disk string) {
+	for id, w := range c.wanted {
+		w.holders = slices.DeleteFunc(w.holders, func(o holder) bool { return o.address == address && o.disk != disk })
+		if len(w.holders) == 0 {
+			delete(c.wanted, id)
+		}
+	}
+}
+
 // endFetch marks turns as no longer requested.
 func (c *copier) endFetch(batch []listedTurn) {
 	c.mu.Lock()
@@ -437,12 +462,12 @@
 	}
 	turns, last := s.listFor(request, after)
 	for len(turns) > maxListedTurns {
-		if err := r.SendPiece(listPiece{Turns: turns[:maxListedTurns]}); err != nil {
+		if err := r.SendPiece(listPiece{DiskID: s.disk.id, Turns: turns[:maxListedTurns]}); err != nil {
 			return err
 		}
 		turns = turns[maxListedTurns:]
 	}
-	return r.Answer(listPiece{Incarnation: incarnation, Last: last, Turns: turns})
+	return r.Answer(listPiece{DiskID: s.disk.id, Incarnation: incarnation, Last: last, Turns: turns})
 }
 
 // serveFetch sends turns to a host that makes copies of them. It leaves out those that it does not have.
@@ -456,7 +481,7 @@
 		return err
 	}
 	defer release()
-	var piece fetchPiece
+	piece := fetchPiece{DiskID: s.disk.id}
 	size := 0
 	now := sinceBoot()
 	for _, e := range s.lookUp(request.Turns) {
@@ -476,7 +501,7 @@
 			if err := r.SendPiece(piece); err != nil {
 				return err
 			}
-			piece, size = fetchPiece{}, 0
+			piece, size = fetchPiece{DiskID: s.disk.id}, 0
 		}
 	}
 	return r.Answer(piece)
--- a/service/turns/disk.go
+++ b/service/turns/disk.go
@@ -25,7 +25,23 @@
 
 // Keys of the engine: the disk's ID; then for each record by its sequence number, so that expired records are next to each
 // other, its meta data, which is read at the start, and its contents.
-var keyDiskID = []byte("i")
+var (
+	keyDiskID = []byte("i")
+	// keyCopies has the copyState of the disk; without it, the disk has all of its turns.
+	keyCopies = []byte("f")
+)
+
+// copyState says what is known of the turns that a disk should have.
+type copyState byte
+
+const (
+	// copiesMade: the disk has them.
+	copiesMade copyState = iota
+	// copiesMissing: the disk was empty, and has not yet got all of its copies from other hosts.
+	copiesMissing
+	// turnsMissing: so many disks were lost that turns may have no copy any more.
+	turnsMissing
+)
 
 const (
 	keyMeta     = 'm'
@@ -43,6 +59,8 @@
 	id string
 	// isNew is set if the disk was empty when it was opened.
 	isNew bool
+	// copies is the state of the disk when it was opened.
+	copies copyState
 }
 
 // openDisk opens the engine in the folder, which it creates.
@@ -81,15 +99,38 @@
 	value, closer, err := d.db.Get(keyDiskID)
 	if err == nil {
 		d.id = string(value)
-		return closer.Close()
+		return errors.CombineErrors(closer.Close(), d.readCopyState())
 	}
 	if !errors.Is(err, pebble.ErrNotFound) {
 		return errors.Wrap(err, "read the disk's ID")
 	}
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
-	d.id, d.isNew = hex.EncodeToString(b[:]), true
-	return errors.Wrap(d.db.Set(keyDiskID, []byte(d.id), pebble.Sync), "write the disk's ID")
+	d.id, d.isNew, d.copies = hex.EncodeToString(b[:]), true, copiesMissing
+	batch := d.db.NewBatch()
+	defer func() { _ = batch.Close() }()
+	err = errors.CombineErrors(batch.Set(keyDiskID, []byte(d.id), nil), batch.Set(keyCopies, []byte{byte(d.copies)}, nil))
+	return errors.Wrap(errors.CombineErrors(err, batch.Commit(pebble.Sync)), "write the disk's ID")
+}
+
+func (d *disk) readCopyState() error {
+	value, closer, err := d.db.Get(keyCopies)
+	if errors.Is(err, pebble.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the state of the copies")
+	}
+	d.copies = turnsMissing
+	if len(value) == 1 {
+		d.copies = copyState(value[0])
+	}
+	return closer.Close()
+}
+
+// setCopyState writes the state, and returns once it is synced.
+func (d *disk) setCopyState(state copyState) error {
+	return errors.Wrap(d.db.Set(keyCopies, []byte{byte(state)}, pebble.Sync), "write the state of the copies")
 }
 
 func (d *disk) close() error { return errors.Wrap(d.db.Close(), "close the storage engine") }
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -65,8 +65,6 @@
 	// shelf is nil until the disk has been read.
 	shelf   atomic.Pointer[shelf]
 	members *members
-	// complete is set once the host has all copies that it should have, so that a turn it does not know is not lost.
-	complete atomic.Bool
 	// requestedAt is when another host last sent a request, in time since boot.
 	requestedAt atomic.Int64
 	copier      copier
@@ -136,7 +134,7 @@
 		return false
 	}
 	requestedAt := time.Duration(h.requestedAt.Load())
-	return s.len() > 0 || requestedAt > 0 && clock.SinceBoot()-requestedAt < activeTime
+	return s.len() > 0 || h.members.own().Refilling || requestedAt > 0 && clock.SinceBoot()-requestedAt < activeTime
 }
 
 func (h *Host) recordRequest() { h.requestedAt.Store(int64(clock.SinceBoot())) }
@@ -162,8 +160,10 @@
 		return err
 	}
 	defer func() { _ = h.node.Close() }()
-	h.complete.Store(!d.isNew || h.settings.Host.FirstStart)
-	h.members.setDiskID(d.id)
+	if d.isNew && h.settings.Host.FirstStart {
+		s.setCopyState(copiesMade)
+	}
+	h.members.setDisk(d.id, s.copyState() != copiesMade)
 	h.shelf.Store(s)
 	logging.Emit(logging.DiskHostStarted, logging.Fields{
 		"host": h.settings.Host.Name, "incarnation": h.members.incarnation(), "disk": d.id, "new": d.isNew, "turns": s.len(),
@@ -234,6 +234,9 @@
 			if err := s.expire(); err != nil {
 				logging.Emit(logging.DiskEngineFailed, logging.Fields{"error": err})
 			}
+			if !h.members.own().Refilling {
+				s.endMissingTurns()
+			}
 			h.reportMetrics(s)
 		case <-ctx.Done():
 			return
@@ -269,7 +272,8 @@
 	if err != nil {
 		return err
 	}
-	if result == statusAbsent && !h.complete.Load() {
+	s.noteRetention(request.Retention)
+	if result == statusAbsent && !s.hasAllTurns() {
 		result = statusNotReady
 	}
 	piece := chainPiece{Status: result, Host: h.settings.Host.Name, Missing: missing}
--- a/service/turns/load.go
+++ b/service/turns/load.go
@@ -28,6 +28,8 @@
 	// Program and Input are those of the new turn.
 	Program string
 	Input   []byte
+	// Retention is the longest retention of any turn, by this host's configuration.
+	Retention time.Duration
 	// Reserve is called with the size of the turns that were read. If it returns false, Load returns ErrNoMemory.
 	Reserve func(bytes int) bool
 }
@@ -56,7 +58,7 @@
 	var segments [][]turnlog.Record // the last ones first
 	turns, size := 0, 0
 	for missing := request.Turn; missing != ""; {
-		segment, err := c.loadSegment(ctx, missing, request.Team, anchor, missing == request.Turn)
+		segment, err := c.loadSegment(ctx, chainRequest{Turn: missing, Team: request.Team, Retention: request.Retention}, anchor, missing == request.Turn)
 		if err != nil {
 			return Chain{}, err
 		}
@@ -93,21 +95,22 @@
 	err  error
 }
 
-// loadSegment reads the turns up to one from the nearest host that has it. isFirst is set unless a later turn of the chain
+// loadSegment reads the requested turns from the nearest host that has them. isFirst is set unless a later turn of the chain
 // was found, so that this one must have been retained.
-func (c *Client) loadSegment(ctx context.Context, turn, team string, anchor turnlog.Anchor, isFirst bool) (chainPiece, error) {
+func (c *Client) loadSegment(ctx context.Context, request chainRequest, anchor turnlog.Anchor, isFirst bool) (chainPiece, error) {
+	turn := request.Turn
 	hosts, _, _ := c.hosts.current()
 	targets := c.workingFirst(c.nearestFirst(turnlog.Targets(hosts, anchor, c.copies)))
-	result, found := c.askInTurn(ctx, targets, chainRequest{Turn: turn, Team: team})
+	result, found := c.askInTurn(ctx, targets, request)
 	if !found {
-		probed, err := c.probeAll(ctx, turn, team)
+		probed, err := c.probeAll(ctx, request)
 		if errors.Is(err, ErrNotFound) && !isFirst {
 			err = errors.Wrapf(ErrUncertain, "turn %q of the chain is not retained", turn)
 		}
 		if err != nil {
 			return chainPiece{}, err
 		}
-		if result, found = c.askInTurn(ctx, c.nearestFirst(probed), chainRequest{Turn: turn, Team: team}); !found {
+		if result, found = c.askInTurn(ctx, c.nearestFirst(probed), request); !found {
 			return chainPiece{}, errors.Wrapf(ErrUncertain, "read turn %q at %d hosts: %v", turn, len(probed), result.err)
 		}
 	}
@@ -192,7 +195,9 @@
 
 // probeAll asks all hosts whether they have a turn, and returns those that do. ErrNotFound means that none does: each host
 // of a list that was read after the call has said so, and has all copies that it should have.
-func (c *Client) probeAll(ctx context.Context, turn, team string) ([]turnlog.Host, error) {
+func (c *Client) probeAll(ctx context.Context, request chainRequest) ([]turnlog.Host, error) {
+	turn := request.Turn
+	request.Probe = true
 	hosts, err := c.listHosts(ctx)
 	if err != nil {
 		return nil, err
@@ -204,7 +209,7 @@
 	defer cancel()
 	results := make(chan segmentResult, len(hosts))
 	for _, h := range hosts {
-		go func() { results <- c.ask(ctx, h, chainRequest{Turn: turn, Team: team, Probe: true}, func() {}) }()
+		go func() { results <- c.ask(ctx, h, request, func() {}) }()
 	}
 	var found []turnlog.Host
 	var uncertain error
--- a/service/turns/members.go
+++ b/service/turns/members.go
@@ -159,16 +159,36 @@
 	gone bool
 	// written is the version of this host's entry when it was last written; 0 before the first time.
 	written objectapi.Version
+	// copiesMissing is set if the disk had not got all of its copies when the process started.
+	copiesMissing bool
+	// refillVersion is the version of the entry that first showed the loss of the disk.
+	refillVersion objectapi.Version
 }
 
 func newMembers(store objectapi.Store, self turnlog.Host) *members {
 	return &members{hostList: newHostList(), store: store, relist: make(chan struct{}, 1), self: self}
 }
 
-func (m *members) setDiskID(id string) {
+func (m *members) setDisk(id string, copiesMissing bool) {
 	m.selfMu.Lock()
 	defer m.selfMu.Unlock()
-	m.self.DiskID = id
+	m.self.DiskID, m.copiesMissing = id, copiesMissing
+}
+
+// refillingSince returns the version of the entry that first showed the loss of this host's disk. ok is false if the host is
+// not refilling.
+func (m *members) refillingSince() (version objectapi.Version, ok bool) {
+	m.selfMu.Lock()
+	defer m.selfMu.Unlock()
+	return m.refillVersion, m.self.Refilling && m.refillVersion > 0
+}
+
+// setRefilled records in this host's entry that all copies have been made, and returns the entry's version.
+func (m *members) setRefilled(ctx context.Context) (objectapi.Version, error) {
+	m.selfMu.Lock()
+	m.self.Refilling = false
+	m.selfMu.Unlock()
+	return m.writeEntry(ctx)
 }
 
 func (m *members) incarnation() string { return m.own().Incarnation }
@@ -210,7 +230,6 @@
 		}
 	}()
 	for ctx.Err() == nil && isActive() {
-		m.repairOwnEntry(ctx)
 		changes, next, err := m.store.Watch(ctx, KindDiskHosts, "", revision)
 		if ctx.Err() != nil {
 			return nil // the list is to be read again
@@ -257,36 +276,47 @@
 	if m.gone {
 		return 0, nil
 	}
+	existing, err := m.store.Get(ctx, KindDiskHosts, m.self.Name)
+	isListed := err == nil
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		return 0, err
+	}
+	if m.written == 0 {
+		m.self.Refilling = isListed && m.copiesMissing && m.hasLostDisk(existing)
+	}
 	value, err := json.Marshal(m.self)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode the entry")
 	}
-	existing, err := m.store.Get(ctx, KindDiskHosts, m.self.Name)
-	switch {
-	case errors.Is(err, objectapi.ErrNotFound):
-		version, err := objectapi.CreateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value)
-		m.written = max(m.written, version)
-		return version, err
-	case err != nil:
-		return 0, err
+	var version objectapi.Version
+	if isListed {
+		version, err = objectapi.UpdateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value, existing.Version)
+	} else {
+		version, err = objectapi.CreateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value)
 	}
-	version, err := objectapi.UpdateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value, existing.Version)
 	m.written = max(m.written, version)
+	if m.self.Refilling && m.refillVersion == 0 {
+		m.refillVersion = version
+	}
 	return version, err
 }
 
-// repairOwnEntry writes the entry again if another host has marked this one as lost, or the entry was deleted. The entry of
-// a later incarnation of this host stays.
-func (m *members) repairOwnEntry(ctx context.Context) {
+// hasLostDisk reports whether this host had another disk when its entry was written, or had lost that and not got all copies
+// since. A host without an entry has held no turns that have not been copied: its entry is deleted only then.
+func (m *members) hasLostDisk(entry objectapi.Object) bool {
+	h, err := decodeHost(entry)
+	return err != nil || h.DiskID != m.self.DiskID || h.Refilling
+}
+
+// isMarkedLost reports whether another host has marked this one as lost, or has deleted its entry. The entry of a later
+// incarnation of this host does not count.
+func (m *members) isMarkedLost() bool {
 	m.selfMu.Lock()
 	self, written, gone := m.self, m.written, m.gone
 	m.selfMu.Unlock()
 	listed, version, revision := m.entry(self.Name)
 	isCurrent := listed == self || listed.Incarnation > self.Incarnation
-	if gone || written == 0 || isCurrent || revision <= uint64(written) || version > 0 && version <= written {
-		return
-	}
-	m.register(ctx)
+	return !gone && written > 0 && !isCurrent && revision > uint64(written) && (version == 0 || version > written)
 }
 
 // setState changes the state in this host's entry, and returns the entry's version.
--- a/service/turns/messages.go
+++ b/service/turns/messages.go
@@ -15,7 +15,7 @@
 const (
 	statusDone status = iota
 	// statusNotReady: the host reads its disk, or is retiring. For a request for a chain also: it has no such turn, but has
-	// not yet made the copies again that its disk lost.
+	// not yet made the copies again that its disk lost, or so many disks were lost that the turn may have been on them only.
 	statusNotReady
 	// statusFull: the host has no space for another turn.
 	statusFull
@@ -46,6 +46,8 @@
 	Team string
 	// Probe is set if the answer should hold no turns.
 	Probe bool `msgpack:",omitempty"`
+	// Retention is the longest retention of any turn that the sender knows of.
+	Retention time.Duration `msgpack:",omitempty"`
 }
 
 // chainPiece is a part of the answer. The turns of all parts are in order, oldest first.
@@ -80,6 +82,8 @@
 }
 
 type listPiece struct {
+	// DiskID is that of the host's disk.
+	DiskID      string
 	Incarnation string
 	// Last is the order of the last turn that was looked at.
 	Last  uint64
@@ -100,6 +104,8 @@
 }
 
 type fetchPiece struct {
+	// DiskID is that of the host's disk: another one than that of the list says nothing of the turns that it lacks.
+	DiskID  string
 	Records []turnlog.Record
 	// Unused is how long each of them has not been used.
 	Unused []time.Duration
--- a/service/turns/operators.go
+++ b/service/turns/operators.go
@@ -26,7 +26,7 @@
 	pending, oldest := h.copier.pending()
 	copied := h.copier.totals()
 	v := api.DiskView{
-		Host: self.Name, Incarnation: self.Incarnation, Disk: self.DiskID, State: string(self.State), Complete: h.complete.Load(),
+		Host: self.Name, Incarnation: self.Incarnation, Disk: self.DiskID, State: string(self.State), Complete: s.hasAllTurns(),
 		PendingCopies: pending, OldestPendingMS: oldest.Milliseconds(), CopiedTurns: copied.turns, CopiedBytes: copied.bytes,
 	}
 	s.mu.Lock()
--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -31,7 +31,11 @@
 		sleep(ctx, h.pingInterval())
 		hosts, _, _ := h.members.current()
 		self := h.members.own()
-		if !h.isActive() || self.State != turnlog.Ready {
+		isLost := h.isActive() && h.members.isMarkedLost()
+		if isLost {
+			h.returnToList(ctx, hosts, self)
+		}
+		if !h.isActive() || self.State != turnlog.Ready || isLost {
 			clear(answeredAt)
 			continue
 		}
@@ -58,6 +62,30 @@
 			}
 		}
 		h.removeLost(ctx, hosts, self)
+		if s := h.shelf.Load(); s != nil {
+			h.finishRefill(ctx, s, hosts)
+		}
+	}
+}
+
+// returnToList writes this host's entry again after others have marked it as lost, if it reaches half of the hosts that work.
+// Otherwise it would be marked again and again, and its copies would never be made. The half does not count this host, so
+// that of two equal halves that do not reach each other both return.
+func (h *Host) returnToList(ctx context.Context, hosts []turnlog.Host, self turnlog.Host) {
+	others := slices.DeleteFunc(slices.Clone(hosts), func(o turnlog.Host) bool { return o.Name == self.Name })
+	answers := h.ping(ctx, others)
+	reached, working := 0, 0
+	for _, o := range others {
+		answered := answers[o.Name] != nil
+		if answered {
+			reached++
+		}
+		if answered || o.State != turnlog.Lost {
+			working++
+		}
+	}
+	if 2*reached >= working-1 {
+		h.members.register(ctx)
 	}
 }
 
@@ -128,8 +156,9 @@
 	logging.Emit(logging.DiskHostLost, logging.Fields{"host": name, "silent_ms": silent.Milliseconds()})
 }
 
-// removeLost deletes the entries of lost hosts once all others have made their copies. If more hosts are lost than may be
-// lost at the same time, turns may be on these only, and the entries stay. The first ready host by name does this.
+// removeLost deletes the entries of lost hosts once all others have made their copies. If more hosts are lost, or have lost
+// their disks, than may be lost at the same time, turns may be on the former only, and the entries stay. The first ready host
+// by name does this.
 func (h *Host) removeLost(ctx context.Context, hosts []turnlog.Host, self turnlog.Host) {
 	var lost, ready []turnlog.Host
 	for _, o := range hosts {
@@ -140,7 +169,7 @@
 			ready = append(ready, o)
 		}
 	}
-	if len(lost) == 0 || len(lost) >= h.copies || len(ready) == 0 || ready[0].Name != self.Name {
+	if len(lost) == 0 || !turnlog.CountLosses(hosts).LeavesACopy(h.copies-1) || len(ready) == 0 || ready[0].Name != self.Name {
 		return
 	}
 	copied, ok := h.copiedRevision(ctx, ready)
@@ -195,7 +224,8 @@
 		}
 	}
 	s := h.shelf.Load()
-	if !s.close() {
+	isRefilling := h.members.own().Refilling
+	if !s.close() && !isRefilling {
 		return h.members.leave(ctx)
 	}
 	version, err := h.members.setState(ctx, turnlog.Retiring)
@@ -203,7 +233,7 @@
 		return err
 	}
 	logged := time.Time{}
-	for ctx.Err() == nil && s.len() > 0 {
+	for ctx.Err() == nil && (s.len() > 0 || isRefilling) {
 		hosts, revision, _ := h.members.current()
 		ready := slices.DeleteFunc(slices.Clone(hosts), func(o turnlog.Host) bool { return o.State != turnlog.Ready })
 		waitingFor := "hosts"
--- a/service/turns/shelf.go
+++ b/service/turns/shelf.go
@@ -46,6 +46,10 @@
 	usedBytes    int64
 	// writing holds when the records that are being written were passed to the disk, by sequence.
 	writing map[uint64]time.Duration
+	copies  copyState
+	// turnsMissingSince is when turns may have lost their last copy, or this process began, and longestRetention the longest
+	// retention of any turn that is known of.
+	turnsMissingSince, longestRetention time.Duration
 	// closed is set while no more turns of entry hosts are accepted.
 	closed bool
 }
@@ -57,9 +61,10 @@
 		index: turnlog.NewIndex(), cache: newRecordCache(int64(float64(memoryBytes) * cacheMemoryFraction)), writing: map[uint64]time.Duration{},
 	}
 	now := clock.SinceBoot()
+	s.copies, s.turnsMissingSince = d.copies, now
 	var replaced []uint64
 	damaged, err := d.scan(func(sequence uint64, m turnlog.Meta) {
-		s.lastSequence = sequence
+		s.lastSequence, s.longestRetention = sequence, max(s.longestRetention, m.Retention)
 		if e := s.index.Put(now, sequence, m); e != nil {
 			replaced = append(replaced, e.Sequence)
 		}
@@ -91,6 +96,7 @@
 		s.mu.Unlock()
 		return statusFull, nil
 	}
+	s.longestRetention = max(s.longestRetention, r.Meta.Retention)
 	s.lastSequence++
 	sequence := s.lastSequence
 	s.pendingBytes += size
