turns: a lost disk costs no reads of the store where no turns are retained

Cause: a host whose disk was lost followed the list of hosts until its copies were made, and hosts without turns never make any.

--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -134,7 +134,7 @@
 		return false
 	}
 	requestedAt := time.Duration(h.requestedAt.Load())
-	return s.len() > 0 || h.members.own().Refilling || requestedAt > 0 && clock.SinceBoot()-requestedAt < activeTime
+	return s.len() > 0 || requestedAt > 0 && clock.SinceBoot()-requestedAt < activeTime
 }
 
 func (h *Host) recordRequest() { h.requestedAt.Store(int64(clock.SinceBoot())) }
--- a/service/turns/losses_test.go
+++ b/service/turns/losses_test.go
@@ -167,3 +167,19 @@
 		c.Expect(c.load(id, fmt.Sprint("p", i))).Error().NotTo(HaveOccurred())
 	}
 }
+
+// Guards against lost disks that cost reads of the store where no turns are retained.
+func TestLostDiskWithoutTurnsIsNotRefilled(t *testing.T) {
+	c := newCluster(t, "a-1", "b-1", "c-1")
+	c.replaceDisks(c.disks[0], c.disks[1])
+	c.Consistently(func() bool {
+		for _, d := range c.disks {
+			if d.host.members.hasListed() {
+				return true
+			}
+		}
+		return false
+	}, "1s").Should(BeFalse(), "hosts without turns do not follow the list")
+	c.keepMany(5)
+	c.expectRefilled()
+}
