turns: turns that are on their way to a host are not copied to it, too

Cause: a host that asks for new turns every 3 s learns of turns that the entry host is just writing to it, too, and copied them; while copies are made it asks every 250 ms. Change: a turn that was retained a moment ago is copied only if it has not come after 150 ms, the time after which entry hosts use another host.

--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -35,6 +35,9 @@
 	copyMemoryFraction = 0.5
 	// relistDelay is the time after which the hosts are asked again while turns are copied.
 	relistDelay = 250 * time.Millisecond
+	// settleTime is the time for which a turn that another host has just retained is not copied, because it is probably on its way
+	// to this host, too.
+	settleTime = keepHedgeDelay
 	// maxListedTurns bounds the turns in one part of a list, so that it fits into a frame.
 	maxListedTurns = 4096
 )
@@ -205,8 +208,11 @@
 	results := make(chan result, parallelFetches)
 	count := 0
 	for ctx.Err() == nil {
+		var unsettled bool
 		for count < parallelFetches {
-			from, batch := c.nextBatch(s, running, failed)
+			var from holder
+			var batch []listedTurn
+			from, batch, unsettled = c.nextBatch(s, running, failed)
 			if len(batch) == 0 {
 				break
 			}
@@ -214,10 +220,15 @@
 			running[from]++
 			group.Go(func() { results <- result{from, c.fetch(ctx, s, from, batch)} })
 		}
+		var settled <-chan time.Time
 		if count == 0 && !isListing {
-			return allAnswered
+			if !unsettled {
+				return allAnswered
+			}
+			relist, settled = nil, time.After(settleTime)
 		}
 		select {
+		case <-settled:
 		case r := <-results:
 			count--
 			running[r.from]--
@@ -301,8 +312,8 @@
 }
 
 // nextBatch returns wanted turns and a disk that has them, other than those in failed. Disks with fewer running requests come
-// first.
-func (c *copier) nextBatch(s *shelf, running map[holder]int, failed map[holder]bool) (from holder, batch []listedTurn) {
+// first. unsettled is set if there are turns to wait for before the end of the round.
+func (c *copier) nextBatch(s *shelf, running map[holder]int, failed map[holder]bool) (from holder, batch []listedTurn, unsettled bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.sorted {
@@ -321,6 +332,10 @@
 		if w.fetching {
 			continue
 		}
+		if w.Unused < settleTime && time.Since(w.since) < settleTime {
+			unsettled = true
+			continue
+		}
 		available := false
 		for _, p := range w.holders {
 			available = available || !failed[p]
@@ -348,7 +363,7 @@
 			break
 		}
 	}
-	return from, batch
+	return from, batch, unsettled
 }
 
 // orderOf returns the place of a turn in the queue; c.mu is held.
