--- a/service/turns/peers.go
+++ b/service/turns/peers.go
@@ -28,7 +28,11 @@
 func (h *Host) watchPeers(ctx context.Context) {
 	answeredAt, lostSince := map[string]time.Duration{}, lostHosts{}
 	for ctx.Err() == nil {
-		sleep(ctx, h.pingInterval())
+		interval := h.pingInterval()
+		if !h.isActive() {
+			interval = maxPingInterval
+		}
+		sleep(ctx, interval)
 		hosts, _, _ := h.members.current()
 		self := h.members.own()
 		isLost := h.isActive() && h.members.isMarkedLost()
