turns: split the round of copies; hosts of tests listen at addresses of their own

The requests of a round have a type of their own (fetches); the batch and the burst of the rate limits are two constants.

TestProcessesEndWhileCopiesAreMade failed once: one host of three did not serve at all. Suspected: freeAddress returned a port that an outgoing connection of another test took before the host listened. The hosts have other loopback addresses than connections now, and a host that ends by itself is named in the test's output.

--- a/service/turns/cluster_test.go
+++ b/service/turns/cluster_test.go
@@ -88,8 +88,9 @@
 	return d
 }
 
+// freeAddress returns an address that outgoing connections, which have the source 127.0.0.1, do not take before it is used.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -109,7 +110,13 @@
 		d.host.fs = errorfs.Wrap(d.fs, d.inject)
 	}
 	host, done := d.host, d.done
-	go func() { done <- host.Run(ctx) }()
+	go func() {
+		err := host.Run(ctx)
+		if err != nil && ctx.Err() == nil {
+			c.t.Logf("host %s ended: %v", d.settings.Host.Name, err)
+		}
+		done <- err
+	}()
 }
 
 // kill ends the process; what it wrote without a sync stays with the operating system.
--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -26,9 +26,11 @@
 	// parallelFetches is the number of requests for turns that run at the same time, so that the link is used while others
 	// wait for the disk.
 	parallelFetches = 4
-	// maxCopyBatchBytes and maxCopyBatchTurns bound the turns that are requested at once.
-	maxCopyBatchBytes = 2 << 20
+	// maxCopyBatchBytes and maxCopyBatchTurns bound the turns that are requested at once; the last one may exceed the bytes.
+	maxCopyBatchBytes = 1 << 20
 	maxCopyBatchTurns = 128
+	// copyBurstBytes is what a host may copy or send at once after a pause.
+	copyBurstBytes = 2 * maxCopyBatchBytes
 	// fetchWindowTurns is the number of wanted turns among which those of the next request are chosen.
 	fetchWindowTurns = 2048
 	// copyMemoryFraction is the fraction of the memory for turns that are being written which copies may use at the same time.
@@ -187,61 +189,78 @@
 	})
 }
 
+// fetches are the requests for turns that run in a round.
+type fetches struct {
+	copier  *copier
+	group   *sync.WaitGroup
+	running map[holder]int
+	count   int
+	// failed are the disks that are not asked again in this round.
+	failed  map[holder]bool
+	results chan fetchResult
+}
+
+type fetchResult struct {
+	from holder
+	err  error
+}
+
+// start starts as many requests as may run. unsettled is as for nextBatch.
+func (f *fetches) start(ctx context.Context, s *shelf) (unsettled bool) {
+	for f.count < parallelFetches {
+		var from holder
+		var batch []listedTurn
+		from, batch, unsettled = f.copier.nextBatch(s, f.running, f.failed)
+		if len(batch) == 0 {
+			break
+		}
+		f.count++
+		f.running[from]++
+		f.group.Go(func() { f.results <- fetchResult{from, f.copier.fetch(ctx, s, from, batch)} })
+	}
+	return unsettled
+}
+
+func (f *fetches) finish(r fetchResult) {
+	f.count--
+	f.running[r.from]--
+	if r.err != nil {
+		f.failed[r.from] = true
+		f.copier.reportFailure(r.from.address, r.err)
+	}
+}
+
 // copyAll lists the turns and requests them at the same time, so that a host which does not answer delays no others. While
-// turns are wanted, the hosts are asked again for what they got meanwhile. It reports whether all hosts have answered.
+// turns are copied, the hosts are asked again for what they got meanwhile. It reports whether all hosts have answered.
 func (c *copier) copyAll(ctx context.Context, s *shelf, hosts []turnlog.Host, changed <-chan struct{}) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer cancel()
+	f := &fetches{copier: c, group: &group, running: map[holder]int{}, failed: map[holder]bool{}, results: make(chan fetchResult, parallelFetches)}
 	listed := make(chan bool, 1)
 	list := func() { group.Go(func() { listed <- c.listAll(ctx, s, hosts) }) }
 	list()
-	var relist <-chan time.Time
 	isListing, allAnswered := true, false
-	running := map[holder]int{} // requests
-	failed := map[holder]bool{}
-	type result struct {
-		from holder
-		err  error
-	}
-	results := make(chan result, parallelFetches)
-	count := 0
+	var relist <-chan time.Time
 	for ctx.Err() == nil {
-		var unsettled bool
-		for count < parallelFetches {
-			var from holder
-			var batch []listedTurn
-			from, batch, unsettled = c.nextBatch(s, running, failed)
-			if len(batch) == 0 {
-				break
-			}
-			count++
-			running[from]++
-			group.Go(func() { results <- result{from, c.fetch(ctx, s, from, batch)} })
-		}
+		unsettled := f.start(ctx, s)
 		var settled <-chan time.Time
-		if count == 0 && !isListing {
+		if f.count == 0 && !isListing {
 			if !unsettled {
 				return allAnswered
 			}
 			relist, settled = nil, time.After(settleTime)
 		}
 		select {
-		case <-settled:
-		case r := <-results:
-			count--
-			running[r.from]--
-			if r.err != nil {
-				failed[r.from] = true
-				turns, _ := c.pending()
-				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": r.from.address, "pending": turns, "error": r.err})
-			}
+		case r := <-f.results:
+			f.finish(r)
 		case allAnswered = <-listed:
 			isListing, relist = false, time.After(relistDelay)
 		case <-relist:
 			isListing, relist = true, nil
 			list()
+		case <-settled:
 		case <-c.wake:
 		case <-changed:
 			return false
@@ -251,6 +270,12 @@
 	return false
 }
 
+// reportFailure logs that a host could not be asked for turns.
+func (c *copier) reportFailure(peer string, err error) {
+	turns, _ := c.pending()
+	logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": peer, "pending": turns, "error": err})
+}
+
 // listAll asks all hosts for the turns that this one should have. It reports whether all have answered.
 func (c *copier) listAll(ctx context.Context, s *shelf, hosts []turnlog.Host) bool {
 	self := c.host.members.own()
@@ -263,8 +288,7 @@
 		group.Go(func() {
 			if err := c.list(ctx, s, peer, hosts); err != nil && ctx.Err() == nil {
 				failures.Add(1)
-				turns, _ := c.pending()
-				logging.Emit(logging.TurnCopyFailed, logging.Fields{"peer": peer.Name, "pending": turns, "error": err})
+				c.reportFailure(peer.Name, err)
 			}
 		})
 	}
@@ -359,7 +383,7 @@
 		}
 		w.fetching = true
 		batch = append(batch, w.listedTurn)
-		if size += w.Bytes; size >= c.host.copyBatchBytes/2 || len(batch) == maxCopyBatchTurns {
+		if size += w.Bytes; size >= c.host.copyBatchBytes || len(batch) == maxCopyBatchTurns {
 			break
 		}
 	}
@@ -382,7 +406,7 @@
 		request.Turns = append(request.Turns, turn.ID)
 		size += turn.Bytes
 	}
-	if err := c.host.copyLimit.WaitN(ctx, min(size, maxCopyBatchBytes)); err != nil {
+	if err := c.host.copyLimit.WaitN(ctx, min(size, copyBurstBytes)); err != nil {
 		return err
 	}
 	var group sync.WaitGroup
@@ -500,7 +524,7 @@
 	size := 0
 	now := sinceBoot()
 	for _, e := range s.lookUp(request.Turns) {
-		if err := h.serveLimit.WaitN(ctx, min(e.Bytes, maxCopyBatchBytes)); err != nil {
+		if err := h.serveLimit.WaitN(ctx, min(e.Bytes, copyBurstBytes)); err != nil {
 			return err
 		}
 		record, err := s.read(e)
--- a/service/turns/host.go
+++ b/service/turns/host.go
@@ -110,7 +110,7 @@
 	if bytesPerSecond == 0 {
 		limit = rate.Inf
 	}
-	return rate.NewLimiter(limit, maxCopyBatchBytes)
+	return rate.NewLimiter(limit, copyBurstBytes)
 }
 
 // handle sets the handler of a frame type. Requests fail until the disk has been read.
