--- a/service/turns/losses_test.go
+++ b/service/turns/losses_test.go
@@ -23,6 +23,11 @@
 
 // expectRefilled waits until no host lacks copies.
 func (c *cluster) expectRefilled() {
+	c.t.Helper()
+	c.expectRefilledWithin("10s")
+}
+
+func (c *cluster) expectRefilledWithin(timeout string) {
 	c.t.Helper()
 	c.Eventually(func() int {
 		refilling := 0
@@ -36,7 +41,7 @@
 			}
 		}
 		return refilling
-	}, "10s").Should(BeZero())
+	}, timeout).Should(BeZero())
 }
 
 // slowCopies lets a host send copies so slowly that they take far longer than the test.
