turns: status answers do not wait for the store; one rule for where new turns may go

What callers could see: a host that is cut off from the store held a lock while it waited for it, so that its status answers were late; since they must come within 375 ms, others could take it for lost. Change: no lock of the entry is held during a call to the store. CheckCapacity and Candidates use turnlog.Accepting instead of a rule each. Errors name the host. Measured: TestStatusDoesNotWaitForTheStore failed before and passes; service/turns without the tests of full size and core/turnlog pass with the race detector.

--- a/core/turnlog/placement.go
+++ b/core/turnlog/placement.go
@@ -71,16 +71,28 @@
 	return ordered
 }
 
-// Candidates returns the hosts that may get new turns with the anchor, in the order in which they are asked. If too few hosts
-// are ready, those that others have marked as lost follow: they may be cut off from other hosts with a disk only.
-func Candidates(hosts []Host, a Anchor, copies int) []Host {
-	candidates := Order(hosts, a)
+// Accepting returns the hosts that may get new turns: the ready ones, and those that others have marked as lost if too few are
+// ready, because these may be cut off from other hosts with a disk only.
+func Accepting(hosts []Host, copies int) []Host {
+	var ready, lost []Host
 	for _, h := range hosts {
-		if len(candidates) < copies && h.State == Lost {
-			candidates = append(candidates, h)
+		switch h.State {
+		case Ready:
+			ready = append(ready, h)
+		case Lost:
+			lost = append(lost, h)
 		}
 	}
-	return candidates
+	if len(ready) < copies {
+		return append(ready, lost...)
+	}
+	return ready
+}
+
+// Candidates returns the accepting hosts in the order in which they are asked for a new turn with the anchor.
+func Candidates(hosts []Host, a Anchor, copies int) []Host {
+	ordered := Order(hosts, a)
+	return append(ordered, Accepting(hosts, copies)[len(ordered):]...)
 }
 
 // Targets returns the hosts that should have a copy of the turns with the anchor.
--- a/service/turns/client.go
+++ b/service/turns/client.go
@@ -113,19 +113,12 @@
 		return errors.Wrapf(ErrTooLarge, "input of %d bytes", inputBytes)
 	}
 	hosts, _, _ := c.hosts.current()
-	ready, usable, usableLost := 0, 0, 0
-	for _, h := range hosts {
-		works := !c.hasFailed(h.Name)
-		switch {
-		case h.State == turnlog.Ready && works:
-			ready, usable = ready+1, usable+1
-		case h.State == turnlog.Ready:
-			ready++
-		case h.State == turnlog.Lost && works:
-			usableLost++
+	usable := 0
+	for _, h := range turnlog.Accepting(hosts, c.copies) {
+		if !c.hasFailed(h.Name) {
+			usable++
 		}
 	}
-	usable += min(usableLost, max(c.copies-ready, 0)) // as turnlog.Candidates
 	if usable < c.copies {
 		return errors.Wrapf(ErrUnavailable, "%d of %d hosts, %d copies", usable, len(hosts), c.copies)
 	}
--- a/service/turns/copier.go
+++ b/service/turns/copier.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -308,7 +307,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if !haveSameTargets(hosts, c.seenHosts) {
-			return errors.New("the list of hosts has changed")
+			return errors.Newf("the list of hosts has changed since host %s was asked", peer.Name)
 		}
 		for _, turn := range piece.Turns {
 			if s.has(turn.ID) {
@@ -415,7 +414,7 @@
 	var failure error
 	err := callWithin(ctx, c.host.recovery.LostAfter, c.host.node, from.address, wire.TypeFetchTurns, request, func(piece fetchPiece) error {
 		if piece.DiskID != from.disk {
-			return errors.Newf("the host has disk %s instead of %s", piece.DiskID, from.disk)
+			return errors.Newf("host at %s has disk %s instead of %s", from.address, piece.DiskID, from.disk)
 		}
 		for i, record := range piece.Records {
 			if !record.IsIntact() || i >= len(piece.Unused) {
@@ -484,105 +483,3 @@
 	c.copied.turns++
 	c.copied.bytes += int64(m.Bytes)
 }
-
-// serveList answers a host that asks for the turns of which it should have copies.
-func (h *Host) serveList(_ context.Context, r *wire.Request, s *shelf) error {
-	var request listRequest
-	if err := r.Decode(&request); err != nil {
-		return err
-	}
-	if request.Retains {
-		h.recordRequest()
-	}
-	incarnation := h.members.incarnation()
-	after := request.After
-	if request.Incarnation != incarnation {
-		after = 0
-	}
-	turns, last := s.listFor(request, after)
-	for len(turns) > maxListedTurns {
-		if err := r.SendPiece(listPiece{DiskID: s.disk.id, Turns: turns[:maxListedTurns]}); err != nil {
-			return err
-		}
-		turns = turns[maxListedTurns:]
-	}
-	return r.Answer(listPiece{DiskID: s.disk.id, Incarnation: incarnation, Last: last, Turns: turns})
-}
-
-// serveFetch sends turns to a host that makes copies of them. It leaves out those that it does not have.
-func (h *Host) serveFetch(ctx context.Context, r *wire.Request, s *shelf) error {
-	var request fetchRequest
-	if err := r.Decode(&request); err != nil {
-		return err
-	}
-	release, err := h.answerBytes.acquire(ctx, 2*maxPieceBytes)
-	if err != nil {
-		return err
-	}
-	defer release()
-	piece := fetchPiece{DiskID: s.disk.id}
-	size := 0
-	now := sinceBoot()
-	for _, e := range s.lookUp(request.Turns) {
-		if err := h.serveLimit.WaitN(ctx, min(e.Bytes, copyBurstBytes)); err != nil {
-			return err
-		}
-		record, err := s.read(e)
-		if errors.Is(err, turnlog.ErrCorrupt) {
-			h.copier.requestRound()
-			continue
-		}
-		if err != nil {
-			return err
-		}
-		piece.Records, piece.Unused = append(piece.Records, record), append(piece.Unused, e.Unused(now))
-		if size += e.Bytes; size >= maxPieceBytes {
-			if err := r.SendPiece(piece); err != nil {
-				return err
-			}
-			piece, size = fetchPiece{DiskID: s.disk.id}, 0
-		}
-	}
-	return r.Answer(piece)
-}
-
-// callWithin is call with a bound on the time until each part of the answer.
-func callWithin[T any](ctx context.Context, stalled time.Duration, node *wire.Node, address string, t wire.Type, request any, handle func(T) error) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(stalled, func() { cancel(errors.Newf("no answer for %v", stalled)) })
-	defer timer.Stop()
-	err := call(ctx, node, address, t, request, func(part T) error {
-		timer.Reset(stalled)
-		return handle(part)
-	})
-	if err != nil && ctx.Err() != nil {
-		err = errors.CombineErrors(context.Cause(ctx), err)
-	}
-	return err
-}
-
-// call sends a request and passes the parts of the answer to handle.
-func call[T any](ctx context.Context, node *wire.Node, address string, t wire.Type, request any, handle func(T) error) error {
-	x, err := node.Open(ctx, address, t, request)
-	if err != nil {
-		return err
-	}
-	defer x.Close()
-	for {
-		piece, err := x.Next(ctx)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		var part T
-		if err := piece.Decode(&part); err != nil {
-			return errors.Wrapf(err, "decode answer of %s", address)
-		}
-		if err := handle(part); err != nil {
-			return err
-		}
-	}
-}
--- a/service/turns/disk.go
+++ b/service/turns/disk.go
@@ -59,8 +59,8 @@
 	id string
 	// isNew is set if the disk was empty when it was opened.
 	isNew bool
-	// copies is the state of the disk when it was opened.
-	copies copyState
+	// state is that of the copies when the disk was opened.
+	state copyState
 }
 
 // openDisk opens the engine in the folder, which it creates.
@@ -106,10 +106,10 @@
 	}
 	var b [8]byte
 	_, _ = rand.Read(b[:]) // never fails
-	d.id, d.isNew, d.copies = hex.EncodeToString(b[:]), true, copiesMissing
+	d.id, d.isNew, d.state = hex.EncodeToString(b[:]), true, copiesMissing
 	batch := d.db.NewBatch()
 	defer func() { _ = batch.Close() }()
-	err = errors.CombineErrors(batch.Set(keyDiskID, []byte(d.id), nil), batch.Set(keyCopies, []byte{byte(d.copies)}, nil))
+	err = errors.CombineErrors(batch.Set(keyDiskID, []byte(d.id), nil), batch.Set(keyCopies, []byte{byte(d.state)}, nil))
 	return errors.Wrap(errors.CombineErrors(err, batch.Commit(pebble.Sync)), "write the disk's ID")
 }
 
@@ -121,9 +121,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read the state of the copies")
 	}
-	d.copies = turnsMissing
+	d.state = turnsMissing
 	if len(value) == 1 {
-		d.copies = copyState(value[0])
+		d.state = copyState(value[0])
 	}
 	return closer.Close()
 }
--- a/service/turns/losses_test.go
+++ b/service/turns/losses_test.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/time/rate"
 
+	"github.com/hyssopreel/hyssopreel/common/objectapi"
 	"github.com/hyssopreel/hyssopreel/core/turnlog"
 )
 
@@ -200,3 +202,35 @@
 	c.Consistently(func() error { _, err := c.load("never", "p"); return err }, "3s").Should(MatchError(ErrUncertain))
 	c.Eventually(func() error { _, err := c.load("never", "p"); return err }, "20s").Should(MatchError(ErrNotFound))
 }
+
+// hangingStore is a store whose reads of single objects do not return.
+type hangingStore struct{ objectapi.Store }
+
+func (hangingStore) Get(ctx context.Context, _, _ string) (objectapi.Object, error) {
+	<-ctx.Done()
+	return objectapi.Object{}, ctx.Err()
+}
+
+// Guards against a host that answers no questions while it waits for the store, so that others take it for lost.
+func TestStatusDoesNotWaitForTheStore(t *testing.T) {
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(t.Context())
+	m := newMembers(hangingStore{objectapi.NewMemoryStore()}, turnlog.Host{Name: "a-1"})
+	written := make(chan struct{})
+	go func() {
+		_, _ = m.writeEntry(ctx)
+		close(written)
+	}()
+	g.Consistently(func() bool {
+		answered := make(chan struct{})
+		go func() { m.own(); close(answered) }()
+		select {
+		case <-answered:
+			return true
+		case <-time.After(time.Second):
+			return false
+		}
+	}, "500ms").Should(BeTrue())
+	stop()
+	g.Eventually(written, "5s").Should(BeClosed())
+}
--- a/service/turns/members.go
+++ b/service/turns/members.go
@@ -153,6 +153,10 @@
 	store  objectapi.Store
 	relist chan struct{}
 
+	// writeMu is held while the entry is written, so that one write follows the other.
+	writeMu sync.Mutex
+
+	// selfMu is never held during a call to the store: other hosts take one whose status answers are late for lost.
 	selfMu sync.Mutex
 	self   turnlog.Host
 	// gone is set once the entry was deleted at the end of a retirement.
@@ -185,19 +189,21 @@
 
 // setRefilled records in this host's entry that all copies have been made, and returns the entry's version.
 func (m *members) setRefilled(ctx context.Context) (objectapi.Version, error) {
-	set := func(refilling bool) {
-		m.selfMu.Lock()
-		defer m.selfMu.Unlock()
-		m.self.Refilling = refilling
-	}
-	set(false)
+	m.update(func(self *turnlog.Host) { self.Refilling = false })
 	version, err := m.writeEntry(ctx)
 	if err != nil {
-		set(true) // to be repeated
+		m.update(func(self *turnlog.Host) { self.Refilling = true }) // to be repeated
 	}
 	return version, err
 }
 
+// update changes what the next write of the entry contains.
+func (m *members) update(change func(self *turnlog.Host)) {
+	m.selfMu.Lock()
+	defer m.selfMu.Unlock()
+	change(&m.self)
+}
+
 func (m *members) incarnation() string { return m.own().Incarnation }
 
 func (m *members) own() turnlog.Host {
@@ -278,29 +284,29 @@
 
 // writeEntry creates or replaces this host's entry.
 func (m *members) writeEntry(ctx context.Context) (objectapi.Version, error) {
-	m.selfMu.Lock()
-	defer m.selfMu.Unlock()
-	if m.gone {
+	m.writeMu.Lock()
+	defer m.writeMu.Unlock()
+	if m.isGone() {
 		return 0, nil
 	}
-	existing, err := m.store.Get(ctx, KindDiskHosts, m.self.Name)
+	name := m.own().Name
+	existing, err := m.store.Get(ctx, KindDiskHosts, name)
 	isListed := err == nil
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return 0, err
 	}
-	if m.written == 0 {
-		m.self.Refilling = isListed && m.copiesMissing && m.hasLostDisk(existing)
-	}
-	value, err := json.Marshal(m.self)
+	value, err := json.Marshal(m.entryAfter(existing, isListed))
 	if err != nil {
-		return 0, errors.Wrap(err, "encode the entry")
+		return 0, errors.Wrapf(err, "encode the entry of disk host %q", name)
 	}
 	var version objectapi.Version
 	if isListed {
-		version, err = objectapi.UpdateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value, existing.Version)
+		version, err = objectapi.UpdateConfirmed(ctx, m.store, KindDiskHosts, name, value, existing.Version)
 	} else {
-		version, err = objectapi.CreateConfirmed(ctx, m.store, KindDiskHosts, m.self.Name, value)
+		version, err = objectapi.CreateConfirmed(ctx, m.store, KindDiskHosts, name, value)
 	}
+	m.selfMu.Lock()
+	defer m.selfMu.Unlock()
 	m.written = max(m.written, version)
 	if m.self.Refilling && m.refillVersion == 0 {
 		m.refillVersion = version
@@ -308,8 +314,25 @@
 	return version, err
 }
 
+func (m *members) isGone() bool {
+	m.selfMu.Lock()
+	defer m.selfMu.Unlock()
+	return m.gone
+}
+
+// entryAfter returns the entry to be written. When the process writes it for the first time, the entry that it replaces shows
+// whether the host's disk was lost.
+func (m *members) entryAfter(existing objectapi.Object, isListed bool) turnlog.Host {
+	m.selfMu.Lock()
+	defer m.selfMu.Unlock()
+	if m.written == 0 {
+		m.self.Refilling = isListed && m.copiesMissing && m.hasLostDisk(existing)
+	}
+	return m.self
+}
+
 // hasLostDisk reports whether this host had another disk when its entry was written, or had lost that and not got all copies
-// since. A host without an entry has held no turns that have not been copied: its entry is deleted only then.
+// since; m.selfMu is held. A host without an entry has held no turns that have not been copied: its entry is deleted only then.
 func (m *members) hasLostDisk(entry objectapi.Object) bool {
 	h, err := decodeHost(entry)
 	return err != nil || h.DiskID != m.self.DiskID || h.Refilling
@@ -328,18 +351,18 @@
 
 // setState changes the state in this host's entry, and returns the entry's version.
 func (m *members) setState(ctx context.Context, s turnlog.State) (objectapi.Version, error) {
-	m.selfMu.Lock()
-	m.self.State = s
-	m.selfMu.Unlock()
+	m.update(func(self *turnlog.Host) { self.State = s })
 	return m.writeEntry(ctx)
 }
 
 // leave deletes this host's entry for good.
 func (m *members) leave(ctx context.Context) error {
+	m.writeMu.Lock()
+	defer m.writeMu.Unlock()
 	m.selfMu.Lock()
-	defer m.selfMu.Unlock()
 	m.gone = true
-	err := m.store.Delete(ctx, KindDiskHosts, m.self.Name, 0)
+	m.selfMu.Unlock()
+	err := m.store.Delete(ctx, KindDiskHosts, m.own().Name, 0)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil
 	}
--- a/service/turns/refill.go
+++ b/service/turns/refill.go
@@ -15,7 +15,7 @@
 func (s *shelf) hasAllTurns() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copies == copiesMade
+	return s.state == copiesMade
 }
 
 // noteRetention records a retention that turns may have.
@@ -33,14 +33,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies, s.turnsMissingSince = state, clock.SinceBoot()
+	s.state, s.turnsMissingSince = state, clock.SinceBoot()
 }
 
 // endMissingTurns ends the time in which turns may be missing, once all turns of before have expired.
 func (s *shelf) endMissingTurns() {
 	retained, known := s.retentionBound()
 	s.mu.Lock()
-	over := s.copies == turnsMissing && known && clock.SinceBoot()-s.turnsMissingSince > retained
+	over := s.state == turnsMissing && known && clock.SinceBoot()-s.turnsMissingSince > retained
 	s.mu.Unlock()
 	if over {
 		s.setCopyState(copiesMade)
@@ -58,7 +58,7 @@
 func (s *shelf) copyState() copyState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copies
+	return s.state
 }
 
 // checkLosses records that turns may be missing if by that list more disks were lost than tolerated while this host made
--- a/service/turns/shelf.go
+++ b/service/turns/shelf.go
@@ -46,7 +46,7 @@
 	usedBytes    int64
 	// writing holds when the records that are being written were passed to the disk, by sequence.
 	writing map[uint64]time.Duration
-	copies  copyState
+	state   copyState
 	// turnsMissingSince is when turns may have lost their last copy, or this process began, and longestRetention the longest
 	// retention of any turn that is known of.
 	turnsMissingSince, longestRetention time.Duration
@@ -61,7 +61,7 @@
 		index: turnlog.NewIndex(), cache: newRecordCache(int64(float64(memoryBytes) * cacheMemoryFraction)), writing: map[uint64]time.Duration{},
 	}
 	now := clock.SinceBoot()
-	s.copies, s.turnsMissingSince = d.copies, now
+	s.state, s.turnsMissingSince = d.state, now
 	var replaced []uint64
 	damaged, err := d.scan(func(sequence uint64, m turnlog.Meta) {
 		s.lastSequence, s.longestRetention = sequence, max(s.longestRetention, m.Retention)
